--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Every build output lands in bin/.
+.PHONY: build run test bench generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+# The main job on our own stand-ins, as separate processes on loopback.
+run: build
+	bin/standin demo
+
+# -count=1: a failure test that passed once must pass again.
+test: build
+	go test -race -count=1 -timeout 20m ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-grpc; the output is committed.
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative wire/wire.proto
--- /dev/null
+++ b/decide.go
@@ -0,0 +1,251 @@
+package chestnutstep
+
+import "time"
+
+// Place says what a request wants of a target, for ranking.
+type Place struct {
+	Workspace string
+	Chat      string
+	Model     string
+	// Region of the entry: targets of the same region rank before others.
+	Region string
+	// Hint is the target that the caller was last served by; it ranks first
+	// while it qualifies. Advice of the caller, never authority.
+	Hint string
+}
+
+// Ranker orders the targets that may serve a chat.
+type Ranker interface {
+	// Rank appends at most n targets to dst, best first, and returns it. It
+	// allocates nothing when dst has room.
+	Rank(dst []*Target, ask Place, n int) []*Target
+}
+
+// Work is one request as the decisions at a target see it.
+type Work struct {
+	ID        string
+	Workspace string
+	Class     Class
+	// Cost is the estimated work in tokens.
+	Cost float64
+	// Deadline by the agent's own clock.
+	Deadline time.Time
+	// Patience is the latest moment up to which the request may wait here.
+	Patience time.Time
+	// Home says that the chat's prompt prefix is here: waiting may pay.
+	Home bool
+	// Alone says that the request is a crash suspect: it runs by itself.
+	Alone bool
+}
+
+// Verdict is an answer to an offer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Refuse Verdict = iota
+	Accept
+	Queue
+)
+
+// Decision is a verdict with its reason and what the caller should know.
+type Decision struct {
+	Verdict Verdict
+	// Reason of a refusal.
+	Reason Reason
+	// Wait is the predicted wait of a queued request.
+	Wait time.Duration
+	// Retry is when a refused caller may come back.
+	Retry time.Duration
+}
+
+// Outcome is how a running request ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served   Outcome = iota // whole answer
+	Failed                  // the target answered badly or not at all
+	Withdraw                // the caller gave up, or the body never came
+)
+
+// Next is what became of waiting work.
+type Next struct {
+	// Start lists the requests that run from now on, in order.
+	Start []string
+	// Drop lists the requests that are refused after all.
+	Drop []Dropped
+}
+
+// Dropped is a waiting request that is refused after all; it never ran.
+type Dropped struct {
+	ID       string
+	Decision Decision
+}
+
+// Limits is what a gate needs of the publication in force.
+type Limits struct {
+	Model Model
+	// Weight of the target against others of its model.
+	Weight float64
+	// Out says that operators took the target out of service.
+	Out bool
+	// Workspaces gives each workspace's weight; 1 where it is missing.
+	Workspaces map[string]float64
+}
+
+// Mean is what an agent knows of the mean load of its model's targets.
+type Mean struct {
+	// Load in running and waiting requests for one unit of weight.
+	Load float64
+	// Targets is how many targets the figure rests on, this one not counted.
+	Targets int
+	// Age of the oldest sample that the figure rests on.
+	Age time.Duration
+}
+
+// Load is a target's state as its own gate sees it.
+type Load struct {
+	Running int
+	Waiting int
+	Cap     int
+	// Cold says that the target has not proven warm since its last start.
+	Cold bool
+	// Leaving says that the target takes no new work.
+	Leaving bool
+	// Weight is the share of full load that the target asks for: 0 to 1. It
+	// ramps up after a cold start and down while the target leaves.
+	Weight float64
+}
+
+// Gate decides what a target takes, what waits and what is turned away. It is
+// pure: it neither blocks nor reads a clock. Its owner calls it under one lock.
+type Gate interface {
+	// Limit puts the limits of a publication in force.
+	Limit(now time.Time, l Limits)
+	// Measure takes a new estimate of the mean load.
+	Measure(now time.Time, m Mean)
+	// Offer decides on new work. Accepted work counts as running at once.
+	Offer(now time.Time, w Work) Decision
+	// End says that running or waiting work is over; unknown ids are ignored.
+	End(now time.Time, id string, o Outcome)
+	// Next returns what became of waiting work. Call it after End, Limit,
+	// Measure, Chill and every tick.
+	Next(now time.Time) Next
+	// Chill says that the target is cold: it started, restarted, or dropped
+	// its connections.
+	Chill(now time.Time)
+	// Leave says that the target takes no new work from now on.
+	Leave(now time.Time, leaving bool)
+	// Load reports the target's state.
+	Load(now time.Time) Load
+}
+
+// Sample is one target's load as its own agent saw it.
+type Sample struct {
+	Target string
+	Model  string
+	// Load in running and waiting requests for one unit of weight.
+	Load float64
+	// Seen is when, by the receiver's clock.
+	Seen time.Time
+}
+
+// Sampler estimates the mean load of a model from what agents tell each other.
+type Sampler interface {
+	// Own sets this target's load.
+	Own(now time.Time, s Sample)
+	// Learn takes samples from a peer.
+	Learn(now time.Time, s []Sample)
+	// Tell returns at most n samples worth passing on, this target's first.
+	Tell(now time.Time, n int) []Sample
+	// Mean estimates the mean over all targets of the model, this one included.
+	Mean(now time.Time) Mean
+}
+
+// Allowance is a budget for repeats, kept by each entry for itself.
+type Allowance interface {
+	// Earn counts a first offer.
+	Earn(now time.Time)
+	// Spend takes one repeat from the budget; false means that none is left.
+	Spend(now time.Time) bool
+}
+
+// Judgement is what is known of a request's content.
+type Judgement uint8
+
+// The judgements.
+const (
+	Clear     Judgement = iota
+	Suspect             // was running when a target crashed: runs alone
+	Condemned           // crashed a target while it ran alone, or two targets
+)
+
+// Suspicion is a content fingerprint that was running when targets crashed.
+type Suspicion struct {
+	Fingerprint uint64
+	// Crashed lists the targets, at most two.
+	Crashed []string
+	// Cleared says that it ran to its end since.
+	Cleared bool
+	// Seen is when, by the receiver's clock.
+	Seen time.Time
+}
+
+// Jury keeps the crash suspicions of one agent.
+type Jury interface {
+	Judge(now time.Time, fingerprint uint64) Judgement
+	// Start and End bracket a run of the content at this target.
+	Start(now time.Time, fingerprint uint64)
+	End(now time.Time, fingerprint uint64, served bool)
+	// Crash says that the target died; what was running becomes suspect. It
+	// returns the fingerprints whose judgement changed.
+	Crash(now time.Time) []Suspicion
+	Learn(now time.Time, s []Suspicion)
+	Tell(now time.Time, n int) []Suspicion
+}
+
+// Stub is what an agent knows of a ticket.
+type Stub struct {
+	// State of the ticket.
+	State TicketState
+	// Reason when the ticket can't be used.
+	Reason Reason
+	// Run is the true answer to whether the ticketed request ran.
+	Run Run
+	// Request is the id of the request that spent the ticket.
+	Request string
+}
+
+// TicketState is a state of the ticket's chart.
+type TicketState string
+
+// The states of a ticket.
+const (
+	TicketFresh   TicketState = "fresh"   // minted, not seen again
+	TicketHeld    TicketState = "held"    // offered, waiting to run; has not run
+	TicketRunning TicketState = "running" // handed to the target
+	TicketDone    TicketState = "done"    // ran, outcome known
+	TicketUnknown TicketState = "unknown" // ran perhaps, outcome unknown
+	TicketDropped TicketState = "dropped" // tombstone: never ran, never will
+	TicketInvalid TicketState = "invalid" // forged, expired or of a dead incarnation
+)
+
+// Booth mints and spends the tickets of one agent incarnation. It is pure: its
+// owner calls it under one lock.
+type Booth interface {
+	// Mint returns n fresh tickets for a workspace.
+	Mint(now time.Time, workspace string, n int) []string
+	// Hold binds a ticket to a request. A repeat of the same request finds the
+	// state it is in; another request finds ReasonSpent.
+	Hold(now time.Time, token, workspace, request string) Stub
+	// Run marks a held ticket as handed to the target. False means that it must
+	// not run: the owner asks right before it calls the target.
+	Run(now time.Time, token string) bool
+	// Release gives a held ticket back unused: it may be held again.
+	Release(now time.Time, token string)
+	// Done ends a running ticket; known says whether the outcome is known.
+	Done(now time.Time, token string, known bool)
+	// Drop writes a tombstone when the ticket has not run, and says the truth.
+	Drop(now time.Time, token, workspace string) Stub
+}
--- /dev/null
+++ b/publication.go
@@ -0,0 +1,118 @@
+package chestnutstep
+
+// Publication is what operators publish: the whole configuration of the fleet
+// under one version. A process puts a publication in force whole or not at
+// all, and never one with a version below that in force.
+type Publication struct {
+	// Version is monotone: a higher one replaces a lower one.
+	Version    uint64      `json:"version"`
+	Domains    []Domain    `json:"domains"`
+	Hosts      []Host      `json:"hosts"`
+	Models     []Model     `json:"models"`
+	Targets    []Target    `json:"targets"`
+	Profiles   []Profile   `json:"profiles"`
+	Workspaces []Workspace `json:"workspaces"`
+	Budget     Budget      `json:"budget"`
+}
+
+// Domain is a failure domain.
+type Domain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	// Out takes the domain out of service: it receives no new work.
+	Out bool `json:"out,omitempty"`
+}
+
+// Host is a machine that bears targets or entries.
+type Host struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	Out    bool   `json:"out,omitempty"`
+}
+
+// Kinds of a model.
+const (
+	KindEngine  = "engine"  // a model engine: batches, caches prompt prefixes
+	KindService = "service" // a plain service, such as bookings
+)
+
+// Model is a set of like targets: a model that engines serve, or a plain
+// service. Load is compared and capped within one model.
+type Model struct {
+	Name string `json:"name"`
+	Kind string `json:"kind"`
+	// Multiple of the mean load that no target may exceed, from 1.05 up; 0
+	// switches the cap off.
+	Multiple float64 `json:"multiple"`
+	// Floor is the load, in running requests, that a target may always carry:
+	// below it the multiple of a small mean would forbid any work.
+	Floor int `json:"floor"`
+	// Slots is the most that a warm target can run at once.
+	Slots int `json:"slots"`
+	// Queue bounds the requests that wait at one target.
+	Queue int `json:"queue"`
+	// Cold is how many requests a target in cold start can carry.
+	Cold int `json:"cold"`
+}
+
+// Target is one back end: a model engine or a plain service on a host.
+type Target struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	// Model that the target serves.
+	Model string `json:"model"`
+	// Agent is the address, IP and port, of the agent beside the target.
+	Agent string `json:"agent"`
+	// Weight is the target's size against others of its model; 1 if unset.
+	Weight float64 `json:"weight,omitempty"`
+	Out    bool    `json:"out,omitempty"`
+	// Fenced says that the target refuses orders with an old fencing number.
+	Fenced bool `json:"fenced,omitempty"`
+}
+
+// Profile is a named way of being served; callers pick one for each request.
+type Profile struct {
+	Name  string `json:"name"`
+	Model string `json:"model"`
+	// Class is "urgent", "normal" or "batch".
+	Class string `json:"class"`
+	// Timeout is the default and greatest time limit of a request.
+	Timeout Duration `json:"timeout"`
+	// Patience is how long a request may wait at the target that holds its
+	// prompt prefix before it is offered elsewhere.
+	Patience Duration `json:"patience"`
+	// Tries bounds the targets that a request is offered to.
+	Tries int `json:"tries"`
+	// Once marks requests that are not idempotent: they need a ticket.
+	Once bool `json:"once,omitempty"`
+	// Tokens is the expected work of an answer, in tokens.
+	Tokens int `json:"tokens"`
+	// Body is the largest request body in bytes.
+	Body int64 `json:"body"`
+}
+
+// Workspace is a customer: callers with one or more keys, limits and a weight.
+type Workspace struct {
+	Name string `json:"name"`
+	// Keys are the SHA-256 hashes, in hex, of the callers' keys.
+	Keys []string `json:"keys"`
+	// Weight is the workspace's share when targets are saturated; 1 if unset.
+	Weight float64 `json:"weight,omitempty"`
+	// Rate is the requests a second over all entries; 0 is unlimited.
+	Rate float64 `json:"rate,omitempty"`
+	// Burst is how many requests may come at once.
+	Burst float64 `json:"burst,omitempty"`
+}
+
+// Budget bounds what the whole fleet may ask of the platform and of itself.
+type Budget struct {
+	// Reads is the calls a second that all processes together may make to the
+	// configuration service; a waiting watch counts as one.
+	Reads float64 `json:"reads"`
+	// Loads is the weight loads a second that the weight store allows.
+	Loads float64 `json:"loads"`
+	// Retries is the share of an entry's offers that may be retries.
+	Retries float64 `json:"retries"`
+	// Export is the bytes a second that one agent may spend on KV cache moves.
+	Export int64 `json:"export"`
+}
--- /dev/null
+++ b/view.go
@@ -0,0 +1,119 @@
+package chestnutstep
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// View is a publication with the look-ups that a request needs. It is built
+// once for each publication and never changed, so that it is read without a
+// lock by all requests that began under it.
+type View struct {
+	Publication *Publication
+	// Targets by name.
+	Targets map[string]*Target
+	// Models by name.
+	Models map[string]*Model
+	// Serving lists the targets of each model, in service or not.
+	Serving map[string][]*Target
+	// Profiles by name.
+	Profiles map[string]*Profile
+	// Workspaces by name.
+	Workspaces map[string]*Workspace
+	// Domains of hosts: failure domain by host name.
+	Domains map[string]*Domain
+	// Hosts by name.
+	Hosts map[string]*Host
+
+	keys map[[sha256.Size]byte]*Workspace
+}
+
+// NewView builds the look-ups of a publication that was checked before.
+func NewView(p *Publication) *View {
+	v := &View{
+		Publication: p,
+		Targets:     make(map[string]*Target, len(p.Targets)),
+		Models:      make(map[string]*Model, len(p.Models)),
+		Serving:     make(map[string][]*Target, len(p.Models)),
+		Profiles:    make(map[string]*Profile, len(p.Profiles)),
+		Workspaces:  make(map[string]*Workspace, len(p.Workspaces)),
+		Domains:     make(map[string]*Domain, len(p.Hosts)),
+		Hosts:       make(map[string]*Host, len(p.Hosts)),
+		keys:        make(map[[sha256.Size]byte]*Workspace, len(p.Workspaces)),
+	}
+	v.addPlaces(p)
+	v.addTargets(p)
+	v.addCallers(p)
+	return v
+}
+
+func (v *View) addPlaces(p *Publication) {
+	byName := make(map[string]*Domain, len(p.Domains))
+	for i := range p.Domains {
+		byName[p.Domains[i].Name] = &p.Domains[i]
+	}
+	for i := range p.Hosts {
+		h := &p.Hosts[i]
+		v.Hosts[h.Name] = h
+		v.Domains[h.Name] = byName[h.Domain]
+	}
+}
+
+func (v *View) addTargets(p *Publication) {
+	for i := range p.Models {
+		v.Models[p.Models[i].Name] = &p.Models[i]
+	}
+	for i := range p.Targets {
+		t := &p.Targets[i]
+		v.Targets[t.Name] = t
+		v.Serving[t.Model] = append(v.Serving[t.Model], t)
+	}
+}
+
+func (v *View) addCallers(p *Publication) {
+	for i := range p.Profiles {
+		v.Profiles[p.Profiles[i].Name] = &p.Profiles[i]
+	}
+	for i := range p.Workspaces {
+		ws := &p.Workspaces[i]
+		v.Workspaces[ws.Name] = ws
+		for _, key := range ws.Keys {
+			v.addKey(key, ws)
+		}
+	}
+}
+
+func (v *View) addKey(key string, ws *Workspace) {
+	raw, err := hex.DecodeString(key)
+	if err != nil || len(raw) != sha256.Size {
+		return
+	}
+	v.keys[[sha256.Size]byte(raw)] = ws
+}
+
+// Authenticate finds the workspace that a caller's key belongs to, or nil. The
+// publication holds hashes only, so that reading it gives no one a key.
+func (v *View) Authenticate(key string) *Workspace {
+	return v.keys[sha256.Sum256([]byte(key))]
+}
+
+// Out says whether operators took the target, its host or its failure domain
+// out of service.
+func (v *View) Out(t *Target) bool {
+	if t.Out {
+		return true
+	}
+	if h := v.Hosts[t.Host]; h == nil || h.Out {
+		return true
+	}
+	d := v.Domains[t.Host]
+	return d == nil || d.Out
+}
+
+// Region returns the region of a host, or "" when the host is unknown.
+func (v *View) Region(host string) string {
+	if d := v.Domains[host]; d != nil {
+		return d.Region
+	}
+	return ""
+}
