route: weighted rendezvous ranking of targets for a chat

A returning chat must find the target that holds its prompt prefix through any entry, so the order is computed from workspace and chat and nothing is remembered. Region first, hint before all while it qualifies.

Ruled out: a sort of all targets and a logarithm for each of them. The bound 1-u <= -ln(u) spares nearly all logarithms, and only the best few are kept. In exact agreement with the plain sort over random fleets.

--- /dev/null
+++ b/route/rank.go
@@ -0,0 +1,168 @@
+package route
+
+import (
+	"math"
+
+	"chestnutstep.example/chestnutstep"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Most is the longest ranking that Rank gives, whatever the caller asks for.
+// A request is offered to a handful of targets; the bound lets the best ones
+// be kept on the stack.
+const Most = 64
+
+// best keeps the targets with the smallest keys seen so far, in order.
+type best struct {
+	keys  [Most]float64
+	seats [Most]*seat
+	n     int
+	limit int
+}
+
+// Rank appends at most n targets (and at most Most) to dst, best first: the
+// hint while it qualifies, then the targets of the caller's region, then those
+// of other regions. It allocates nothing when dst has room.
+func (t *Table) Rank(dst []*chestnutstep.Target, ask chestnutstep.Place, n int) []*chestnutstep.Target {
+	p := t.pools[ask.Model]
+	if p == nil || n <= 0 {
+		return dst
+	}
+	n = min(n, Most)
+	hint := t.hint(ask)
+	if hint != nil {
+		dst = append(dst, hint)
+		n--
+	}
+	chat := chatHash(ask.Workspace, ask.Chat)
+	near := best{limit: n}
+	p.near(&near, ask.Region, chat, hint)
+	dst = near.appendTo(dst)
+	if near.n == n {
+		return dst
+	}
+	far := best{limit: n - near.n}
+	p.far(&far, ask.Region, chat, hint)
+	return far.appendTo(dst)
+}
+
+// hint returns the target that the caller was last served by while it is still
+// worth a first try. A hint is text from outside: one that names a target of
+// another model, or one that left, is ignored rather than refused, as callers
+// keep hints for as long as their chats pause.
+func (t *Table) hint(ask chestnutstep.Place) *chestnutstep.Target {
+	if ask.Hint == "" {
+		return nil
+	}
+	target := t.byName[ask.Hint]
+	if target == nil || target.Model != ask.Model {
+		return nil
+	}
+	return target
+}
+
+func (p *pool) near(b *best, region string, chat uint64, hint *chestnutstep.Target) {
+	for _, s := range p.spans {
+		if s.region == region {
+			b.scan(p.seats[s.first:s.last], chat, hint)
+		}
+	}
+}
+
+func (p *pool) far(b *best, region string, chat uint64, hint *chestnutstep.Target) {
+	for _, s := range p.spans {
+		if s.region != region {
+			b.scan(p.seats[s.first:s.last], chat, hint)
+		}
+	}
+}
+
+// scan offers each seat to the best so far. A logarithm for each of thousands
+// of targets would cost most of the time that a ranking may take. As -ln(u) is
+// never below 1-u, the cheap 1-u rules nearly all seats out.
+func (b *best) scan(seats []seat, chat uint64, hint *chestnutstep.Target) {
+	if b.limit == 0 {
+		return
+	}
+	worst := b.worst()
+	for i := range seats {
+		s := &seats[i]
+		u := uniform(s.hash, chat)
+		if (1-u)*s.low > worst || s.target == hint {
+			continue
+		}
+		b.add(s, key(u, s.inv))
+		worst = b.worst()
+	}
+}
+
+// worst is the key that a seat must not exceed to be kept.
+func (b *best) worst() float64 {
+	if b.n < b.limit {
+		return math.Inf(1)
+	}
+	return b.keys[b.n-1]
+}
+
+func (b *best) add(s *seat, k float64) {
+	i := b.n
+	if b.n == b.limit {
+		i--
+		if !before(k, s, b.keys[i], b.seats[i]) {
+			return
+		}
+	} else {
+		b.n++
+	}
+	for i > 0 && before(k, s, b.keys[i-1], b.seats[i-1]) {
+		b.keys[i], b.seats[i] = b.keys[i-1], b.seats[i-1]
+		i--
+	}
+	b.keys[i], b.seats[i] = k, s
+}
+
+func (b *best) appendTo(dst []*chestnutstep.Target) []*chestnutstep.Target {
+	for _, s := range b.seats[:b.n] {
+		dst = append(dst, s.target)
+	}
+	return dst
+}
+
+// before orders two seats by key and, should two keys be equal, by name, so
+// that no entry's order depends on how its list was sorted.
+func before(k float64, s *seat, other float64, o *seat) bool {
+	if k != other {
+		return k < other
+	}
+	return s.target.Name < o.target.Name
+}
+
+// key is the rank of a target for a chat: the smallest goes first. With u
+// uniform, -ln(u)/w is exponential with rate w, so that each target comes
+// first for a share of chats that is exactly its share of the weights.
+func key(u, inv float64) float64 {
+	return -math.Log(u) * inv
+}
+
+// uniform is a number between 0 and 1, both excluded, that is fixed for one
+// target and chat.
+func uniform(target, chat uint64) float64 {
+	const bits = 53
+	return (float64(mix(target^chat)>>(64-bits)) + 0.5) / (1 << bits)
+}
+
+// chatHash is a hash of workspace and chat that no other split of the same
+// letters shares.
+func chatHash(workspace, chat string) uint64 {
+	return mix(xxhash.Sum64String(workspace)) ^ xxhash.Sum64String(chat)
+}
+
+// mix is the finalizer of splitmix64: it spreads every bit over the whole
+// word, which combining two hashes by exclusive or alone doesn't.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/route/rank_test.go
@@ -0,0 +1,193 @@
+package route
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"chestnutstep.example/chestnutstep"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that CI gives the same verdict every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var models = []string{"chat", "tag"}
+
+// drawFleet draws a publication with domains, hosts and targets in and out.
+func drawFleet(t *rapid.T) *chestnutstep.Publication {
+	p := &chestnutstep.Publication{}
+	for _, m := range models {
+		p.Models = append(p.Models, chestnutstep.Model{Name: m})
+	}
+	for i := range rapid.IntRange(1, 4).Draw(t, "domains") {
+		d := chestnutstep.Domain{Name: fmt.Sprint("d", i)}
+		d.Region = rapid.SampledFrom([]string{"east", "west"}).Draw(t, "region")
+		d.Out = rapid.IntRange(0, 4).Draw(t, "out") == 0
+		p.Domains = append(p.Domains, d)
+	}
+	for i := range rapid.IntRange(0, 80).Draw(t, "hosts") {
+		h := chestnutstep.Host{Name: fmt.Sprint("h", i), Domain: fmt.Sprint("d", i%len(p.Domains))}
+		h.Out = rapid.IntRange(0, 9).Draw(t, "host out") == 0
+		target := chestnutstep.Target{Name: fmt.Sprint("t", i), Host: h.Name}
+		target.Model = rapid.SampledFrom(models).Draw(t, "model")
+		target.Weight = rapid.SampledFrom([]float64{0, 0.25, 1, 1, 3}).Draw(t, "weight")
+		p.Hosts = append(p.Hosts, h)
+		p.Targets = append(p.Targets, target)
+	}
+	return p
+}
+
+func drawPlace(t *rapid.T) chestnutstep.Place {
+	return chestnutstep.Place{
+		Workspace: rapid.StringN(0, 4, -1).Draw(t, "workspace"),
+		Chat:      rapid.StringN(0, 6, -1).Draw(t, "chat"),
+		Model:     rapid.SampledFrom(append(models, "none")).Draw(t, "model"),
+		Region:    rapid.SampledFrom([]string{"east", "west", "far"}).Draw(t, "region"),
+		Hint:      rapid.SampledFrom([]string{"", "t0", "t3", "t7", "gone"}).Draw(t, "hint"),
+	}
+}
+
+// naive sorts all targets that qualify, with a logarithm for each.
+func naive(v *chestnutstep.View, skip func(*chestnutstep.Target) bool, ask chestnutstep.Place, n int) []string {
+	var all []*chestnutstep.Target
+	for _, target := range v.Serving[ask.Model] {
+		if !v.Out(target) && !skip(target) {
+			all = append(all, target)
+		}
+	}
+	rank := func(target *chestnutstep.Target) int {
+		switch {
+		case target.Name == ask.Hint:
+			return 0
+		case v.Region(target.Host) == ask.Region:
+			return 1
+		}
+		return 2
+	}
+	score := func(target *chestnutstep.Target) float64 {
+		s := newSeat(target)
+		return key(uniform(s.hash, chatHash(ask.Workspace, ask.Chat)), s.inv)
+	}
+	slices.SortFunc(all, func(a, b *chestnutstep.Target) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(score(a), score(b)), cmp.Compare(a.Name, b.Name))
+	})
+	return names(all[:min(n, len(all), Most)])
+}
+
+func names(targets []*chestnutstep.Target) []string {
+	list := []string{}
+	for _, target := range targets {
+		list = append(list, target.Name)
+	}
+	return list
+}
+
+func TestRankAgreesWithPlainSort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := chestnutstep.NewView(drawFleet(t))
+		leaving := rapid.SampledFrom([]string{"", "t1", "t3"}).Draw(t, "leaving")
+		skip := func(target *chestnutstep.Target) bool { return target.Name == leaving }
+		table := &Table{View: v, Skip: skip}
+		table.Build()
+		for range 8 {
+			ask := drawPlace(t)
+			n := rapid.IntRange(0, 90).Draw(t, "n")
+			assert.DeepEqual(t, names(table.Rank(nil, ask, n)), naive(v, skip, ask, n))
+		}
+	})
+}
+
+// Host lists disagree for seconds at a time. Were the order of the targets that
+// two entries both see not the same, a chat would lose its prompt cache
+// whenever the balancer handed it to another entry, and its user would wait for
+// the whole booking history to be read again.
+func TestEntriesAgreeOnTargetsBothSee(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := chestnutstep.NewView(drawFleet(t))
+		blind := func(label string) *Table {
+			hidden := map[string]bool{}
+			for _, i := range rapid.SliceOfN(rapid.IntRange(0, 79), 0, 20).Draw(t, label) {
+				hidden[fmt.Sprint("t", i)] = true
+			}
+			table := &Table{View: v, Skip: func(target *chestnutstep.Target) bool { return hidden[target.Name] }}
+			table.Build()
+			return table
+		}
+		a, b := blind("a"), blind("b")
+		ask := drawPlace(t)
+		ask.Hint = ""
+		both := func(from, other *Table) []string {
+			return slices.DeleteFunc(names(from.Rank(nil, ask, Most)), func(name string) bool {
+				return other.byName[name] == nil
+			})
+		}
+		assert.DeepEqual(t, both(a, b), both(b, a))
+	})
+}
+
+// bigTable has the fleet's largest size: 2,700 targets of one model.
+func bigTable(targets int) *Table {
+	p := &chestnutstep.Publication{Models: []chestnutstep.Model{{Name: "chat"}}}
+	for i := range 3 {
+		p.Domains = append(p.Domains, chestnutstep.Domain{Name: fmt.Sprint("d", i), Region: "east"})
+	}
+	for i := range targets {
+		host := fmt.Sprint("h", i)
+		p.Hosts = append(p.Hosts, chestnutstep.Host{Name: host, Domain: fmt.Sprint("d", i%3)})
+		p.Targets = append(p.Targets, chestnutstep.Target{Name: fmt.Sprint("t", i), Host: host, Model: "chat", Weight: 1 + float64(i%2)})
+	}
+	table := &Table{View: chestnutstep.NewView(p)}
+	table.Build()
+	return table
+}
+
+// The share of chats that a target is first for follows its weight: otherwise
+// the cap would turn away at small targets what large ones could carry.
+func TestFirstChoiceFollowsWeight(t *testing.T) {
+	const chats = 20000
+	table := bigTable(30)
+	var double int
+	for i := range chats {
+		first := table.Rank(nil, chestnutstep.Place{Chat: fmt.Sprint("c", i), Model: "chat", Region: "east"}, 1)[0]
+		if first.Weight == 2 {
+			double++
+		}
+	}
+	share := float64(double) / chats
+	assert.Assert(t, share > 0.65 && share < 0.68, "share %v", share)
+}
+
+func TestRankAllocatesNothing(t *testing.T) {
+	table := bigTable(2700)
+	dst := make([]*chestnutstep.Target, 0, 8)
+	ask := chestnutstep.Place{Workspace: "desk", Chat: "c1", Model: "chat", Region: "east", Hint: "t9"}
+	allocs := testing.AllocsPerRun(100, func() { dst = table.Rank(dst[:0], ask, 4) })
+	assert.Equal(t, allocs, 0.0)
+}
+
+func BenchmarkRank(b *testing.B) {
+	for _, n := range []int{18, 2700} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			table := bigTable(n)
+			dst := make([]*chestnutstep.Target, 0, 8)
+			chats := []string{"a", "b", "c", "d", "e", "f", "g"}
+			ask := chestnutstep.Place{Workspace: "desk", Model: "chat", Region: "east"}
+			b.ReportAllocs()
+			for i := range b.N {
+				ask.Chat = chats[i%len(chats)]
+				dst = table.Rank(dst[:0], ask, 4)
+			}
+		})
+	}
+}
