--- /dev/null
+++ b/event/catalog.go
@@ -0,0 +1,455 @@
+package event
+
+// The events, by number. Numbers are never reused.
+const (
+	ProcessStart    ID = 1001
+	ProcessReady    ID = 1002
+	ProcessNotReady ID = 1003
+	ProcessDrain    ID = 1004
+	ProcessStop     ID = 1005
+	ProcessPanic    ID = 1006
+	ProcessPaused   ID = 1007
+	AuditRecord     ID = 1010
+	CertLoaded      ID = 1020
+	CertBroken      ID = 1021
+	CertExpires     ID = 1022
+	AdminFailed     ID = 1030
+
+	PublicationInForce  ID = 2001
+	PublicationRefused  ID = 2002
+	PublicationOld      ID = 2003
+	PublicationPart     ID = 2004
+	PublicationNone     ID = 2005
+	PublicationConflict ID = 2006
+	PlatformDown        ID = 2007
+	PlatformUp          ID = 2008
+	PlatformBack        ID = 2009
+
+	RequestDone     ID = 3001
+	RequestRefused  ID = 3002
+	RequestBroken   ID = 3003
+	RequestCanceled ID = 3004
+	OfferRefused    ID = 3005
+	OfferFailed     ID = 3006
+	RetryDenied     ID = 3007
+	AnswerAttached  ID = 3008
+	KeyUnknown      ID = 3009
+	RateExceeded    ID = 3010
+
+	TargetUp         ID = 4001
+	TargetDown       ID = 4002
+	TargetCold       ID = 4003
+	TargetWarm       ID = 4004
+	TargetLeaving    ID = 4005
+	TargetBack       ID = 4006
+	TargetCrash      ID = 4007
+	ContentSuspect   ID = 4008
+	ContentCondemned ID = 4009
+	ContentCleared   ID = 4010
+	AnswerCrossed    ID = 4011
+	AnswerShort      ID = 4012
+	OfferExpired     ID = 4013
+	OverCap          ID = 4014
+	RunAbandoned     ID = 4015
+	MeanStale        ID = 4016
+
+	TicketsMinted ID = 5001
+	TicketRefused ID = 5002
+	TicketUnknown ID = 5003
+	TicketDropped ID = 5004
+	TicketsFull   ID = 5005
+	OrderSent     ID = 5010
+	OrderDone     ID = 5011
+	OrderRefused  ID = 5012
+	OrderUnknown  ID = 5013
+
+	PeerUnreachable ID = 6001
+	PeersLost       ID = 6002
+	PeersFound      ID = 6003
+	HostLeaving     ID = 6004
+	HostGone        ID = 6005
+	WatcherChosen   ID = 6006
+	ReadBudget      ID = 6007
+)
+
+// Catalog lists all events by number. It is the source of docs/EVENTS.md.
+var Catalog = []Entry{
+	{
+		ID: ProcessStart, Name: "process_start", Level: Info,
+		Meaning: "The process began; its settings are valid.",
+		Cause:   "A start or a restart.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: ProcessReady, Name: "process_ready", Level: Info,
+		Meaning: "The process takes work.",
+		Cause:   "A valid publication is in force and the listeners are open.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: ProcessNotReady, Name: "process_not_ready", Level: Warn,
+		Meaning: "The process says at /ready that it takes no new work, and why.",
+		Cause:   "It is stopping, or no publication is in force.",
+		Action:  "See the field why; without a publication see 2005.",
+	},
+	{
+		ID: ProcessDrain, Name: "process_drain", Level: Info,
+		Meaning: "A graceful stop began: no new work, requests in progress run on.",
+		Cause:   "SIGTERM.",
+		Action:  "Wait for 1005.",
+	},
+	{
+		ID: ProcessStop, Name: "process_stop", Level: Info,
+		Meaning: "The process ended; cut counts requests that were still in progress.",
+		Cause:   "The graceful stop is over.",
+		Action:  "When cut is not 0, give the drain setting more time.",
+	},
+	{
+		ID: ProcessPanic, Name: "process_panic", Level: Error,
+		Meaning: "A fault of the program was caught; the request it served failed.",
+		Cause:   "A defect.",
+		Action:  "Report it with the stack.",
+	},
+	{
+		ID: ProcessPaused, Name: "process_paused", Level: Warn,
+		Meaning: "The process did not run for a while, as its own timer shows.",
+		Cause:   "The host froze, swapped or was moved.",
+		Action:  "Look at the host; work whose caller gave up is refused by itself.",
+	},
+	{
+		ID: AuditRecord, Name: "audit_record", Level: Info,
+		Meaning: "A numbered record of the audit trail, chained by hash to the one before.",
+		Cause:   "A change that operators may ask about later.",
+		Action:  "Keep it; check a chain as CONTRIBUTING.md says.",
+	},
+	{
+		ID: CertLoaded, Name: "cert_loaded", Level: Info,
+		Meaning: "Certificate files were read and are in use for new connections.",
+		Cause:   "A start, or the files changed.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: CertBroken, Name: "cert_broken", Level: Error,
+		Meaning: "Changed certificate files can't be used; the last good ones stay.",
+		Cause:   "Half-written files, or a key that does not belong to the certificate.",
+		Action:  "Write the files again; see docs/operate/rotate.md.",
+	},
+	{
+		ID: CertExpires, Name: "cert_expires", Level: Warn,
+		Meaning: "The certificate in use ends soon.",
+		Cause:   "It was not rotated.",
+		Action:  "See docs/operate/rotate.md.",
+	},
+	{
+		ID: AdminFailed, Name: "admin_failed", Level: Error,
+		Meaning: "The admin address can't be served.",
+		Cause:   "The address is in use or not of this host.",
+		Action:  "Correct admin in the settings.",
+	},
+	{
+		ID: PublicationInForce, Name: "publication_in_force", Level: Info,
+		Meaning: "A publication was put in force whole.",
+		Cause:   "Operators published.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: PublicationRefused, Name: "publication_refused", Level: Error,
+		Meaning: "A publication was refused; the last good one stays in force.",
+		Cause:   "It does not hold together, or a part is missing or damaged.",
+		Action:  "Run `chestnutstep check` on it and publish a corrected one under a higher version.",
+	},
+	{
+		ID: PublicationOld, Name: "publication_old", Level: Debug, Often: true,
+		Meaning: "A publication with a version not above that in force was ignored.",
+		Cause:   "The service or a peer is stale.",
+		Action:  "Nothing, unless 2006 comes too.",
+	},
+	{
+		ID: PublicationPart, Name: "publication_part", Level: Warn, Often: true,
+		Meaning: "A part of a publication is not to be had yet.",
+		Cause:   "The service shows the root before the parts, or a peer replaced it.",
+		Action:  "Nothing; it is fetched again. When it lasts, publish parts before roots.",
+	},
+	{
+		ID: PublicationNone, Name: "publication_none", Level: Error,
+		Meaning: "No publication was found at start, neither at the service nor at peers.",
+		Cause:   "The service is down and no peer answers.",
+		Action:  "See docs/operate/service-down.md.",
+	},
+	{
+		ID: PublicationConflict, Name: "publication_conflict", Level: Error,
+		Meaning: "Two publications carry one version with different contents.",
+		Cause:   "Two operators published against each other.",
+		Action:  "Publish the wanted one under a higher version.",
+	},
+	{
+		ID: PlatformDown, Name: "platform_down", Level: Warn,
+		Meaning: "The configuration service does not answer; what is in force stays.",
+		Cause:   "The service or the way to it is down.",
+		Action:  "See docs/operate/service-down.md.",
+	},
+	{
+		ID: PlatformUp, Name: "platform_up", Level: Info,
+		Meaning: "The configuration service answers again.",
+		Cause:   "The service came back.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: PlatformBack, Name: "platform_back", Level: Warn,
+		Meaning: "The configuration service shows a version below that in force; it is ignored.",
+		Cause:   "The service was restored from an old copy or a replica is behind.",
+		Action:  "Publish again under a version above the one in force.",
+	},
+	{
+		ID: RequestDone, Name: "request_done", Level: Debug, Often: true,
+		Meaning: "A caller got a whole answer.",
+		Cause:   "The normal course.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: RequestRefused, Name: "request_refused", Level: Info, Often: true,
+		Meaning: "A caller was refused; nothing ran unless run says otherwise.",
+		Cause:   "See reason.",
+		Action:  "Look reason up in docs/GLOSSARY.md; for a saturated fleet see docs/operate/saturated.md.",
+	},
+	{
+		ID: RequestBroken, Name: "request_broken", Level: Warn, Often: true,
+		Meaning: "An answer broke off and the caller was told so.",
+		Cause:   "The target crashed, the time limit passed or the link broke; see reason.",
+		Action:  "Look at the target's agent at the same time.",
+	},
+	{
+		ID: RequestCanceled, Name: "request_canceled", Level: Debug, Often: true,
+		Meaning: "The caller gave up; the target was told at once.",
+		Cause:   "The normal course.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: OfferRefused, Name: "offer_refused", Level: Debug, Often: true,
+		Meaning: "An agent refused an offer; the request is offered further down the ranking.",
+		Cause:   "See reason.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: OfferFailed, Name: "offer_failed", Level: Warn, Often: true,
+		Meaning: "An agent could not be reached.",
+		Cause:   "The host is gone, or the network is cut.",
+		Action:  "When it lasts, take the host out: docs/operate/host.md.",
+	},
+	{
+		ID: RetryDenied, Name: "retry_denied", Level: Warn, Often: true,
+		Meaning: "A request that could be repeated was not: the retry budget is spent.",
+		Cause:   "Many requests fail at once.",
+		Action:  "Look for the outage; the budget keeps repeats from making it worse.",
+	},
+	{
+		ID: AnswerAttached, Name: "answer_attached", Level: Info, Often: true,
+		Meaning: "A broken link to an agent was taken up again in mid-answer.",
+		Cause:   "The network, or a restarted entry.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: KeyUnknown, Name: "key_unknown", Level: Info, Often: true,
+		Meaning: "A caller's key is of no workspace.",
+		Cause:   "A wrong or withdrawn key.",
+		Action:  "See docs/operate/rotate.md when it comes after a rotation.",
+	},
+	{
+		ID: RateExceeded, Name: "rate_exceeded", Level: Info, Often: true,
+		Meaning: "A workspace is over its published rate.",
+		Cause:   "A surge.",
+		Action:  "Raise the rate if it is wanted.",
+	},
+	{
+		ID: TargetUp, Name: "target_up", Level: Info,
+		Meaning: "The target answers, cold.",
+		Cause:   "It started.",
+		Action:  "Nothing; see docs/operate/cold.md.",
+	},
+	{
+		ID: TargetDown, Name: "target_down", Level: Error,
+		Meaning: "The target does not answer.",
+		Cause:   "It crashed or hangs.",
+		Action:  "Look at the target; its work goes elsewhere by itself.",
+	},
+	{
+		ID: TargetCold, Name: "target_cold", Level: Warn,
+		Meaning: "The target turned cold: it receives no more than its cold-start cap.",
+		Cause:   "A new boot id, dropped connections, or the agent's own restart.",
+		Action:  "See docs/operate/cold.md.",
+	},
+	{
+		ID: TargetWarm, Name: "target_warm", Level: Info,
+		Meaning: "The target has proven warm and takes its full share.",
+		Cause:   "Enough requests succeeded.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: TargetLeaving, Name: "target_leaving", Level: Info,
+		Meaning: "The target takes no new work.",
+		Cause:   "It, its host or its failure domain was taken out, or the agent stops.",
+		Action:  "Wait for running to reach 0.",
+	},
+	{
+		ID: TargetBack, Name: "target_back", Level: Info,
+		Meaning: "The target takes new work again; its weight grows by steps.",
+		Cause:   "It was put back in service.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: TargetCrash, Name: "target_crash", Level: Error,
+		Meaning: "The target died while it ran requests; these are suspects now.",
+		Cause:   "A fault of the target, or a request that crashes it.",
+		Action:  "See docs/operate/suspect.md.",
+	},
+	{
+		ID: ContentSuspect, Name: "content_suspect", Level: Warn,
+		Meaning: "A content was running when a target crashed; it runs alone from now on.",
+		Cause:   "See 4007.",
+		Action:  "Nothing, unless 4009 follows.",
+	},
+	{
+		ID: ContentCondemned, Name: "content_condemned", Level: Error,
+		Meaning: "A content is refused for good: targets crashed twice under it.",
+		Cause:   "A request that crashes each target that runs it.",
+		Action:  "See docs/operate/suspect.md.",
+	},
+	{
+		ID: ContentCleared, Name: "content_cleared", Level: Info,
+		Meaning: "A suspect ran to its end and is suspect no more.",
+		Cause:   "It merely ran beside the culprit.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: AnswerCrossed, Name: "answer_crossed", Level: Error, Often: true,
+		Meaning: "The target answered with the id of another request; the answer was thrown away.",
+		Cause:   "A fault of the target.",
+		Action:  "Report it to the target's owners.",
+	},
+	{
+		ID: AnswerShort, Name: "answer_short", Level: Warn, Often: true,
+		Meaning: "The target's answer ended before it was whole; the caller is told.",
+		Cause:   "The target crashed or cut the connection.",
+		Action:  "Look at the target.",
+	},
+	{
+		ID: OfferExpired, Name: "offer_expired", Level: Info, Often: true,
+		Meaning: "An accepted offer was dropped: its body did not follow, or its time was up before it ran. Nothing ran.",
+		Cause:   "The entry is frozen, gone or slow.",
+		Action:  "Nothing; when it lasts look at the entries' hosts.",
+	},
+	{
+		ID: OverCap, Name: "over_cap", Level: Error,
+		Meaning: "The target carries more than its cap.",
+		Cause:   "A defect, or a cap that fell below what runs.",
+		Action:  "Right after a publication it passes as requests end; else report it.",
+	},
+	{
+		ID: RunAbandoned, Name: "run_abandoned", Level: Info, Often: true,
+		Meaning: "A run whose entry vanished went on for a while and was then cancelled.",
+		Cause:   "The entry died and no repeat came.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: MeanStale, Name: "mean_stale", Level: Warn,
+		Meaning: "The mean load rests on samples that are too old; the cap stays on the careful side.",
+		Cause:   "The agent is cut off from its peers.",
+		Action:  "See 6002.",
+	},
+	{
+		ID: TicketsMinted, Name: "tickets_minted", Level: Debug, Often: true,
+		Meaning: "Tickets were minted for a workspace.",
+		Cause:   "The normal course.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: TicketRefused, Name: "ticket_refused", Level: Info, Often: true,
+		Meaning: "A ticket can't be used; nothing ran for this request.",
+		Cause:   "See reason.",
+		Action:  "For expired and dead the caller takes a fresh ticket after asking for the outcome.",
+	},
+	{
+		ID: TicketUnknown, Name: "ticket_unknown", Level: Warn,
+		Meaning: "A non-idempotent request ended with its outcome unknown.",
+		Cause:   "The target crashed or the link broke while it ran.",
+		Action:  "The caller has to look at the service itself.",
+	},
+	{
+		ID: TicketDropped, Name: "ticket_dropped", Level: Info, Often: true,
+		Meaning: "A tombstone was written: the ticketed request never ran and never will.",
+		Cause:   "The caller asked for a final answer.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: TicketsFull, Name: "tickets_full", Level: Warn, Often: true,
+		Meaning: "No room to remember more spent tickets; new ones are refused.",
+		Cause:   "More actions than planned for.",
+		Action:  "Add targets, or ask for fewer tickets ahead.",
+	},
+	{
+		ID: OrderSent, Name: "order_sent", Level: Info,
+		Meaning: "An order was passed to the target's engine.",
+		Cause:   "Operators ordered it.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: OrderDone, Name: "order_done", Level: Info,
+		Meaning: "The engine carried an order out.",
+		Cause:   "The normal course.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: OrderRefused, Name: "order_refused", Level: Warn,
+		Meaning: "An order was not sent, or the engine refused it.",
+		Cause:   "An old fencing number, or the weight store's rate.",
+		Action:  "See reason; an old number means that another order came first.",
+	},
+	{
+		ID: OrderUnknown, Name: "order_unknown", Level: Error,
+		Meaning: "An order was sent and its outcome is not known.",
+		Cause:   "The engine or the link broke.",
+		Action:  "Look at the engine, then order again.",
+	},
+	{
+		ID: PeerUnreachable, Name: "peer_unreachable", Level: Debug, Often: true,
+		Meaning: "A peer did not answer.",
+		Cause:   "A host that leaves, or the network.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: PeersLost, Name: "peers_lost", Level: Warn,
+		Meaning: "No peer answers: the process relies on what it knew.",
+		Cause:   "A network partition, or wrong peers in the settings.",
+		Action:  "Look at the network of the host.",
+	},
+	{
+		ID: PeersFound, Name: "peers_found", Level: Info,
+		Meaning: "Peers answer again.",
+		Cause:   "The network came back.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: HostLeaving, Name: "host_leaving", Level: Info,
+		Meaning: "The platform's list says that a host leaves.",
+		Cause:   "A planned replacement.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: HostGone, Name: "host_gone", Level: Info,
+		Meaning: "A host is no longer in the platform's list.",
+		Cause:   "It was replaced.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: WatcherChosen, Name: "watcher_chosen", Level: Debug,
+		Meaning: "This process watches the configuration service for others.",
+		Cause:   "It is among the first by hash of those that it knows.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: ReadBudget, Name: "read_budget", Level: Warn, Often: true,
+		Meaning: "A direct read was put off: this process's share of the budget is spent.",
+		Cause:   "A start of many processes at once.",
+		Action:  "Nothing; peers are asked.",
+	},
+}
