audit: numbered records, chained by hash, in the log stream

Each record is hashed with the hash before it, so that a lost, edited or moved line shows. Changes lists what a publication changes, Why finds what governed a target at a moment. A chain can't show that its newest records are missing; Verify says so, and the process shows its last hash.

--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,144 @@
+package audit
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/event"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261202")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// clock steps a second with each reading.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time {
+	c.now = c.now.Add(time.Second)
+	return c.now
+}
+
+func publication(version uint64, out bool) *chestnutstep.Publication {
+	return &chestnutstep.Publication{
+		Version: version,
+		Domains: []chestnutstep.Domain{{Name: "a", Region: "r", Out: out}, {Name: "b", Region: "r"}},
+		Hosts:   []chestnutstep.Host{{Name: "a1", Domain: "a"}, {Name: "b1", Domain: "b"}},
+		Models:  []chestnutstep.Model{{Name: "plan", Multiple: 1.25, Slots: 8}},
+		Targets: []chestnutstep.Target{{Name: "a1e", Host: "a1", Model: "plan"}, {Name: "b1e", Host: "b1", Model: "plan"}},
+	}
+}
+
+// An operator takes a failure domain out and a member asks days later why the
+// chat lost its place. The log stream alone has to tell, the process is gone.
+func TestWhyMoved(t *testing.T) {
+	var b bytes.Buffer
+	c := &clock{now: time.Unix(1000, 0)}
+	trail := &Trail{Log: &event.Log{Out: &b, Process: "agent-a1"}, Process: "agent-a1", Now: c.read}
+	var old *chestnutstep.Publication
+	for _, p := range []*chestnutstep.Publication{publication(1, false), publication(2, true)} {
+		trail.Add(Record{Kind: KindAccepted, Subject: "publication", Cause: "service", Version: p.Version})
+		for _, r := range Changes(old, p) {
+			trail.Add(r)
+		}
+		old = p
+	}
+	refused := c.now.Add(time.Millisecond)
+	trail.Add(Record{Kind: KindDomain, Subject: "a", Cause: "publication 3", Before: "out", After: "in", Version: 3})
+
+	records := readLog(t, b.String())
+	assert.NilError(t, Verify(records))
+	var lines []string
+	for _, r := range Why(records, Query{Target: "a1e", Host: "a1", Domain: "a", Model: "plan", At: refused}) {
+		lines = append(lines, string(r.Kind)+" "+r.Subject+": "+r.Before+" -> "+r.After+" by "+r.Cause)
+	}
+	assert.Equal(t, strings.Join(lines, "\n"), strings.TrimSpace(`
+host a1: absent -> in in domain a by publication 1
+target a1e: absent -> in on host a1, model plan, weight 0 by publication 1
+limits model plan:  -> multiple 1.25, floor 0, slots 8, queue 0, cold 0 by publication 1
+accepted publication:  ->  by service
+domain a: in -> out by publication 2`))
+}
+
+// A request that crashes targets is refused for good. Its caller's support
+// wants to know since when and why.
+func TestWhyRefused(t *testing.T) {
+	trail := &Trail{Process: "agent-a1"}
+	trail.Add(Record{Kind: KindCondemned, Subject: "00ff", Cause: "crashed a1e and b1e", Before: "suspect", After: "condemned"})
+	trail.Add(Record{Kind: KindCondemned, Subject: "1234", Cause: "other", Before: "suspect", After: "condemned"})
+	why := Why(trail.Last(0), Query{Target: "a1e", Content: "00ff", At: time.Now().Add(time.Second)})
+	assert.Equal(t, len(why), 1)
+	assert.Equal(t, why[0].Cause, "crashed a1e and b1e")
+}
+
+// readLog reads the records back from the lines of the log stream.
+func readLog(t *testing.T, lines string) []Record {
+	t.Helper()
+	var records []Record
+	for line := range strings.Lines(lines) {
+		var l struct {
+			Record
+			At time.Time `json:"at"`
+		}
+		assert.NilError(t, json.Unmarshal([]byte(line), &l))
+		l.Record.Time = l.At
+		records = append(records, l.Record)
+	}
+	return records
+}
+
+func TestRing(t *testing.T) {
+	trail := &Trail{Keep: 3}
+	for range 5 {
+		trail.Add(Record{Kind: KindOrder})
+	}
+	last := trail.Last(0)
+	assert.NilError(t, Verify(last))
+	assert.Equal(t, len(last), 3)
+	assert.Equal(t, last[0].Seq, uint64(3))
+	assert.Equal(t, trail.Last(1)[0].Seq, uint64(5))
+}
+
+// Someone edits the log, loses a line of it or shuffles it. Whoever reads the
+// trail later must not take the rest for the whole truth.
+func TestVerifyAnyDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		trail := &Trail{Process: "p"}
+		for range rapid.IntRange(3, 20).Draw(t, "records") {
+			trail.Add(Record{
+				Kind:    KindTarget,
+				Subject: rapid.String().Draw(t, "subject"),
+				Before:  rapid.String().Draw(t, "before"),
+				After:   rapid.String().Draw(t, "after"),
+			})
+		}
+		r := trail.Last(0)
+		assert.NilError(t, Verify(r))
+		i := rapid.IntRange(1, len(r)-2).Draw(t, "at")
+		switch rapid.SampledFrom([]string{"lose", "swap", "edit", "move"}).Draw(t, "damage") {
+		case "lose":
+			assert.Assert(t, IsErrGap(Verify(append(r[:i:i], r[i+1:]...))))
+		case "swap":
+			r[i], r[i+1] = r[i+1], r[i]
+			assert.Assert(t, Verify(r) != nil)
+		case "edit":
+			r[i].Cause += "x"
+			assert.Assert(t, IsErrBroken(Verify(r)))
+		case "move":
+			r[i].Before, r[i].After = r[i].Before+r[i].After+"x", ""
+			r[i].Hash = r[i].Sum()
+			assert.Assert(t, IsErrBroken(Verify(r)), "a hash made anew breaks the next link")
+		}
+	})
+}
--- /dev/null
+++ b/audit/trail.go
@@ -0,0 +1,99 @@
+package audit
+
+import (
+	"sync"
+	"time"
+
+	"chestnutstep.example/chestnutstep/event"
+)
+
+// defaultKeep is how many records a trail keeps in memory if nothing else is
+// said: at half a kilobyte each they cost half a megabyte, and hold what a
+// failure domain of several hundred targets causes when it leaves and returns.
+const defaultKeep = 1024
+
+// Trail numbers records, chains them by hash, writes them to the log stream
+// and keeps the newest. Hosts have no disks: what must outlive the process is
+// what the log stream carries, and the chain shows when a line of it is lost.
+type Trail struct {
+	// Log receives each record as event 1010.
+	Log *event.Log
+	// Process names the process in each record.
+	Process string
+	// Keep is how many records stay in memory; 1024 if 0.
+	Keep int
+	// Now is the clock; time.Now if nil.
+	Now func() time.Time
+
+	mu   sync.Mutex
+	seq  uint64
+	prev string
+	ring []Record
+	next int
+}
+
+// Add numbers, chains, writes and keeps a record, and returns it as kept. The
+// lines of the log are in the order of the numbers.
+func (t *Trail) Add(r Record) Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++
+	r.Process = t.Process
+	r.Seq = t.seq
+	r.Time = t.now()
+	r.Prev = t.prev
+	r.Hash = r.Sum()
+	t.prev = r.Hash
+	t.keep(r)
+	t.Log.Emit(
+		event.AuditRecord,
+		event.Uint("seq", r.Seq),
+		event.Str("at", r.Time.Format(time.RFC3339Nano)),
+		event.Str("kind", string(r.Kind)),
+		event.Str("subject", r.Subject),
+		event.Str("cause", r.Cause),
+		event.Str("before", r.Before),
+		event.Str("after", r.After),
+		event.Version(r.Version),
+		event.Str("prev", r.Prev),
+		event.Str("hash", r.Hash),
+	)
+	return r
+}
+
+// now drops the monotonic part and the zone: a record must hash alike after it
+// was written and read.
+func (t *Trail) now() time.Time {
+	now := time.Now
+	if t.Now != nil {
+		now = t.Now
+	}
+	return now().UTC().Round(0)
+}
+
+func (t *Trail) keep(r Record) {
+	n := t.Keep
+	if n <= 0 {
+		n = defaultKeep
+	}
+	if len(t.ring) < n {
+		t.ring = append(t.ring, r)
+		return
+	}
+	t.ring[t.next] = r
+	t.next = (t.next + 1) % n
+}
+
+// Last returns at most n of the newest records, oldest first; all that are
+// kept when n is 0.
+func (t *Trail) Last(n int) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make([]Record, 0, len(t.ring))
+	all = append(all, t.ring[t.next:]...)
+	all = append(all, t.ring[:t.next]...)
+	if n > 0 && n < len(all) {
+		all = all[len(all)-n:]
+	}
+	return all
+}
--- /dev/null
+++ b/audit/why.go
@@ -0,0 +1,61 @@
+package audit
+
+import "time"
+
+// Query asks what governed a target at a moment.
+type Query struct {
+	Target string
+	Host   string
+	Domain string
+	Model  string
+	// Content is a fingerprint in hex, for a refused content.
+	Content string
+	// At is the moment in question.
+	At time.Time
+}
+
+// Why returns the newest record up to the moment for each subject that governs
+// the target: its publication, failure domain, host, own state and limits. It
+// is what answers why a chat was moved or a request refused: the refusal names
+// the target and the reason, and the records say what made the reason true.
+func Why(records []Record, q Query) []Record {
+	newest := make(map[subject]int)
+	for i, r := range records {
+		if s := subjectOf(r); !r.Time.After(q.At) && q.governed(s) {
+			newest[s] = i
+		}
+	}
+	var out []Record
+	for i, r := range records {
+		if j, ok := newest[subjectOf(r)]; ok && i == j {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+type subject struct {
+	kind Kind
+	name string
+}
+
+func subjectOf(r Record) subject { return subject{r.Kind, r.Subject} }
+
+func (q Query) governed(s subject) bool {
+	switch s.kind {
+	case KindAccepted:
+		return true
+	case KindDomain:
+		return s.name == q.Domain
+	case KindHost:
+		return s.name == q.Host
+	case KindTarget, KindOrder:
+		return s.name == q.Target
+	case KindLimits:
+		return s.name == "model "+q.Model
+	case KindCondemned:
+		return s.name == q.Content
+	default:
+		return false
+	}
+}
