config: settings of a process, checked with file, line and field

A process that starts on a mistyped or forgotten setting fails later and far from the cause. The decoder walks the parsed file against the struct, so that unknown, repeated and mistyped fields and broken rules are reported together, each with its line. encoding/json was ruled out: it stops at the first error, knows offsets only for syntax, and matches names regardless of case.

--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,257 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// depthMax bounds how deep a document may nest. The parser below recurses, so
+// a file of nothing but opening brackets would otherwise grow the stack until
+// the process dies. The deepest field that has a meaning lies at depth 4.
+const depthMax = 16
+
+// document reads JSON with comments into a struct. Unlike encoding/json it
+// refuses unknown and repeated fields, goes on after an error, and remembers on
+// which line each field stands, so that later checks can point at it too.
+type document struct {
+	file  string
+	raw   []byte
+	lines map[string]int
+	found problems
+}
+
+// read fills the struct that into points to. What could not be read keeps the
+// value it had.
+func (d *document) read(into any) {
+	d.lines = make(map[string]int)
+	if !d.shallow() {
+		return
+	}
+	v, err := hujson.Parse(d.raw)
+	if err != nil {
+		d.syntax(err)
+		return
+	}
+	d.value(&v, reflect.ValueOf(into).Elem(), "")
+}
+
+// shallow refuses documents that nest too deeply. It counts brackets outside
+// of strings; brackets in comments count too, which is harmless.
+func (d *document) shallow() bool {
+	depth, quoted := 0, false
+	for i := 0; i < len(d.raw); i++ {
+		switch c := d.raw[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted && c == '\n':
+			quoted = false // a quotation mark in a comment; strings end on their line
+		case quoted:
+		case c == '{' || c == '[':
+			depth++
+		case c == '}' || c == ']':
+			depth--
+		}
+		if depth > depthMax {
+			d.found.list = append(d.found.list, Problem{Line: d.line(i), Text: "nested too deeply"})
+			return false
+		}
+	}
+	return true
+}
+
+// syntax turns the parser's message, which holds the line in its text, into a
+// problem at that line.
+func (d *document) syntax(err error) {
+	p := Problem{Text: err.Error()}
+	var column int
+	if _, e := fmt.Sscanf(p.Text, "hujson: line %d, column %d:", &p.Line, &column); e == nil {
+		_, p.Text, _ = strings.Cut(p.Text, ": line ")
+		_, p.Text, _ = strings.Cut(p.Text, ": ")
+	}
+	d.found.list = append(d.found.list, p)
+}
+
+func (d *document) line(offset int) int {
+	return 1 + bytes.Count(d.raw[:offset], []byte("\n"))
+}
+
+func (d *document) value(v *hujson.Value, into reflect.Value, path string) {
+	d.lines[path] = d.line(v.StartOffset)
+	if into.CanAddr() {
+		if u, ok := into.Addr().Interface().(json.Unmarshaler); ok {
+			d.custom(v, u, path)
+			return
+		}
+	}
+	switch into.Kind() {
+	case reflect.Struct:
+		d.object(v, into, path)
+	case reflect.Slice:
+		d.array(v, into, path)
+	default:
+		d.literal(v, into, path)
+	}
+}
+
+func (d *document) custom(v *hujson.Value, u json.Unmarshaler, path string) {
+	std := v.Clone()
+	std.Minimize()
+	if err := u.UnmarshalJSON(std.Pack()); err != nil {
+		d.found.add(path, "%s", err)
+	}
+}
+
+func (d *document) object(v *hujson.Value, into reflect.Value, path string) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.found.add(path, "want an object, got %s", describe(v))
+		return
+	}
+	seen := make(map[string]bool, len(obj.Members))
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		at := join(path, name)
+		field, known := fieldByName(into, name)
+		switch {
+		case seen[name]:
+			d.lines[at] = d.line(m.Name.StartOffset)
+			d.found.add(at, "given twice")
+		case !known:
+			d.lines[at] = d.line(m.Name.StartOffset)
+			d.found.add(at, "unknown field; known here: %s", strings.Join(fieldNames(into.Type()), ", "))
+		default:
+			d.value(&m.Value, field, at)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *document) array(v *hujson.Value, into reflect.Value, path string) {
+	if v.Value.Kind() == 'n' {
+		return // encoding/json writes an empty list as null
+	}
+	arr, ok := v.Value.(*hujson.Array)
+	if !ok {
+		d.found.add(path, "want a list, got %s", describe(v))
+		return
+	}
+	into.Set(reflect.MakeSlice(into.Type(), len(arr.Elements), len(arr.Elements)))
+	for i := range arr.Elements {
+		d.value(&arr.Elements[i], into.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func (d *document) literal(v *hujson.Value, into reflect.Value, path string) {
+	lit, ok := v.Value.(hujson.Literal)
+	if ok && lit.Kind() != 'n' && json.Unmarshal(lit, into.Addr().Interface()) == nil {
+		return
+	}
+	d.found.add(path, "want %s, got %s", wanted(into.Kind()), describe(v))
+}
+
+// settle returns the problems with file and line filled in. Problems found by
+// checks, which know only the path, are left out where reading the same field
+// failed already; all of them are where the file as a whole could not be read.
+func (d *document) settle(checked []Problem) error {
+	failed := make(map[string]bool, len(d.found.list))
+	for _, p := range d.found.list {
+		failed[p.Path] = true
+	}
+	for _, p := range checked {
+		if !failed[p.Path] && !failed[""] {
+			d.found.list = append(d.found.list, p)
+		}
+	}
+	for i := range d.found.list {
+		p := &d.found.list[i]
+		p.File = d.file
+		if p.Line == 0 {
+			p.Line = d.lineOf(p.Path)
+		}
+	}
+	slices.SortStableFunc(d.found.list, func(a, b Problem) int { return a.Line - b.Line })
+	return d.found.err()
+}
+
+// lineOf finds the line of a field, or of what encloses it when it is missing.
+func (d *document) lineOf(path string) int {
+	for {
+		if n, ok := d.lines[path]; ok {
+			return n
+		}
+		i := strings.LastIndexAny(path, ".[")
+		if i < 0 {
+			return max(d.lines[""], 1)
+		}
+		path = path[:i]
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+// fieldByName finds the field that encoding/json would write under the name.
+func fieldByName(v reflect.Value, name string) (reflect.Value, bool) {
+	for i := range v.NumField() {
+		if jsonName(v.Type().Field(i)) == name {
+			return v.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+func fieldNames(t reflect.Type) []string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i] = jsonName(t.Field(i))
+	}
+	return names
+}
+
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
+
+func wanted(k reflect.Kind) string {
+	switch k {
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Uint64:
+		return "a whole number from 0 up"
+	default:
+		return "a whole number"
+	}
+}
+
+func describe(v *hujson.Value) string {
+	switch v.Value.Kind() {
+	case '{':
+		return "an object"
+	case '[':
+		return "a list"
+	case 'n':
+		return "null"
+	case '"':
+		return "text"
+	default:
+		return string(v.Value.(hujson.Literal))
+	}
+}
--- /dev/null
+++ b/config/problem.go
@@ -0,0 +1,76 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Problem is one mistake in a file or a publication.
+type Problem struct {
+	// File is the name the content was read under; empty for a publication that
+	// came from the platform or a peer.
+	File string
+	// Line counts from 1; 0 when the content has no lines to point at.
+	Line int
+	// Path is the field, such as "targets[3].host"; empty for the whole file.
+	Path string
+	Text string
+}
+
+// String formats the problem as compilers do, so that editors can jump to it.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		fmt.Fprintf(&b, "%s:", p.File)
+	}
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%d:", p.Line)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if p.Path != "" {
+		fmt.Fprintf(&b, "%s: ", p.Path)
+	}
+	b.WriteString(p.Text)
+	return b.String()
+}
+
+// ErrInvalid says that a file or a publication breaks the rules. It lists every
+// problem that was found, in the order of the content.
+type ErrInvalid struct {
+	Problems []Problem
+}
+
+// Error lists the problems, one a line.
+func (err ErrInvalid) Error() string {
+	lines := make([]string, len(err.Problems))
+	for i, p := range err.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// IsErrInvalid checks whether an error lists problems of a file or publication.
+func IsErrInvalid(err error) bool {
+	return errors.As(err, new(ErrInvalid))
+}
+
+// problems collects the mistakes of one document.
+type problems struct {
+	list []Problem
+}
+
+func (ps *problems) add(path, format string, args ...any) {
+	ps.list = append(ps.list, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
+// err returns nil when nothing was found.
+func (ps *problems) err() error {
+	if len(ps.list) == 0 {
+		return nil
+	}
+	return ErrInvalid{Problems: ps.list}
+}
