chart: state charts in files that the code interprets

The house style wants state charts in files which the code obeys and the docs show. A line format was taken over JSON: a chart is read by people first, and a line a move keeps diffs small. The check refuses unknown names, second moves, unreachable states and states that are neither final nor left.

--- /dev/null
+++ b/chart/chart.go
@@ -0,0 +1,143 @@
+// Package chart reads state charts from text files and interprets them, so that
+// the chart which the docs show is the chart that the code obeys.
+//
+// A chart file has one item a line, and its first state is the start:
+//
+//	chart NAME TEXT
+//	state NAME TEXT
+//	final NAME TEXT
+//	move FROM EVENT TO TEXT
+package chart
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// State is a state of a chart with its meaning.
+type State struct {
+	Name string
+	Text string
+	// Final states have no moves: what is said of them stays true.
+	Final bool
+}
+
+// Move is a permitted change of state.
+type Move struct {
+	From  string
+	Event string
+	To    string
+	Text  string
+}
+
+// Chart is a checked state chart. It is never changed after Parse, so that it
+// is read without a lock.
+type Chart struct {
+	Name   string
+	Text   string
+	States []State
+	Moves  []Move
+
+	next   map[step]string
+	states map[string]*State
+}
+
+type step struct {
+	state string
+	event string
+}
+
+// Parse reads and checks a chart. It returns ErrChart for an unknown name, a
+// second move for one state and event, a state that can't be reached, a move
+// out of a final state, and a state that is neither final nor left.
+func Parse(text string) (*Chart, error) {
+	c := &Chart{next: map[step]string{}, states: map[string]*State{}}
+	for i, line := range strings.Split(text, "\n") {
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		if problem := c.read(line); problem != "" {
+			return nil, errors.WithStack(ErrChart{Chart: c.Name, Line: i + 1, Problem: problem})
+		}
+	}
+	if problem := c.check(); problem != "" {
+		return nil, errors.WithStack(ErrChart{Chart: c.Name, Problem: problem})
+	}
+	return c, nil
+}
+
+// Must parses a chart that is embedded in the program. A bad one is a fault of
+// the build, so that it stops the program at its start.
+func Must(text string) *Chart {
+	c, err := Parse(text)
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func (c *Chart) read(line string) string {
+	kind, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+	switch kind {
+	case "chart":
+		c.Name, c.Text, _ = strings.Cut(rest, " ")
+		return ""
+	case "state", "final":
+		return c.addState(rest, kind == "final")
+	case "move":
+		return c.addMove(rest)
+	}
+	return "unknown item " + kind
+}
+
+func (c *Chart) addState(rest string, final bool) string {
+	name, text, _ := strings.Cut(rest, " ")
+	if name == "" {
+		return "a state without a name"
+	}
+	for _, s := range c.States {
+		if s.Name == name {
+			return "second state " + name
+		}
+	}
+	c.States = append(c.States, State{Name: name, Text: text, Final: final})
+	return ""
+}
+
+func (c *Chart) addMove(rest string) string {
+	f := strings.SplitN(rest, " ", 4)
+	if len(f) < 3 {
+		return "a move needs from, event and to"
+	}
+	m := Move{From: f[0], Event: f[1], To: f[2]}
+	if len(f) == 4 {
+		m.Text = f[3]
+	}
+	at := step{m.From, m.Event}
+	if _, ok := c.next[at]; ok {
+		return "second move from " + m.From + " on " + m.Event
+	}
+	c.next[at] = m.To
+	c.Moves = append(c.Moves, m)
+	return ""
+}
+
+// Start returns the first state.
+func (c *Chart) Start() string { return c.States[0].Name }
+
+// Final says that no event leaves the state.
+func (c *Chart) Final(state string) bool {
+	s := c.states[state]
+	return s != nil && s.Final
+}
+
+// Next returns the state that an event leads to, or ErrTransition when the
+// chart has no such move.
+func (c *Chart) Next(state, event string) (string, error) {
+	to, ok := c.next[step{state, event}]
+	if !ok {
+		return state, ErrTransition{Chart: c.Name, State: state, Event: event}
+	}
+	return to, nil
+}
--- /dev/null
+++ b/chart/check.go
@@ -0,0 +1,70 @@
+package chart
+
+func (c *Chart) check() string {
+	if c.Name == "" {
+		return "the chart has no name"
+	}
+	if len(c.States) == 0 {
+		return "the chart has no states"
+	}
+	for i := range c.States {
+		c.states[c.States[i].Name] = &c.States[i]
+	}
+	if problem := c.checkNames(); problem != "" {
+		return problem
+	}
+	if problem := c.checkEnds(); problem != "" {
+		return problem
+	}
+	return c.checkReach()
+}
+
+func (c *Chart) checkNames() string {
+	for _, m := range c.Moves {
+		if c.states[m.From] == nil {
+			return "unknown state " + m.From
+		}
+		if c.states[m.To] == nil {
+			return "unknown state " + m.To
+		}
+	}
+	return ""
+}
+
+// checkEnds compares the states that are marked final with those that no move
+// leaves. A state that was left without a move by mistake would hold whatever
+// reaches it for ever.
+func (c *Chart) checkEnds() string {
+	left := map[string]bool{}
+	for _, m := range c.Moves {
+		left[m.From] = true
+	}
+	for _, s := range c.States {
+		if s.Final && left[s.Name] {
+			return "a move leaves the final state " + s.Name
+		}
+		if !s.Final && !left[s.Name] {
+			return "no move leaves the state " + s.Name
+		}
+	}
+	return ""
+}
+
+func (c *Chart) checkReach() string {
+	seen := map[string]bool{c.Start(): true}
+	for grown := true; grown; {
+		grown = false
+		for _, m := range c.Moves {
+			if seen[m.From] && !seen[m.To] {
+				seen[m.To] = true
+				grown = true
+			}
+		}
+	}
+	for _, s := range c.States {
+		if !seen[s.Name] {
+			return "unreachable state " + s.Name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/chart/doc.go
@@ -0,0 +1,37 @@
+package chart
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Doc writes the chart as Markdown: a Mermaid diagram and a table of moves. The
+// docs are checked against it, so that they can't drift from the code.
+func (c *Chart) Doc() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n\n", c.Text)
+	c.diagram(&b)
+	b.WriteString("\n| State | Meaning |\n|---|---|\n")
+	for _, s := range c.States {
+		fmt.Fprintf(&b, "| %s | %s |\n", s.Name, s.Text)
+	}
+	b.WriteString("\n| From | Event | To | When |\n|---|---|---|---|\n")
+	for _, m := range c.Moves {
+		fmt.Fprintf(&b, "| %s | %s | %s | %s |\n", m.From, m.Event, m.To, m.Text)
+	}
+	return b.String()
+}
+
+func (c *Chart) diagram(b *strings.Builder) {
+	b.WriteString("```mermaid\nstateDiagram-v2\n")
+	fmt.Fprintf(b, "    [*] --> %s\n", c.Start())
+	for _, m := range c.Moves {
+		fmt.Fprintf(b, "    %s --> %s: %s\n", m.From, m.To, m.Event)
+	}
+	for _, s := range c.States {
+		if s.Final {
+			fmt.Fprintf(b, "    %s --> [*]\n", s.Name)
+		}
+	}
+	b.WriteString("```\n")
+}
