ticket: tickets that bind an action to one agent incarnation

An action without a store can only run at most once if it carries its executor.

"Not run" is said only where it is final: for a tombstone, and for an expired ticket of a slot in which nothing ran. A held ticket, a want of memory and a forged token say "maybe", since a delayed offer could still make "no" false.

--- /dev/null
+++ b/ticket/stub.go
@@ -0,0 +1,56 @@
+package ticket
+
+import "chestnutstep.example/chestnutstep"
+
+// stub tells what a record says.
+func stub(r record) chestnutstep.Stub {
+	s := chestnutstep.Stub{State: r.state, Request: r.request}
+	switch r.state {
+	case chestnutstep.TicketDropped:
+		s.Reason = chestnutstep.ReasonDropped
+		s.Run = chestnutstep.RunNo
+	case chestnutstep.TicketDone:
+		s.Run = chestnutstep.RunYes
+	default:
+		s.Run = chestnutstep.RunMaybe
+	}
+	return s
+}
+
+// repeat answers a Hold that finds a record. A request with another id hears
+// what became of the ticket's action rather than a "not run" of its own: a
+// caller that repeats an action under a new id would take that for leave to
+// run it again.
+func repeat(r record, request string) chestnutstep.Stub {
+	s := stub(r)
+	if r.state != chestnutstep.TicketDropped && r.request != request {
+		s.Reason = chestnutstep.ReasonSpent
+	}
+	return s
+}
+
+// reject answers for a ticket that can't be used here; nothing is stored.
+//
+// A dead incarnation took its memory with it, so that the answer is "maybe" for
+// ever. A forged or torn token also answers "maybe": its caller may have sent
+// the right one before. An expired ticket is "not run" only when no ticket of
+// its slot ever ran: its own record is gone, and a closed slot never reopens.
+func (b *Booth) reject(c claim, reason chestnutstep.Reason) chestnutstep.Stub {
+	state, _ := Chart.Next(string(chestnutstep.TicketFresh), eventReject)
+	s := chestnutstep.Stub{
+		State: chestnutstep.TicketState(state), Reason: reason, Run: chestnutstep.RunMaybe,
+	}
+	if reason == chestnutstep.ReasonExpired && c.slot >= b.oldest && !b.ran[c.slot] {
+		s.Run = chestnutstep.RunNo
+	}
+	return s
+}
+
+// busy turns a fresh ticket away for want of memory. It says "maybe", as there
+// is no room for the tombstone that would make "not run" true for ever: an
+// offer that was delayed on its way may still come. The ticket stays good.
+func (b *Booth) busy(reason chestnutstep.Reason) chestnutstep.Stub {
+	return chestnutstep.Stub{
+		State: chestnutstep.TicketFresh, Reason: reason, Run: chestnutstep.RunMaybe,
+	}
+}
