crash: suspects run alone, a second crash condemns

The agent's own crashes and those it learns of are merged as sets, so that suspicions may arrive late, twice and in any order. A target listed twice stands for a crash while the content ran alone.

--- /dev/null
+++ b/crash/jury.go
@@ -0,0 +1,260 @@
+// Package crash finds requests whose content crashes the targets that run them.
+//
+// The load it answers is a single request that kills its target and is sent
+// again by its caller, to the next target, and the next. Without this package
+// one caller takes a whole model out of service, and each crash also ends the
+// answers of everyone beside it. One would notice targets turning cold one
+// after the other.
+//
+// What was running at a crash becomes suspect and runs alone from then on. The
+// second crash condemns it. What merely ran beside it runs to its end, and is
+// cleared by that.
+package crash
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+const (
+	// DefaultKeep is how long a suspicion lasts. It is longer than any caller
+	// repeats a request for, and short enough that one which a failing host
+	// brought about does not outlive the shift of the operators.
+	DefaultKeep = 10 * time.Minute
+	// DefaultMost bounds the suspicions that are kept. A crash brings at most
+	// as many as a target runs at once, so that 1,024 hold some tens of crashes
+	// in ten minutes, in about 150 KB.
+	DefaultMost = 1024
+	// DefaultServed bounds the fingerprints that are remembered as served, the
+	// evidence that a popular request is not what crashed a target. 4,096 are a
+	// minute's worth at 70 requests a second, in about 150 KB.
+	DefaultServed = 4096
+)
+
+// Jury implements chestnutstep.Jury for one agent. Set the fields before the
+// first call. It is not safe for concurrent use.
+type Jury struct {
+	// Target is the target beside the agent; empty at an entry.
+	Target string
+	// Keep is how long a suspicion lasts; DefaultKeep when 0.
+	Keep time.Duration
+	// Most bounds the suspicions; DefaultMost when 0.
+	Most int
+	// Served bounds the fingerprints remembered as served; DefaultServed when 0.
+	Served int
+
+	cases   map[uint64]*file
+	running map[uint64]int
+	total   int
+	served  memory
+}
+
+var _ chestnutstep.Jury = (*Jury)(nil)
+
+// file is a suspicion with what only this agent knows of it.
+type file struct {
+	chestnutstep.Suspicion
+	// passed says that it ran to its end here since the last crash known.
+	passed bool
+	// told counts how often it was passed on since it last changed.
+	told int
+}
+
+func (j *Jury) init() {
+	if j.cases != nil {
+		return
+	}
+	if j.Keep <= 0 {
+		j.Keep = DefaultKeep
+	}
+	if j.Most <= 0 {
+		j.Most = DefaultMost
+	}
+	if j.Served <= 0 {
+		j.Served = DefaultServed
+	}
+	j.cases = map[uint64]*file{}
+	j.running = map[uint64]int{}
+	j.served = memory{most: j.Served, at: map[uint64]time.Time{}}
+}
+
+// Judge says how a request may run.
+//
+// Condemned is what crashed a target while it ran alone, and what stood at the
+// crash of two targets and was served by none. The first needs no doubt. The
+// second may in the worst case be a bystander, but only one that nobody has
+// served within Keep and that reached the second target before the suspicion
+// did; waiting for a third crash to tell them apart would cost a third target.
+//
+// What was served elsewhere is clear after one crash. After a crash here, or
+// two anywhere, it runs alone once more at this target.
+func (j *Jury) Judge(now time.Time, fingerprint uint64) chestnutstep.Judgement {
+	j.init()
+	f := j.find(now, fingerprint)
+	if f == nil {
+		return chestnutstep.Clear
+	}
+	if aloneAt(f.Crashed) != "" {
+		return chestnutstep.Condemned
+	}
+	if len(f.Crashed) >= maxCrashed && !f.Cleared {
+		return chestnutstep.Condemned
+	}
+	if f.passed {
+		return chestnutstep.Clear
+	}
+	here := slices.Contains(f.Crashed, j.Target)
+	if f.Cleared && !here && len(f.Crashed) < maxCrashed {
+		return chestnutstep.Clear
+	}
+	return chestnutstep.Suspect
+}
+
+// find returns the suspicion of a fingerprint unless it has expired.
+func (j *Jury) find(now time.Time, fingerprint uint64) *file {
+	f := j.cases[fingerprint]
+	if f == nil || now.Sub(f.Seen) < j.Keep {
+		return f
+	}
+	delete(j.cases, fingerprint)
+	return nil
+}
+
+// Start notes that the content runs at this target from now on.
+func (j *Jury) Start(_ time.Time, fingerprint uint64) {
+	j.init()
+	j.running[fingerprint]++
+	j.total++
+}
+
+// End notes that the content no longer runs. Content that was served to its end
+// is cleared for all, as it did not crash the target that ran it.
+func (j *Jury) End(now time.Time, fingerprint uint64, served bool) {
+	j.init()
+	if j.running[fingerprint] == 0 {
+		return
+	}
+	j.total--
+	j.running[fingerprint]--
+	if j.running[fingerprint] == 0 {
+		delete(j.running, fingerprint)
+	}
+	if !served || fingerprint == 0 {
+		return
+	}
+	j.served.add(now, fingerprint)
+	if f := j.find(now, fingerprint); f != nil {
+		f.passed = true
+		j.clear(f)
+	}
+}
+
+func (j *Jury) clear(f *file) {
+	if !f.Cleared {
+		f.Cleared = true
+		f.told = 0
+	}
+}
+
+// Crash says that the target died; what was running becomes suspect. It returns
+// the suspicions that changed, which should be told to the peers at once: the
+// caller's repeat is already on its way to the next target.
+func (j *Jury) Crash(now time.Time) []chestnutstep.Suspicion {
+	j.init()
+	var changed []chestnutstep.Suspicion
+	for _, fingerprint := range j.suspects() {
+		s := chestnutstep.Suspicion{
+			Fingerprint: fingerprint,
+			Crashed:     []string{j.Target},
+			Cleared:     j.served.recent(now, j.Keep, fingerprint),
+			Seen:        now,
+		}
+		if j.total == 1 && j.Judge(now, fingerprint) != chestnutstep.Clear {
+			s.Crashed = []string{j.Target, j.Target}
+		}
+		j.merge(s)
+		f := j.cases[fingerprint]
+		f.passed = false
+		changed = append(changed, f.Suspicion)
+	}
+	clear(j.running)
+	j.total = 0
+	j.bound(now)
+	return changed
+}
+
+// suspects lists what runs, in order, so that a crash has the same outcome each
+// time. Content without a fingerprint can't be told apart and is left out.
+func (j *Jury) suspects() []uint64 {
+	var all []uint64
+	for fingerprint := range j.running {
+		if fingerprint != 0 {
+			all = append(all, fingerprint)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Learn takes suspicions of other agents. Content that this target has served
+// of late is cleared at once, so that a popular request does not run alone at
+// every target because it stood beside a crash at one.
+func (j *Jury) Learn(now time.Time, s []chestnutstep.Suspicion) {
+	j.init()
+	for _, one := range s {
+		if one.Fingerprint == 0 || len(one.Crashed) == 0 || now.Sub(one.Seen) >= j.Keep {
+			continue
+		}
+		one.Crashed = mergeCrashed(one.Crashed, nil)
+		j.merge(one)
+		if j.served.recent(now, j.Keep, one.Fingerprint) {
+			j.clear(j.cases[one.Fingerprint])
+		}
+	}
+	j.bound(now)
+}
+
+func (j *Jury) merge(s chestnutstep.Suspicion) {
+	f := j.cases[s.Fingerprint]
+	if f == nil {
+		j.cases[s.Fingerprint] = &file{Suspicion: s}
+		return
+	}
+	merged := Merge(f.Suspicion, s)
+	if !slices.Equal(merged.Crashed, f.Crashed) {
+		f.passed = false
+		f.told = 0
+	}
+	if merged.Cleared != f.Cleared {
+		f.told = 0
+	}
+	f.Suspicion = merged
+}
+
+// Tell returns at most n suspicions worth passing on: those told least often
+// since they changed, so that news goes out first and all have their turn.
+func (j *Jury) Tell(now time.Time, n int) []chestnutstep.Suspicion {
+	j.init()
+	j.bound(now)
+	all := make([]*file, 0, len(j.cases))
+	for _, f := range j.cases {
+		all = append(all, f)
+	}
+	slices.SortFunc(all, func(a, b *file) int {
+		return cmp.Or(
+			cmp.Compare(a.told, b.told),
+			b.Seen.Compare(a.Seen),
+			cmp.Compare(a.Fingerprint, b.Fingerprint),
+		)
+	})
+	all = all[:min(n, len(all))]
+	out := make([]chestnutstep.Suspicion, 0, len(all))
+	for _, f := range all {
+		f.told++
+		out = append(out, f.Suspicion)
+	}
+	return out
+}
--- /dev/null
+++ b/crash/merge.go
@@ -0,0 +1,51 @@
+package crash
+
+import (
+	"slices"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// maxCrashed is how many targets a suspicion lists: two are enough to condemn.
+const maxCrashed = 2
+
+// Merge joins what two processes know of one fingerprint. It is commutative,
+// associative and idempotent, so that suspicions may arrive late, twice and in
+// any order, and all processes still come to the same judgement.
+//
+// A target that is listed twice crashed while the fingerprint ran there alone,
+// as a suspect; that outweighs any list of two different targets.
+func Merge(a, b chestnutstep.Suspicion) chestnutstep.Suspicion {
+	if b.Seen.After(a.Seen) {
+		a.Seen = b.Seen
+	}
+	a.Cleared = a.Cleared || b.Cleared
+	a.Crashed = mergeCrashed(a.Crashed, b.Crashed)
+	return a
+}
+
+func mergeCrashed(a, b []string) []string {
+	if alone := min2(aloneAt(a), aloneAt(b)); alone != "" {
+		return []string{alone, alone}
+	}
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	all = slices.Compact(all)
+	return all[:min(len(all), maxCrashed)]
+}
+
+// aloneAt returns the target where the fingerprint crashed while it ran alone.
+func aloneAt(crashed []string) string {
+	if len(crashed) >= maxCrashed && crashed[0] == crashed[1] {
+		return crashed[0]
+	}
+	return ""
+}
+
+// min2 returns the smaller name, where an empty one does not count.
+func min2(a, b string) string {
+	if a == "" || (b != "" && b < a) {
+		return b
+	}
+	return a
+}
