fake: engine and service stand-ins, their protocol and cmd/standin

The fleet needs back ends that batch, cache, start cold and misbehave on demand, and that log every execution, so that tests take their evidence from the far end. Answers are derived from chat and body: a caller can tell a crossed or short answer without trusting a header. A random payload was ruled out for that reason.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,43 @@
+// Command standin plays the systems outside the fleet: the platform, model
+// engines, plain services and callers.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+// command is one subcommand: its flags and what runs when it is used.
+type command struct {
+	flags *flaggy.Subcommand
+	run   func() error
+}
+
+func main() {
+	flaggy.SetName("standin")
+	flaggy.SetDescription("Stand-ins for the systems outside the fleet")
+	commands := []command{
+		engineCommand(),
+		serviceCommand(),
+	}
+	for _, c := range commands {
+		flaggy.AttachSubcommand(c.flags, 1)
+	}
+	flaggy.Parse()
+	for _, c := range commands {
+		if c.flags.Used {
+			exit(c.run())
+		}
+	}
+	flaggy.ShowHelpAndExit("choose a subcommand")
+}
+
+func exit(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
--- /dev/null
+++ b/fake/cache.go
@@ -0,0 +1,95 @@
+package fake
+
+import "container/list"
+
+// Kinds of cache events.
+const (
+	CacheStored  = "stored"
+	CacheEvicted = "evicted"
+	CacheCleared = "cleared"
+)
+
+// CacheEvent is a change of an engine's prefix cache.
+type CacheEvent struct {
+	Seq       int    `json:"seq"`
+	Kind      string `json:"kind"`
+	Workspace string `json:"workspace,omitempty"`
+	Chat      string `json:"chat,omitempty"`
+	Tokens    int    `json:"tokens,omitempty"`
+}
+
+type chatKey struct {
+	workspace string
+	chat      string
+}
+
+type prefix struct {
+	key    chatKey
+	tokens int
+}
+
+// prefixes is an LRU cache of prompt prefixes, bounded in tokens. Its owner
+// holds a lock.
+type prefixes struct {
+	most   int
+	tokens int
+	order  list.List
+	byChat map[chatKey]*list.Element
+	events []CacheEvent
+}
+
+func (p *prefixes) note(kind string, k chatKey, tokens int) {
+	p.events = append(p.events, CacheEvent{
+		Seq:       len(p.events) + 1,
+		Kind:      kind,
+		Workspace: k.workspace,
+		Chat:      k.chat,
+		Tokens:    tokens,
+	})
+}
+
+// hit returns how much of a prompt the cache holds and marks it as used.
+func (p *prefixes) hit(k chatKey, prompt int) int {
+	el := p.byChat[k]
+	if el == nil {
+		return 0
+	}
+	p.order.MoveToFront(el)
+	return min(el.Value.(*prefix).tokens, prompt)
+}
+
+func (p *prefixes) store(k chatKey, tokens int) {
+	if tokens <= 0 || tokens > p.most {
+		return
+	}
+	p.drop(p.byChat[k])
+	if p.byChat == nil {
+		p.byChat = map[chatKey]*list.Element{}
+	}
+	p.byChat[k] = p.order.PushFront(&prefix{key: k, tokens: tokens})
+	p.tokens += tokens
+	p.note(CacheStored, k, tokens)
+	for p.tokens > p.most {
+		last := p.order.Back()
+		old := last.Value.(*prefix)
+		p.drop(last)
+		p.note(CacheEvicted, old.key, old.tokens)
+	}
+}
+
+func (p *prefixes) drop(el *list.Element) {
+	if el == nil {
+		return
+	}
+	old := el.Value.(*prefix)
+	p.order.Remove(el)
+	delete(p.byChat, old.key)
+	p.tokens -= old.tokens
+}
+
+func (p *prefixes) clear() {
+	p.order.Init()
+	p.byChat = nil
+	p.tokens = 0
+	p.note(CacheCleared, chatKey{}, 0)
+}
--- /dev/null
+++ b/fake/control.go
@@ -0,0 +1,202 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+func (e *Engine) routes() {
+	e.mux = http.NewServeMux()
+	e.mux.HandleFunc("/", e.serve)
+	e.mux.HandleFunc("GET /control/load", e.getLoad)
+	e.mux.HandleFunc("POST /control/cancel", e.postCancel)
+	e.mux.HandleFunc("GET /control/resume", e.getResume)
+	e.mux.HandleFunc("GET /control/kv", e.getKV)
+	e.mux.HandleFunc("PUT /control/kv", e.putKV)
+	e.mux.HandleFunc("GET /control/events", e.getEvents)
+	e.mux.HandleFunc("POST /control/orders", e.postOrder)
+	e.mux.HandleFunc("GET /control/orders", e.getOrders)
+	e.mux.HandleFunc("POST /control/fault", e.postFault)
+	e.mux.HandleFunc("GET /control/log", e.getLog)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	if time.Now().Before(e.since) {
+		e.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+	l := e.reports.at(time.Now())
+	if l.Boot == "" {
+		l = Load{Boot: e.boot, Cold: e.cold(), Lag: e.Lag.Seconds()}
+	}
+	e.mu.Unlock()
+	writeJSON(w, l)
+}
+
+func (e *Engine) find(r *http.Request) *stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[r.URL.Query().Get("request")]
+}
+
+func (e *Engine) postCancel(w http.ResponseWriter, r *http.Request) {
+	s := e.find(r)
+	if s == nil {
+		http.NotFound(w, r)
+		return
+	}
+	e.cancel(s)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) getResume(w http.ResponseWriter, r *http.Request) {
+	s := e.find(r)
+	if s == nil {
+		http.NotFound(w, r)
+		return
+	}
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	if err != nil || offset < 0 {
+		http.Error(w, "offset: want bytes from 0 up", http.StatusBadRequest)
+		return
+	}
+	linger, _ := time.ParseDuration(r.Header.Get(HeaderLinger))
+	e.copy(w, r, s, offset, linger)
+}
+
+func chatOf(r *http.Request) chatKey {
+	q := r.URL.Query()
+	return chatKey{q.Get("workspace"), q.Get("chat")}
+}
+
+func (e *Engine) getKV(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	n := e.cache.hit(chatOf(r), e.Cache)
+	boot := e.boot
+	e.mu.Unlock()
+	if n == 0 {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set(chestnutstep.HeaderCached, strconv.Itoa(n))
+	w.Header().Set(chestnutstep.HeaderBoot, boot)
+	w.Header().Set("Content-Length", strconv.Itoa(n*e.KV))
+	page := make([]byte, e.KV)
+	for range n {
+		if _, err := w.Write(page); err != nil {
+			return
+		}
+	}
+}
+
+func (e *Engine) putKV(w http.ResponseWriter, r *http.Request) {
+	n, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	tokens, err := strconv.Atoi(r.Header.Get(chestnutstep.HeaderCached))
+	if err != nil || int64(tokens*e.KV) != n {
+		http.Error(w, "the body does not hold as many tokens as it says", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.cache.store(chatOf(r), tokens)
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Events is a page of cache events; some are missing when Gap is set.
+type Events struct {
+	Events []CacheEvent `json:"events"`
+}
+
+func (e *Engine) getEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	time.Sleep(e.Lag)
+	e.mu.Lock()
+	page := Events{Events: []CacheEvent{}}
+	for _, v := range e.cache.events[min(max(after, 0), len(e.cache.events)):] {
+		if e.Gap == 0 || v.Seq%e.Gap != 0 {
+			page.Events = append(page.Events, v)
+		}
+	}
+	e.mu.Unlock()
+	writeJSON(w, page)
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var v Order
+	if !readJSON(w, r, &v) {
+		return
+	}
+	fence, err := strconv.ParseUint(r.Header.Get(chestnutstep.HeaderFence), 10, 64)
+	if err != nil {
+		http.Error(w, chestnutstep.HeaderFence+": want a number", http.StatusBadRequest)
+		return
+	}
+	v.Fence = fence
+	if !e.orders.take(v, e.Fenced) {
+		http.Error(w, "an order with a higher fencing number came before", http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) getOrders(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.orders.list())
+}
+
+func (e *Engine) postFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if readJSON(w, r, &f) {
+		e.Misbehave(f)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// Misbehave puts a fault in force from now on.
+func (e *Engine) Misbehave(f Fault) {
+	e.once.Do(e.start)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Cold {
+		e.served = 0
+		e.cache.clear()
+	}
+	if f.Crash {
+		e.crash()
+	}
+	if f.Drop {
+		e.drops++
+		for _, s := range e.streams {
+			s.wake()
+		}
+	}
+	f.Cold, f.Crash, f.Drop = false, false, false
+	e.faults.set(f)
+}
+
+func (e *Engine) getLog(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Journal.Executions())
+}
--- /dev/null
+++ b/fake/engine.go
@@ -0,0 +1,348 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// Headers of the fleet that a target sees beside those of the root package.
+const (
+	HeaderWorkspace = "Chestnut-Workspace"
+	// HeaderLinger asks an engine to go on for so long after the connection
+	// broke, as a Go duration, so that the stream can be resumed.
+	HeaderLinger = "Linger"
+)
+
+// Engine stands in for a model engine: it batches continuously, caches prompt
+// prefixes in limited memory, is fragile while cold, and reports its load
+// late. Set the fields, then serve it over HTTP.
+type Engine struct {
+	// Base and Slope are the time of one step: Base plus Slope for each
+	// running request.
+	Base, Slope time.Duration
+	// Prefill is the time for one prompt token that is not in the cache.
+	Prefill time.Duration
+	// Slots is how many requests run at once; the rest wait inside the engine.
+	Slots int
+	// Cache bounds the prefix cache in tokens.
+	Cache int
+	// Cold is how many requests the engine can carry until it has served Warm
+	// requests since its last start. One more and it falls over. 0 switches the
+	// cold start off.
+	Cold, Warm int
+	// Hard is how many requests make even a warm engine fall over; 0 is never.
+	Hard int
+	// Restart is how long it drops every connection after it fell over.
+	Restart time.Duration
+	// Lag of load reports and cache events.
+	Lag time.Duration
+	// Gap leaves out each Gap-th cache event; 0 leaves out none.
+	Gap int
+	// Fenced refuses orders that carry an older fencing number.
+	Fenced bool
+	// KV is the bytes of KV cache for one token.
+	KV int
+	// Rand draws boot ids.
+	Rand *rand.Rand
+	// Journal is the log of executions.
+	Journal Journal
+
+	once    sync.Once
+	mux     *http.ServeMux
+	mu      sync.Mutex
+	boot    string
+	boots   int
+	served  int
+	since   time.Time // when it answers again after falling over
+	drops   int
+	looping bool
+	queue   []*stream
+	batch   []*stream
+	streams map[string]*stream
+	ended   []string
+	cache   prefixes
+	reports reports
+	orders  orders
+	faults  faults
+}
+
+// Ask is what a caller sends to an engine.
+type Ask struct {
+	// Prompt is the history in tokens.
+	Prompt int `json:"prompt"`
+	// Output is how many tokens to generate.
+	Output int `json:"output"`
+	// Note makes the body, and so the answer, unlike any other.
+	Note string `json:"note,omitempty"`
+	// Text is any further content.
+	Text string `json:"text,omitempty"`
+}
+
+// Defaults of an engine's fields: an engine that is quick enough for tests and
+// slow enough that a batch forms.
+const (
+	defaultSlots = 32
+	defaultCache = 200_000
+	defaultKV    = 64
+)
+
+func (e *Engine) start() {
+	if e.Slots == 0 {
+		e.Slots = defaultSlots
+	}
+	if e.Cache == 0 {
+		e.Cache = defaultCache
+	}
+	if e.KV == 0 {
+		e.KV = defaultKV
+	}
+	if e.Rand == nil {
+		e.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	e.cache.most = e.Cache
+	e.streams = map[string]*stream{}
+	e.reports.lag = e.Lag
+	e.reboot()
+	e.routes()
+}
+
+// reboot draws a new boot id. The caller holds the lock or is the first.
+func (e *Engine) reboot() {
+	e.boots++
+	e.boot = strconv.FormatUint(e.Rand.Uint64(), 16)
+	e.served = 0
+	e.cache.clear()
+}
+
+// ServeHTTP serves requests on any path and the controls below /control/.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.once.Do(e.start)
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	f := e.faults.take()
+	w.Header().Set(chestnutstep.HeaderRequest, r.Header.Get(chestnutstep.HeaderRequest))
+	if f.Status != 0 {
+		http.Error(w, "fault", f.Status)
+		return
+	}
+	var ask Ask
+	if err := json.Unmarshal(body, &ask); err != nil {
+		http.Error(w, "the body is not JSON: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(f.Delay.Std())
+	s, ok := e.admit(r, body, ask, f)
+	if !ok {
+		panic(http.ErrAbortHandler)
+	}
+	linger, _ := time.ParseDuration(r.Header.Get(HeaderLinger))
+	e.copy(w, r, s, 0, linger)
+}
+
+// admit takes a request in, or lets the engine fall over.
+func (e *Engine) admit(r *http.Request, body []byte, ask Ask, f Fault) (*stream, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().Before(e.since) {
+		return nil, false
+	}
+	s := e.newStream(r, body, ask, f)
+	e.streams[s.request] = s
+	if f.Hang {
+		return s, true
+	}
+	e.queue = append(e.queue, s)
+	e.reports.add(time.Now(), e.load())
+	if f.poisons(body) || e.overloaded() {
+		e.crash()
+		return nil, false
+	}
+	if !e.looping {
+		e.looping = true
+		go e.loop()
+	}
+	return s, true
+}
+
+func (e *Engine) newStream(r *http.Request, body []byte, ask Ask, f Fault) *stream {
+	key := chatKey{r.Header.Get(HeaderWorkspace), r.Header.Get(chestnutstep.HeaderChat)}
+	cached := e.cache.hit(key, ask.Prompt)
+	s := &stream{
+		request:  r.Header.Get(chestnutstep.HeaderRequest),
+		key:      key,
+		seed:     Seed(key.chat, body),
+		prompt:   ask.Prompt,
+		output:   max(ask.Output, 1),
+		cached:   cached,
+		uncached: ask.Prompt - cached,
+		fault:    f,
+		boot:     e.boot,
+		sum:      xxhash.New(),
+		change:   make(chan struct{}),
+	}
+	s.class, _ = strconv.Atoi(r.Header.Get(chestnutstep.HeaderPriority))
+	if f.Crossed {
+		s.request += "-other"
+		s.seed++
+	}
+	s.log = e.Journal.start(Execution{
+		Request:   r.Header.Get(chestnutstep.HeaderRequest),
+		Workspace: key.workspace,
+		Chat:      key.chat,
+		Path:      r.URL.Path,
+		Boot:      e.boot,
+		Prompt:    ask.Prompt,
+		Cached:    cached,
+	})
+	return s
+}
+
+func (e *Engine) cold() bool {
+	return e.Cold > 0 && e.served < e.Warm
+}
+
+func (e *Engine) overloaded() bool {
+	n := len(e.queue) + len(e.batch)
+	if e.cold() && n > e.Cold {
+		return true
+	}
+	return e.Hard > 0 && n > e.Hard
+}
+
+// crash cuts every running answer, loses the cache and draws a new boot id.
+func (e *Engine) crash() {
+	for _, s := range append(e.queue, e.batch...) {
+		s.aborted = true
+		e.finish(s, OutcomeCrashed)
+	}
+	e.queue, e.batch = nil, nil
+	for id, s := range e.streams {
+		if !s.over {
+			s.aborted = true
+			e.finish(s, OutcomeCrashed)
+		}
+		delete(e.streams, id)
+	}
+	e.ended = nil
+	e.since = time.Now().Add(e.Restart)
+	e.reboot()
+	e.reports.add(time.Now(), e.load())
+}
+
+// copy writes the answer to a connection from an offset on as it grows.
+func (e *Engine) copy(w http.ResponseWriter, r *http.Request, s *stream, offset int, linger time.Duration) {
+	c := http.NewResponseController(w)
+	began := false
+	drops := e.dropped()
+	for {
+		data, aborted, over, change := e.peek(s, offset)
+		if e.dropped() != drops {
+			e.leave(s, linger)
+			panic(http.ErrAbortHandler)
+		}
+		if aborted && len(data) == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		if !began && (len(data) > 0 || over) {
+			began = true
+			s.head(w.Header())
+		}
+		if len(data) > 0 {
+			if _, err := w.Write(data); err != nil {
+				e.leave(s, linger)
+				return
+			}
+			_ = c.Flush()
+			offset += len(data)
+			continue
+		}
+		if over {
+			return
+		}
+		select {
+		case <-change:
+		case <-r.Context().Done():
+			e.leave(s, linger)
+			return
+		}
+	}
+}
+
+func (s *stream) head(h http.Header) {
+	h.Set("Content-Type", "text/event-stream")
+	h.Set(chestnutstep.HeaderRequest, s.request)
+	h.Set(chestnutstep.HeaderBoot, s.boot)
+	h.Set(chestnutstep.HeaderCached, strconv.Itoa(s.cached))
+}
+
+// peek returns the bytes from an offset on. The slice stays valid: the stream
+// only ever appends.
+func (e *Engine) peek(s *stream, offset int) (data []byte, aborted, over bool, change <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if offset < len(s.data) {
+		data = s.data[offset:]
+	}
+	return data, s.aborted, s.over, s.change
+}
+
+// dropped counts how often all connections were closed.
+func (e *Engine) dropped() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.drops
+}
+
+// leave is called when a connection broke: the answer is cancelled, at once or
+// after the time that the request asked for.
+func (e *Engine) leave(s *stream, linger time.Duration) {
+	if linger <= 0 {
+		e.cancel(s)
+		return
+	}
+	time.AfterFunc(linger, func() { e.cancel(s) })
+}
+
+func (e *Engine) cancel(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s.over {
+		return
+	}
+	e.queue = without(e.queue, s)
+	s.aborted = true
+	// The batch lets go of it at its next step, which may be under way.
+	e.finish(s, OutcomeCanceled)
+	e.reports.add(time.Now(), e.load())
+}
+
+func without(list []*stream, s *stream) []*stream {
+	for i, v := range list {
+		if v == s {
+			return append(list[:i:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// Crashes returns how often the engine fell over.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.boots-1, 0)
+}
--- /dev/null
+++ b/fake/fault.go
@@ -0,0 +1,79 @@
+package fake
+
+import (
+	"bytes"
+	"sync"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// Fault is a target's misbehaviour. Posting one replaces the one before.
+type Fault struct {
+	// Slow multiplies the time that work takes; 0 and 1 are normal speed.
+	Slow float64 `json:"slow,omitempty"`
+	// Poison crashes the target that runs a body which contains this text.
+	Poison string `json:"poison,omitempty"`
+	// Cold makes an engine lose its cache and its warmth at once, without
+	// changing its boot id.
+	Cold bool `json:"cold,omitempty"`
+	// Crash makes the target crash at once.
+	Crash bool `json:"crash,omitempty"`
+	// Drop closes all connections at once; the work of a service goes on.
+	Drop bool `json:"drop,omitempty"`
+	// Short ends an answer cleanly after so many tokens (or half of a
+	// service's answer): the silently short answer that a caller must never see.
+	Short int `json:"short,omitempty"`
+	// Crossed answers under another Request-Id with another's content.
+	Crossed bool `json:"crossed,omitempty"`
+	// Hang takes requests and never answers.
+	Hang bool `json:"hang,omitempty"`
+	// Close drops the connection after so many tokens (or, at a service, after
+	// the effect and before the answer).
+	Close int `json:"close,omitempty"`
+	// Delay before work begins.
+	Delay chestnutstep.Duration `json:"delay,omitempty"`
+	// Status answers with this HTTP status and runs nothing.
+	Status int `json:"status,omitempty"`
+	// Count is how many requests are affected before the fault ends by itself;
+	// 0 is no bound.
+	Count int `json:"count,omitempty"`
+}
+
+// faults is the fault in force.
+type faults struct {
+	mu  sync.Mutex
+	now Fault
+}
+
+func (f *faults) set(v Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = v
+}
+
+// take returns the fault for one request and counts it.
+func (f *faults) take() Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.now
+	if v.Count > 0 {
+		f.now.Count--
+		if f.now.Count == 0 {
+			f.now = Fault{}
+		}
+	}
+	return v
+}
+
+func (f *faults) slow() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now.Slow <= 0 {
+		return 1
+	}
+	return f.now.Slow
+}
+
+func (f Fault) poisons(body []byte) bool {
+	return f.Poison != "" && bytes.Contains(body, []byte(f.Poison))
+}
--- /dev/null
+++ b/fake/service.go
@@ -0,0 +1,247 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// Service stands in for a plain service: bookings and map edits, which are not
+// idempotent, and a quick look-up, which is. An action that has begun goes on
+// when its caller is gone, as a database transaction would.
+type Service struct {
+	// Delay between a request's arrival and its effect.
+	Delay time.Duration
+	// Restart is how long it drops every connection after a crash.
+	Restart time.Duration
+	// Rand draws boot ids.
+	Rand *rand.Rand
+	// Journal is the log of executions.
+	Journal Journal
+
+	once    sync.Once
+	mux     *http.ServeMux
+	mu      sync.Mutex
+	boot    string
+	boots   int
+	running int
+	since   time.Time
+	down    chan struct{} // closed by a crash
+	effects map[string]int
+	faults  faults
+}
+
+// Action is the body of a booking or a map edit.
+type Action struct {
+	// Action names what must happen once.
+	Action string `json:"action"`
+	// Text is any further content.
+	Text string `json:"text,omitempty"`
+}
+
+// Effect is a service's answer to an action.
+type Effect struct {
+	Action string `json:"action"`
+	// Times is how often the action has taken effect at this service, this
+	// time included.
+	Times int `json:"times"`
+}
+
+// Slots is a service's answer to a look-up.
+type Slots struct {
+	Free []string `json:"free"`
+}
+
+func (s *Service) start() {
+	if s.Rand == nil {
+		s.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	s.effects = map[string]int{}
+	s.reboot()
+	s.mux = http.NewServeMux()
+	s.mux.HandleFunc("POST /bookings", s.postAction)
+	s.mux.HandleFunc("POST /edits", s.postAction)
+	s.mux.HandleFunc("GET /slots", s.getSlots)
+	s.mux.HandleFunc("GET /control/load", s.getLoad)
+	s.mux.HandleFunc("POST /control/fault", s.postFault)
+	s.mux.HandleFunc("GET /control/log", s.getLog)
+}
+
+func (s *Service) reboot() {
+	s.boots++
+	s.boot = strconv.FormatUint(s.Rand.Uint64(), 16)
+	s.down = make(chan struct{})
+}
+
+// ServeHTTP serves the service's requests and its controls.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.once.Do(s.start)
+	s.mux.ServeHTTP(w, r)
+}
+
+// up returns the boot id and the channel that a crash closes; it drops the
+// connection while the service is down.
+func (s *Service) up() (string, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().Before(s.since) {
+		panic(http.ErrAbortHandler)
+	}
+	return s.boot, s.down
+}
+
+func (s *Service) postAction(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	boot, down := s.up()
+	f := s.faults.take()
+	id := r.Header.Get(chestnutstep.HeaderRequest)
+	if f.Crossed {
+		id += "-other"
+	}
+	w.Header().Set(chestnutstep.HeaderRequest, id)
+	w.Header().Set(chestnutstep.HeaderBoot, boot)
+	if f.Status != 0 {
+		http.Error(w, "fault", f.Status)
+		return
+	}
+	var a Action
+	if err := json.Unmarshal(body, &a); err != nil || a.Action == "" {
+		http.Error(w, "want a JSON body with an action", http.StatusBadRequest)
+		return
+	}
+	e := s.begin(r, a, boot)
+	s.act(w, a, e, f, body, down)
+}
+
+func (s *Service) begin(r *http.Request, a Action, boot string) *Execution {
+	s.mu.Lock()
+	s.running++
+	s.mu.Unlock()
+	return s.Journal.start(Execution{
+		Request:   r.Header.Get(chestnutstep.HeaderRequest),
+		Workspace: r.Header.Get(HeaderWorkspace),
+		Chat:      r.Header.Get(chestnutstep.HeaderChat),
+		Path:      r.URL.Path,
+		Action:    a.Action,
+		Boot:      boot,
+	})
+}
+
+// act waits, takes effect and answers, each of which a fault may prevent.
+func (s *Service) act(w http.ResponseWriter, a Action, e *Execution, f Fault, body []byte, down <-chan struct{}) {
+	defer s.leave()
+	if f.poisons(body) {
+		s.Misbehave(Fault{Crash: true, Poison: f.Poison})
+	}
+	if !wait(s.Delay+f.Delay.Std(), s.faults.slow(), down) {
+		s.Journal.end(e, OutcomeCrashed)
+		panic(http.ErrAbortHandler)
+	}
+	if f.Hang {
+		<-down
+		s.Journal.end(e, OutcomeCrashed)
+		panic(http.ErrAbortHandler)
+	}
+	raw, _ := json.Marshal(s.effect(a))
+	s.Journal.end(e, OutcomeDone)
+	if f.Close > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Short > 0 {
+		raw = raw[:len(raw)/2]
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw)
+}
+
+func (s *Service) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// wait says false when the service went down meanwhile.
+func wait(d time.Duration, slow float64, down <-chan struct{}) bool {
+	t := time.NewTimer(time.Duration(float64(d) * slow))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-down:
+	}
+	select {
+	case <-down:
+		return false
+	default:
+		return true
+	}
+}
+
+func (s *Service) effect(a Action) Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effects[a.Action]++
+	return Effect{Action: a.Action, Times: s.effects[a.Action]}
+}
+
+func (s *Service) getSlots(w http.ResponseWriter, r *http.Request) {
+	boot, down := s.up()
+	f := s.faults.take()
+	w.Header().Set(chestnutstep.HeaderRequest, r.Header.Get(chestnutstep.HeaderRequest))
+	w.Header().Set(chestnutstep.HeaderBoot, boot)
+	if f.Status != 0 {
+		http.Error(w, "fault", f.Status)
+		return
+	}
+	e := s.begin(r, Action{}, boot)
+	defer s.leave()
+	if !wait(f.Delay.Std(), s.faults.slow(), down) {
+		s.Journal.end(e, OutcomeCrashed)
+		panic(http.ErrAbortHandler)
+	}
+	s.Journal.end(e, OutcomeDone)
+	writeJSON(w, Slots{Free: []string{"bay-1", "bay-2"}})
+}
+
+func (s *Service) getLoad(w http.ResponseWriter, _ *http.Request) {
+	s.up()
+	s.mu.Lock()
+	l := Load{Boot: s.boot, Running: s.running, Crashes: s.boots - 1}
+	s.mu.Unlock()
+	writeJSON(w, l)
+}
+
+func (s *Service) postFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if readJSON(w, r, &f) {
+		s.Misbehave(f)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// Misbehave puts a fault in force from now on. A crash stops all running
+// actions before their effect.
+func (s *Service) Misbehave(f Fault) {
+	s.once.Do(s.start)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Crash {
+		close(s.down)
+		s.since = time.Now().Add(s.Restart)
+		s.reboot()
+	}
+	f.Crash = false
+	s.faults.set(f)
+}
+
+func (s *Service) getLog(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Journal.Executions())
+}
--- /dev/null
+++ b/fake/stream.go
@@ -0,0 +1,70 @@
+package fake
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// stream is one running answer of an engine. The batch appends to it, and the
+// connections that read it wait on its changes. The engine's lock guards it.
+type stream struct {
+	request  string
+	key      chatKey
+	class    int
+	seed     uint64
+	prompt   int
+	output   int
+	cached   int
+	fault    Fault
+	boot     string
+	log      *Execution
+	uncached int // prompt tokens still to be computed
+	tokens   int
+	sum      *xxhash.Digest
+	data     []byte
+	over     bool
+	aborted  bool // the connection is to be cut, not ended
+	change   chan struct{}
+}
+
+func (s *stream) wake() {
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+// step adds one token and says whether the answer is over.
+func (s *stream) step() bool {
+	n := len(s.data)
+	s.data = appendToken(s.data, s.seed, s.tokens)
+	_, _ = s.sum.Write(s.data[n:])
+	s.tokens++
+	switch {
+	case s.fault.Close > 0 && s.tokens >= s.fault.Close:
+		s.aborted = true
+		return true
+	case s.fault.Short > 0 && s.tokens >= s.fault.Short:
+		return true
+	case s.tokens < s.output:
+		return false
+	}
+	s.data = appendDone(s.data, Done{
+		Tokens: s.tokens,
+		Sum:    strconv.FormatUint(s.sum.Sum64(), 16),
+		Cached: s.cached,
+	})
+	return true
+}
+
+// outcome says how an answer that ran to its last step ended.
+func (s *stream) outcome() string {
+	if s.tokens < s.output {
+		return OutcomeBroken
+	}
+	return OutcomeDone
+}
+
+// whole says that the last event stands in the data.
+func (s *stream) whole() bool {
+	return s.over && !s.aborted
+}
