meter: typed metrics over tally with a page checked by a test

One struct names every metric; docs/METRICS.md is made from it and a test compares both with a scrape. Labels are bounded: a workspace has series of its own while it is among the fifty busiest (a large one that comes late takes the place of a quiet early one), at most a hundred in a process's life, the rest share one. Ruled out: naming the first fifty for good, which hides a large late customer from the monthly report.

--- /dev/null
+++ b/meter/set.go
@@ -0,0 +1,214 @@
+// Package meter holds a process's metrics: one struct of typed counters,
+// gauges and histograms over tally, served to a Prometheus scraper.
+package meter
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// prefix of all names.
+const prefix = "chestnutstep"
+
+// interval is how often counts move from the scope to what is scraped: finer
+// than any scraper asks, and one short pass over a few hundred series.
+const interval = time.Second
+
+// Set is every metric of a process. An entry leaves the agent's fields alone
+// and the other way round: a metric that was never touched is not shown.
+type Set struct {
+	Entry       Entry
+	Agent       Agent
+	Workspaces  Workspaces
+	Publication Publication
+	Process     Process
+
+	handler http.Handler
+	closer  io.Closer
+}
+
+// Entry is what an entry counts.
+type Entry struct {
+	Requests  Counter   // answers to callers, by code
+	Open      Gauge     // streams open to callers
+	FirstByte Histogram // time to the first byte of an answer
+	Answer    Histogram // time to the last byte of an answer
+	Offers    Counter   // offers to agents, by their verdict
+	Retries   Counter   // repeats, by whether the budget allowed them
+	Attached  Counter   // broken links taken up again
+	Hints     Counter   // what became of hints
+	Links     Gauge     // open connections to agents
+}
+
+// Agent is what an agent counts.
+type Agent struct {
+	Offers     Counter   // offers, by verdict
+	Wait       Histogram // time in the queue
+	FirstToken Histogram // from the call of the target to its first byte
+	Runs       Counter   // runs, by how they ended
+	Running    Gauge
+	Waiting    Gauge
+	Cap        Gauge
+	Mean       Gauge
+	MeanAge    Gauge
+	Weight     Gauge
+	Cold       Gauge
+	Crashes    Counter
+	Suspects   Gauge
+	Cached     Counter // prompt tokens found in the target's cache
+	Rebuilt    Counter // prompt tokens that the target had to read again
+	Moves      Counter // KV cache moves, by way and end
+	Moved      Counter // bytes of KV cache moved
+	Tickets    Counter
+	Orders     Counter
+}
+
+// Workspaces is what Prairie's monthly report of fairness is made of.
+type Workspaces struct {
+	Requests Counter
+	Tokens   Counter
+	Wait     Histogram
+}
+
+// Publication is what a process counts of its configuration and its peers.
+type Publication struct {
+	Version Gauge
+	Changes Counter
+	Reads   Counter
+	Gossip  Counter
+	Rounds  Counter
+}
+
+// Process is what any process counts of itself.
+type Process struct {
+	Audit Counter
+}
+
+// vector is what binds a field of the set to its entry of the catalogue.
+type vector interface {
+	bind(scope tally.Scope, e entry, t *top)
+}
+
+// bound is one field of the set with its description.
+type bound struct {
+	v vector
+	e entry
+}
+
+func (s *Set) all() []bound {
+	profile := []string{labelProfile}
+	result := []string{labelProfile, labelResult}
+	return []bound{
+		{&s.Entry.Requests, entry{"entry_requests_total", kindCounter, "requests", result, "Answers to callers by code: ok, or the reason of the refusal or of the broken answer."}},
+		{&s.Entry.Open, entry{"entry_open", kindGauge, "streams", nil, "Requests of callers in progress."}},
+		{&s.Entry.FirstByte, entry{"entry_first_byte_seconds", kindHistogram, "seconds", profile, "From the request's headers to the first byte of the answer's body."}},
+		{&s.Entry.Answer, entry{"entry_answer_seconds", kindHistogram, "seconds", profile, "From the request's headers to the end of a whole answer."}},
+		{&s.Entry.Offers, entry{"entry_offers_total", kindCounter, "offers", result, "Offers to agents: accept, wait, or the reason of the refusal."}},
+		{&s.Entry.Retries, entry{"entry_retries_total", kindCounter, "requests", result, "Repeats after a failure: spent, or denied by the retry budget."}},
+		{&s.Entry.Attached, entry{"entry_attached_total", kindCounter, "links", result, "Broken links to agents in mid-answer: ok when taken up again, else the reason."}},
+		{&s.Entry.Hints, entry{"entry_hints_total", kindCounter, "requests", result, "Requests with a hint: kept when the hinted target served, lost when another did."}},
+		{&s.Entry.Links, entry{"entry_links", kindGauge, "connections", nil, "Open connections to agents."}},
+		{&s.Agent.Offers, entry{"agent_offers_total", kindCounter, "offers", result, "Offers of entries: accept, wait, or the reason of the refusal."}},
+		{&s.Agent.Wait, entry{"agent_wait_seconds", kindHistogram, "seconds", profile, "Time that requests waited at the target before they ran."}},
+		{&s.Agent.FirstToken, entry{"agent_first_token_seconds", kindHistogram, "seconds", profile, "From the call of the target to the first byte of its answer's body."}},
+		{&s.Agent.Runs, entry{"agent_runs_total", kindCounter, "requests", result, "Requests handed to the target: served, canceled, or the reason of the broken answer."}},
+		{&s.Agent.Running, entry{"agent_running", kindGauge, "requests", nil, "Requests that run at the target."}},
+		{&s.Agent.Waiting, entry{"agent_waiting", kindGauge, "requests", nil, "Requests that wait at the target."}},
+		{&s.Agent.Cap, entry{"agent_cap", kindGauge, "requests", nil, "The most that may run now: cold-start cap, multiple of the mean, or slots."}},
+		{&s.Agent.Mean, entry{"agent_mean", kindGauge, "requests", nil, "Estimated mean load of the model's targets for one unit of weight."}},
+		{&s.Agent.MeanAge, entry{"agent_mean_age_seconds", kindGauge, "seconds", nil, "Age of the oldest sample that the mean rests on."}},
+		{&s.Agent.Weight, entry{"agent_weight", kindGauge, "share", nil, "Share of its full load that the target asks for: 0 to 1."}},
+		{&s.Agent.Cold, entry{"agent_cold", kindGauge, "0 or 1", nil, "1 while the target has not proven warm."}},
+		{&s.Agent.Crashes, entry{"agent_crashes_total", kindCounter, "crashes", nil, "Times that the target died or restarted."}},
+		{&s.Agent.Suspects, entry{"agent_suspects", kindGauge, "contents", nil, "Contents that run alone or not at all because targets crashed under them."}},
+		{&s.Agent.Cached, entry{"agent_cached_tokens_total", kindCounter, "tokens", profile, "Prompt tokens that the target found in its cache."}},
+		{&s.Agent.Rebuilt, entry{"agent_rebuilt_tokens_total", kindCounter, "tokens", profile, "Prompt tokens that the target had to read again."}},
+		{&s.Agent.Moves, entry{"agent_moves_total", kindCounter, "chats", []string{labelWay, labelResult}, "KV cache moves of chats: way is import or export, result is ok or why it was given up."}},
+		{&s.Agent.Moved, entry{"agent_moved_bytes_total", kindCounter, "bytes", []string{labelWay}, "Bytes of KV cache moved."}},
+		{&s.Agent.Tickets, entry{"agent_tickets_total", kindCounter, "tickets", []string{labelResult}, "Tickets by state reached: fresh, running, done, unknown, dropped, or the reason of a refusal."}},
+		{&s.Agent.Orders, entry{"agent_orders_total", kindCounter, "orders", []string{labelKind, labelResult}, "Orders to the engine by kind and end."}},
+		{&s.Workspaces.Requests, entry{"workspace_requests_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests of a workspace: ok, refused, broken or canceled."}},
+		{&s.Workspaces.Tokens, entry{"workspace_tokens_total", kindCounter, "tokens", []string{labelWorkspace}, "Estimated work that the target did for a workspace."}},
+		{&s.Workspaces.Wait, entry{"workspace_wait_seconds", kindHistogram, "seconds", []string{labelWorkspace}, "Time that a workspace's requests waited before they ran."}},
+		{&s.Publication.Version, entry{"publication_version", kindGauge, "version", nil, "Version of the publication in force; 0 for none."}},
+		{&s.Publication.Changes, entry{"publications_total", kindCounter, "publications", []string{labelResult}, "Publications seen: accepted, or why not."}},
+		{&s.Publication.Reads, entry{"platform_reads_total", kindCounter, "calls", []string{labelKind, labelResult}, "Calls to the configuration service."}},
+		{&s.Publication.Gossip, entry{"gossip_bytes_total", kindCounter, "bytes", []string{labelWay}, "Bytes of control messages with peers: in and out."}},
+		{&s.Publication.Rounds, entry{"gossip_rounds_total", kindCounter, "exchanges", []string{labelResult}, "Exchanges with peers: ok or failed."}},
+		{&s.Process.Audit, entry{"audit_records_total", kindCounter, "records", []string{labelKind}, "Records of the audit trail by kind."}},
+	}
+}
+
+func catalog() []entry {
+	list := (&Set{}).all()
+	entries := make([]entry, 0, len(list))
+	for _, b := range list {
+		entries = append(entries, b.e)
+	}
+	return entries
+}
+
+// NewSet returns a set whose counts reach the scraper once a second. Close it
+// when the process ends.
+func NewSet() (*Set, error) {
+	return newSet(interval)
+}
+
+func newSet(every time.Duration) (*Set, error) {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, every)
+	s := &Set{handler: reporter.HTTPHandler(), closer: closer}
+	ranked := &top{}
+	for _, b := range s.all() {
+		if err := describe(reporter, b.e); err != nil {
+			return nil, errors.Wrapf(err, "metric %s", b.e.name)
+		}
+		b.v.bind(scope, b.e, ranked)
+	}
+	return s, nil
+}
+
+// describe gives the scraper the metric's help text.
+func describe(r prometheus.Reporter, e entry) error {
+	name := prefix + prometheus.DefaultSeparator + e.name
+	var err error
+	switch e.kind {
+	case kindCounter:
+		_, err = r.RegisterCounter(name, e.labels, e.meaning)
+	case kindGauge:
+		_, err = r.RegisterGauge(name, e.labels, e.meaning)
+	case kindHistogram:
+		_, err = r.RegisterTimer(name, e.labels, e.meaning, &prometheus.RegisterTimerOptions{
+			TimerType:        prometheus.HistogramTimerType,
+			HistogramBuckets: seconds(waits),
+		})
+	}
+	return err
+}
+
+func seconds(d tally.DurationBuckets) []float64 {
+	list := make([]float64, 0, len(d))
+	for _, v := range d {
+		list = append(list, v.Seconds())
+	}
+	return list
+}
+
+// Handler serves a scraper.
+func (s *Set) Handler() http.Handler { return s.handler }
+
+// Close passes the last counts on and stops.
+func (s *Set) Close() error { return s.closer.Close() }
--- /dev/null
+++ b/meter/vector.go
@@ -0,0 +1,142 @@
+package meter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// most is how many values one label other than workspace may take. Profiles,
+// reasons and kinds are published or fixed, and far fewer; the bound is for
+// the defect that puts a caller's text into a label, which would otherwise
+// show as a process that grows until it is killed.
+const most = 200
+
+// other is the label value that all values beyond a bound share.
+const other = "other"
+
+// labels is how many labels a metric has at most.
+const labels = 2
+
+// key is a metric's label values; an array, so that looking up a series
+// allocates nothing.
+type key [labels]string
+
+// series holds the series of one metric by label values.
+type series[T any] struct {
+	scope tally.Scope
+	e     entry
+
+	mu    sync.RWMutex
+	found map[key]T
+	seen  [labels]map[string]bool
+	// ranked is set where the first label is a workspace. All metrics share
+	// it, so that they name the same workspaces.
+	ranked *top
+}
+
+func (s *series[T]) init(scope tally.Scope, e entry, t *top) {
+	s.scope = scope
+	s.e = e
+	s.found = make(map[key]T)
+	for i, l := range e.labels {
+		s.seen[i] = make(map[string]bool)
+		if l == labelWorkspace {
+			s.ranked = t
+		}
+	}
+}
+
+// get returns the series of the values; create makes it in a scope.
+func (s *series[T]) get(values []string, create func(tally.Scope, string) T) (T, bool) {
+	var zero T
+	if s.scope == nil {
+		return zero, false
+	}
+	var k key
+	copy(k[:], values)
+	if s.ranked != nil {
+		k[0] = s.ranked.label(k[0])
+	}
+	s.mu.RLock()
+	v, ok := s.found[k]
+	s.mu.RUnlock()
+	if ok {
+		return v, true
+	}
+	return s.add(k, create), true
+}
+
+func (s *series[T]) add(k key, create func(tally.Scope, string) T) T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tags := map[string]string{}
+	for i, l := range s.e.labels {
+		k[i] = s.bounded(i, k[i])
+		tags[l] = k[i]
+	}
+	if v, ok := s.found[k]; ok {
+		return v
+	}
+	scope := s.scope
+	if len(tags) > 0 {
+		scope = scope.Tagged(tags)
+	}
+	v := create(scope, s.e.name)
+	s.found[k] = v
+	return v
+}
+
+func (s *series[T]) bounded(i int, v string) string {
+	if s.seen[i][v] {
+		return v
+	}
+	if len(s.seen[i]) >= most {
+		return other
+	}
+	s.seen[i][v] = true
+	return v
+}
+
+// Counter counts up. Values are those of its labels, in the order of
+// docs/METRICS.md. The zero Counter counts nothing, so that parts can be used
+// without a set.
+type Counter struct{ series[tally.Counter] }
+
+func (c *Counter) bind(scope tally.Scope, e entry, t *top) { c.init(scope, e, t) }
+
+// Add adds n, which is not negative.
+func (c *Counter) Add(n int64, values ...string) {
+	if v, ok := c.get(values, tally.Scope.Counter); ok {
+		v.Inc(n)
+	}
+}
+
+// Gauge holds the latest value of something.
+type Gauge struct{ series[tally.Gauge] }
+
+func (g *Gauge) bind(scope tally.Scope, e entry, t *top) { g.init(scope, e, t) }
+
+// Set replaces the value.
+func (g *Gauge) Set(v float64, values ...string) {
+	if s, ok := g.get(values, tally.Scope.Gauge); ok {
+		s.Update(v)
+	}
+}
+
+// Histogram counts durations by bucket.
+type Histogram struct{ series[tally.Histogram] }
+
+func (h *Histogram) bind(scope tally.Scope, e entry, t *top) { h.init(scope, e, t) }
+
+// Observe counts one duration.
+func (h *Histogram) Observe(d time.Duration, values ...string) {
+	if v, ok := h.get(values, newHistogram); ok {
+		v.RecordDuration(d)
+	}
+}
+
+func newHistogram(scope tally.Scope, name string) tally.Histogram {
+	return scope.Histogram(name, waits)
+}
