admin: health, status, metrics and audit trail on the admin address

A leaving process fails /ready while it still works, and stays alive at /live, so that the balancer looks elsewhere before the port closes.

--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,138 @@
+// Package admin serves a process's admin address: health for the platform's
+// balancer, and status, metrics and audit trail for operators.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chestnutstep.example/chestnutstep/audit"
+	"chestnutstep.example/chestnutstep/event"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// readTime bounds the reading of a request: an idle connection of a
+	// scraper that went away must not be held for ever.
+	readTime = 10 * time.Second
+	// stopTime bounds a graceful stop: what is served here is short.
+	stopTime = 2 * time.Second
+)
+
+// Server answers on the admin address. It tells who asks what the process
+// does, and no keys; keep the address on the operators' network all the same.
+type Server struct {
+	// Addr is the address, IP and port.
+	Addr string
+	// Listener is used instead of Addr when it is set.
+	Listener net.Listener
+	Log      *event.Log
+	// Ready returns nil when the process takes new work, else why not. It has
+	// to fail before a leaving process stops taking work, so that the
+	// platform's balancer looks elsewhere first.
+	Ready   func() error
+	Status  func() Status
+	Metrics http.Handler
+	Audit   *audit.Trail
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	l := s.Listener
+	if l == nil {
+		var err error
+		l, err = net.Listen("tcp", s.Addr)
+		if err != nil {
+			s.Log.Emit(event.AdminFailed, event.Str("addr", s.Addr), event.Err(err))
+			return errors.Wrapf(err, "admin address %s", s.Addr)
+		}
+	}
+	srv := &http.Server{Handler: s.Handler(), ReadTimeout: readTime}
+	stop := context.AfterFunc(ctx, func() { shutdown(srv) })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		s.Log.Emit(event.AdminFailed, event.Str("addr", l.Addr().String()), event.Err(err))
+		return errors.Wrapf(err, "admin address %s", l.Addr())
+	}
+	return nil
+}
+
+func shutdown(srv *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	if srv.Shutdown(ctx) != nil {
+		srv.Close()
+	}
+}
+
+// Handler answers the paths of the admin address.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /live", s.live)
+	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /status", s.status)
+	mux.HandleFunc("GET /audit", s.audit)
+	if s.Metrics != nil {
+		mux.Handle("GET /metrics", s.Metrics)
+	}
+	return mux
+}
+
+// live answers as long as the process runs at all: a process that is stopping
+// or lacks a publication is alive, and restarting it would not help.
+func (s *Server) live(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("live\n"))
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if s.Ready != nil {
+		if err := s.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	if s.Status == nil {
+		http.NotFound(w, nil)
+		return
+	}
+	st := s.Status()
+	if st.Changes == nil && s.Audit != nil {
+		st.Changes = s.Audit.Last(statusChanges)
+	}
+	write(w, st)
+}
+
+// statusChanges is how many audit records a status shows: a screen's worth.
+const statusChanges = 20
+
+func (s *Server) audit(w http.ResponseWriter, r *http.Request) {
+	if s.Audit == nil {
+		http.NotFound(w, r)
+		return
+	}
+	n := 0
+	if last := r.URL.Query().Get("last"); last != "" {
+		var err error
+		n, err = strconv.Atoi(last)
+		if err != nil || n < 0 {
+			http.Error(w, "last is a whole number from 0 up", http.StatusBadRequest)
+			return
+		}
+	}
+	write(w, s.Audit.Last(n))
+}
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+}
