Limits says when a target is the only one of its model

The mean of a lone target is its own load, so a cap of a multiple of it can never grow. False, the value of a caller that doesn't set it, keeps the cap on: the safe side.

--- a/decide.go
+++ b/decide.go
@@ -88,6 +88,9 @@
 	Model Model
 	// Weight of the target against others of its model.
 	Weight float64
+	// Single says that no other target serves the model: its load is the mean,
+	// and the multiple has nothing to compare. False is the safe value.
+	Single bool
 	// Out says that operators took the target out of service.
 	Out bool
 	// Workspaces gives each workspace's weight; 1 where it is missing.
