--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,199 @@
+// Package gate decides for one target what runs, what waits and what is turned
+// away. It composes the caps (admit), the way out and back (ramp), the order of
+// what waits (queue) and the turns of crash suspects. It stands in the agent,
+// through which all work of the target passes, so it counts what is true and
+// not what entries believe: whatever they offer, what runs never exceeds the
+// cap that was in force when it was accepted.
+package gate
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/admit"
+	"chestnutstep.example/chestnutstep/queue"
+	"chestnutstep.example/chestnutstep/ramp"
+)
+
+// Gate is a chestnutstep.Gate. The zero value turns everything away until the
+// first Limit, and is cold then. It is not safe for use by several goroutines:
+// its owner holds one lock around all calls.
+type Gate struct {
+	limits  chestnutstep.Limits
+	limited bool
+	leaving bool
+
+	cap   admit.Cap
+	cold  admit.Cold
+	ramp  ramp.Ramp
+	queue queue.Queue
+	pace  pace
+	turn  turn
+
+	running map[string]*run
+	// seen is when a class was last offered.
+	seen    [chestnutstep.Classes]time.Time
+	dropped []chestnutstep.Dropped
+}
+
+// run is one running request.
+type run struct {
+	work  chestnutstep.Work
+	since time.Time
+	era   uint64
+}
+
+var _ chestnutstep.Gate = (*Gate)(nil)
+
+// Limit puts the limits of a publication in force. Lower caps cut nothing that
+// runs: nothing new starts until what runs has come under them.
+func (g *Gate) Limit(now time.Time, l chestnutstep.Limits) {
+	g.limits, g.limited = l, true
+	g.cap.Multiple = l.Model.Multiple
+	g.cap.Floor = l.Model.Floor
+	g.cap.Slots = l.Model.Slots
+	g.cap.Weight = l.Weight
+	g.cap.Single = l.Single
+	g.cold.Start = l.Model.Cold
+	g.cold.Slots = l.Model.Slots
+	g.queue.Bound = l.Model.Queue
+	g.queue.Weights = l.Workspaces
+	g.shift(now)
+}
+
+// Measure takes a new estimate of the mean load.
+func (g *Gate) Measure(now time.Time, m chestnutstep.Mean) { g.cap.Measure(now, m) }
+
+// Chill says that the target is cold. What runs is left to end as it may;
+// nothing starts until it is under the cold cap.
+func (g *Gate) Chill(time.Time) { g.cold.Chill() }
+
+// Leave says whether the target takes no new work from now on.
+func (g *Gate) Leave(now time.Time, leaving bool) {
+	g.leaving = leaving
+	g.shift(now)
+}
+
+// shift starts the way out or back when leaving or the publication changed it.
+func (g *Gate) shift(now time.Time) {
+	if g.leaving || g.limits.Out {
+		g.ramp.Leave(now)
+		return
+	}
+	g.ramp.Return(now)
+}
+
+// End says that running or waiting work is over.
+func (g *Gate) End(now time.Time, id string, o chestnutstep.Outcome) {
+	if g.turn.remove(now, id) || g.queue.Remove(id) {
+		return
+	}
+	r := g.running[id]
+	if r == nil {
+		return
+	}
+	delete(g.running, id)
+	g.pace.measure(now.Sub(r.since), r.work.Cost)
+	g.turn.end(now, id)
+	switch o {
+	case chestnutstep.Served:
+		g.cold.Serve(r.era)
+	case chestnutstep.Failed:
+		g.cold.Fail(r.era)
+	case chestnutstep.Withdraw:
+		// A caller that gave up proves nothing about the target.
+	}
+}
+
+// Load reports the target's state.
+func (g *Gate) Load(now time.Time) chestnutstep.Load {
+	limit, _ := g.limit(now)
+	coldCap, cold := g.cold.Cap()
+	l := chestnutstep.Load{
+		Running: len(g.running),
+		Waiting: g.waiting(),
+		Cap:     limit,
+		Cold:    cold,
+		Leaving: g.ramp.Away(),
+		Weight:  g.ramp.Share(now),
+	}
+	if cold {
+		l.Weight = min(l.Weight, float64(coldCap)/float64(max(1, g.limits.Model.Slots)))
+	}
+	if l.Leaving || !g.limited {
+		l.Cap, l.Weight = 0, 0
+	}
+	return l
+}
+
+func (g *Gate) waiting() int {
+	if g.turn.waits != nil {
+		return g.queue.Len() + 1
+	}
+	return g.queue.Len()
+}
+
+// limit is the cap in force, and the reason to give when it is reached.
+func (g *Gate) limit(now time.Time) (int, chestnutstep.Reason) {
+	limit, reason := g.cap.At(now), chestnutstep.ReasonFull
+	if cold, _ := g.cold.Cap(); cold < limit {
+		limit, reason = cold, chestnutstep.ReasonCold
+	}
+	if g.ramp.Away() {
+		// What waited may still start until it is shed.
+		return limit, reason
+	}
+	if scaled := g.ramp.Scale(now, limit); scaled < limit {
+		limit, reason = scaled, chestnutstep.ReasonCold
+	}
+	return limit, reason
+}
+
+const (
+	// recent is how long a class counts as in use after its last offer. A
+	// minute spans the pause between two questions of a few busy callers.
+	recent = time.Minute
+	// normalSpare and batchSpare are the parts of the cap, as one over, that
+	// normal and batch work leave to more urgent work that is in use. Without
+	// them, long plans take every slot in a quiet second, and each quick
+	// question waits for a plan of minutes to end. An eighth is one slot of
+	// eight, enough for questions that take a second or two; batch leaves
+	// twice that. Caps below eight, or four, leave none: a whole slot would be
+	// more than that part.
+	normalSpare = 8
+	batchSpare  = 4
+)
+
+// room says whether one more request of the class may run.
+func (g *Gate) room(now time.Time, class chestnutstep.Class) bool {
+	limit, _ := g.limit(now)
+	if len(g.running) >= limit || g.turn.blocks() {
+		return false
+	}
+	spare := g.spare(now, class, limit)
+	return spare == 0 || len(g.running) < limit-spare
+}
+
+// spare is how many slots the class must leave free.
+func (g *Gate) spare(now time.Time, class chestnutstep.Class, limit int) int {
+	urgent := g.inUse(now, chestnutstep.ClassUrgent)
+	switch {
+	case class == chestnutstep.ClassNormal && urgent:
+		return limit / normalSpare
+	case class == chestnutstep.ClassBatch && (urgent || g.inUse(now, chestnutstep.ClassNormal)):
+		return limit / batchSpare
+	}
+	return 0
+}
+
+func (g *Gate) inUse(now time.Time, class chestnutstep.Class) bool {
+	seen := g.seen[class]
+	return !seen.IsZero() && now.Sub(seen) < recent
+}
+
+func (g *Gate) start(now time.Time, w chestnutstep.Work) {
+	if g.running == nil {
+		g.running = make(map[string]*run)
+	}
+	g.running[w.ID] = &run{work: w, since: now, era: g.cold.Era()}
+}
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,289 @@
+package gate
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that CI gives the same verdict every time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Unix(0, 0)
+
+// scan reads an argument of a script's command, if it is there.
+func scan[T any](t *testing.T, d *datadriven.TestData, key string, v T) T {
+	d.MaybeScanArgs(t, key, &v)
+	return v
+}
+
+func scanTime(t *testing.T, d *datadriven.TestData, key string, unset float64) time.Duration {
+	return time.Duration(scan(t, d, key, unset) * float64(time.Second))
+}
+
+// TestScripts plays the scripts in testdata. Each command may say at=SECONDS.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var g *Gate
+		var now time.Time
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "gate" {
+				g, now = &Gate{}, epoch
+			}
+			if d.HasArg("at") {
+				now = epoch.Add(scanTime(t, d, "at", 0))
+			}
+			return play(t, g, now, d)
+		})
+	})
+}
+
+func play(t *testing.T, g *Gate, now time.Time, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "gate", "limit":
+		g.Limit(now, scriptLimits(t, d))
+	case "mean":
+		g.Measure(now, chestnutstep.Mean{
+			Load:    scan(t, d, "load", 0.0),
+			Targets: scan(t, d, "targets", 8),
+			Age:     scanTime(t, d, "age", 0),
+		})
+	case "offer":
+		return scriptOffers(t, g, now, d)
+	case "end":
+		for _, id := range strings.Fields(d.Input) {
+			g.End(now, id, scriptOutcome(t, d))
+		}
+		return describe(g.Next(now))
+	case "next":
+		return describe(g.Next(now))
+	case "chill":
+		g.Chill(now)
+	case "leave":
+		g.Leave(now, true)
+		return describe(g.Next(now))
+	case "return":
+		g.Leave(now, false)
+	}
+	return fmt.Sprintf("%+v\n", g.Load(now))
+}
+
+func scriptLimits(t *testing.T, d *datadriven.TestData) chestnutstep.Limits {
+	l := chestnutstep.Limits{Weight: scan(t, d, "weight", 1.0), Out: d.HasArg("out")}
+	l.Model.Multiple = scan(t, d, "multiple", 0.0)
+	l.Model.Floor = scan(t, d, "floor", 1)
+	l.Model.Slots = scan(t, d, "slots", 4)
+	l.Model.Queue = scan(t, d, "queue", 8)
+	l.Model.Cold = scan(t, d, "cold", l.Model.Slots)
+	l.Workspaces = map[string]float64{"big": scan(t, d, "big", 1.0)}
+	return l
+}
+
+func scriptOutcome(t *testing.T, d *datadriven.TestData) chestnutstep.Outcome {
+	outcomes := map[string]chestnutstep.Outcome{"failed": chestnutstep.Failed, "withdraw": chestnutstep.Withdraw}
+	return outcomes[scan(t, d, "as", "served")]
+}
+
+// scriptOffers offers the ids of the input, with the command's arguments.
+func scriptOffers(t *testing.T, g *Gate, now time.Time, d *datadriven.TestData) string {
+	var out strings.Builder
+	for _, id := range strings.Fields(d.Input) {
+		w := chestnutstep.Work{
+			ID:        id,
+			Workspace: scan(t, d, "ws", "small"),
+			Class:     chestnutstep.Class(scan(t, d, "class", 1)),
+			Cost:      scan(t, d, "cost", 100.0),
+			Deadline:  now.Add(scanTime(t, d, "limit", 60)),
+			Patience:  now.Add(scanTime(t, d, "patience", 0)),
+			Home:      d.HasArg("home"),
+			Alone:     d.HasArg("alone"),
+		}
+		fmt.Fprintf(&out, "%s: %s\n", id, describeDecision(g.Offer(now, w)))
+	}
+	return out.String()
+}
+
+func describeDecision(d chestnutstep.Decision) string {
+	switch d.Verdict {
+	case chestnutstep.Accept:
+		return "accept"
+	case chestnutstep.Queue:
+		return "wait " + d.Wait.Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("%s, retry %v", d.Reason, d.Retry.Round(time.Millisecond))
+}
+
+func describe(n chestnutstep.Next) string {
+	out := fmt.Sprintf("start %v\n", n.Start)
+	for _, x := range n.Drop {
+		out += fmt.Sprintf("drop %s: %s\n", x.ID, describeDecision(x.Decision))
+	}
+	return out
+}
+
+// model is what an observer of a gate knows by its answers alone.
+type model struct {
+	t       *rapid.T
+	g       *Gate
+	now     time.Time
+	limits  chestnutstep.Limits
+	running map[string]chestnutstep.Work
+	waiting map[string]chestnutstep.Work
+	next    int
+	// limit is the cap in force before the step.
+	limit int
+}
+
+func (m *model) start(id string, w chestnutstep.Work) {
+	_, twice := m.running[id]
+	assert.Assert(m.t, !twice, "%s started twice", id)
+	assert.Assert(m.t, w.Deadline.After(m.now), "%s started after its time limit", id)
+	m.running[id] = w
+	assert.Assert(m.t, len(m.running) <= m.limit, "%d run, cap %d", len(m.running), m.limit)
+	for _, o := range m.running {
+		assert.Assert(m.t, !o.Alone || len(m.running) == 1, "something runs beside a suspect")
+	}
+}
+
+func (m *model) settle() {
+	m.limit = m.g.Load(m.now).Cap
+	if m.g.ramp.Away() {
+		m.limit, _ = m.g.limit(m.now)
+	}
+	n := m.g.Next(m.now)
+	for _, id := range n.Start {
+		w, ok := m.waiting[id]
+		assert.Assert(m.t, ok, "%s started but did not wait", id)
+		delete(m.waiting, id)
+		m.start(id, w)
+	}
+	for _, x := range n.Drop {
+		_, ok := m.waiting[x.ID]
+		assert.Assert(m.t, ok, "%s dropped but did not wait", x.ID)
+		delete(m.waiting, x.ID)
+	}
+}
+
+func (m *model) offer(t *rapid.T) {
+	w := chestnutstep.Work{
+		ID:        fmt.Sprint("r", m.next),
+		Workspace: rapid.SampledFrom([]string{"big", "small", "third"}).Draw(t, "workspace"),
+		Class:     chestnutstep.Class(rapid.IntRange(0, 4).Draw(t, "class")),
+		Cost:      rapid.Float64Range(-1, 30000).Draw(t, "cost"),
+		Home:      rapid.Bool().Draw(t, "home"),
+		Alone:     rapid.IntRange(0, 9).Draw(t, "alone") == 0,
+	}
+	m.next++
+	w.Deadline = m.now.Add(time.Duration(rapid.IntRange(-1, 60).Draw(t, "limit")) * time.Second)
+	w.Patience = m.now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "patience")) * time.Second)
+	m.limit = m.g.Load(m.now).Cap
+	switch d := m.g.Offer(m.now, w); d.Verdict {
+	case chestnutstep.Accept:
+		m.start(w.ID, w)
+	case chestnutstep.Queue:
+		m.waiting[w.ID] = w
+	case chestnutstep.Refuse:
+		assert.Assert(t, d.Reason != "" && d.Retry >= soonest, "%+v", d)
+	}
+}
+
+func (m *model) end(t *rapid.T) {
+	all := slices.Concat(slices.Sorted(maps.Keys(m.running)), slices.Sorted(maps.Keys(m.waiting)))
+	if len(all) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(all).Draw(t, "id")
+	m.g.End(m.now, id, chestnutstep.Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")))
+	delete(m.running, id)
+	delete(m.waiting, id)
+}
+
+func (m *model) measure(t *rapid.T) {
+	m.g.Measure(m.now, chestnutstep.Mean{
+		Load:    rapid.Float64Range(0, 20).Draw(t, "load"),
+		Targets: rapid.IntRange(0, 9).Draw(t, "targets"),
+	})
+}
+
+func (m *model) relimit(t *rapid.T) {
+	m.limits.Model.Multiple = rapid.SampledFrom([]float64{0, 1.1, 1.25, 2}).Draw(t, "multiple")
+	m.limits.Model.Slots = rapid.IntRange(1, 20).Draw(t, "slots")
+	m.limits.Model.Queue = rapid.IntRange(0, 6).Draw(t, "queue")
+	m.limits.Model.Cold = rapid.IntRange(0, 3).Draw(t, "cold")
+	m.limits.Out = rapid.IntRange(0, 9).Draw(t, "out") == 0
+	m.g.Limit(m.now, m.limits)
+}
+
+func (m *model) check(t *rapid.T) {
+	l := m.g.Load(m.now)
+	assert.Equal(t, l.Running, len(m.running))
+	assert.Equal(t, l.Waiting, len(m.waiting)+len(m.g.dropped))
+}
+
+// Entries believe what they like and offer at any moment: one that woke up late
+// offers to a target that is cold, or leaving, or full. If the target took it,
+// callers would see a cold target fall over again and again. So whatever comes,
+// what runs stays within the cap of the moment, and all that waits is either
+// started or turned away.
+func TestRunningNeverExceedsCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, g: &Gate{}, now: epoch, running: map[string]chestnutstep.Work{}, waiting: map[string]chestnutstep.Work{}}
+		m.limits.Workspaces = map[string]float64{"big": 3, "third": 0.5}
+		step := func(act func(t *rapid.T)) func(t *rapid.T) {
+			return func(t *rapid.T) {
+				act(t)
+				m.settle()
+				m.check(t)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer":   step(m.offer),
+			"offer2":  step(m.offer),
+			"end":     step(m.end),
+			"measure": step(m.measure),
+			"limit":   step(m.relimit),
+			"chill":   step(func(*rapid.T) { m.g.Chill(m.now) }),
+			"leave":   step(func(t *rapid.T) { m.g.Leave(m.now, rapid.Bool().Draw(t, "leaving")) }),
+			"tick": step(func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond)
+			}),
+		})
+	})
+}
+
+func BenchmarkOffer(b *testing.B) {
+	for _, waiting := range []int{0, 256} {
+		b.Run(fmt.Sprint("waiting=", waiting), func(b *testing.B) {
+			g := &Gate{}
+			g.Limit(epoch, chestnutstep.Limits{Model: chestnutstep.Model{Slots: 64, Cold: 64, Queue: 512}})
+			w := chestnutstep.Work{Cost: 100, Deadline: epoch.Add(time.Hour), Patience: epoch.Add(time.Hour)}
+			for i := range 63 + waiting {
+				w.ID, w.Workspace = fmt.Sprint("w", i), fmt.Sprint("ws", i%20)
+				g.Offer(epoch, w)
+			}
+			w.ID = "one"
+			b.ReportAllocs()
+			for range b.N {
+				g.Offer(epoch, w)
+				g.End(epoch, w.ID, chestnutstep.Served)
+				g.Next(epoch)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/gate/next.go
@@ -0,0 +1,100 @@
+package gate
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// Next returns what became of waiting work. First goes what may wait no
+// longer, so that nothing starts whose caller has given up.
+func (g *Gate) Next(now time.Time) chestnutstep.Next {
+	g.expire(now)
+	g.shed(now)
+	n := chestnutstep.Next{Start: g.starts(now)}
+	n.Drop, g.dropped = g.dropped, nil
+	return n
+}
+
+func (g *Gate) expire(now time.Time) {
+	if w, reason := g.turn.expire(now); w != nil {
+		g.drop(now, *w, reason)
+	}
+	for {
+		w, ok := g.queue.Expire(now)
+		if !ok {
+			return
+		}
+		g.drop(now, w, g.expired(now, w))
+	}
+}
+
+func (g *Gate) expired(now time.Time, w chestnutstep.Work) chestnutstep.Reason {
+	if !w.Deadline.After(now) {
+		return chestnutstep.ReasonLate
+	}
+	return g.full(now)
+}
+
+// shed turns waiting work of a leaving target away, the least urgent first.
+func (g *Gate) shed(now time.Time) {
+	for c := range chestnutstep.Class(chestnutstep.Classes) {
+		if g.ramp.Shed(now, c) {
+			g.shedClass(now, c)
+		}
+	}
+}
+
+func (g *Gate) shedClass(now time.Time, class chestnutstep.Class) {
+	if w := g.turn.waits; w != nil && w.Class == class {
+		g.turn.remove(now, w.ID)
+		g.drop(now, *w, g.away())
+	}
+	for {
+		w, ok := g.queue.Shed(class)
+		if !ok {
+			return
+		}
+		g.drop(now, w, g.away())
+	}
+}
+
+func (g *Gate) away() chestnutstep.Reason {
+	if g.limits.Out {
+		return chestnutstep.ReasonOut
+	}
+	return chestnutstep.ReasonLeaving
+}
+
+func (g *Gate) starts(now time.Time) []string {
+	if !g.limited {
+		return nil
+	}
+	if id := g.startAlone(now); id != "" {
+		return []string{id}
+	}
+	var ids []string
+	may := func(c chestnutstep.Class) bool { return g.room(now, c) }
+	for {
+		w, ok := g.queue.Pop(may)
+		if !ok {
+			return ids
+		}
+		if g.hopeless(now, w) {
+			g.drop(now, w, chestnutstep.ReasonLate)
+			continue
+		}
+		g.start(now, w)
+		ids = append(ids, w.ID)
+	}
+}
+
+// hopeless says that waiting work has less than half the time left that its
+// like has taken here. Started, it would hold a slot until its time limit for
+// an answer that nobody gets, and under saturation that is what makes goodput
+// fall as load grows. Half, because the estimate is a mean over unlike work:
+// what has a fair chance is started. Work that found a free slot is never
+// judged so, and what it takes corrects an estimate that was too high.
+func (g *Gate) hopeless(now time.Time, w chestnutstep.Work) bool {
+	return now.Add(g.pace.run(w.Cost) / 2).After(w.Deadline)
+}
