--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	commands := []command{
 		engineCommand(),
 		serviceCommand(),
+		callCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.flags, 1)
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,199 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"chestnutstep.example/chestnutstep/fake"
+)
+
+// Histograms run from a microsecond to a minute with three digits: finer than
+// what a loopback shows, and a few hundred kilobytes large.
+const (
+	histogramMin    = 1
+	histogramMax    = 60_000_000
+	histogramDigits = 3
+)
+
+// Times is a histogram of durations, safe for many goroutines.
+type Times struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+// Add records one duration. Those over a minute count as a minute.
+func (t *Times) Add(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.h == nil {
+		t.h = hdrhistogram.New(histogramMin, histogramMax, histogramDigits)
+	}
+	_ = t.h.RecordValue(min(max(d.Microseconds(), histogramMin), histogramMax))
+}
+
+// Quantile returns the duration below which a share q, from 0 to 1, lies.
+func (t *Times) Quantile(q float64) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.h == nil {
+		return 0
+	}
+	return time.Duration(t.h.ValueAtQuantile(q*100)) * time.Microsecond
+}
+
+// Count returns how many durations were added.
+func (t *Times) Count() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.h == nil {
+		return 0
+	}
+	return t.h.TotalCount()
+}
+
+// Count is how often something happened, by name.
+type Count struct {
+	Name string `json:"name"`
+	N    int    `json:"n"`
+}
+
+// Report counts what callers got.
+type Report struct {
+	// First is the time to the first byte, Gap the time between pieces.
+	First, Gap Times
+
+	mu     sync.Mutex
+	kinds  map[string]int
+	codes  map[string]int
+	shares map[string]int
+	prompt int
+	cached int
+	errs   []error
+}
+
+// Add counts one result for a prompt of so many tokens.
+func (r *Report) Add(workspace string, prompt int, res fake.Result) {
+	if res.First > 0 {
+		r.First.Add(res.First)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.kinds == nil {
+		r.kinds, r.codes, r.shares = map[string]int{}, map[string]int{}, map[string]int{}
+	}
+	r.kinds[string(res.Kind)]++
+	r.shares[workspace]++
+	switch res.Kind {
+	case fake.Refused:
+		r.codes[fmt.Sprintf("%d %s", res.Status, res.Code)]++
+	case fake.Whole:
+		r.prompt += prompt
+		r.cached += res.Cached
+	case fake.Broken, fake.Foreign, fake.Short, fake.Absent:
+		r.errs = append(r.errs, fmt.Errorf("%s: %s %d: %w", res.Kind, res.Code, res.Status, orNil(res.Err)))
+	}
+}
+
+func orNil(err error) error {
+	if err == nil {
+		return fmt.Errorf("no transport error")
+	}
+	return err
+}
+
+// Kind returns how many answers were of a kind.
+func (r *Report) Kind(k fake.Kind) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.kinds[string(k)]
+}
+
+// Reuse is the share of the whole answers' prompts that was found in a cache.
+func (r *Report) Reuse() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.prompt == 0 {
+		return 0
+	}
+	return float64(r.cached) / float64(r.prompt)
+}
+
+// Codes lists refusals by status and code.
+func (r *Report) Codes() []Count {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return sorted(r.codes)
+}
+
+// Errors returns the first n errors of answers that were not whole.
+func (r *Report) Errors(n int) []error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.errs[:min(n, len(r.errs))])
+}
+
+func sorted(m map[string]int) []Count {
+	out := make([]Count, 0, len(m))
+	for name, n := range m {
+		out = append(out, Count{name, n})
+	}
+	slices.SortFunc(out, func(a, b Count) int {
+		if a.N != b.N {
+			return b.N - a.N
+		}
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Summary is a report as it is printed.
+type Summary struct {
+	Kinds    []Count `json:"kinds"`
+	Refusals []Count `json:"refusals"`
+	Shares   []Count `json:"workspaces"`
+	Reuse    float64 `json:"reuse"`
+	// Quantiles in milliseconds.
+	FirstP50 float64 `json:"first_p50"`
+	FirstP99 float64 `json:"first_p99"`
+	GapP50   float64 `json:"gap_p50"`
+	GapP99   float64 `json:"gap_p99"`
+}
+
+// Summary returns the figures so far.
+func (r *Report) Summary() Summary {
+	s := Summary{Reuse: r.Reuse(), Refusals: r.Codes()}
+	s.FirstP50, s.FirstP99 = ms(r.First.Quantile(0.5)), ms(r.First.Quantile(0.99))
+	s.GapP50, s.GapP99 = ms(r.Gap.Quantile(0.5)), ms(r.Gap.Quantile(0.99))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.Kinds, s.Shares = sorted(r.kinds), sorted(r.shares)
+	return s
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+// Print writes the summary as a table.
+func (s Summary) Print(w io.Writer) {
+	for _, c := range s.Kinds {
+		fmt.Fprintf(w, "%-34s %d\n", "answers "+c.Name, c.N)
+	}
+	for _, c := range s.Refusals {
+		fmt.Fprintf(w, "%-34s %d\n", "refusals "+c.Name, c.N)
+	}
+	for _, c := range s.Shares {
+		fmt.Fprintf(w, "%-34s %d\n", "requests of "+c.Name, c.N)
+	}
+	fmt.Fprintf(w, "%-34s %.1f%%\n", "prompt tokens found in a cache", s.Reuse*100)
+	fmt.Fprintf(w, "%-34s %.2f ms, %.2f ms\n", "first byte, median and p99", s.FirstP50, s.FirstP99)
+	fmt.Fprintf(w, "%-34s %.2f ms, %.2f ms\n", "between pieces, median and p99", s.GapP50, s.GapP99)
+}
