answer: logs of running and finished answers, joined by offset

A broken link, or a caller's repeat through another entry, must read on in the answer of the same run.

A slow link holds the writer back by a window, since nothing else bounds what a slow caller makes the agent keep. Above the shelf's bound finished answers go first, then what every link of a running one has read.

--- /dev/null
+++ b/answer/shelf.go
@@ -0,0 +1,195 @@
+package answer
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// DefaultKeep is how long a finished answer is kept: a caller whose entry
+	// died notices and repeats within seconds.
+	DefaultKeep = time.Minute
+	// DefaultLong is how long a preferred answer is kept: as long as its
+	// ticket can be used.
+	DefaultLong = 10 * time.Minute
+	// DefaultBytes bounds what all answers of an agent keep: a quarter of the
+	// 64 MB that a process may use.
+	DefaultBytes = 16 << 20
+	// overhead is what a log costs besides its bytes, rounded up from a
+	// measurement, so that empty answers count against the bound too.
+	overhead = 512
+)
+
+// key names a request. The workspace is part of it, so that no caller can join
+// the answer of another customer by guessing an id.
+type key struct {
+	workspace string
+	id        string
+}
+
+// Shelf keeps the logs of one agent. Set the fields before the first call. It
+// is safe for concurrent use.
+//
+// Its bytes are bounded by Bytes plus two windows for each running answer:
+// finished answers are dropped first, the oldest first, then the fronts of
+// running ones that every link has read.
+type Shelf struct {
+	// Keep is how long a finished answer is kept; DefaultKeep when 0.
+	Keep time.Duration
+	// Long is the same for preferred answers; DefaultLong when 0.
+	Long time.Duration
+	// Most bounds the bytes that are kept; DefaultBytes when 0.
+	Most int64
+	// Window of each new log; see Log.
+	Window int
+	// Each is how many bytes of one answer are kept; see Log.Most.
+	Each int
+
+	bytes atomic.Int64
+	// ends counts answers that ended and are not yet in the queue of finished
+	// ones: relieve looks through the logs only when there are some.
+	ends atomic.Int64
+
+	mu       sync.Mutex
+	logs     map[key]*Log
+	orders   uint64
+	finished []*Log
+}
+
+func (s *Shelf) most() int64 { return cmp.Or(s.Most, DefaultBytes) }
+
+func (s *Shelf) pressed() bool { return s.bytes.Load() > s.most() }
+
+// Bytes returns what is kept, with a flat cost for each answer.
+func (s *Shelf) Bytes() int64 { return s.bytes.Load() }
+
+// Len returns how many answers are kept.
+func (s *Shelf) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.logs)
+}
+
+// Get returns a request's answer, or nil when it is not known here, or no
+// longer.
+func (s *Shelf) Get(workspace, id string) *Log {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.logs[key{workspace, id}]
+}
+
+// Put returns a request's answer, a new one unless it existed. Only the caller
+// that hears false may run the request: of two that race, one gets it.
+func (s *Shelf) Put(_ time.Time, workspace, id string) (l *Log, existed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := key{workspace, id}
+	if l = s.logs[k]; l != nil {
+		return l, true
+	}
+	if s.logs == nil {
+		s.logs = map[key]*Log{}
+	}
+	s.orders++
+	l = &Log{Window: s.Window, Most: s.Each, shelf: s, key: k, order: s.orders}
+	s.logs[k] = l
+	s.bytes.Add(overhead)
+	s.shrink()
+	return l, false
+}
+
+// Remove forgets a request that never ran, so that a repeat starts anew.
+func (s *Shelf) Remove(workspace, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gone := s.logs[key{workspace, id}]
+	if gone == nil {
+		return
+	}
+	s.drop(gone)
+	s.finished = slices.DeleteFunc(s.finished, func(l *Log) bool { return l == gone })
+}
+
+// Sweep drops answers that were kept long enough. Call it every second or so.
+func (s *Shelf) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.collect()
+	s.finished = slices.DeleteFunc(s.finished, func(l *Log) bool {
+		return s.expired(now, l) && s.drop(l)
+	})
+	s.shrink()
+}
+
+// expired counts from the first sweep that sees the answer ended, so that an end
+// needs no clock.
+func (s *Shelf) expired(now time.Time, l *Log) bool {
+	if l.ended.IsZero() {
+		l.ended = now
+	}
+	keep := cmp.Or(s.Keep, DefaultKeep)
+	if l.preferred() {
+		keep = cmp.Or(s.Long, DefaultLong)
+	}
+	return now.Sub(l.ended) >= keep
+}
+
+// collect moves answers that have ended into the queue, the oldest first.
+func (s *Shelf) collect() {
+	if s.ends.Swap(0) == 0 {
+		return
+	}
+	queued := make(map[*Log]bool, len(s.finished))
+	for _, l := range s.finished {
+		queued[l] = true
+	}
+	var fresh []*Log
+	for _, l := range s.logs {
+		if !queued[l] && l.Ended() {
+			fresh = append(fresh, l)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *Log) int { return cmp.Compare(a.order, b.order) })
+	s.finished = append(s.finished, fresh...)
+}
+
+// relieve makes room after bytes were added.
+func (s *Shelf) relieve() {
+	if !s.pressed() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shrink()
+}
+
+// shrink drops finished answers above the bound: those that are not preferred
+// first, and of each kind the oldest first.
+func (s *Shelf) shrink() {
+	if !s.pressed() {
+		return
+	}
+	s.collect()
+	for _, preferred := range []bool{false, true} {
+		s.finished = slices.DeleteFunc(s.finished, func(l *Log) bool {
+			return s.pressed() && l.preferred() == preferred && s.drop(l)
+		})
+	}
+}
+
+// drop always returns true: the answer is no longer kept.
+func (s *Shelf) drop(l *Log) bool {
+	delete(s.logs, l.key)
+	l.evict()
+	s.bytes.Add(-overhead)
+	return true
+}
+
+func (l *Log) preferred() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.prefer
+}
