config: publication, checked as a whole, split into a root and parts

Thousands of processes fetch each change. Items are spread by the hash of their name: chunks in listed order were ruled out, as one inserted item would shift all later chunks. A tree of roots was ruled out while the root is smaller than a part.

--- a/config/document.go
+++ b/config/document.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
@@ -23,13 +22,21 @@
 	file  string
 	raw   []byte
 	lines map[string]int
-	found problems
+	// breaks are the offsets of line ends; a search in them keeps a large file
+	// from being scanned once for each of its values.
+	breaks []int
+	found  problems
 }
 
 // read fills the struct that into points to. What could not be read keeps the
 // value it had.
 func (d *document) read(into any) {
 	d.lines = make(map[string]int)
+	for i, c := range d.raw {
+		if c == '\n' {
+			d.breaks = append(d.breaks, i)
+		}
+	}
 	if !d.shallow() {
 		return
 	}
@@ -80,7 +87,8 @@
 }
 
 func (d *document) line(offset int) int {
-	return 1 + bytes.Count(d.raw[:offset], []byte("\n"))
+	n, _ := slices.BinarySearch(d.breaks, offset)
+	return 1 + n
 }
 
 func (d *document) value(v *hujson.Value, into reflect.Value, path string) {
--- /dev/null
+++ b/config/pack.go
@@ -0,0 +1,267 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/bits"
+	"slices"
+
+	"chestnutstep.example/chestnutstep"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// ValueMax is the platform's limit for one value, and so for the root and
+	// each part, in bytes.
+	ValueMax = 1 << 20
+	// shardBytes is the size that parts aim at. A change costs every process
+	// the root, which holds one hash a part, and the parts that changed. Small
+	// parts make the root large and large parts are costly themselves; the sum
+	// is least near the square root of (all bytes x bytes a hash), which for a
+	// publication of half a megabyte is 4 KiB.
+	shardBytes = 4 << 10
+	// hashBytes is how much of SHA-256 names a part. 128 bits halve the root
+	// and still rule out two parts with one name by accident; making such a
+	// pair on purpose takes someone who may publish whatever they like anyway.
+	hashBytes = 16
+)
+
+// Names under which the platform serves a publication.
+const (
+	RootName   = "chestnut/root"
+	PartPrefix = "chestnut/part/"
+)
+
+// Root names the parts of one publication. It is the only value that operators
+// overwrite: parts are named by their content and never change, so that a
+// reader who holds a root can't mix parts of two publications.
+type Root struct {
+	Version uint64 `json:"version"`
+	// Reads and Nodes repeat the publication's read budget and the number of
+	// processes it covers, so that a process knows its share of the budget
+	// before it spends reads on the parts.
+	Reads float64 `json:"reads"`
+	Nodes int     `json:"nodes"`
+	// Parts are the content hashes, in the order in which parts are joined.
+	Parts []string `json:"parts"`
+}
+
+// fragment is the content of one part: a piece of a publication.
+type fragment struct {
+	Domains    []chestnutstep.Domain    `json:"domains,omitempty"`
+	Hosts      []chestnutstep.Host      `json:"hosts,omitempty"`
+	Models     []chestnutstep.Model     `json:"models,omitempty"`
+	Targets    []chestnutstep.Target    `json:"targets,omitempty"`
+	Profiles   []chestnutstep.Profile   `json:"profiles,omitempty"`
+	Workspaces []chestnutstep.Workspace `json:"workspaces,omitempty"`
+	Budget     *chestnutstep.Budget     `json:"budget,omitempty"`
+}
+
+// Hash names content: a root or a part.
+func Hash(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:hashBytes])
+}
+
+// Nodes counts the processes that a publication covers: an agent for each
+// target and an entry for each host without one. It errs high when hosts stand
+// idle, which only makes each process read less.
+func Nodes(p *chestnutstep.Publication) int {
+	bears := make(map[string]bool, len(p.Targets))
+	for i := range p.Targets {
+		bears[p.Targets[i].Host] = true
+	}
+	n := len(p.Targets)
+	for i := range p.Hosts {
+		if !bears[p.Hosts[i].Name] {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// Pack splits a publication that was checked into a root and parts by hash. The
+// same content gives the same bytes in whatever order it is listed. Items are
+// spread over parts by the hash of their name, so that a change of one item
+// changes one part, and adding an item moves no other.
+func Pack(p *chestnutstep.Publication) (root []byte, parts map[string][]byte) {
+	list := []fragment{{Domains: sorted(p.Domains, domainName), Budget: &p.Budget}}
+	list = append(list, shard(p.Models, modelName, func(f *fragment) *[]chestnutstep.Model { return &f.Models })...)
+	list = append(list, shard(p.Profiles, profileName, func(f *fragment) *[]chestnutstep.Profile { return &f.Profiles })...)
+	list = append(list, shard(p.Hosts, hostName, func(f *fragment) *[]chestnutstep.Host { return &f.Hosts })...)
+	list = append(list, shard(p.Targets, targetName, func(f *fragment) *[]chestnutstep.Target { return &f.Targets })...)
+	list = append(list, shard(p.Workspaces, workspaceName, func(f *fragment) *[]chestnutstep.Workspace { return &f.Workspaces })...)
+
+	r := Root{Version: p.Version, Reads: p.Budget.Reads, Nodes: Nodes(p)}
+	parts = make(map[string][]byte, len(list))
+	for i := range list {
+		raw := encode(list[i])
+		hash := Hash(raw)
+		parts[hash] = raw
+		r.Parts = append(r.Parts, hash)
+	}
+	return encode(r), parts
+}
+
+// encode writes plain data, which can't fail once a publication was checked.
+func encode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode %T", v))
+	}
+	return raw
+}
+
+func domainName(d *chestnutstep.Domain) string       { return d.Name }
+func modelName(m *chestnutstep.Model) string         { return m.Name }
+func profileName(p *chestnutstep.Profile) string     { return p.Name }
+func hostName(h *chestnutstep.Host) string           { return h.Name }
+func targetName(t *chestnutstep.Target) string       { return t.Name }
+func workspaceName(w *chestnutstep.Workspace) string { return w.Name }
+
+func sorted[T any](list []T, name func(*T) string) []T {
+	out := slices.Clone(list)
+	slices.SortFunc(out, func(a, b T) int { return cmp.Compare(name(&a), name(&b)) })
+	return out
+}
+
+// shard spreads items over parts. Their number is a power of two, so that it
+// changes seldom as a list grows: each change of it replaces all parts of the
+// list.
+func shard[T any](list []T, name func(*T) string, field func(*fragment) *[]T) []fragment {
+	if len(list) == 0 {
+		return nil
+	}
+	n := shards(len(encode(list)))
+	frags := make([]fragment, n)
+	for _, item := range sorted(list, name) {
+		i := int(xxhash.Sum64String(name(&item)) % uint64(n))
+		into := field(&frags[i])
+		*into = append(*into, item)
+	}
+	return slices.DeleteFunc(frags, func(f fragment) bool { return len(*field(&f)) == 0 })
+}
+
+func shards(size int) int {
+	if size <= shardBytes {
+		return 1
+	}
+	return 1 << (bits.Len(uint(size/shardBytes)) - 1)
+}
+
+// ErrPart says that a part of a root is missing or is not what its hash says.
+type ErrPart struct {
+	Hash    string
+	Missing bool
+}
+
+// Error says which part and what is wrong with it.
+func (err ErrPart) Error() string {
+	if err.Missing {
+		return "part " + err.Hash + " is missing"
+	}
+	return "part " + err.Hash + " has other content"
+}
+
+// IsErrPart checks whether an error is about a missing or wrong part.
+func IsErrPart(err error) bool {
+	return errors.As(err, new(ErrPart))
+}
+
+// ParseRoot reads a root. The error is an ErrInvalid.
+func ParseRoot(raw []byte) (*Root, error) {
+	r := new(Root)
+	if len(raw) > ValueMax {
+		return nil, invalid("root", "larger than 1 MiB")
+	}
+	if err := decode(raw, r); err != nil {
+		return nil, invalid("root", err.Error())
+	}
+	var ps problems
+	if r.Version == 0 {
+		ps.add("root.version", "want a version from 1 up")
+	}
+	if len(r.Parts) == 0 {
+		ps.add("root.parts", "missing")
+	}
+	if !finite(r.Reads) || r.Reads <= 0 || r.Reads > readsMax {
+		ps.add("root.reads", "want more than 0 and at most %d, got %v", readsMax, r.Reads)
+	}
+	if r.Nodes < 1 {
+		ps.add("root.nodes", "want at least 1, got %d", r.Nodes)
+	}
+	for i, hash := range r.Parts {
+		if b, err := hex.DecodeString(hash); err != nil || len(b) != hashBytes {
+			ps.add(at("root.parts", i), "want %d hexadecimal digits", 2*hashBytes)
+		}
+	}
+	return r, ps.err()
+}
+
+// Unpack puts a publication together and checks it: whole or not at all. The
+// error is an ErrPart for a part that is missing or wrong, and an ErrInvalid
+// for content that breaks the rules.
+func Unpack(root []byte, parts map[string][]byte) (*chestnutstep.Publication, error) {
+	r, err := ParseRoot(root)
+	if err != nil {
+		return nil, err
+	}
+	p := &chestnutstep.Publication{Version: r.Version}
+	for i, hash := range r.Parts {
+		raw, ok := parts[hash]
+		if !ok {
+			return nil, ErrPart{Hash: hash, Missing: true}
+		}
+		if Hash(raw) != hash {
+			return nil, ErrPart{Hash: hash}
+		}
+		var f fragment
+		if err := decode(raw, &f); err != nil {
+			return nil, invalid(at("parts", i), err.Error())
+		}
+		f.addTo(p)
+	}
+	if err := Check(p); err != nil {
+		return nil, err
+	}
+	if r.Reads != p.Budget.Reads || r.Nodes != Nodes(p) {
+		return nil, invalid("root", "reads and nodes differ from what the parts say")
+	}
+	return p, nil
+}
+
+func (f *fragment) addTo(p *chestnutstep.Publication) {
+	p.Domains = append(p.Domains, f.Domains...)
+	p.Hosts = append(p.Hosts, f.Hosts...)
+	p.Models = append(p.Models, f.Models...)
+	p.Targets = append(p.Targets, f.Targets...)
+	p.Profiles = append(p.Profiles, f.Profiles...)
+	p.Workspaces = append(p.Workspaces, f.Workspaces...)
+	if f.Budget != nil {
+		p.Budget = *f.Budget
+	}
+}
+
+func invalid(path, text string) error {
+	return ErrInvalid{Problems: []Problem{{Path: path, Text: text}}}
+}
+
+// decode reads one JSON value and refuses fields that this program does not
+// know: they may hold a rule that it would break by leaving them out.
+func decode(raw []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more than one value")
+	}
+	return nil
+}
--- /dev/null
+++ b/config/publication_check.go
@@ -0,0 +1,237 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+const (
+	// multipleMin is the least multiple of the mean load that can be kept:
+	// closer to 1, the error of the estimated mean alone would refuse work that
+	// every target has room for.
+	multipleMin = 1.05
+	// readsMax is what the configuration service stands from all readers
+	// together; a budget above it would break the service and not the budget.
+	readsMax = 2000
+	// keysMax keeps one workspace, which can't be split, far below the size
+	// limit of a part.
+	keysMax = 1000
+	// triesMax bounds how many targets one request may be offered to: with the
+	// cap at 1.05 more than a few dozen full targets in a row mean saturation,
+	// which more offers only make worse.
+	triesMax = 64
+	// keyBytes is the length of a caller's key hash, SHA-256.
+	keyBytes = 32
+)
+
+// checkPublication goes through a publication in its own order.
+func checkPublication(ps *problems, p *chestnutstep.Publication) {
+	if p.Version == 0 {
+		ps.add("version", "want a version from 1 up")
+	}
+	c := checker{problems: ps}
+	c.checkDomains(p.Domains)
+	c.checkHosts(p.Hosts)
+	c.checkModels(p.Models)
+	c.checkTargets(p.Targets)
+	c.checkProfiles(p.Profiles)
+	c.checkWorkspaces(p.Workspaces)
+	c.checkBudget(p.Budget)
+}
+
+// checker knows the names that later parts of a publication refer to.
+type checker struct {
+	*problems
+	domains, hosts, models names
+}
+
+// names maps a name to the path at which it was given first.
+type names map[string]string
+
+// add checks a name and that no other item of the list has it.
+func (ns names) add(ps *problems, path, name string) {
+	if !checkName(ps, path+".name", name) {
+		return
+	}
+	if first, ok := ns[name]; ok {
+		ps.add(path+".name", "%q is the name of %s too", name, first)
+		return
+	}
+	ns[name] = path
+}
+
+// has checks that a reference names something that was given.
+func (ns names) has(ps *problems, path, kind, name string) {
+	if name == "" {
+		ps.add(path, "missing")
+		return
+	}
+	if _, ok := ns[name]; !ok {
+		ps.add(path, "unknown %s %q", kind, name)
+	}
+}
+
+func at(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+
+func (c *checker) checkDomains(list []chestnutstep.Domain) {
+	c.domains = make(names, len(list))
+	for i, d := range list {
+		path := at("domains", i)
+		c.domains.add(c.problems, path, d.Name)
+		checkName(c.problems, path+".region", d.Region)
+	}
+}
+
+func (c *checker) checkHosts(list []chestnutstep.Host) {
+	c.hosts = make(names, len(list))
+	for i, h := range list {
+		path := at("hosts", i)
+		c.hosts.add(c.problems, path, h.Name)
+		c.domains.has(c.problems, path+".domain", "domain", h.Domain)
+	}
+}
+
+func (c *checker) checkModels(list []chestnutstep.Model) {
+	c.models = make(names, len(list))
+	for i, m := range list {
+		path := at("models", i)
+		c.models.add(c.problems, path, m.Name)
+		if m.Kind != chestnutstep.KindEngine && m.Kind != chestnutstep.KindService {
+			c.add(path+".kind", "want %q or %q, got %q", chestnutstep.KindEngine, chestnutstep.KindService, m.Kind)
+		}
+		c.checkLimits(path, m)
+	}
+}
+
+func (c *checker) checkLimits(path string, m chestnutstep.Model) {
+	if !finite(m.Multiple) || (m.Multiple != 0 && m.Multiple < multipleMin) {
+		c.add(path+".multiple", "want %v or more, or 0 for no cap, got %v", multipleMin, m.Multiple)
+	}
+	if m.Slots < 1 {
+		c.add(path+".slots", "want at least 1, got %d", m.Slots)
+	}
+	if m.Floor < 1 && m.Multiple != 0 {
+		c.add(path+".floor", "want at least 1 with a multiple: a mean below 1 would forbid any work; got %d", m.Floor)
+	}
+	if m.Floor < 0 || m.Floor > max(m.Slots, 1) {
+		c.add(path+".floor", "want 0 to slots (%d), got %d", m.Slots, m.Floor)
+	}
+	if m.Queue < 0 {
+		c.add(path+".queue", "want 0 or more, got %d", m.Queue)
+	}
+	if m.Cold < 1 || m.Cold > max(m.Slots, 1) {
+		c.add(path+".cold", "want 1 to slots (%d): a target that carries nothing never warms; got %d", m.Slots, m.Cold)
+	}
+}
+
+func (c *checker) checkTargets(list []chestnutstep.Target) {
+	seen := make(names, len(list))
+	agents := make(names, len(list))
+	for i, t := range list {
+		path := at("targets", i)
+		seen.add(c.problems, path, t.Name)
+		c.hosts.has(c.problems, path+".host", "host", t.Host)
+		c.models.has(c.problems, path+".model", "model", t.Model)
+		c.checkWeight(path+".weight", t.Weight)
+		checkAddress(c.problems, path+".agent", t.Agent)
+		if first, ok := agents[t.Agent]; ok && t.Agent != "" {
+			c.add(path+".agent", "%s is the agent of %s too; each target has its own", t.Agent, first)
+		}
+		agents[t.Agent] = path
+	}
+}
+
+func (c *checker) checkProfiles(list []chestnutstep.Profile) {
+	seen := make(names, len(list))
+	for i, p := range list {
+		path := at("profiles", i)
+		seen.add(c.problems, path, p.Name)
+		c.models.has(c.problems, path+".model", "model", p.Model)
+		switch p.Class {
+		case "urgent", "normal", "batch":
+		default:
+			c.add(path+".class", "want \"urgent\", \"normal\" or \"batch\", got %q", p.Class)
+		}
+		if p.Timeout <= 0 {
+			c.add(path+".timeout", "want a duration above 0, got %s", p.Timeout.Std())
+		}
+		if p.Patience < 0 || p.Patience > max(p.Timeout, 0) {
+			c.add(path+".patience", "want 0s to timeout (%s), got %s", p.Timeout.Std(), p.Patience.Std())
+		}
+		if p.Tries < 1 || p.Tries > triesMax {
+			c.add(path+".tries", "want 1 to %d, got %d", triesMax, p.Tries)
+		}
+		if p.Tokens < 0 {
+			c.add(path+".tokens", "want 0 or more, got %d", p.Tokens)
+		}
+		if p.Body < 0 {
+			c.add(path+".body", "want 0 or more, got %d", p.Body)
+		}
+	}
+}
+
+func (c *checker) checkWorkspaces(list []chestnutstep.Workspace) {
+	seen := make(names, len(list))
+	keys := make(names, len(list))
+	for i, ws := range list {
+		path := at("workspaces", i)
+		seen.add(c.problems, path, ws.Name)
+		c.checkWeight(path+".weight", ws.Weight)
+		c.checkKeys(path+".keys", ws.Keys, keys)
+		if !finite(ws.Rate) || ws.Rate < 0 {
+			c.add(path+".rate", "want 0 (unlimited) or more, got %v", ws.Rate)
+		}
+		if !finite(ws.Burst) || ws.Burst < 0 || (ws.Rate > 0 && ws.Burst < 1) {
+			c.add(path+".burst", "want at least 1 with a rate, got %v: nothing would pass", ws.Burst)
+		}
+	}
+}
+
+// checkKeys refuses a key of two workspaces: the caller would be served under
+// the limits of whichever came last.
+func (c *checker) checkKeys(path string, list []string, seen names) {
+	if len(list) > keysMax {
+		c.add(path, "want at most %d keys, got %d", keysMax, len(list))
+		return
+	}
+	for i, key := range list {
+		p := fmt.Sprintf("%s[%d]", path, i)
+		raw, err := hex.DecodeString(key)
+		if err != nil || len(raw) != keyBytes {
+			c.add(p, "want the SHA-256 of a key, as 64 hexadecimal digits") // the text may be a key: keep it out of logs
+			continue
+		}
+		sum := string(raw)
+		if first, ok := seen[sum]; ok {
+			c.add(p, "the same key as %s", first)
+			continue
+		}
+		seen[sum] = p
+	}
+}
+
+func (c *checker) checkBudget(b chestnutstep.Budget) {
+	if !finite(b.Reads) || b.Reads <= 0 || b.Reads > readsMax {
+		c.add("budget.reads", "want more than 0 and at most %d calls a second, got %v", readsMax, b.Reads)
+	}
+	if !finite(b.Loads) || b.Loads < 0 {
+		c.add("budget.loads", "want 0 or more, got %v", b.Loads)
+	}
+	if !finite(b.Retries) || b.Retries < 0 || b.Retries > 1 {
+		c.add("budget.retries", "want a share from 0 to 1, got %v", b.Retries)
+	}
+	if b.Export < 0 {
+		c.add("budget.export", "want 0 or more, got %d", b.Export)
+	}
+}
+
+func (c *checker) checkWeight(path string, w float64) {
+	if !finite(w) || w < 0 {
+		c.add(path, "want a weight above 0, or 0 for 1, got %v", w)
+	}
+}
+
+func finite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
--- /dev/null
+++ b/config/publication_test.go
@@ -0,0 +1,142 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"chestnutstep.example/chestnutstep"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+)
+
+// The scripts in testdata/publication give a publication's file and all that an
+// operator is told about it.
+func TestPublication(t *testing.T) {
+	datadriven.Walk(t, "testdata/publication", func(t *testing.T, path string) {
+		var old *chestnutstep.Publication
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			p, err := Parse("p.json", []byte(d.Input))
+			if err != nil {
+				assert.Assert(t, IsErrInvalid(err))
+				return err.Error() + "\n"
+			}
+			switch d.Cmd {
+			case "diff":
+				return strings.Join(Diff(old, p, samples(t, d)), "\n") + "\n"
+			default:
+				old = p
+				return fmt.Sprintf("fine: version %d, %d targets\n", p.Version, len(p.Targets))
+			}
+		})
+	})
+}
+
+// samples reads loads=(t1:3,t2:5).
+func samples(t *testing.T, d *datadriven.TestData) []chestnutstep.Sample {
+	arg, _ := d.Arg("loads")
+	var list []chestnutstep.Sample
+	for _, v := range arg.Vals {
+		target, load, _ := strings.Cut(v, ":")
+		n, err := strconv.ParseFloat(load, 64)
+		assert.NilError(t, err)
+		list = append(list, chestnutstep.Sample{Target: target, Load: n})
+	}
+	return list
+}
+
+// An operator changes one target of a large fleet. Were the publication one
+// value, each of thousands of processes would fetch half a megabyte for it.
+func TestPackSmallChange(t *testing.T) {
+	for _, n := range []int{6, 300, 2700} {
+		p := fleet(1, n, n/10)
+		root, parts := Pack(p)
+		back, err := Unpack(root, parts)
+		assert.NilError(t, err)
+		again, _ := Pack(back)
+		assert.Equal(t, string(again), string(root), "unpacked and packed again")
+
+		p.Targets[n/2].Out, p.Version = true, 2
+		rand.New(rand.NewPCG(1, 2)).Shuffle(n, func(i, j int) { p.Targets[i], p.Targets[j] = p.Targets[j], p.Targets[i] })
+		root2, parts2 := Pack(p)
+		fetched, total := 0, 0
+		for hash, raw := range parts2 {
+			total += len(raw)
+			if parts[hash] == nil {
+				fetched += len(raw)
+			}
+		}
+		t.Logf("%d targets: %d parts of %d bytes; one changed target costs a root of %d and parts of %d bytes",
+			n, len(parts2), total, len(root2), fetched)
+		assert.Assert(t, len(root2)+fetched < 20<<10)
+		for _, raw := range parts2 {
+			assert.Assert(t, len(raw) < ValueMax)
+		}
+	}
+}
+
+// A part is cut short or altered on its way, or names a rule that this program
+// does not know. Applied as it is, the fleet would run on half a publication.
+func TestUnpackRefuses(t *testing.T) {
+	root, parts := Pack(fleet(1, 40, 4))
+	hashes := make([]string, 0, len(parts))
+	for hash := range parts {
+		hashes = append(hashes, hash)
+	}
+	slices.Sort(hashes)
+	for _, hash := range hashes {
+		raw := parts[hash]
+		parts[hash] = raw[:len(raw)-1]
+		_, err := Unpack(root, parts)
+		assert.Assert(t, IsErrPart(err), "%v", err)
+		delete(parts, hash)
+		_, err = Unpack(root, parts)
+		assert.Assert(t, IsErrPart(err), "%v", err)
+		parts[hash] = raw
+	}
+	for _, part := range []string{`{"budget":{"reads":50},"gravity":1}`, `{} {}`, `{"domains":3}`, ``} {
+		r := Root{Version: 2, Reads: 50, Nodes: 1, Parts: []string{Hash([]byte(part))}}
+		_, err := Unpack(encode(r), map[string][]byte{r.Parts[0]: []byte(part)})
+		assert.Assert(t, IsErrInvalid(err), "%v", err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	small, err := json.Marshal(fleet(1, 3, 1))
+	assert.NilError(f, err)
+	f.Add(small)
+	f.Add([]byte(`{"version":18446744073709551616,"targets":[{}],"domains":[{"name":"a"},{"name":"a"}]}`))
+	f.Add([]byte(`{"models":[{"multiple":1e308}],"budget":null,"profiles":[{"timeout":"-1ns"}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		p, err := Parse("f", raw)
+		if err != nil {
+			assert.Assert(t, IsErrInvalid(err), "%v", err)
+			return
+		}
+		assert.NilError(t, Check(p))
+		root, parts := Pack(p)
+		_, err = Unpack(root, parts)
+		assert.NilError(t, err, "what operators' check lets through must come into force")
+	})
+}
+
+func FuzzUnpack(f *testing.F) {
+	root, parts := Pack(fleet(1, 2, 1))
+	for _, raw := range parts {
+		f.Add(root, raw)
+	}
+	f.Add([]byte(`{"version":1,"reads":1,"nodes":1,"parts":[]}`), []byte(`{"targets":[{}]}`))
+	f.Fuzz(func(t *testing.T, root, part []byte) {
+		p, err := Unpack(root, map[string][]byte{Hash(part): part})
+		if err == nil {
+			assert.NilError(t, Check(p))
+			return
+		}
+		assert.Assert(t, IsErrInvalid(err) || IsErrPart(err), "%v", err)
+	})
+}
