config: store, the highest valid publication wins, whole or not at all

Without an order that all processes share, a stale service or a slow peer puts an old publication back in force, and two operators who publish under one version divide the fleet for good. Refusing whichever came second was ruled out: each half would keep its own.

--- /dev/null
+++ b/config/store_test.go
@@ -0,0 +1,276 @@
+package config
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// packed is a publication as the platform serves it.
+type packed struct {
+	root  []byte
+	parts map[string][]byte
+	valid bool
+	stamp Stamp
+}
+
+// publish packs a small fleet; what tells contents of one version apart is
+// which domain is out. An invalid one has a cap that forbids any work.
+func publish(version uint64, out string, valid bool) packed {
+	p := fleet(version, 3, 1)
+	for i := range p.Domains {
+		p.Domains[i].Out = p.Domains[i].Name == out
+	}
+	if !valid {
+		p.Models[0].Multiple = 0.5
+	}
+	root, parts := Pack(p)
+	return packed{root, parts, valid, Stamp{version, Hash(root)}}
+}
+
+// half leaves out all parts but the last n.
+func (p packed) half(n int) map[string][]byte {
+	r, _ := ParseRoot(p.root)
+	some := make(map[string][]byte)
+	for _, hash := range r.Parts[len(r.Parts)-n:] {
+		some[hash] = p.parts[hash]
+	}
+	return some
+}
+
+// The scripts in testdata/store play what a configuration service and peers may
+// bring to one process, in which order, and show what is in force after it.
+func TestStore(t *testing.T) {
+	datadriven.Walk(t, "testdata/store", func(t *testing.T, path string) {
+		var heard strings.Builder
+		pubs, s := make(map[string]packed), newStore(&heard)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			now := time.Unix(0, 0)
+			heard.Reset()
+			key, out, parts := d.CmdArgs[0].Key, "", 99
+			version := uint64(0)
+			d.MaybeScanArgs(t, "version", &version)
+			d.MaybeScanArgs(t, "out", &out)
+			d.MaybeScanArgs(t, "parts", &parts)
+			p := pubs[key]
+			var err error
+			switch d.Cmd {
+			case "publish":
+				pubs[key] = publish(version, out, !d.HasArg("invalid"))
+				return ""
+			case "start":
+				s = newStore(&heard)
+			case "put":
+				if parts < len(p.parts) {
+					err = s.Put(now, p.root, p.half(parts))
+				} else {
+					err = s.Put(now, p.root, p.parts)
+				}
+			case "keep":
+				for hash, raw := range p.half(parts) {
+					assert.NilError(t, s.Keep(hash, raw))
+					assert.Assert(t, IsErrPart(s.Keep(hash, raw[1:])))
+				}
+			case "missing":
+				var list []string
+				list, err = s.Missing(now, p.root)
+				fmt.Fprintf(&heard, "missing %d of %d\n", len(list), len(p.parts))
+			}
+			fmt.Fprintf(&heard, "%s%s\n", kind(err), state(s))
+			return heard.String()
+		})
+	})
+}
+
+func newStore(heard *strings.Builder) *Store {
+	return &Store{
+		OnChange: []func(Change){func(c Change) {
+			fmt.Fprintf(heard, "change to %d, clash %v\n", c.Stamp.Version, c.Clash)
+		}},
+		OnRefuse: []func(Refusal){func(r Refusal) {
+			fmt.Fprintf(heard, "refused %d: %s", r.Stamp.Version, kind(r.Err))
+		}},
+	}
+}
+
+func kind(err error) string {
+	switch {
+	case err == nil:
+		return ""
+	case IsErrOld(err):
+		return "old\n"
+	case IsErrClash(err):
+		return "clash\n"
+	case IsErrPart(err):
+		return "part missing\n"
+	default:
+		return err.Error() + "\n"
+	}
+}
+
+func state(s *Store) string {
+	v := s.View()
+	if v == nil {
+		return "nothing in force"
+	}
+	out := "none"
+	for _, d := range v.Publication.Domains {
+		if d.Out {
+			out = d.Name
+		}
+	}
+	return fmt.Sprintf("in force: version %d, out %s", v.Publication.Version, out)
+}
+
+// holder is what the schedules below drive: the store or a naive version.
+type holder interface {
+	Put(now time.Time, root []byte, parts map[string][]byte) error
+	View() *chestnutstep.View
+}
+
+// naive takes whatever parses and came last, and lets the parts it has stand in
+// for those that it lacks.
+type naive struct{ view *chestnutstep.View }
+
+func (n *naive) View() *chestnutstep.View { return n.view }
+
+func (n *naive) Put(_ time.Time, root []byte, parts map[string][]byte) error {
+	r, err := ParseRoot(root)
+	if err != nil {
+		return err
+	}
+	p := &chestnutstep.Publication{Version: r.Version}
+	for _, hash := range r.Parts {
+		var f fragment
+		if raw, ok := parts[hash]; ok && decode(raw, &f) == nil {
+			f.addTo(p)
+		}
+	}
+	n.view = chestnutstep.NewView(p)
+	return nil
+}
+
+// schedule lets five processes meet publications in an arbitrary order: from a
+// service that is stale or goes back, in halves, from operators who publish
+// against each other, invalid ones, across cuts and restarts. It returns the
+// first broken promise.
+func schedule(draw func(label string, n int) int, fresh func() holder) error {
+	pubs := []packed{
+		publish(1, "", true), publish(2, "a", true), publish(2, "b", true), publish(3, "", false),
+		publish(4, "c", true), publish(4, "", true), publish(5, "a", false),
+	}
+	byStamp := make(map[Stamp]packed)
+	for _, p := range pubs {
+		byStamp[p.stamp] = p
+	}
+	const processes = 5
+	holders := make([]holder, processes)
+	seen := make([]Stamp, processes)
+	check := func(i int) error {
+		v := holders[i].View()
+		if v == nil {
+			return nil
+		}
+		root, _ := Pack(v.Publication)
+		st := Stamp{v.Publication.Version, Hash(root)}
+		switch p, ok := byStamp[st]; {
+		case !ok:
+			return fmt.Errorf("process %d runs on a mixture that nobody published", i)
+		case !p.valid:
+			return fmt.Errorf("process %d runs on invalid version %d", i, st.Version)
+		case st.Compare(seen[i]) < 0:
+			return fmt.Errorf("process %d went back from %s to %s", i, seen[i], st)
+		}
+		seen[i] = st
+		return nil
+	}
+	exchange := func(i, j int) error {
+		if v := holders[j].View(); v != nil {
+			root, _ := Pack(v.Publication)
+			p := byStamp[Stamp{v.Publication.Version, Hash(root)}]
+			_ = holders[i].Put(time.Time{}, p.root, p.parts)
+		}
+		return check(i)
+	}
+	for i := range holders {
+		holders[i] = fresh()
+	}
+	for range 40 {
+		i := draw("process", processes)
+		p := pubs[draw("publication", len(pubs))]
+		var err error
+		switch draw("event", 6) {
+		case 0:
+			holders[i], seen[i] = fresh(), Stamp{}
+		case 1:
+			_ = holders[i].Put(time.Time{}, p.root, p.half(draw("parts", len(p.parts))))
+			err = check(i)
+		case 2:
+			_ = holders[i].Put(time.Time{}, p.root, p.parts)
+			err = check(i)
+		default:
+			err = exchange(i, draw("peer", processes))
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return converge(holders, seen, exchange)
+}
+
+// converge lets each process hear each other one twice and wants them alike, on
+// the highest that any of them held.
+func converge(holders []holder, seen []Stamp, exchange func(i, j int) error) error {
+	var top Stamp
+	for _, st := range seen {
+		if top.Compare(st) < 0 {
+			top = st
+		}
+	}
+	for range 2 {
+		for i := range holders {
+			for j := range holders {
+				if err := exchange(i, j); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	for i, st := range seen {
+		if st != top {
+			return fmt.Errorf("process %d ends on %s, not on %s", i, st, top)
+		}
+	}
+	return nil
+}
+
+// Publications reach processes in any order, in halves, twice, and against each
+// other. A user would notice a domain that went out of service coming back by
+// itself, or two entries that serve by different rules for good.
+func TestStoreSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string, n int) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+		if err := schedule(draw, func() holder { return new(Store) }); err != nil {
+			t.Fatal(err)
+		}
+	})
+	broken := make(map[string]int)
+	for seed := range uint64(100) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		draw := func(_ string, n int) int { return r.IntN(n) }
+		assert.NilError(t, schedule(draw, func() holder { return new(Store) }))
+		if err := schedule(draw, func() holder { return new(naive) }); err != nil {
+			broken[strings.Fields(err.Error())[2]]++
+		}
+	}
+	t.Logf("the naive version broke a promise in these numbers of 100 schedules: %v", broken)
+	assert.Assert(t, broken["went"] > 0 && broken["runs"] > 0, "%v", broken)
+}
