ticket: a refused connection ends in a tombstone, not in the unknown

Cause: a running ticket had two ends, known and unknown. When the dial to the target is refused not a byte has left the agent, yet the action would have been "unknown" for ever. Ruled out: Release from running: it would let a repeat run an action for which "not run" was not final. Change: the chart has one more move, running to dropped, for exactly this.

--- a/decide.go
+++ b/decide.go
@@ -249,6 +249,9 @@
 	Release(now time.Time, token string)
 	// Done ends a running ticket; known says whether the outcome is known.
 	Done(now time.Time, token string, known bool)
+	// Unsent ends a running ticket whose request never left the agent, as its
+	// connection was refused: a tombstone, as nothing ran and nothing will.
+	Unsent(now time.Time, token string) Stub
 	// Drop writes a tombstone when the ticket has not run, and says the truth.
 	Drop(now time.Time, token, workspace string) Stub
 }
--- a/ticket/booth.go
+++ b/ticket/booth.go
@@ -32,6 +32,7 @@
 	eventRelease = "release"
 	eventKnow    = "know"
 	eventLose    = "lose"
+	eventUnsend  = "unsend"
 	eventDrop    = "drop"
 	eventReject  = "reject"
 )
@@ -230,6 +231,20 @@
 	}
 }
 
+// Unsent turns a running ticket into a tombstone. Its owner calls it only when
+// no connection to the target came about, so that no byte of the action left
+// this process: without it a target that is down would leave every action's
+// outcome unknown, and callers would have to ask people.
+func (b *Booth) Unsent(now time.Time, token string) chestnutstep.Stub {
+	b.start(now)
+	c, r, ok := b.lookup(token)
+	if !ok {
+		return b.reject(c, chestnutstep.ReasonForged)
+	}
+	b.move(c, &r, eventUnsend)
+	return stub(r)
+}
+
 // Drop writes a tombstone when the ticket has not run, and says the truth.
 func (b *Booth) Drop(now time.Time, token, workspace string) chestnutstep.Stub {
 	b.start(now)
