--- /dev/null
+++ b/dial/dial.go
@@ -0,0 +1,126 @@
+// Package dial opens gRPC connections between the fleet's processes when they
+// are needed and closes them when idle, so that a process's memory follows its
+// traffic and not the number of targets.
+package dial
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	// connectLimit bounds one attempt to connect. A host that is cut off does
+	// not refuse, it stays silent; callers have 1.4 s to their first token.
+	connectLimit = 400 * time.Millisecond
+	// backoffMost bounds the pause between attempts, so that a host that comes
+	// back is used again within seconds.
+	backoffMost = 2 * time.Second
+	// pingAfter and pingLimit find a peer that went silent under open streams.
+	pingAfter = 10 * time.Second
+	pingLimit = 3 * time.Second
+	// buffer is smaller than gRPC's 32 KiB: two of these stand for each
+	// connection, and an entry may hold hundreds.
+	buffer = 8 << 10
+	// DefaultIdle closes a connection that carried nothing for this long.
+	DefaultIdle = time.Minute
+)
+
+// Pool keeps one connection for each address in use. Set the fields first.
+type Pool struct {
+	// Credentials of the links; insecure ones only where settings allow it.
+	Credentials credentials.TransportCredentials
+	// Idle is when an unused connection is closed.
+	Idle time.Duration
+
+	mu    sync.Mutex
+	conns map[string]*entry
+}
+
+type entry struct {
+	conn *grpc.ClientConn
+	used time.Time
+}
+
+// Conn returns the connection to an address. It does not wait for it.
+func (p *Pool) Conn(addr string) (grpc.ClientConnInterface, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if e := p.conns[addr]; e != nil {
+		e.used = now
+		return e.conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr, p.options()...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", addr)
+	}
+	if p.conns == nil {
+		p.conns = make(map[string]*entry)
+	}
+	p.conns[addr] = &entry{conn: conn, used: now}
+	return conn, nil
+}
+
+func (p *Pool) options() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(p.Credentials),
+		grpc.WithIdleTimeout(p.idle()),
+		grpc.WithReadBufferSize(buffer),
+		grpc.WithWriteBufferSize(buffer),
+		grpc.WithSharedWriteBuffer(true),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: backoffMost},
+			MinConnectTimeout: connectLimit,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingLimit}),
+	}
+}
+
+func (p *Pool) idle() time.Duration {
+	if p.Idle == 0 {
+		return DefaultIdle
+	}
+	return p.Idle
+}
+
+// Run forgets connections that have been idle for long, until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	tick := time.NewTicker(p.idle())
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			p.sweep(now)
+		}
+	}
+}
+
+// sweep forgets what was unused for twice the idle time. A connection with a
+// stream still open is kept: closing it would cut an answer.
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, e := range p.conns {
+		if now.Sub(e.used) < 2*p.idle() || e.conn.GetState().String() != "IDLE" {
+			continue
+		}
+		_ = e.conn.Close()
+		delete(p.conns, addr)
+	}
+}
+
+// Len is how many connections are kept.
+func (p *Pool) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
--- a/publication.go
+++ b/publication.go
@@ -51,6 +51,9 @@
 	Slots int `json:"slots"`
 	// Queue bounds the requests that wait at one target.
 	Queue int `json:"queue"`
+	// Done is the text that the last event of a whole event stream holds, such
+	// as "event: done"; if unset, any clean end counts as whole.
+	Done string `json:"done,omitempty"`
 	// Cold is how many requests a target in cold start can carry.
 	Cold int `json:"cold"`
 }
