--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,307 @@
+// Package agent is the one process beside each target. Every request to the
+// target passes through it, so it alone knows the target's load, cold start,
+// running requests and tickets, and it keeps every promise to callers here:
+// what an entry believes may be stale without harm.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// Defaults of the settings that few operators touch.
+const (
+	// DefaultLinger is how long a run goes on after its entry vanished. A
+	// balancer needs a few seconds to send the caller's repeat to another
+	// entry; much longer and a dead entry's runs crowd out live ones.
+	DefaultLinger = 10 * time.Second
+	// bodyStall is how long an accepted request may go without a piece of its
+	// body. A frozen entry would otherwise hold a place at the target for as
+	// long as it sleeps, seen as load that never generates a token.
+	bodyStall = 2 * time.Second
+	// tickEvery is how often waiting work is looked at when nothing else
+	// happens; it bounds how late a refusal for lateness may come.
+	tickEvery = 50 * time.Millisecond
+)
+
+// Agent serves the target beside it. Set the exported fields before Run.
+type Agent struct {
+	// Name of the target; URL is where it listens.
+	Name string
+	URL  string
+	// Incarnation is drawn anew at each start of this process.
+	Incarnation string
+	// View returns the publication in force, or nil before the first one.
+	View func() *chestnutstep.View
+
+	Gate    chestnutstep.Gate
+	Jury    chestnutstep.Jury
+	Booth   chestnutstep.Booth
+	Sampler chestnutstep.Sampler
+	Shelf   *answer.Shelf
+
+	// Reuse is the client of requests that may be sent again; Single opens a
+	// connection for each request. See Clients for why there are two.
+	Reuse  *http.Client
+	Single *http.Client
+	// Dial reaches another agent, to import KV cache; nil switches it off.
+	Dial func(addr string) (wire.AgentClient, error)
+
+	Linger time.Duration
+	// Leaving says whether the platform's list shows this host as leaving; nil
+	// if nobody knows.
+	Leaving func() bool
+	// Clock is time.Now, but for tests.
+	Clock func() time.Time
+	// Notify is told of what operators should see; it must not block.
+	Notify func(Notice)
+
+	// mu guards the decisions and all jobs: they are short and never block.
+	mu      sync.Mutex
+	jobs    map[string]*job
+	moved   movedNotes
+	chats   chatCache
+	version uint64
+	health  health
+	// leaving is this process's own stop, away that of its host.
+	leaving bool
+	away    bool
+	probing sync.Mutex
+	runs    sync.WaitGroup
+}
+
+// Notice is something an operator should see; see docs/EVENTS.md.
+type Notice struct {
+	Kind    NoticeKind
+	Subject string
+	Reason  chestnutstep.Reason
+	Before  string
+	After   string
+	// Of a request: whose it was, and its estimated work in tokens.
+	Workspace string
+	Profile   string
+	Cost      float64
+}
+
+// NoticeKind names a notice.
+type NoticeKind string
+
+// The notices.
+const (
+	NoticeCold      NoticeKind = "cold"      // the target turned cold
+	NoticeDown      NoticeKind = "down"      // the target does not answer
+	NoticeUp        NoticeKind = "up"        // the target answers again
+	NoticeCrash     NoticeKind = "crash"     // the target died with requests running
+	NoticeSuspect   NoticeKind = "suspect"   // a request's content became suspect
+	NoticeCondemned NoticeKind = "condemned" // a request's content was condemned
+	NoticeRefused   NoticeKind = "refused"   // an offer was refused
+	NoticeMoved     NoticeKind = "moved"     // a chat's request went elsewhere
+	NoticeLimits    NoticeKind = "limits"    // a publication changed the limits
+	NoticeLeaving   NoticeKind = "leaving"   // the target takes no new work
+	NoticeOrder     NoticeKind = "order"     // an order was passed on or refused
+	NoticeEnded     NoticeKind = "ended"     // a run ended
+)
+
+// Run watches the target and the clock until ctx ends. It must run before the
+// gRPC service is served.
+func (a *Agent) Run(ctx context.Context) error {
+	a.init()
+	go a.health.loop(ctx, a)
+	a.loop(ctx)
+	return ctx.Err()
+}
+
+// init prepares the maps; Run and Service call it before the first offer.
+func (a *Agent) init() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.jobs != nil {
+		return
+	}
+	a.jobs = make(map[string]*job)
+	if a.Clock == nil {
+		a.Clock = time.Now
+	}
+	if a.Linger == 0 {
+		a.Linger = DefaultLinger
+	}
+	if a.Notify == nil {
+		a.Notify = func(Notice) {}
+	}
+	a.refresh(a.Clock())
+	// An agent that starts knows nothing of its target: it may have restarted
+	// with the host, so it counts as cold until it proves warm.
+	a.Gate.Chill(a.Clock())
+}
+
+func (a *Agent) loop(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			a.tick()
+		}
+	}
+}
+
+// tick applies what time alone changes: a new publication, a new mean, stalled
+// bodies, vanished entries and waiting work that is too late.
+func (a *Agent) tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock()
+	a.refresh(now)
+	a.exchangeLoad(now)
+	a.followHost(now)
+	for _, j := range a.jobs {
+		a.expire(now, j)
+	}
+	a.advance(now)
+	a.Shelf.Sweep(now)
+	a.forget()
+}
+
+// refresh puts the limits of a new publication in force.
+func (a *Agent) refresh(now time.Time) {
+	v := a.View()
+	if v == nil || v.Publication.Version == a.version {
+		return
+	}
+	t := v.Targets[a.Name]
+	if t == nil {
+		// Operators removed the target: it takes no new work.
+		a.version = v.Publication.Version
+		a.Gate.Limit(now, chestnutstep.Limits{Out: true})
+		return
+	}
+	before := a.version
+	a.version = v.Publication.Version
+	a.Gate.Limit(now, limits(v, t))
+	a.Notify(Notice{Kind: NoticeLimits, Subject: a.Name, Before: number(before), After: number(a.version)})
+}
+
+func limits(v *chestnutstep.View, t *chestnutstep.Target) chestnutstep.Limits {
+	l := chestnutstep.Limits{Weight: t.Weight, Out: v.Out(t)}
+	if l.Weight == 0 {
+		l.Weight = 1
+	}
+	if m := v.Models[t.Model]; m != nil {
+		l.Model = *m
+	}
+	l.Workspaces = make(map[string]float64, len(v.Workspaces))
+	for name, ws := range v.Workspaces {
+		l.Workspaces[name] = ws.Weight
+	}
+	return l
+}
+
+// exchangeLoad gives this target's load to the sampler and the mean to the gate.
+func (a *Agent) exchangeLoad(now time.Time) {
+	if a.Sampler == nil {
+		return
+	}
+	v := a.View()
+	if v == nil || v.Targets[a.Name] == nil {
+		return
+	}
+	t := v.Targets[a.Name]
+	weight := t.Weight
+	if weight == 0 {
+		weight = 1
+	}
+	load := a.Gate.Load(now)
+	a.Sampler.Own(now, chestnutstep.Sample{
+		Target: a.Name,
+		Model:  t.Model,
+		Load:   float64(load.Running+load.Waiting) / weight,
+		Seen:   now,
+	})
+	a.Gate.Measure(now, a.Sampler.Mean(now))
+}
+
+// followHost leaves with the host, and comes back if the list was wrong.
+func (a *Agent) followHost(now time.Time) {
+	if a.Leaving == nil || a.leaving {
+		return
+	}
+	if away := a.Leaving(); away != a.away {
+		a.away = away
+		a.Gate.Leave(now, away)
+		a.Notify(Notice{Kind: NoticeLeaving, Subject: a.Name, After: strconv.FormatBool(away)})
+	}
+}
+
+// advance starts or drops what the gate decided on waiting work.
+func (a *Agent) advance(now time.Time) {
+	next := a.Gate.Next(now)
+	for _, id := range next.Start {
+		if j := a.jobs[id]; j != nil {
+			a.place(now, j)
+		}
+	}
+	for _, d := range next.Drop {
+		if j := a.jobs[d.ID]; j != nil {
+			a.refuse(now, j, d.Decision)
+		}
+	}
+}
+
+// Leave stops new work for good and returns when nothing runs any more or ctx
+// ends: a planned stop cuts no request in progress.
+func (a *Agent) Leave(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving = true
+	a.Gate.Leave(a.Clock(), true)
+	a.mu.Unlock()
+	a.Notify(Notice{Kind: NoticeLeaving, Subject: a.Name})
+	return a.idle(ctx)
+}
+
+func (a *Agent) idle(ctx context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		if a.busy() == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+// busy counts the jobs that are not over, or whose answer a link still reads.
+func (a *Agent) busy() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, j := range a.jobs {
+		if j.state != over || j.links > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Load reports the target's state, for status pages.
+func (a *Agent) Load() chestnutstep.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Gate.Load(a.Clock())
+}
+
+// Lock returns the lock that guards Sampler and Jury, for the gossip that
+// feeds them.
+func (a *Agent) Lock() sync.Locker { return &a.mu }
--- /dev/null
+++ b/agent/call.go
@@ -0,0 +1,328 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+const (
+	// pieceSize is the buffer for one read of the target's answer: a token's
+	// event is a few hundred bytes, a plain answer a few kilobytes.
+	pieceSize = 16 << 10
+	// resumes is how often a stream that broke is continued at a target that
+	// still lives. A third break in one answer is no passing fault.
+	resumes = 2
+	// resumeLimit is how long an engine may go on without a connection. On the
+	// same host a connection is made again in milliseconds.
+	resumeLimit = 2 * time.Second
+	// connectLimit bounds a dial to the target on the same host.
+	connectLimit = time.Second
+)
+
+// Clients returns the two clients for a target. Reused connections save a
+// handshake, but net/http repeats a request by itself when a reused connection
+// dies and the request has an Idempotency-Key: a booking would run twice with
+// nobody having sent it twice. A client that opens a connection for each
+// request has nothing to repeat on.
+func Clients() (reuse, single *http.Client) {
+	dial := &net.Dialer{Timeout: connectLimit}
+	shared := &http.Transport{
+		DialContext:         dial.DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	fresh := &http.Transport{
+		DialContext:        dial.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	reuse = &http.Client{Transport: shared, CheckRedirect: stay}
+	single = &http.Client{Transport: fresh, CheckRedirect: stay}
+	return reuse, single
+}
+
+// result is how a call to the target ended.
+type result struct {
+	outcome chestnutstep.Outcome
+	reason  chestnutstep.Reason
+	run     chestnutstep.Run
+	// unsent says that no byte of the request left this process.
+	unsent bool
+}
+
+var served = result{outcome: chestnutstep.Served, run: chestnutstep.RunYes}
+
+// run calls the target and copies its answer to the log.
+func (j *job) run(ctx context.Context) {
+	defer j.agent.runs.Done()
+	res := j.call(ctx)
+	if res.unsent {
+		j.agent.acquit(j)
+	}
+	if res.outcome == chestnutstep.Withdraw && !res.unsent {
+		j.stop()
+	}
+	if res.outcome == chestnutstep.Failed {
+		// Ask before the job is marked ended: if the target died, this job and
+		// all that ran beside it become crash suspects.
+		j.agent.health.check(j.agent)
+	}
+	if res.outcome != chestnutstep.Served {
+		j.agent.settle(j, &res)
+		j.log.Break(res.reason, res.run, 0)
+	}
+	j.agent.finish(j, res)
+}
+
+// acquit ends the watch on a request that never reached the target, before the
+// target is found dead: it can't have been the cause.
+func (a *Agent) acquit(j *job) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Jury.End(a.Clock(), j.offer.Fingerprint, false)
+}
+
+// settle turns "nothing was sent" into a true "not run", for a ticket by its
+// tombstone.
+func (a *Agent) settle(j *job, res *result) {
+	if !res.unsent {
+		return
+	}
+	res.run = chestnutstep.RunNo
+	if j.offer.Ticket == "" {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock()
+	res.run = a.Booth.Unsent(now, j.offer.Ticket).Run
+}
+
+func (j *job) call(ctx context.Context) result {
+	rq, err := j.request(ctx)
+	if err != nil {
+		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonHeader, unsent: true}
+	}
+	client := j.agent.Reuse
+	if j.once() {
+		client = j.agent.Single
+	}
+	// The clock once more, right before the call: a process that slept since
+	// the last check must not run what its caller has given up.
+	if !j.agent.Clock().Before(j.deadline) {
+		return result{outcome: chestnutstep.Withdraw, reason: chestnutstep.ReasonTimeout, unsent: true}
+	}
+	rs, err := client.Do(rq)
+	if err != nil {
+		return j.callError(ctx, err)
+	}
+	defer rs.Body.Close()
+	if !j.own(rs) {
+		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonCrossed, run: chestnutstep.RunMaybe}
+	}
+	j.agent.health.seen(j.agent, rs.Header.Get(chestnutstep.HeaderBoot))
+	j.log.SetHead(head(rs))
+	return j.copy(ctx, rs)
+}
+
+// request builds what the target gets: path, headers and body as the caller
+// sent them, and what the target needs to know of the request.
+func (j *job) request(ctx context.Context) (*http.Request, error) {
+	at, err := url.Parse(j.agent.URL + j.offer.Path)
+	if err != nil {
+		return nil, errors.Wrap(err, "path")
+	}
+	rq, err := http.NewRequestWithContext(ctx, j.offer.Method, at.String(), bytes.NewReader(j.body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	for _, h := range j.offer.Headers {
+		rq.Header.Add(h.Name, h.Value)
+	}
+	rq.Header.Set(chestnutstep.HeaderRequest, j.offer.Id)
+	rq.Header.Set(chestnutstep.HeaderPriority, strconv.Itoa(int(j.offer.Class)))
+	rq.Header.Set(chestnutstep.HeaderChat, j.offer.Chat)
+	rq.Header.Set(headerWorkspace, j.offer.Workspace)
+	if j.agent.kind() == chestnutstep.KindEngine {
+		rq.Header.Set(headerLinger, resumeLimit.String())
+	}
+	return rq, nil
+}
+
+// headerWorkspace tells the target whose chat it is: two workspaces may use
+// the same chat name and must never share a prompt cache entry.
+const headerWorkspace = "Chestnut-Workspace"
+
+// headerLinger asks an engine to go on for a while after its connection broke,
+// so that the stream can be resumed; a cancel is then told in so many words.
+const headerLinger = "Linger"
+
+// own says that the answer belongs to this request. Engines repeat its id; a
+// plain service may not, but must not repeat another's.
+func (j *job) own(rs *http.Response) bool {
+	id := rs.Header.Get(chestnutstep.HeaderRequest)
+	if id == "" {
+		return j.agent.kind() == chestnutstep.KindService
+	}
+	return id == j.offer.Id
+}
+
+func (j *job) callError(ctx context.Context, err error) result {
+	if ended, ok := endedBy(ctx); ok {
+		return ended
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonDown, unsent: true}
+	}
+	return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonCrashed, run: chestnutstep.RunMaybe}
+}
+
+// endedBy tells a time limit and a cancel from a fault of the target.
+func endedBy(ctx context.Context) (result, bool) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result{outcome: chestnutstep.Withdraw, reason: chestnutstep.ReasonTimeout, run: chestnutstep.RunMaybe}, true
+	case ctx.Err() != nil:
+		return result{outcome: chestnutstep.Withdraw, reason: chestnutstep.ReasonCanceled, run: chestnutstep.RunMaybe}, true
+	}
+	return result{}, false
+}
+
+// copy moves the answer into the log, and continues a stream that breaks
+// while the target lives.
+func (j *job) copy(ctx context.Context, rs *http.Response) result {
+	body := rs.Body
+	tail := &tail{wanted: j.agent.ending(rs)}
+	for try := 0; ; try++ {
+		err := j.drain(body, tail)
+		if err == nil && tail.complete() {
+			j.log.Finish()
+			return served
+		}
+		if err == nil {
+			break
+		}
+		if ended, ok := endedBy(ctx); ok {
+			return ended
+		}
+		if try == resumes {
+			break
+		}
+		next := j.resume(ctx, rs, tail.size)
+		if next == nil {
+			break
+		}
+		defer next.Close()
+		body = next
+	}
+	return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonShort, run: chestnutstep.RunYes}
+}
+
+func (j *job) drain(body io.Reader, t *tail) error {
+	buf := make([]byte, pieceSize)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			t.add(buf[:n])
+			if err := j.log.Append(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// resume asks an engine that still has the same boot id to go on from an
+// offset. A target that restarted has forgotten the stream.
+func (j *job) resume(ctx context.Context, rs *http.Response, offset int64) io.ReadCloser {
+	boot := rs.Header.Get(chestnutstep.HeaderBoot)
+	if boot == "" || j.agent.kind() != chestnutstep.KindEngine {
+		return nil
+	}
+	q := url.Values{"request": {j.offer.Id}, "offset": {strconv.FormatInt(offset, 10)}}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, j.agent.URL+"/control/resume?"+q.Encode(), nil)
+	if err != nil {
+		return nil
+	}
+	next, err := j.agent.Reuse.Do(rq)
+	if err != nil {
+		return nil
+	}
+	if next.StatusCode != http.StatusOK || next.Header.Get(chestnutstep.HeaderBoot) != boot || !j.own(next) {
+		next.Body.Close()
+		return nil
+	}
+	return next.Body
+}
+
+// stop tells an engine that nobody wants the answer any more. The place at the
+// target is only free when it has stopped.
+func (j *job) stop() {
+	if j.agent.kind() != chestnutstep.KindEngine {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	defer cancel()
+	at := j.agent.URL + "/control/cancel?" + url.Values{"request": {j.offer.Id}}.Encode()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, at, nil)
+	if err != nil {
+		return
+	}
+	rs, err := j.agent.Reuse.Do(rq)
+	if err != nil {
+		return
+	}
+	rs.Body.Close()
+}
+
+// hop lists the headers that belong to one connection, not to the message.
+var hop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func head(rs *http.Response) *wire.Head {
+	h := &wire.Head{Status: uint32(rs.StatusCode)}
+	h.Cached, _ = strconv.ParseInt(rs.Header.Get(chestnutstep.HeaderCached), 10, 64)
+	for name, values := range rs.Header {
+		if slices.Contains(hop, name) || isControl(name) {
+			continue
+		}
+		for _, v := range values {
+			h.Headers = append(h.Headers, &wire.Header{Name: name, Value: v})
+		}
+	}
+	if rs.ContentLength >= 0 && rs.Header.Get("Content-Length") == "" {
+		h.Headers = append(h.Headers, &wire.Header{
+			Name:  "Content-Length",
+			Value: strconv.FormatInt(rs.ContentLength, 10),
+		})
+	}
+	return h
+}
+
+// isControl keeps what a target says to its agent from callers.
+func isControl(name string) bool {
+	return name == chestnutstep.HeaderBoot || strings.HasPrefix(name, "Chestnut-")
+}
--- /dev/null
+++ b/agent/health.go
@@ -0,0 +1,148 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+const (
+	// probeEvery is how often the target is asked for its boot id: a restart
+	// with no request running is noticed within this time.
+	probeEvery = time.Second
+	// probeLimit is how long a probe may take. A target that hangs longer is
+	// slow, not dead: only a refused connection or a new boot id is a crash.
+	probeLimit = 500 * time.Millisecond
+)
+
+// health is what the agent knows of the target's life. Guarded by Agent.mu.
+type health struct {
+	boot string
+	down bool
+	// crashes counts deaths with requests running.
+	crashes int
+}
+
+// report is the target's own load report, which lags.
+type report struct {
+	Boot    string `json:"boot"`
+	Running int    `json:"running"`
+}
+
+func (h *health) loop(ctx context.Context, a *Agent) {
+	tick := time.NewTicker(probeEvery)
+	defer tick.Stop()
+	h.check(a)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			h.check(a)
+		}
+	}
+}
+
+// check probes the target once and draws the consequences. One probe at a
+// time: jobs that broke together must not count one crash several times.
+func (h *health) check(a *Agent) {
+	a.probing.Lock()
+	defer a.probing.Unlock()
+	boot, err := a.probe()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock()
+	switch {
+	case err == nil:
+		h.alive(now, a, boot)
+	case isRefused(err):
+		h.dead(now, a)
+	}
+	a.advance(now)
+}
+
+// probe asks the target for its boot id.
+func (a *Agent) probe() (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	defer cancel()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, a.URL+"/control/load", nil)
+	if err != nil {
+		return "", errors.Wrap(err, "probe")
+	}
+	rs, err := a.Single.Do(rq)
+	if err != nil {
+		return "", errors.Wrap(err, "probe")
+	}
+	defer rs.Body.Close()
+	if boot := rs.Header.Get(chestnutstep.HeaderBoot); boot != "" {
+		return boot, nil
+	}
+	var r report
+	// A plain service may know no such path: that it answers is enough.
+	_ = json.NewDecoder(rs.Body).Decode(&r)
+	return r.Boot, nil
+}
+
+// seen takes a boot id from an answer.
+func (h *health) seen(a *Agent, boot string) {
+	if boot == "" {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.alive(a.Clock(), a, boot)
+}
+
+func (h *health) alive(now time.Time, a *Agent, boot string) {
+	wasDown := h.down
+	h.down = false
+	if wasDown {
+		a.Notify(Notice{Kind: NoticeUp, Subject: a.Name, After: boot})
+	}
+	if boot == h.boot && !wasDown {
+		return
+	}
+	if h.boot != "" && !wasDown {
+		// It restarted between two probes: what was running died with it.
+		h.crashed(now, a)
+	}
+	before := h.boot
+	h.boot = boot
+	a.chats.clear()
+	a.Gate.Chill(now)
+	a.Notify(Notice{Kind: NoticeCold, Subject: a.Name, Before: before, After: boot})
+}
+
+func (h *health) dead(now time.Time, a *Agent) {
+	if h.down {
+		return
+	}
+	h.down = true
+	a.Notify(Notice{Kind: NoticeDown, Subject: a.Name, Before: h.boot})
+	h.crashed(now, a)
+}
+
+// crashed makes what was running suspect: one of these requests may have
+// killed the target, and its caller will send it again.
+func (h *health) crashed(now time.Time, a *Agent) {
+	h.crashes++
+	a.chats.clear()
+	a.Notify(Notice{Kind: NoticeCrash, Subject: a.Name, Before: h.boot})
+	for _, s := range a.Jury.Crash(now) {
+		kind := NoticeSuspect
+		if a.Jury.Judge(now, s.Fingerprint) == chestnutstep.Condemned {
+			kind = NoticeCondemned
+		}
+		a.Notify(Notice{Kind: kind, Subject: number(s.Fingerprint), Reason: chestnutstep.ReasonCrashed})
+	}
+}
+
+// isRefused says that nothing listens at the target's address: on the same
+// host that is certain, unlike a probe that takes too long.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/agent/job.go
@@ -0,0 +1,220 @@
+package agent
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// state of a job at this agent.
+type state uint8
+
+const (
+	waiting state = iota // in the gate's queue
+	placed               // counts as running, the body is still coming
+	running              // handed to the target
+	over                 // has an answer, or never ran
+)
+
+// job is one request at this agent, from its offer to its answer. Its fields
+// are guarded by the agent's lock; log has a lock of its own.
+type job struct {
+	agent *Agent
+	key   string
+	offer *wire.Offer
+	log   *answer.Log
+
+	state    state
+	deadline time.Time
+	body     []byte
+	whole    bool
+	// moved is when the body last grew.
+	moved time.Time
+	// links counts the entries that read the answer; lost is when the last
+	// one went.
+	links int
+	lost  time.Time
+
+	// placed is closed when the job leaves the queue, by start or refusal.
+	placed chan struct{}
+	// refusal is set before placed is closed if the job never ran.
+	refusal *wire.Refuse
+	// abort ends the call to the target.
+	abort context.CancelFunc
+}
+
+func jobKey(workspace, id string) string { return workspace + "\x00" + id }
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
+
+func newJob(a *Agent, now time.Time, o *wire.Offer, log *answer.Log) *job {
+	return &job{
+		agent:    a,
+		key:      jobKey(o.Workspace, o.Id),
+		offer:    o,
+		log:      log,
+		deadline: now.Add(time.Duration(o.Remain)),
+		body:     o.Small,
+		whole:    int64(len(o.Small)) == o.Size,
+		moved:    now,
+		placed:   make(chan struct{}),
+		abort:    func() {},
+	}
+}
+
+func (j *job) work(now time.Time, home, alone bool) chestnutstep.Work {
+	return chestnutstep.Work{
+		ID:        j.key,
+		Workspace: j.offer.Workspace,
+		Class:     chestnutstep.Class(min(j.offer.Class, chestnutstep.Classes-1)),
+		Cost:      j.offer.Cost,
+		Deadline:  j.deadline,
+		Patience:  now.Add(time.Duration(j.offer.Patience)),
+		Home:      home,
+		Alone:     alone,
+	}
+}
+
+// once says that the request must run at most once.
+func (j *job) once() bool { return !j.offer.Idempotent }
+
+// place lets the body come, and runs the job when the body is whole.
+func (a *Agent) place(now time.Time, j *job) {
+	if j.state != waiting {
+		return
+	}
+	j.state = placed
+	j.moved = now
+	close(j.placed)
+	if j.whole {
+		a.start(now, j)
+	}
+}
+
+// grow adds a piece of the body.
+func (a *Agent) grow(j *job, b *wire.Body) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if j.whole || j.state > placed {
+		return
+	}
+	now := a.Clock()
+	j.body = append(j.body, b.Data...)
+	j.moved = now
+	if int64(len(j.body)) > j.offer.Size {
+		a.drop(now, j, chestnutstep.ReasonLarge)
+		return
+	}
+	if !b.Last {
+		return
+	}
+	j.whole = true
+	if j.state == placed {
+		a.start(now, j)
+	}
+}
+
+// start hands the job to the target, unless what was true at the offer is no
+// longer: this process may have slept since, and the caller may have given up.
+func (a *Agent) start(now time.Time, j *job) {
+	if !now.Before(j.deadline) {
+		a.drop(now, j, chestnutstep.ReasonTimeout)
+		return
+	}
+	if j.offer.Ticket != "" && !a.Booth.Run(now, j.offer.Ticket) {
+		a.drop(now, j, chestnutstep.ReasonSpent)
+		return
+	}
+	j.state = running
+	a.Jury.Start(now, j.offer.Fingerprint)
+	ctx, cancel := context.WithDeadline(context.Background(), j.deadline)
+	j.abort = cancel
+	a.runs.Add(1)
+	go j.run(ctx)
+}
+
+// expire ends a job that nobody feeds or reads any more.
+func (a *Agent) expire(now time.Time, j *job) {
+	switch {
+	case j.state == placed && now.Sub(j.moved) > bodyStall:
+		a.drop(now, j, chestnutstep.ReasonLink)
+	case j.state < running && !now.Before(j.deadline):
+		a.drop(now, j, chestnutstep.ReasonTimeout)
+	case j.state == running && j.links == 0 && now.Sub(j.lost) > a.Linger && !j.once():
+		j.abort()
+	}
+}
+
+// drop ends a job that has not run, with a true "not run".
+func (a *Agent) drop(now time.Time, j *job, reason chestnutstep.Reason) {
+	a.refuse(now, j, chestnutstep.Decision{Reason: reason})
+}
+
+// refuse ends a job that has not run. A ticket gets a tombstone first: only
+// then is "not run" true for ever, also for repeats that are still on the way.
+func (a *Agent) refuse(now time.Time, j *job, d chestnutstep.Decision) {
+	if j.state >= running {
+		return
+	}
+	j.refusal = refusal(d.Reason, chestnutstep.RunNo)
+	j.refusal.Retry = int64(d.Retry)
+	if j.offer.Ticket != "" {
+		a.bury(now, j.offer, j.refusal)
+	}
+	if j.state == waiting {
+		close(j.placed)
+	}
+	j.state = over
+	j.log.Break(d.Reason, chestnutstep.Run(j.refusal.Run), d.Retry)
+	a.Gate.End(now, j.key, chestnutstep.Withdraw)
+	a.remove(j)
+	a.advance(now)
+	a.Notify(j.notice(NoticeRefused, d.Reason))
+}
+
+// remove forgets a job that never ran, so that a repeat is decided afresh.
+func (a *Agent) remove(j *job) {
+	delete(a.jobs, j.key)
+	a.Shelf.Remove(j.offer.Workspace, j.offer.Id)
+}
+
+// finish ends a job that ran.
+func (a *Agent) finish(j *job, res result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock()
+	j.state = over
+	j.abort()
+	if !res.unsent {
+		a.Jury.End(now, j.offer.Fingerprint, res.outcome == chestnutstep.Served)
+	}
+	if j.offer.Ticket != "" {
+		a.Booth.Done(now, j.offer.Ticket, res.outcome == chestnutstep.Served)
+	}
+	if res.outcome == chestnutstep.Served && j.offer.Chat != "" {
+		a.chats.put(chatKey(j.offer.Workspace, j.offer.Chat))
+	}
+	a.Gate.End(now, j.key, res.outcome)
+	a.advance(now)
+	a.Notify(j.notice(NoticeEnded, res.reason))
+}
+
+func (j *job) notice(kind NoticeKind, reason chestnutstep.Reason) Notice {
+	return Notice{
+		Kind: kind, Subject: j.offer.Id, Reason: reason,
+		Workspace: j.offer.Workspace, Profile: j.offer.Profile, Cost: j.offer.Cost,
+	}
+}
+
+// forget drops jobs whose answer the shelf no longer keeps.
+func (a *Agent) forget() {
+	for key, j := range a.jobs {
+		if j.state == over && j.links == 0 && a.Shelf.Get(j.offer.Workspace, j.offer.Id) == nil {
+			delete(a.jobs, key)
+		}
+	}
+}
--- /dev/null
+++ b/agent/link.go
@@ -0,0 +1,239 @@
+package agent
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// movedWait is how long a refused link stays open for the entry's note of
+// where the request went instead.
+const movedWait = 5 * time.Second
+
+type stream = grpc.BidiStreamingServer[wire.Up, wire.Down]
+
+// link is one entry's stream to a job.
+type link struct {
+	agent  *Agent
+	job    *job
+	stream stream
+	// owner brought the job here and sends its body.
+	owner bool
+	// gone is closed when the entry has nothing more to say.
+	gone chan struct{}
+}
+
+// service is the gRPC face of an agent: the protocol calls its method Run, a
+// name that Agent needs for itself.
+type service struct {
+	wire.UnimplementedAgentServer
+	*Agent
+}
+
+// Service returns the gRPC service of the agent.
+func (a *Agent) Service() wire.AgentServer {
+	a.init()
+	return &service{Agent: a}
+}
+
+// Run carries one request: its offer, its answer, its body and its frames.
+func (s *service) Run(st stream) error {
+	up, err := st.Recv()
+	if err != nil {
+		return err
+	}
+	switch k := up.Kind.(type) {
+	case *wire.Up_Offer:
+		return s.serveOffer(st, k.Offer)
+	case *wire.Up_Attach:
+		return s.serveAttach(st, k.Attach)
+	}
+	return nil
+}
+
+func (a *Agent) serveOffer(st stream, o *wire.Offer) error {
+	adm := a.admit(o)
+	if adm.refuse != nil {
+		return a.sendRefusal(st, adm.refuse)
+	}
+	l := &link{agent: a, job: adm.job, stream: st, owner: !adm.joined, gone: make(chan struct{})}
+	defer l.close()
+	go l.loop()
+	return l.serve(0)
+}
+
+func (a *Agent) serveAttach(st stream, at *wire.Attach) error {
+	a.mu.Lock()
+	j := a.jobs[jobKey(at.Workspace, at.Id)]
+	if j != nil {
+		j.links++
+	}
+	a.mu.Unlock()
+	if j == nil {
+		return st.Send(&wire.Down{Kind: &wire.Down_Refuse{
+			Refuse: refusal(chestnutstep.ReasonUnknown, chestnutstep.RunMaybe),
+		}})
+	}
+	l := &link{agent: a, job: j, stream: st, gone: make(chan struct{})}
+	defer l.close()
+	go l.loop()
+	return l.serve(at.Offset)
+}
+
+// serve follows the job to its end: queue, accept, answer.
+func (l *link) serve(offset int64) error {
+	if refused, err := l.await(); refused || err != nil {
+		return err
+	}
+	accept := &wire.Accept{Target: l.agent.Name, Incarnation: l.agent.Incarnation, Joined: !l.owner}
+	if err := l.stream.Send(&wire.Down{Kind: &wire.Down_Accept{Accept: accept}}); err != nil {
+		return err
+	}
+	return l.relay(offset)
+}
+
+// sendRefusal refuses, then waits for a note of where the request went.
+func (a *Agent) sendRefusal(st stream, r *wire.Refuse) error {
+	if err := st.Send(&wire.Down{Kind: &wire.Down_Refuse{Refuse: r}}); err != nil {
+		return err
+	}
+	up, err := st.Recv()
+	if err != nil {
+		return nil
+	}
+	if m := up.GetMoved(); m != nil {
+		a.noteMoved(m)
+	}
+	return nil
+}
+
+func (a *Agent) noteMoved(m *wire.Moved) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.moved.put(jobKey(m.Workspace, m.Id), m.Target, a.Clock())
+	a.Notify(Notice{Kind: NoticeMoved, Subject: m.Id, Before: a.Name, After: m.Target})
+}
+
+// await follows a job through the queue; refused says that it never ran.
+func (l *link) await() (refused bool, err error) {
+	select {
+	case <-l.job.placed:
+	default:
+		if err := l.stream.Send(&wire.Down{Kind: &wire.Down_Wait{Wait: &wire.Wait{}}}); err != nil {
+			return false, err
+		}
+	}
+	select {
+	case <-l.job.placed:
+	case <-l.stream.Context().Done():
+		return false, l.stream.Context().Err()
+	}
+	l.agent.mu.Lock()
+	r := l.job.refusal
+	l.agent.mu.Unlock()
+	if r == nil {
+		return false, nil
+	}
+	return true, l.agent.sendRefusal(l.stream, r)
+}
+
+// relay sends the answer from an offset on, to its last frame.
+func (l *link) relay(offset int64) error {
+	reader, err := l.job.log.Attach(offset)
+	if err != nil {
+		return l.relayError(err)
+	}
+	defer reader.Close()
+	for {
+		p, err := reader.Next(l.stream.Context())
+		if err != nil {
+			return l.relayError(err)
+		}
+		if err := l.stream.Send(down(p)); err != nil {
+			return err
+		}
+		if p.Last != nil || p.Broken != nil {
+			return nil
+		}
+	}
+}
+
+// down turns a piece of an answer into its message.
+func down(p answer.Piece) *wire.Down {
+	switch {
+	case p.Head != nil:
+		return &wire.Down{Kind: &wire.Down_Head{Head: p.Head}}
+	case p.Last != nil:
+		return &wire.Down{Kind: &wire.Down_Last{Last: p.Last}}
+	case p.Broken != nil:
+		return &wire.Down{Kind: &wire.Down_Broken{Broken: p.Broken}}
+	}
+	return &wire.Down{Kind: &wire.Down_Frame{Frame: &wire.Frame{Offset: p.Offset, Data: p.Data}}}
+}
+
+// relayError tells the entry that bytes it asked for are gone: a short answer
+// must never look whole.
+func (l *link) relayError(err error) error {
+	if !answer.IsErrGone(err) {
+		return err
+	}
+	b := &wire.Broken{Reason: string(chestnutstep.ReasonGone), Run: string(chestnutstep.RunYes)}
+	return l.stream.Send(&wire.Down{Kind: &wire.Down_Broken{Broken: b}})
+}
+
+// loop takes what the entry sends: pieces of the body, or that its caller gave
+// up. A stream that ends without a word is a lost link, not a cancel.
+func (l *link) loop() {
+	defer close(l.gone)
+	for {
+		up, err := l.stream.Recv()
+		if err != nil {
+			return
+		}
+		switch k := up.Kind.(type) {
+		case *wire.Up_Body:
+			if l.owner {
+				l.agent.grow(l.job, k.Body)
+			}
+		case *wire.Up_Cancel:
+			l.agent.cancel(l.job)
+		case *wire.Up_Moved:
+			l.agent.noteMoved(k.Moved)
+		}
+	}
+}
+
+// close detaches the link. A job that has not run and that nobody follows any
+// more is withdrawn: its entry died while it waited.
+func (l *link) close() {
+	a := l.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l.job.links--
+	now := a.Clock()
+	l.job.lost = now
+	if l.job.links == 0 && l.job.state < running {
+		a.drop(now, l.job, chestnutstep.ReasonLink)
+	}
+}
+
+// cancel ends a job whose caller gave up, at once: most callers cancel, and
+// what they leave behind would otherwise fill the target. A non-idempotent
+// request that runs goes on, as cutting it leaves its outcome unknown.
+func (a *Agent) cancel(j *job) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if j.links > 1 {
+		return
+	}
+	switch {
+	case j.state < running:
+		a.drop(a.Clock(), j, chestnutstep.ReasonCanceled)
+	case j.state == running && !j.once():
+		j.abort()
+	}
+}
--- /dev/null
+++ b/agent/mint.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// mintMost bounds one batch of tickets, as callers ask for batches.
+const mintMost = 1000
+
+// Mint hands out tickets that only this incarnation of this agent honours.
+func (s *service) Mint(_ context.Context, rq *wire.MintRequest) (*wire.MintReply, error) {
+	a := s.Agent
+	if rq.Count == 0 || rq.Count > mintMost {
+		return nil, status.Errorf(codes.InvalidArgument, "count: 1 to %d, not %d", mintMost, rq.Count)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if reason := a.mintRefusal(); reason != "" {
+		return nil, status.Error(codes.Unavailable, string(reason))
+	}
+	return &wire.MintReply{
+		Tickets: a.Booth.Mint(a.Clock(), rq.Workspace, int(rq.Count)),
+		Target:  a.Name,
+	}, nil
+}
+
+// mintRefusal keeps tickets from binding actions to a target that is about to
+// refuse them.
+func (a *Agent) mintRefusal() chestnutstep.Reason {
+	v := a.View()
+	switch {
+	case v == nil:
+		return chestnutstep.ReasonVersion
+	case v.Targets[a.Name] == nil || v.Out(v.Targets[a.Name]):
+		return chestnutstep.ReasonOut
+	case a.leaving || a.away:
+		return chestnutstep.ReasonLeaving
+	case a.health.down:
+		return chestnutstep.ReasonDown
+	}
+	return ""
+}
+
+// Drop writes a tombstone for a ticket that has not run, and says the truth.
+func (s *service) Drop(_ context.Context, rq *wire.DropRequest) (*wire.DropReply, error) {
+	a := s.Agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	stub := a.Booth.Drop(a.Clock(), rq.Ticket, rq.Workspace)
+	return &wire.DropReply{Run: string(stub.Run)}, nil
+}
--- /dev/null
+++ b/agent/offer.go
@@ -0,0 +1,179 @@
+package agent
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// admission is what became of an offer: a job to follow, or a refusal.
+type admission struct {
+	job    *job
+	joined bool
+	refuse *wire.Refuse
+}
+
+// admit decides on an offer. Each check that refuses does so before anything
+// ran, so that every refusal here truly means "not run".
+func (a *Agent) admit(o *wire.Offer) admission {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock()
+	if adm, known := a.join(o); known {
+		return adm
+	}
+	if r := a.check(now, o); r != nil {
+		return a.deny(now, o, r)
+	}
+	if r := a.hold(now, o); r != nil {
+		return admission{refuse: r}
+	}
+	return a.decide(now, o)
+}
+
+// join finds the request if it is known here already.
+func (a *Agent) join(o *wire.Offer) (admission, bool) {
+	if j := a.jobs[jobKey(o.Workspace, o.Id)]; j != nil {
+		if j.offer.Fingerprint != o.Fingerprint {
+			return admission{refuse: refusal(chestnutstep.ReasonSpent, chestnutstep.RunNo)}, true
+		}
+		if j.whole || !j.isWaitingFor(o) {
+			return a.follow(j, true), true
+		}
+		// The first link never sent the body; this one brought it along.
+		j.body, j.whole = o.Small, true
+		if j.state == placed {
+			a.start(a.Clock(), j)
+		}
+		return a.follow(j, true), true
+	}
+	if target := a.moved.get(jobKey(o.Workspace, o.Id), a.Clock()); target != "" {
+		r := refusal(chestnutstep.ReasonMoved, chestnutstep.RunNo)
+		r.Moved = target
+		return admission{refuse: r}, true
+	}
+	return admission{}, false
+}
+
+// isWaitingFor says that the offer brings the body that the job lacks.
+func (j *job) isWaitingFor(o *wire.Offer) bool {
+	return j.state <= placed && int64(len(o.Small)) == o.Size
+}
+
+func (a *Agent) follow(j *job, joined bool) admission {
+	j.links++
+	return admission{job: j, joined: joined}
+}
+
+// check refuses what can't run here whatever the load is.
+func (a *Agent) check(now time.Time, o *wire.Offer) *wire.Refuse {
+	v := a.View()
+	if v == nil {
+		return refusal(chestnutstep.ReasonVersion, chestnutstep.RunNo)
+	}
+	a.refresh(now)
+	t := v.Targets[a.Name]
+	switch {
+	case t == nil || v.Out(t):
+		return refusal(chestnutstep.ReasonOut, chestnutstep.RunNo)
+	case t.Model != o.Model:
+		return refusal(chestnutstep.ReasonModel, chestnutstep.RunNo)
+	case a.leaving || a.away:
+		return refusal(chestnutstep.ReasonLeaving, chestnutstep.RunNo)
+	case a.health.down:
+		return a.downRefusal()
+	case o.Remain <= 0:
+		return refusal(chestnutstep.ReasonTimeout, chestnutstep.RunNo)
+	case a.Jury.Judge(now, o.Fingerprint) == chestnutstep.Condemned:
+		return refusal(chestnutstep.ReasonCondemned, chestnutstep.RunNo)
+	}
+	return nil
+}
+
+// deny refuses an offer; a ticket gets its tombstone, so that "not run" stays
+// true when a delayed repeat of the same ticket arrives later.
+func (a *Agent) deny(now time.Time, o *wire.Offer, r *wire.Refuse) admission {
+	if o.Ticket != "" {
+		a.bury(now, o, r)
+	}
+	a.Notify(Notice{Kind: NoticeRefused, Subject: o.Id, Reason: chestnutstep.Reason(r.Reason), Workspace: o.Workspace, Profile: o.Profile})
+	return admission{refuse: r}
+}
+
+// bury writes the tombstone of a refused ticket and gives a fresh one, where
+// that can be used here: the caller's next try needs it.
+func (a *Agent) bury(now time.Time, o *wire.Offer, r *wire.Refuse) {
+	stub := a.Booth.Drop(now, o.Ticket, o.Workspace)
+	r.Run = string(stub.Run)
+	if stub.Run == chestnutstep.RunNo && a.mintRefusal() == "" {
+		r.Ticket = a.fresh(now, o.Workspace)
+	}
+}
+
+// fresh mints one ticket, or returns "" where the workspace's name fits none.
+func (a *Agent) fresh(now time.Time, workspace string) string {
+	tickets := a.Booth.Mint(now, workspace, 1)
+	if len(tickets) == 0 {
+		return ""
+	}
+	return tickets[0]
+}
+
+// hold binds the ticket of a non-idempotent request, or refuses with a fresh
+// one where it has none.
+func (a *Agent) hold(now time.Time, o *wire.Offer) *wire.Refuse {
+	if o.Idempotent && o.Ticket == "" {
+		return nil
+	}
+	if o.Ticket == "" {
+		r := refusal(chestnutstep.ReasonTicket, chestnutstep.RunNo)
+		r.Ticket = a.fresh(now, o.Workspace)
+		return r
+	}
+	stub := a.Booth.Hold(now, o.Ticket, o.Workspace, o.Id)
+	if stub.State == chestnutstep.TicketHeld {
+		return nil
+	}
+	reason := stub.Reason
+	if reason == "" {
+		// It ran and this agent no longer keeps the answer.
+		reason = chestnutstep.ReasonGone
+	}
+	return refusal(reason, stub.Run)
+}
+
+// decide asks the gate.
+func (a *Agent) decide(now time.Time, o *wire.Offer) admission {
+	log, _ := a.Shelf.Put(now, o.Workspace, o.Id)
+	j := newJob(a, now, o, log)
+	if o.Ticket != "" {
+		log.Prefer()
+	}
+	home := o.Chat != "" && a.chats.has(chatKey(o.Workspace, o.Chat))
+	alone := a.Jury.Judge(now, o.Fingerprint) == chestnutstep.Suspect
+	d := a.Gate.Offer(now, j.work(now, home, alone))
+	switch d.Verdict {
+	case chestnutstep.Accept:
+		a.jobs[j.key] = j
+		a.place(now, j)
+		return a.follow(j, false)
+	case chestnutstep.Queue:
+		a.jobs[j.key] = j
+		return a.follow(j, false)
+	}
+	a.Shelf.Remove(o.Workspace, o.Id)
+	r := refusal(d.Reason, chestnutstep.RunNo)
+	r.Retry = int64(d.Retry)
+	return a.deny(now, o, r)
+}
+
+func refusal(reason chestnutstep.Reason, run chestnutstep.Run) *wire.Refuse {
+	return &wire.Refuse{Reason: string(reason), Run: string(run)}
+}
+
+func (a *Agent) downRefusal() *wire.Refuse {
+	r := refusal(chestnutstep.ReasonDown, chestnutstep.RunNo)
+	r.Retry = int64(probeEvery)
+	return r
+}
--- /dev/null
+++ b/agent/tail.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// tailSize is how much of an answer's end is looked at for its last event.
+const tailSize = 512
+
+// tail watches the end of an event stream. A target that stops early and
+// closes its connection cleanly looks, to HTTP, like one that is done: the
+// caller would take half an answer for the whole. Only the last event tells.
+type tail struct {
+	// wanted is the text that a whole stream ends with; "" if any end will do.
+	wanted string
+	size   int64
+	last   []byte
+}
+
+func (t *tail) add(b []byte) {
+	t.size += int64(len(b))
+	t.last = append(t.last, b[max(0, len(b)-tailSize):]...)
+	if over := len(t.last) - tailSize; over > 0 {
+		t.last = t.last[over:]
+	}
+}
+
+func (t *tail) complete() bool {
+	return t.wanted == "" || bytes.Contains(t.last, []byte(t.wanted))
+}
+
+// ending is the text that the answer must end with, for a whole event stream.
+func (a *Agent) ending(rs *http.Response) string {
+	if rs.StatusCode != http.StatusOK || !strings.HasPrefix(rs.Header.Get("Content-Type"), "text/event-stream") {
+		return ""
+	}
+	m := a.model()
+	if m == nil {
+		return ""
+	}
+	return m.Done
+}
+
+// model is the publication's entry for what the target serves, or nil.
+func (a *Agent) model() *chestnutstep.Model {
+	v := a.View()
+	if v == nil || v.Targets[a.Name] == nil {
+		return nil
+	}
+	return v.Models[v.Targets[a.Name].Model]
+}
+
+// kind of the model that this target serves.
+func (a *Agent) kind() string {
+	m := a.model()
+	if m == nil {
+		return ""
+	}
+	return m.Kind
+}
--- /dev/null
+++ b/entry/ask.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+const (
+	// smallBody goes along with the offer: one round trip less for nearly all
+	// questions. A larger one waits for the accept, so that a refusal down the
+	// ranking does not carry it several times.
+	smallBody = 16 << 10
+	// pieceSize is one message of a larger body.
+	pieceSize = 64 << 10
+	// nameMost bounds ids and names in headers: they are keys in memory.
+	nameMost = 256
+	// bytesPerToken turns the size of a prompt into estimated work; the usual
+	// rule of thumb for text.
+	bytesPerToken = 4
+)
+
+// ask is a caller's request, read and checked.
+type ask struct {
+	view      *chestnutstep.View
+	workspace *chestnutstep.Workspace
+	profile   *chestnutstep.Profile
+	id        string
+	chat      string
+	hint      string
+	ticket    string
+	deadline  time.Time
+	body      []byte
+	request   *http.Request
+}
+
+// read checks a request as far as this process can.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request) (*ask, error) {
+	v := e.View()
+	if v == nil {
+		return nil, &ErrRefused{Reason: chestnutstep.ReasonVersion, Run: chestnutstep.RunNo, Retry: time.Second}
+	}
+	a := &ask{view: v, request: r, id: r.Header.Get(chestnutstep.HeaderIdempotency)}
+	if a.workspace = authenticate(v, r); a.workspace == nil {
+		return nil, &ErrRefused{Reason: chestnutstep.ReasonKey, Run: chestnutstep.RunNo}
+	}
+	name := r.Header.Get(chestnutstep.HeaderProfile)
+	if name == "" {
+		return nil, &ErrHeader{Name: chestnutstep.HeaderProfile, Cause: "is missing"}
+	}
+	if a.profile = v.Profiles[name]; a.profile == nil {
+		return nil, &ErrRefused{Reason: chestnutstep.ReasonProfile, Run: chestnutstep.RunNo, Detail: name}
+	}
+	if err := a.readHeaders(e.Clock()); err != nil {
+		return nil, err
+	}
+	if wait := e.rates.take(e.Clock(), a.workspace, e.Entries()); wait > 0 {
+		return nil, &ErrRefused{Reason: chestnutstep.ReasonRate, Run: a.unrun(), Retry: wait}
+	}
+	return a, a.readBody(w)
+}
+
+// unrun is what an entry may say of a request that it did not pass on. A
+// ticketed one may run by an earlier repeat; only its agent knows.
+func (a *ask) unrun() chestnutstep.Run {
+	if a.ticket != "" {
+		return chestnutstep.RunMaybe
+	}
+	return chestnutstep.RunNo
+}
+
+func authenticate(v *chestnutstep.View, r *http.Request) *chestnutstep.Workspace {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil
+	}
+	return v.Authenticate(key)
+}
+
+func (a *ask) readHeaders(now time.Time) error {
+	h := a.request.Header
+	a.chat = h.Get(chestnutstep.HeaderChat)
+	a.hint = h.Get(chestnutstep.HeaderHint)
+	a.ticket = h.Get(chestnutstep.HeaderTicket)
+	for _, name := range []string{
+		chestnutstep.HeaderChat, chestnutstep.HeaderHint, chestnutstep.HeaderIdempotency, chestnutstep.HeaderTicket,
+	} {
+		if err := checkName(name, h.Get(name)); err != nil {
+			return err
+		}
+	}
+	limit, err := timeout(h.Get(chestnutstep.HeaderTimeout), a.profile)
+	if err != nil {
+		return err
+	}
+	a.deadline = now.Add(limit)
+	if a.id == "" {
+		a.id = a.ticket
+	}
+	if a.id == "" {
+		a.id = randomID()
+	}
+	return nil
+}
+
+func checkName(name, value string) error {
+	if len(value) > nameMost {
+		return &ErrHeader{Name: name, Cause: "is longer than 256 bytes"}
+	}
+	for i := range len(value) {
+		if value[i] < ' ' || value[i] > '~' {
+			return &ErrHeader{Name: name, Cause: "holds a byte that is not printable ASCII"}
+		}
+	}
+	return nil
+}
+
+func timeout(text string, p *chestnutstep.Profile) (time.Duration, error) {
+	if text == "" {
+		return p.Timeout.Std(), nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return 0, &ErrHeader{Name: chestnutstep.HeaderTimeout, Cause: "is not a duration above zero such as 1.5s"}
+	}
+	return min(d, p.Timeout.Std()), nil
+}
+
+func randomID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func (a *ask) readBody(w http.ResponseWriter) error {
+	body := http.MaxBytesReader(w, a.request.Body, a.profile.Body)
+	b, err := io.ReadAll(body)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return &ErrRefused{Reason: chestnutstep.ReasonLarge, Run: a.unrun()}
+	}
+	if err != nil {
+		return &ErrRefused{Reason: chestnutstep.ReasonCanceled, Run: a.unrun()}
+	}
+	a.body = b
+	return nil
+}
+
+// offer builds the message for an agent.
+func (a *ask) offer(now time.Time, patience time.Duration) *wire.Offer {
+	class, _ := chestnutstep.ParseClass(a.profile.Class)
+	o := &wire.Offer{
+		Id:          a.id,
+		Workspace:   a.workspace.Name,
+		Profile:     a.profile.Name,
+		Model:       a.profile.Model,
+		Chat:        a.chat,
+		Class:       uint32(class),
+		Cost:        float64(a.profile.Tokens) + math.Ceil(float64(len(a.body))/bytesPerToken),
+		Remain:      int64(a.deadline.Sub(now)),
+		Patience:    int64(patience),
+		Version:     a.view.Publication.Version,
+		Ticket:      a.ticket,
+		Fingerprint: crash.Fingerprint(a.workspace.Name, a.request.URL.RequestURI(), a.body),
+		Idempotent:  !a.profile.Once,
+		Method:      a.request.Method,
+		Path:        a.request.URL.RequestURI(),
+		Headers:     headers(a.request.Header),
+		Size:        int64(len(a.body)),
+	}
+	if len(a.body) <= smallBody {
+		o.Small = a.body
+	}
+	return o
+}
+
+// place is what the ranking needs. A request without a chat spreads by its id.
+func (a *ask) place(region string) chestnutstep.Place {
+	chat := a.chat
+	if chat == "" {
+		chat = a.id
+	}
+	return chestnutstep.Place{
+		Workspace: a.workspace.Name,
+		Chat:      chat,
+		Model:     a.profile.Model,
+		Region:    region,
+		Hint:      a.hint,
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,143 @@
+// Package entry is the stateless process between callers and agents. It
+// authenticates the caller, picks the profile, ranks targets for the chat,
+// offers the request down that ranking and streams the answer back. It keeps
+// nothing that a caller could miss: any other entry can take over.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// Links opens connections to agents.
+type Links interface {
+	// Conn returns a connection to an agent's address; it connects when first
+	// used and closes when idle.
+	Conn(addr string) (grpc.ClientConnInterface, error)
+}
+
+// Hosts takes what an entry learns of hosts from its own offers.
+type Hosts interface {
+	// Fail says that a host did not answer; Answer that it did.
+	Fail(now time.Time, host string)
+	Answer(now time.Time, host string)
+}
+
+// Entry serves callers. Set the exported fields before its first request.
+type Entry struct {
+	// Name of this process, Region it stands in.
+	Name   string
+	Region string
+	// View returns the publication in force, or nil before the first one.
+	View func() *chestnutstep.View
+	// Ranker returns the ranking of a publication.
+	Ranker func(*chestnutstep.View) chestnutstep.Ranker
+	Links  Links
+	Hosts  Hosts
+	// Repeats is the budget for what may have run; Steps for offers down the
+	// ranking after a refusal.
+	Repeats chestnutstep.Allowance
+	Steps   chestnutstep.Allowance
+	// Entries returns how many entries share the callers, for rate limits.
+	Entries func() int
+	// Clock is time.Now, but for tests.
+	Clock func() time.Time
+	// Notify is told of what operators should see; it must not block.
+	Notify func(Notice)
+
+	rates   rates
+	budget  sync.Mutex
+	leaving atomic.Bool
+	open    atomic.Int64
+}
+
+// Notice is how a caller's request ended; see docs/EVENTS.md.
+type Notice struct {
+	Request   string
+	Workspace string
+	Profile   string
+	Chat      string
+	Target    string
+	Reason    chestnutstep.Reason
+	Run       chestnutstep.Run
+	Status    int
+	// Offers is how many agents were asked.
+	Offers int
+	// First is the time to the first byte; zero if none came.
+	First time.Duration
+	Total time.Duration
+	// Cached is the prompt prefix found in the target's cache, in tokens.
+	Cached int64
+}
+
+// Open is how many requests are in progress.
+func (e *Entry) Open() int64 { return e.open.Load() }
+
+// Ready says whether the balancer should send callers here.
+func (e *Entry) Ready() bool { return !e.leaving.Load() && e.View() != nil }
+
+// Leave makes Ready false. New requests are still served: the balancer needs
+// a moment to see it, and a refused caller gains nothing.
+func (e *Entry) Leave() { e.leaving.Store(true) }
+
+// Idle returns when no request is in progress or ctx ends.
+func (e *Entry) Idle(ctx context.Context) error {
+	tick := time.NewTicker(idlePoll)
+	defer tick.Stop()
+	for e.Open() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+const idlePoll = 50 * time.Millisecond
+
+// ticketsPath is the one path that an entry answers itself.
+const ticketsPath = "/chestnut/tickets"
+
+// ServeHTTP serves one caller's request.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.open.Add(1)
+	defer e.open.Add(-1)
+	if r.URL.Path == ticketsPath {
+		e.serveTickets(w, r)
+		return
+	}
+	e.serve(w, r)
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	start := e.Clock()
+	a, err := e.read(w, r)
+	if err != nil {
+		e.refuse(w, err, Notice{})
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), a.deadline)
+	defer cancel()
+	out := &output{w: w, ask: a, clock: e.Clock}
+	k := &walk{entry: e, ask: a, out: out}
+	err = k.run(ctx)
+	n := k.notice(start, err)
+	if err == nil {
+		e.Notify(n)
+		return
+	}
+	if out.started {
+		e.Notify(n)
+		out.abort(err)
+		return
+	}
+	e.refuse(w, err, n)
+}
--- /dev/null
+++ b/entry/errors.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// ErrHeader is a malformed header of a caller.
+type ErrHeader struct {
+	Name  string
+	Cause string
+}
+
+func (e *ErrHeader) Error() string { return fmt.Sprintf("header %s %s", e.Name, e.Cause) }
+
+// IsErrHeader says whether err is an ErrHeader.
+func IsErrHeader(err error) bool {
+	var e *ErrHeader
+	return errors.As(err, &e)
+}
+
+// ErrRefused is the final word on a request that got no whole answer.
+type ErrRefused struct {
+	Reason chestnutstep.Reason
+	Run    chestnutstep.Run
+	// Retry is when the caller may come back; zero if it should not.
+	Retry time.Duration
+	// Ticket is a fresh one, where that is what the caller needs.
+	Ticket string
+	Detail string
+}
+
+func (e *ErrRefused) Error() string {
+	return fmt.Sprintf("%s (run: %s) %s", e.Reason, e.Run, e.Detail)
+}
+
+// IsErrRefused says whether err is an ErrRefused.
+func IsErrRefused(err error) bool {
+	var e *ErrRefused
+	return errors.As(err, &e)
+}
--- /dev/null
+++ b/entry/link.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+const (
+	// answerLimit is how long an agent may take to answer an offer. It decides
+	// in microseconds; a longer silence is a frozen host or a cut, and the
+	// caller's time is better spent at the next target.
+	answerLimit = 500 * time.Millisecond
+	// cancelLimit is how long an agent may take to hear that a caller gave up.
+	cancelLimit = time.Second
+)
+
+// link is one stream to an agent.
+type link struct {
+	stream grpc.BidiStreamingClient[wire.Up, wire.Down]
+	target *chestnutstep.Target
+	cancel context.CancelFunc
+	// mu guards the sending side of the stream.
+	mu sync.Mutex
+}
+
+// openLink starts a stream. Its life is not tied to the caller's: a cancel must
+// still reach the agent after the caller has gone.
+func (e *Entry) openLink(t *chestnutstep.Target) (*link, error) {
+	conn, err := e.Links.Conn(t.Agent)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &link{target: t, cancel: cancel}
+	timer := time.AfterFunc(answerLimit, cancel)
+	defer timer.Stop()
+	l.stream, err = wire.NewAgentClient(conn).Run(ctx)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return l, nil
+}
+
+// first waits for the agent's answer to an offer, for a limited time.
+func (l *link) first() (*wire.Down, error) {
+	timer := time.AfterFunc(answerLimit, l.cancel)
+	defer timer.Stop()
+	return l.stream.Recv()
+}
+
+// next waits for the next message, until ctx ends.
+func (l *link) next(ctx context.Context) (*wire.Down, error) {
+	stop := context.AfterFunc(ctx, l.giveUp)
+	defer stop()
+	return l.stream.Recv()
+}
+
+// send is safe beside giveUp, which comes from another goroutine.
+func (l *link) send(up *wire.Up) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream.Send(up)
+}
+
+// finish sends a last word and ends the stream when it has had time to arrive.
+func (l *link) finish(up *wire.Up) {
+	_ = l.send(up)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.stream.CloseSend()
+	time.AfterFunc(cancelLimit, l.cancel)
+}
+
+// giveUp tells the agent that the caller has gone, so that the target stops at
+// once, then ends the stream.
+func (l *link) giveUp() {
+	l.finish(&wire.Up{Kind: &wire.Up_Cancel{Cancel: &wire.Cancel{}}})
+}
+
+// noteMoved tells the agent that refused where the request went instead.
+func (l *link) noteMoved(a *ask, target string) {
+	m := &wire.Moved{Id: a.id, Workspace: a.workspace.Name, Target: target}
+	l.finish(&wire.Up{Kind: &wire.Up_Moved{Moved: m}})
+}
+
+// sendBody sends a body that did not fit the offer.
+func (l *link) sendBody(body []byte) error {
+	for {
+		piece := body[:min(len(body), pieceSize)]
+		body = body[len(piece):]
+		b := &wire.Body{Data: piece, Last: len(body) == 0}
+		if err := l.send(&wire.Up{Kind: &wire.Up_Body{Body: b}}); err != nil {
+			return err
+		}
+		if b.Last {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/entry/path_test.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/agent"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/dial"
+	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/gate"
+	"chestnutstep.example/chestnutstep/retry"
+	"chestnutstep.example/chestnutstep/route"
+	"chestnutstep.example/chestnutstep/ticket"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// path is one engine and one service with their agents, and two entries, in
+// one process over real sockets.
+type path struct {
+	t       *testing.T
+	mu      sync.Mutex
+	view    *chestnutstep.View
+	pub     *chestnutstep.Publication
+	engine  *fake.Engine
+	service *fake.Service
+	agents  []*agent.Agent
+	entries []*httptest.Server
+}
+
+type noHosts struct{}
+
+func (noHosts) Fail(time.Time, string)   {}
+func (noHosts) Answer(time.Time, string) {}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func newPath(t *testing.T) *path {
+	p := &path{t: t, engine: &fake.Engine{}, service: &fake.Service{}}
+	p.pub = &chestnutstep.Publication{
+		Version: 1,
+		Domains: []chestnutstep.Domain{{Name: "a", Region: "r"}},
+		Hosts:   []chestnutstep.Host{{Name: "h", Domain: "a"}},
+		Models: []chestnutstep.Model{
+			{Name: "label", Kind: chestnutstep.KindEngine, Floor: 8, Slots: 8, Queue: 8, Cold: 8, Done: "event: done"},
+			{Name: "desk", Kind: chestnutstep.KindService, Floor: 8, Slots: 8, Queue: 8, Cold: 8},
+		},
+		Profiles: []chestnutstep.Profile{
+			{Name: "quick", Model: "label", Class: "urgent", Timeout: chestnutstep.Duration(20 * time.Second), Tries: 2, Tokens: 10, Body: 1 << 20},
+			{Name: "book", Model: "desk", Class: "normal", Timeout: chestnutstep.Duration(20 * time.Second), Tries: 2, Tokens: 1, Body: 1 << 20, Once: true},
+		},
+		Workspaces: []chestnutstep.Workspace{{Name: "desk", Keys: []string{hash("k")}}},
+	}
+	p.addAgent("label-1", "label", p.engine)
+	p.addAgent("desk-1", "desk", p.service)
+	p.publish()
+	for range 2 {
+		p.addEntry()
+	}
+	return p
+}
+
+func (p *path) publish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view = chestnutstep.NewView(p.pub)
+}
+
+func (p *path) current() *chestnutstep.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view
+}
+
+func (p *path) addAgent(name, model string, target http.Handler) {
+	back := httptest.NewServer(target)
+	p.t.Cleanup(back.Close)
+	reuse, single := agent.Clients()
+	a := &agent.Agent{
+		Name: name, URL: back.URL, Incarnation: "1", View: p.current,
+		Gate: &gate.Gate{}, Jury: &crash.Jury{Target: name}, Booth: &ticket.Booth{Target: name},
+		Shelf: &answer.Shelf{}, Reuse: reuse, Single: single,
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(p.t, err)
+	p.pub.Targets = append(p.pub.Targets, chestnutstep.Target{
+		Name: name, Host: "h", Model: model, Agent: l.Addr().String(),
+	})
+	p.publish()
+	srv := grpc.NewServer()
+	wire.RegisterAgentServer(srv, a.Service())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = a.Run(ctx) }()
+	go func() { _ = srv.Serve(l) }()
+	p.t.Cleanup(func() { cancel(); srv.Stop() })
+	p.agents = append(p.agents, a)
+}
+
+func (p *path) addEntry() {
+	e := &Entry{
+		Name: "e", Region: "r", View: p.current, Hosts: noHosts{},
+		Ranker: func(v *chestnutstep.View) chestnutstep.Ranker {
+			t := &route.Table{View: v}
+			t.Build()
+			return t
+		},
+		Links:   &dial.Pool{Credentials: insecure.NewCredentials()},
+		Repeats: &retry.Allowance{}, Steps: retry.Steps(),
+		Entries: func() int { return 1 }, Clock: time.Now, Notify: func(Notice) {},
+	}
+	s := httptest.NewServer(e)
+	p.t.Cleanup(s.Close)
+	p.entries = append(p.entries, s)
+}
+
+func (p *path) ask(entry int, path, body string, headers ...string) (*http.Response, string) {
+	rq, err := http.NewRequest(http.MethodPost, p.entries[entry].URL+path, strings.NewReader(body))
+	assert.NilError(p.t, err)
+	rq.Header.Set("Authorization", "Bearer k")
+	for i := 0; i < len(headers); i += 2 {
+		rq.Header.Set(headers[i], headers[i+1])
+	}
+	rs, err := http.DefaultClient.Do(rq)
+	assert.NilError(p.t, err)
+	defer rs.Body.Close()
+	b, err := io.ReadAll(rs.Body)
+	assert.NilError(p.t, err)
+	return rs, string(b)
+}
+
+func TestPath(t *testing.T) {
+	p := newPath(t)
+	rs, body := p.ask(0, "/v1/chat", `{"prompt":10,"output":5}`, chestnutstep.HeaderProfile, "quick", chestnutstep.HeaderChat, "c1")
+	assert.Equal(t, rs.StatusCode, 200, body)
+	assert.Equal(t, rs.Header.Get(chestnutstep.HeaderRun), "yes")
+	assert.Equal(t, rs.Header.Get(chestnutstep.HeaderHint), "label-1")
+	assert.Assert(t, strings.Contains(body, "event: done"), body)
+}
+
+// A caller books, the answer is lost, and the caller sends the booking again
+// through another entry. Without tickets the slot would be booked twice.
+func TestTicketRunsOnce(t *testing.T) {
+	p := newPath(t)
+	book := []string{chestnutstep.HeaderProfile, "book"}
+	rs, body := p.ask(0, "/bookings", `{"action":"a1"}`, book...)
+	assert.Equal(t, rs.StatusCode, 428, body)
+	assert.Equal(t, rs.Header.Get(chestnutstep.HeaderRun), "no")
+	book = append(book, chestnutstep.HeaderTicket, rs.Header.Get(chestnutstep.HeaderTicket))
+	first, body1 := p.ask(0, "/bookings", `{"action":"a1"}`, book...)
+	again, body2 := p.ask(1, "/bookings", `{"action":"a1"}`, book...)
+	assert.Equal(t, first.StatusCode, 200, body1)
+	assert.Equal(t, again.StatusCode, 200, body2)
+	assert.Equal(t, body1, body2)
+	assert.Equal(t, strings.Contains(body1, `"times":1`), true, body1)
+}
--- /dev/null
+++ b/entry/problem.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/retry"
+)
+
+// problem is the body of a refusal: application/problem+json with a stable
+// code, so that callers never parse prose.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	Code   string `json:"code"`
+	Run    string `json:"run"`
+	Ticket string `json:"ticket,omitempty"`
+}
+
+// refuse gives the final answer at once, with when to come back. Holding it
+// back until the caller's deadline would only keep the caller from asking
+// where there is room.
+func (e *Entry) refuse(w http.ResponseWriter, err error, n Notice) {
+	ref := refused(err)
+	ans := retry.Answer(ref.Reason)
+	p := problem{
+		Type:   "about:blank",
+		Title:  ans.Title,
+		Status: ans.Status,
+		Detail: ref.Detail,
+		Code:   string(ref.Reason),
+		Run:    string(ref.Run),
+		Ticket: ref.Ticket,
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(chestnutstep.HeaderRun, string(ref.Run))
+	if ref.Ticket != "" {
+		h.Set(chestnutstep.HeaderTicket, ref.Ticket)
+	}
+	if ref.Retry > 0 {
+		h.Set("Retry-After", seconds(ref.Retry))
+	}
+	w.WriteHeader(ans.Status)
+	_ = json.NewEncoder(w).Encode(p)
+	n.Reason, n.Run, n.Status = ref.Reason, ref.Run, ans.Status
+	e.Notify(n)
+}
+
+// refused turns any error into the final word on a request.
+func refused(err error) *ErrRefused {
+	var ref *ErrRefused
+	if errors.As(err, &ref) {
+		return ref
+	}
+	var bad *ErrHeader
+	if errors.As(err, &bad) {
+		return &ErrRefused{Reason: chestnutstep.ReasonHeader, Run: chestnutstep.RunNo, Detail: bad.Error()}
+	}
+	return &ErrRefused{Reason: chestnutstep.ReasonUnknown, Run: chestnutstep.RunMaybe, Detail: err.Error()}
+}
+
+// seconds rounds up: a caller that comes back early is refused again.
+func seconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/entry/tickets.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+const (
+	// ticketsMost bounds one batch.
+	ticketsMost = 1000
+	// ticketsBody bounds the request for tickets in bytes.
+	ticketsBody = 4 << 10
+)
+
+// ticketsAsk is the body of a request for tickets.
+type ticketsAsk struct {
+	Profile string `json:"profile"`
+	Count   int    `json:"count"`
+}
+
+// ticketsReply is its answer.
+type ticketsReply struct {
+	Tickets []string `json:"tickets"`
+}
+
+// serveTickets hands out tickets for non-idempotent requests.
+func (e *Entry) serveTickets(w http.ResponseWriter, r *http.Request) {
+	tickets, err := e.tickets(w, r)
+	if err != nil {
+		e.refuse(w, err, Notice{})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(ticketsReply{Tickets: tickets})
+}
+
+func (e *Entry) tickets(w http.ResponseWriter, r *http.Request) ([]string, error) {
+	v := e.View()
+	if v == nil {
+		return nil, &ErrRefused{Reason: chestnutstep.ReasonVersion, Run: chestnutstep.RunNo, Retry: time.Second}
+	}
+	ws := authenticate(v, r)
+	if ws == nil {
+		return nil, &ErrRefused{Reason: chestnutstep.ReasonKey, Run: chestnutstep.RunNo}
+	}
+	in, p, err := e.readTicketsAsk(v, w, r)
+	if err != nil {
+		return nil, err
+	}
+	if wait := e.rates.take(e.Clock(), ws, e.Entries()); wait > 0 {
+		return nil, &ErrRefused{Reason: chestnutstep.ReasonRate, Run: chestnutstep.RunNo, Retry: wait}
+	}
+	a := &ask{view: v, workspace: ws, profile: p, id: randomID()}
+	return e.mint(r.Context(), a, in.Count)
+}
+
+func (e *Entry) readTicketsAsk(
+	v *chestnutstep.View, w http.ResponseWriter, r *http.Request,
+) (ticketsAsk, *chestnutstep.Profile, error) {
+	bad := func(detail string) error {
+		return &ErrRefused{Reason: chestnutstep.ReasonHeader, Run: chestnutstep.RunNo, Detail: detail}
+	}
+	var in ticketsAsk
+	if r.Method != http.MethodPost {
+		return in, nil, bad("tickets are asked for by POST")
+	}
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, ticketsBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&in); err != nil {
+		return in, nil, bad("body: " + err.Error())
+	}
+	if in.Count < 1 || in.Count > ticketsMost {
+		return in, nil, bad("count: is not between 1 and 1000")
+	}
+	p := v.Profiles[in.Profile]
+	if p == nil {
+		return in, nil, &ErrRefused{Reason: chestnutstep.ReasonProfile, Run: chestnutstep.RunNo, Detail: in.Profile}
+	}
+	return in, p, nil
+}
+
+// mint asks the targets in the order of their ranking. A batch is spread by
+// its random id, so that one target does not get all actions.
+func (e *Entry) mint(ctx context.Context, a *ask, count int) ([]string, error) {
+	targets := e.Ranker(a.view).Rank(nil, a.place(e.Region), max(a.profile.Tries, 1))
+	for _, t := range targets {
+		reply, err := e.mintAt(ctx, t, a.workspace.Name, count)
+		if err == nil {
+			return reply.Tickets, nil
+		}
+		e.Hosts.Fail(e.Clock(), t.Host)
+	}
+	return nil, &ErrRefused{Reason: chestnutstep.ReasonTarget, Run: chestnutstep.RunNo, Retry: time.Second}
+}
+
+func (e *Entry) mintAt(ctx context.Context, t *chestnutstep.Target, workspace string, count int) (*wire.MintReply, error) {
+	conn, err := e.Links.Conn(t.Agent)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	return wire.NewAgentClient(conn).Mint(ctx, &wire.MintRequest{Workspace: workspace, Count: uint32(count)})
+}
