--- a/fake/control.go
+++ b/fake/control.go
@@ -15,7 +15,7 @@
 	e.mux.HandleFunc("/", e.serve)
 	e.mux.HandleFunc("GET /control/load", e.getLoad)
 	e.mux.HandleFunc("POST /control/cancel", e.postCancel)
-	e.mux.HandleFunc("GET /control/resume", e.getResume)
+	e.mux.HandleFunc("GET "+resumePath, e.getResume)
 	e.mux.HandleFunc("GET /control/kv", e.getKV)
 	e.mux.HandleFunc("PUT /control/kv", e.putKV)
 	e.mux.HandleFunc("GET /control/events", e.getEvents)
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -248,6 +249,7 @@
 func (e *Engine) copy(w http.ResponseWriter, r *http.Request, s *stream, offset int, linger time.Duration) {
 	c := http.NewResponseController(w)
 	began := false
+	sent := 0
 	drops := e.dropped()
 	for {
 		data, aborted, over, change := e.peek(s, offset)
@@ -269,6 +271,11 @@
 			}
 			_ = c.Flush()
 			offset += len(data)
+			sent += bytes.Count(data, []byte(eventEnd))
+			if r.URL.Path != resumePath && s.fault.closes(sent) {
+				e.leave(s, linger)
+				panic(http.ErrAbortHandler)
+			}
 			continue
 		}
 		if over {
@@ -290,6 +297,10 @@
 	h.Set(chestnutstep.HeaderCached, strconv.Itoa(s.cached))
 }
 
+// resumePath continues a stream; its connection is not closed again by the
+// fault that closed the first one.
+const resumePath = "/control/resume"
+
 // peek returns the bytes from an offset on. The slice stays valid: the stream
 // only ever appends.
 func (e *Engine) peek(s *stream, offset int) (data []byte, aborted, over bool, change <-chan struct{}) {
--- a/fake/fault.go
+++ b/fake/fault.go
@@ -28,7 +28,7 @@
 	// Hang takes requests and never answers.
 	Hang bool `json:"hang,omitempty"`
 	// Close drops the connection after so many tokens (or, at a service, after
-	// the effect and before the answer).
+	// the effect and before the answer). A stream can be resumed.
 	Close int `json:"close,omitempty"`
 	// Delay before work begins.
 	Delay chestnutstep.Duration `json:"delay,omitempty"`
@@ -77,3 +77,8 @@
 func (f Fault) poisons(body []byte) bool {
 	return f.Poison != "" && bytes.Contains(body, []byte(f.Poison))
 }
+
+// closes says whether the connection is dropped after so many tokens.
+func (f Fault) closes(sent int) bool {
+	return f.Close > 0 && sent >= f.Close
+}
--- a/fake/stream.go
+++ b/fake/stream.go
@@ -40,9 +40,6 @@
 	_, _ = s.sum.Write(s.data[n:])
 	s.tokens++
 	switch {
-	case s.fault.Close > 0 && s.tokens >= s.fault.Close:
-		s.aborted = true
-		return true
 	case s.fault.Short > 0 && s.tokens >= s.fault.Short:
 		return true
 	case s.tokens < s.output:
