fleet, demo: the fleet as separate processes on loopback, standin demo

Each host gets its own address in 127.0.0.0/8 with the same ports, as in production; free ports picked at random were ruled out, as two test runs on one machine would race for them. The demo takes its evidence from the stand-ins' logs.

--- /dev/null
+++ b/cmd/standin/demo.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/integrii/flaggy"
+
+	"chestnutstep.example/chestnutstep/demo"
+	"chestnutstep.example/chestnutstep/fleet"
+)
+
+// player is what `standin demo` was told.
+type player struct {
+	seed int
+	hold bool
+	keep bool
+}
+
+func demoCommand() command {
+	c := flaggy.NewSubcommand("demo")
+	c.Description = "starts a fleet of separate processes on loopback, plays the main job, checks the promises"
+	p := &player{seed: 1}
+	c.Int(&p.seed, "s", "seed", "of the load")
+	c.Bool(&p.hold, "", "hold", "leave the fleet running until interrupted")
+	c.Bool(&p.keep, "", "keep", "keep the directory with settings and logs")
+	return command{c, p.play}
+}
+
+func (p *player) play() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	dir, err := os.MkdirTemp("", "standin-")
+	if err != nil {
+		return errors.Wrap(err, "directory")
+	}
+	if !p.keep {
+		defer os.RemoveAll(dir)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return errors.Wrap(err, "program")
+	}
+	f := demo.Fleet(filepath.Dir(self), dir)
+	defer f.Close()
+	fmt.Println("settings and logs in", dir)
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	list(f)
+	d := demo.Demo{Fleet: f, Out: os.Stdout, Seed: uint64(p.seed)}
+	err = d.Run(ctx)
+	if p.hold {
+		fmt.Println("holding; interrupt to end")
+		<-ctx.Done()
+	}
+	return err
+}
+
+// list prints where the processes are, so that operators' commands can be
+// tried on them.
+func list(f *fleet.Fleet) {
+	for _, t := range f.Targets {
+		fmt.Printf("%-10s %-10s target %s agent %s admin %s\n", t.Name, t.Domain, t.Back.Address, t.Agent.Address, t.Agent.Admin)
+	}
+	for _, e := range f.Doors {
+		fmt.Printf("%-10s %-10s callers %s admin %s\n", e.Name, e.Domain, e.Address, e.Admin)
+	}
+	fmt.Printf("%-10s %-10s %s\n\n", "platform", "", f.Platform.Address)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,9 +19,11 @@
 	flaggy.SetName("standin")
 	flaggy.SetDescription("Stand-ins for the systems outside the fleet")
 	commands := []command{
+		platformCommand(),
 		engineCommand(),
 		serviceCommand(),
 		callCommand(),
+		demoCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.flags, 1)
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,21 @@
+package demo
+
+import "chestnutstep.example/chestnutstep/fleet"
+
+// Fleet is the fleet of the demo, not started: three failure domains with an
+// engine each, two plain services, two entries. Engines start cold and fall
+// over if they are given more than they can carry.
+func Fleet(bin, dir string) *fleet.Fleet {
+	return &fleet.Fleet{
+		Bin:      bin,
+		Dir:      dir,
+		Domains:  3,
+		Engines:  1,
+		Services: 2,
+		Entries:  2,
+		EngineFlags: []string{
+			"--base", "3ms", "--slope", "200us", "--prefill", "40us",
+			"--cold", "4", "--warm", "8", "--slots", "32", "--cache", "60000",
+		},
+	}
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,251 @@
+// Package fleet starts a small fleet as separate processes on loopback: the
+// platform, engines, plain services, an agent beside each, and entries. The
+// demo, the failure tests with real processes and the load benchmark share it.
+//
+// Each host gets an address of its own in 127.0.0.0/8, so that ports are the
+// same on all hosts, as in production, and two fleets do not collide.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/fake"
+)
+
+// Ports, the same on every host. They lie below the range that the kernel
+// hands out for outgoing connections.
+const (
+	portTarget   = 17200
+	portAgent    = 17100
+	portAdmin    = 17300
+	portEntry    = 17400
+	portPeer     = 17500
+	portPlatform = 17600
+)
+
+// Fleet is a running fleet. Set the exported fields, then call Start.
+type Fleet struct {
+	// Bin is the directory with the two programs.
+	Bin string
+	// Dir takes settings and the processes' output.
+	Dir string
+	// Domains is the number of failure domains, each with Engines engines.
+	Domains, Engines int
+	// Services and Entries are spread over the failure domains.
+	Services, Entries int
+	// EngineFlags and ServiceFlags are passed to the stand-ins.
+	EngineFlags, ServiceFlags []string
+	// Settings changes the settings of a process before it starts, if set.
+	Settings func(*Settings)
+	// Change changes the first publication, if set.
+	Change func(*chestnutstep.Publication)
+
+	// Publication is what was published last.
+	Publication *chestnutstep.Publication
+	// Platform and what runs on the hosts, once started.
+	Platform *Process
+	Targets  []*Target
+	Doors    []*Process
+	prefix   string
+	hosts    int
+	all      []*Process
+}
+
+// Target is a back end and the agent beside it.
+type Target struct {
+	Name   string
+	Host   string
+	Domain string
+	Kind   string
+	Back   *Process
+	Agent  *Process
+}
+
+// client talks to stand-ins and admin addresses. It has a limit, as the
+// process on the other side may be stopped by a test.
+var client = &http.Client{Timeout: 5 * time.Second}
+
+// Start starts everything, publishes, and waits until all are ready.
+func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.claim(); err != nil {
+		return err
+	}
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	f.plan()
+	for _, t := range f.Targets {
+		if err := f.startTarget(t); err != nil {
+			return err
+		}
+	}
+	if err := f.Publish(ctx, func(*chestnutstep.Publication) {}); err != nil {
+		return err
+	}
+	for _, t := range f.Targets {
+		if err := f.StartAgent(t); err != nil {
+			return err
+		}
+	}
+	for _, d := range f.Doors {
+		if err := f.StartEntry(d); err != nil {
+			return err
+		}
+	}
+	return f.Ready(ctx)
+}
+
+// claim finds a loopback network that no other fleet uses: the platform's
+// address is bound as long as the fleet runs.
+func (f *Fleet) claim() error {
+	for n := range 200 {
+		f.prefix = fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+n)%200, 1+(os.Getpid()/200+n)%250)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", f.prefix, portPlatform))
+		if err == nil {
+			f.hosts = 1
+			return l.Close()
+		}
+	}
+	return errors.New("no free loopback network")
+}
+
+func (f *Fleet) host() string {
+	f.hosts++
+	return fmt.Sprintf("%s.%d", f.prefix, f.hosts)
+}
+
+// domain names the n-th failure domain.
+func domain(n int) string {
+	return "domain-" + string(rune('a'+n))
+}
+
+// plan lays targets and entries out over hosts.
+func (f *Fleet) plan() {
+	for d := range f.Domains {
+		for i := range f.Engines {
+			f.addTarget(fmt.Sprintf("engine-%c%d", 'a'+d, i+1), domain(d), chestnutstep.KindEngine)
+		}
+	}
+	for i := range f.Services {
+		f.addTarget(fmt.Sprintf("service-%d", i+1), domain(i%f.Domains), chestnutstep.KindService)
+	}
+	for i := range f.Entries {
+		ip := f.host()
+		f.Doors = append(f.Doors, &Process{
+			Name:    fmt.Sprintf("entry-%d", i+1),
+			Domain:  domain(i % f.Domains),
+			IP:      ip,
+			Address: fmt.Sprintf("%s:%d", ip, portEntry),
+			Admin:   fmt.Sprintf("%s:%d", ip, portAdmin),
+		})
+	}
+}
+
+func (f *Fleet) addTarget(name, domain, kind string) {
+	ip := f.host()
+	f.Targets = append(f.Targets, &Target{
+		Name: name, Host: "host-" + name, Domain: domain, Kind: kind,
+		Back:  &Process{Name: name, IP: ip, Address: fmt.Sprintf("%s:%d", ip, portTarget)},
+		Agent: &Process{Name: "agent-" + name, Domain: domain, IP: ip, Address: fmt.Sprintf("%s:%d", ip, portAgent), Admin: fmt.Sprintf("%s:%d", ip, portAdmin)},
+	})
+}
+
+func (f *Fleet) startPlatform() error {
+	f.Platform = &Process{Name: "platform", Address: fmt.Sprintf("%s.1:%d", f.prefix, portPlatform)}
+	return f.start(f.Platform, "standin", "platform", "--listen", f.Platform.Address)
+}
+
+func (f *Fleet) startTarget(t *Target) error {
+	flags := f.EngineFlags
+	if t.Kind == chestnutstep.KindService {
+		flags = f.ServiceFlags
+	}
+	return f.start(t.Back, "standin", append([]string{t.Kind, "--listen", t.Back.Address}, flags...)...)
+}
+
+// StartAgent starts the agent beside a target, also again after it ended.
+func (f *Fleet) StartAgent(t *Target) error {
+	s := &Settings{
+		Name:   t.Name,
+		Host:   t.Host,
+		Domain: t.Domain,
+		Listen: t.Agent.Address,
+		Target: &TargetSettings{Name: t.Name, URL: "http://" + t.Back.Address, Kind: t.Kind},
+	}
+	return f.startWith(t.Agent, "agent", s)
+}
+
+// StartEntry starts an entry, also again after it ended.
+func (f *Fleet) StartEntry(p *Process) error {
+	s := &Settings{
+		Name:   p.Name,
+		Host:   "host-" + p.Name,
+		Domain: p.Domain,
+		Listen: p.Address,
+		Peer:   fmt.Sprintf("%s:%d", p.IP, portPeer),
+	}
+	return f.startWith(p, "entry", s)
+}
+
+func (f *Fleet) startWith(p *Process, role string, s *Settings) error {
+	s.Region = region
+	s.Admin = p.Admin
+	s.Platform = "http://" + f.Platform.Address
+	for _, t := range f.Targets[:min(peersMost, len(f.Targets))] {
+		s.Peers = append(s.Peers, t.Agent.Address)
+	}
+	if f.Settings != nil {
+		f.Settings(s)
+	}
+	raw, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	path := filepath.Join(f.Dir, p.Name+".json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return errors.Wrap(err, "settings")
+	}
+	return f.start(p, "chestnutstep", role, "--settings", path)
+}
+
+// Close ends every process that the fleet started.
+func (f *Fleet) Close() {
+	for _, p := range f.all {
+		p.Kill()
+	}
+}
+
+// URLs returns the entries' base URLs.
+func (f *Fleet) URLs() []string {
+	var out []string
+	for _, d := range f.Doors {
+		out = append(out, "http://"+d.Address)
+	}
+	return out
+}
+
+// Target returns a target by name, or nil.
+func (f *Fleet) Target(name string) *Target {
+	for _, t := range f.Targets {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// Executions reads a target's own log.
+func (t *Target) Executions(ctx context.Context) ([]fake.Execution, error) {
+	var out []fake.Execution
+	return out, get(ctx, t.Back.Address, "/control/log", &out)
+}
--- /dev/null
+++ b/fleet/publish.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/fake"
+)
+
+// Names in the publication of a fleet on loopback.
+const (
+	ModelChat = "planner"
+	ModelBook = "bookings"
+
+	ProfileChat  = "chat"  // streamed chats
+	ProfileQuick = "quick" // urgent, short
+	ProfileBook  = "book"  // needs a ticket
+	ProfileSlots = "slots" // idempotent look-ups at the service
+)
+
+// Keys are the callers' keys by workspace.
+var Keys = map[string]string{
+	"darkroom": "key-of-darkroom",
+	"prairie":  "key-of-prairie",
+	"archive":  "key-of-archive",
+}
+
+// first builds the publication that the fleet starts with.
+func (f *Fleet) first() *chestnutstep.Publication {
+	p := &chestnutstep.Publication{
+		Models: []chestnutstep.Model{
+			{Name: ModelChat, Kind: chestnutstep.KindEngine, Multiple: 1.5, Floor: 4, Slots: 32, Queue: 64, Cold: 4},
+			{Name: ModelBook, Kind: chestnutstep.KindService, Multiple: 2, Floor: 8, Slots: 64, Queue: 64, Cold: 8},
+		},
+		Profiles: profiles(),
+		Budget:   chestnutstep.Budget{Reads: 100, Loads: 1, Retries: 0.1, Export: 10 << 20},
+	}
+	for i := range f.Domains {
+		p.Domains = append(p.Domains, chestnutstep.Domain{Name: domain(i), Region: region})
+	}
+	for _, t := range f.Targets {
+		p.Hosts = append(p.Hosts, chestnutstep.Host{Name: t.Host, Domain: t.Domain})
+		p.Targets = append(p.Targets, chestnutstep.Target{
+			Name: t.Name, Host: t.Host, Model: model(t.Kind), Agent: t.Agent.Address, Weight: 1,
+		})
+	}
+	for _, d := range f.Doors {
+		p.Hosts = append(p.Hosts, chestnutstep.Host{Name: "host-" + d.Name, Domain: d.Domain})
+	}
+	for _, name := range []string{"darkroom", "prairie", "archive"} {
+		sum := sha256.Sum256([]byte(Keys[name]))
+		p.Workspaces = append(p.Workspaces, chestnutstep.Workspace{
+			Name: name, Keys: []string{hex.EncodeToString(sum[:])}, Weight: 1,
+		})
+	}
+	if f.Change != nil {
+		f.Change(p)
+	}
+	return p
+}
+
+func model(kind string) string {
+	if kind == chestnutstep.KindService {
+		return ModelBook
+	}
+	return ModelChat
+}
+
+func profiles() []chestnutstep.Profile {
+	const body = 1 << 20
+	second := chestnutstep.Duration(time.Second)
+	return []chestnutstep.Profile{
+		{Name: ProfileChat, Model: ModelChat, Class: "normal", Timeout: 60 * second, Patience: second / 2, Tries: 3, Tokens: 100, Body: body},
+		{Name: ProfileQuick, Model: ModelChat, Class: "urgent", Timeout: 10 * second, Patience: second / 5, Tries: 3, Tokens: 20, Body: body},
+		{Name: ProfileBook, Model: ModelBook, Class: "urgent", Timeout: 60 * second, Tries: 2, Once: true, Tokens: 1, Body: body},
+		{Name: ProfileSlots, Model: ModelBook, Class: "urgent", Timeout: 10 * second, Tries: 2, Tokens: 1, Body: body},
+	}
+}
+
+// Out takes a failure domain out of service, or brings it back.
+func (f *Fleet) Out(ctx context.Context, name string, out bool) error {
+	return f.Publish(ctx, func(p *chestnutstep.Publication) {
+		for i := range p.Domains {
+			if p.Domains[i].Name == name {
+				p.Domains[i].Out = out
+			}
+		}
+	})
+}
+
+// Publish changes the publication, raises its version and puts it on the
+// platform: the parts first, so that a reader of the root finds them.
+func (f *Fleet) Publish(ctx context.Context, change func(*chestnutstep.Publication)) error {
+	next := f.first()
+	if f.Publication != nil {
+		raw, err := json.Marshal(f.Publication)
+		if err != nil {
+			return errors.Wrap(err, "publication")
+		}
+		next = &chestnutstep.Publication{}
+		if err := json.Unmarshal(raw, next); err != nil {
+			return errors.Wrap(err, "publication")
+		}
+	}
+	change(next)
+	next.Version++
+	if err := config.Check(next); err != nil {
+		return errors.Wrap(err, "publication")
+	}
+	root, parts := config.Pack(next)
+	for hash, raw := range parts {
+		if err := f.value(ctx, config.PartPrefix+hash, raw); err != nil {
+			return err
+		}
+	}
+	if err := f.value(ctx, config.RootName, root); err != nil {
+		return err
+	}
+	f.Publication = next
+	return nil
+}
+
+// value puts a value on the platform, which may still be starting.
+func (f *Fleet) value(ctx context.Context, name string, raw []byte) error {
+	return Until(ctx, "publish "+name, func() error {
+		return put(ctx, http.MethodPost, f.Platform.Address, "/control/v/"+name, raw)
+	})
+}
+
+// Misbehave makes the platform misbehave.
+func (f *Fleet) Misbehave(ctx context.Context, m fake.Mode) error {
+	return post(ctx, f.Platform.Address, "/control/mode", m)
+}
