agent: KV cache moves, on a refusal and ahead of a leaving domain

Cause: a chat that spills from a full target, or whose failure domain is taken out, rebuilt its whole prompt prefix elsewhere. Change: a refusal says whether the target holds the chat's cache; the next target imports it from there, given up when slower than rebuilding. A target that operators take out hands its latest chats to the targets that rank next, one at a time, within the published bytes a second. Ruled out: pushing; the receiver can't hold back a sender it doesn't want.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,8 +51,10 @@
 	// connection for each request. See Clients for why there are two.
 	Reuse  *http.Client
 	Single *http.Client
-	// Dial reaches another agent, to import KV cache; nil switches it off.
-	Dial func(addr string) (wire.AgentClient, error)
+	// Dial reaches another agent and Ranker the next target of a chat, both to
+	// move KV cache; nil switches it off.
+	Dial   func(addr string) (wire.AgentClient, error)
+	Ranker func(*chestnutstep.View) chestnutstep.Ranker
 
 	Linger time.Duration
 	// Leaving says whether the platform's list shows this host as leaving; nil
@@ -75,6 +77,9 @@
 	away    bool
 	probing sync.Mutex
 	runs    sync.WaitGroup
+	exports bucket
+	mover   mover
+	out     bool
 }
 
 // Notice is something an operator should see; see docs/EVENTS.md.
@@ -107,12 +112,14 @@
 	NoticeLeaving   NoticeKind = "leaving"   // the target takes no new work
 	NoticeOrder     NoticeKind = "order"     // an order was passed on or refused
 	NoticeEnded     NoticeKind = "ended"     // a run ended
+	NoticeHanded    NoticeKind = "handed"    // a chat's KV cache went to another target
 )
 
 // Run watches the target and the clock until ctx ends. It must run before the
 // gRPC service is served.
 func (a *Agent) Run(ctx context.Context) error {
 	a.init()
+	go a.mover.loop(ctx, a)
 	go a.health.loop(ctx, a)
 	a.loop(ctx)
 	return ctx.Err()
@@ -126,6 +133,7 @@
 		return
 	}
 	a.jobs = make(map[string]*job)
+	a.mover.wake = make(chan struct{}, 1)
 	if a.Clock == nil {
 		a.Clock = time.Now
 	}
@@ -187,6 +195,10 @@
 	before := a.version
 	a.version = v.Publication.Version
 	a.Gate.Limit(now, limits(v, t))
+	if out := v.Out(t); out != a.out {
+		a.out = out
+		a.mover.notify(out)
+	}
 	a.Notify(Notice{Kind: NoticeLimits, Subject: a.Name, Before: number(before), After: number(a.version)})
 }
 
--- /dev/null
+++ b/agent/cache.go
@@ -0,0 +1,214 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+const (
+	// chunkSize is one message of KV cache: large enough for the link, small
+	// enough not to hold up an answer's frames on the same connection.
+	chunkSize = 64 << 10
+	// cacheMost bounds what is held in memory of one chat's KV cache. Longer
+	// ones are rebuilt: a process may use 64 MB.
+	cacheMost = 16 << 20
+)
+
+// cached is a chat's KV cache as an engine exports it.
+type cached struct {
+	tokens int64
+	data   []byte
+}
+
+// cacheURL is where an engine exports and imports a chat's KV cache.
+func (a *Agent) cacheURL(c chat) string {
+	q := url.Values{"workspace": {c.workspace}, "chat": {c.name}}
+	return a.URL + "/control/kv?" + q.Encode()
+}
+
+// Export sends a chat's KV cache to the agent that asks for it.
+func (s *service) Export(rq *wire.ExportRequest, st grpc.ServerStreamingServer[wire.Chunk]) error {
+	a := s.Agent
+	kv, err := a.readCache(st.Context(), chat{rq.Workspace, rq.Chat}, rq.Most)
+	if err != nil {
+		return status.Error(codes.NotFound, err.Error())
+	}
+	if !a.spendExport(int64(len(kv.data))) {
+		return status.Error(codes.ResourceExhausted, "the export budget is spent")
+	}
+	first := &wire.Chunk{Tokens: kv.tokens, Size: int64(len(kv.data))}
+	if err := st.Send(first); err != nil {
+		return err
+	}
+	for rest := kv.data; len(rest) > 0; {
+		piece := rest[:min(len(rest), chunkSize)]
+		rest = rest[len(piece):]
+		if err := st.Send(&wire.Chunk{Data: piece, Last: len(rest) == 0}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// spendExport takes bytes from this agent's budget for KV cache moves. The
+// budget is a bucket of one second's worth: without it, a leaving failure
+// domain fills the links that live answers need.
+func (a *Agent) spendExport(n int64) bool {
+	v := a.View()
+	if v == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.exports.spend(a.Clock(), float64(n), float64(v.Publication.Budget.Export))
+}
+
+// bucket is a token bucket of bytes. It may go below zero by one chat: refusing
+// any chat that is larger than a second's worth would leave the longest, and so
+// the dearest, to be rebuilt.
+type bucket struct {
+	left float64
+	seen time.Time
+}
+
+func (b *bucket) spend(now time.Time, n, rate float64) bool {
+	if rate <= 0 {
+		return false
+	}
+	b.left = min(rate, b.left+rate*now.Sub(b.seen).Seconds())
+	b.seen = now
+	if b.left <= 0 {
+		return false
+	}
+	b.left -= n
+	return true
+}
+
+// readCache exports a chat's KV cache out of the target.
+func (a *Agent) readCache(ctx context.Context, c chat, most int64) (cached, error) {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, a.cacheURL(c), nil)
+	if err != nil {
+		return cached{}, errors.Wrap(err, "export")
+	}
+	rs, err := a.Reuse.Do(rq)
+	if err != nil {
+		return cached{}, errors.Wrap(err, "export")
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode != http.StatusOK {
+		return cached{}, errors.Newf("export: the target answered %d", rs.StatusCode)
+	}
+	limit := min(most, cacheMost)
+	data, err := io.ReadAll(io.LimitReader(rs.Body, limit+1))
+	if err != nil {
+		return cached{}, errors.Wrap(err, "export")
+	}
+	if int64(len(data)) > limit {
+		return cached{}, errors.Newf("export: larger than %d bytes", limit)
+	}
+	tokens, err := strconv.ParseInt(rs.Header.Get(chestnutstep.HeaderCached), 10, 64)
+	return cached{tokens: tokens, data: data}, errors.Wrap(err, "export")
+}
+
+// writeCache imports a chat's KV cache into the target.
+func (a *Agent) writeCache(ctx context.Context, c chat, kv cached) error {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPut, a.cacheURL(c), bytes.NewReader(kv.data))
+	if err != nil {
+		return errors.Wrap(err, "import")
+	}
+	rq.Header.Set(chestnutstep.HeaderCached, strconv.FormatInt(kv.tokens, 10))
+	rs, err := a.Reuse.Do(rq)
+	if err != nil {
+		return errors.Wrap(err, "import")
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode/100 != 2 {
+		return errors.Newf("import: the target answered %d", rs.StatusCode)
+	}
+	return nil
+}
+
+// fetch imports a chat's KV cache from another agent, given up as soon as it
+// takes longer than the target would need to rebuild the prefix.
+func (a *Agent) fetch(ctx context.Context, source string, c chat) (int64, error) {
+	m := a.model()
+	if m == nil || a.Dial == nil || m.Prefill <= 0 || m.Cache <= 0 {
+		return 0, errors.New("import: not set up for this model")
+	}
+	peer, err := a.Dial(source)
+	if err != nil {
+		return 0, errors.Wrap(err, "import")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	st, err := peer.Export(ctx, &wire.ExportRequest{Workspace: c.workspace, Chat: c.name, Most: cacheMost})
+	if err != nil {
+		return 0, errors.Wrap(err, "import")
+	}
+	first, err := st.Recv()
+	if err != nil {
+		return 0, errors.Wrap(err, "import")
+	}
+	rebuild := time.Duration(float64(first.Tokens) / m.Prefill * float64(time.Second))
+	defer time.AfterFunc(rebuild, cancel).Stop()
+	data, err := receive(st, first.Size)
+	if err != nil {
+		return 0, errors.Wrap(err, "import")
+	}
+	if err := a.writeCache(ctx, c, cached{tokens: first.Tokens, data: data}); err != nil {
+		return 0, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.chats.put(c)
+	return int64(len(data)), nil
+}
+
+func receive(st grpc.ServerStreamingClient[wire.Chunk], size int64) ([]byte, error) {
+	if size <= 0 || size > cacheMost {
+		return nil, errors.Newf("size %d is not between 1 and %d", size, cacheMost)
+	}
+	data := make([]byte, 0, size)
+	for {
+		c, err := st.Recv()
+		if err != nil {
+			return nil, err
+		}
+		data = append(data, c.Data...)
+		if int64(len(data)) > size {
+			return nil, errors.Newf("more than the %d bytes announced", size)
+		}
+		if c.Last && int64(len(data)) == size {
+			return data, nil
+		}
+		if c.Last {
+			return nil, errors.Newf("%d of %d bytes", len(data), size)
+		}
+	}
+}
+
+// Take imports a chat whose target is leaving, before its next request comes.
+func (s *service) Take(ctx context.Context, rq *wire.TakeRequest) (*wire.TakeReply, error) {
+	a := s.Agent
+	if a.mintRefusal() != "" {
+		return &wire.TakeReply{}, nil
+	}
+	n, err := a.fetch(ctx, rq.Source, chat{rq.Workspace, rq.Chat})
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &wire.TakeReply{Bytes: n}, nil
+}
--- a/agent/call.go
+++ b/agent/call.go
@@ -118,6 +118,7 @@
 	if err != nil {
 		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonHeader, unsent: true}
 	}
+	j.fetch(ctx)
 	client := j.agent.Reuse
 	if j.once() {
 		client = j.agent.Single
@@ -140,6 +141,22 @@
 	return j.copy(ctx, rs)
 }
 
+// fetch imports the chat's prompt prefix from the target that refused it, if
+// that beats rebuilding. Its failure only means that the prefix is rebuilt.
+func (j *job) fetch(ctx context.Context) {
+	c := chat{j.offer.Workspace, j.offer.Chat}
+	if j.offer.Source == "" || j.agent.knows(c) {
+		return
+	}
+	_, _ = j.agent.fetch(ctx, j.offer.Source, c)
+}
+
+func (a *Agent) knows(c chat) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.chats.has(c)
+}
+
 // request builds what the target gets: path, headers and body as the caller
 // sent them, and what the target needs to know of the request.
 func (j *job) request(ctx context.Context) (*http.Request, error) {
--- a/agent/chats.go
+++ b/agent/chats.go
@@ -3,8 +3,6 @@
 import (
 	"container/list"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -17,26 +15,28 @@
 	noteLife  = time.Minute
 )
 
-func chatKey(workspace, chat string) uint64 {
-	return xxhash.Sum64String(workspace + "\x00" + chat)
+// chat names a chat of a workspace.
+type chat struct {
+	workspace string
+	name      string
 }
 
 // chatCache remembers which chats were served here lately, as the engine's own
 // cache events come late and with gaps. An error costs a wait or a rebuild,
 // never an answer.
 type chatCache struct {
-	at    map[uint64]*list.Element
+	at    map[chat]*list.Element
 	order list.List
 }
 
-func (c *chatCache) has(key uint64) bool {
+func (c *chatCache) has(key chat) bool {
 	_, ok := c.at[key]
 	return ok
 }
 
-func (c *chatCache) put(key uint64) {
+func (c *chatCache) put(key chat) {
 	if c.at == nil {
-		c.at = make(map[uint64]*list.Element)
+		c.at = make(map[chat]*list.Element)
 	}
 	if e, ok := c.at[key]; ok {
 		c.order.MoveToFront(e)
@@ -48,7 +48,17 @@
 	}
 	last := c.order.Back()
 	c.order.Remove(last)
-	delete(c.at, last.Value.(uint64))
+	delete(c.at, last.Value.(chat))
+}
+
+// latest lists at most n chats, the last served first: the sooner a chat was
+// served, the likelier it returns.
+func (c *chatCache) latest(n int) []chat {
+	out := make([]chat, 0, min(n, c.order.Len()))
+	for e := c.order.Front(); e != nil && len(out) < n; e = e.Next() {
+		out = append(out, e.Value.(chat))
+	}
+	return out
 }
 
 // clear forgets all chats: the target restarted and lost its cache.
--- /dev/null
+++ b/agent/mover.go
@@ -0,0 +1,106 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+const (
+	// shiftMost bounds the chats that a leaving target hands over. Those served
+	// last are the likeliest to return; most return within minutes.
+	shiftMost = 512
+	// shiftLimit is how long handing over may take: an operator who takes a
+	// failure domain out at short notice gives it seconds, not minutes.
+	shiftLimit = 30 * time.Second
+	// takeLimit bounds one chat.
+	takeLimit = 2 * time.Second
+)
+
+// mover hands the KV cache of the latest chats to the targets that rank next
+// for them, where their callers' next requests go. It answers a failure domain
+// that leaves: without it, all its chats rebuild their prefixes at once at
+// targets that just got more load. One chat at a time, latest first.
+type mover struct {
+	wake chan struct{}
+}
+
+// notify starts a hand-over when operators took the target out of service. It
+// never blocks.
+func (m *mover) notify(out bool) {
+	if !out {
+		return
+	}
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *mover) loop(ctx context.Context, a *Agent) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+			a.shift(ctx)
+		}
+	}
+}
+
+func (a *Agent) shift(ctx context.Context) {
+	if a.Dial == nil || a.Ranker == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shiftLimit)
+	defer cancel()
+	a.mu.Lock()
+	chats := a.chats.latest(shiftMost)
+	a.mu.Unlock()
+	for _, c := range chats {
+		if ctx.Err() != nil {
+			return
+		}
+		a.handOver(ctx, c)
+	}
+}
+
+// handOver asks the agent that ranks next for a chat to take its KV cache. A
+// failure costs the chat a rebuild, as if nothing had been tried.
+func (a *Agent) handOver(ctx context.Context, c chat) {
+	v := a.View()
+	if v == nil || v.Targets[a.Name] == nil {
+		return
+	}
+	self := v.Targets[a.Name]
+	next := a.next(v, self, c)
+	if next == nil {
+		return
+	}
+	peer, err := a.Dial(next.Agent)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeLimit)
+	defer cancel()
+	reply, err := peer.Take(ctx, &wire.TakeRequest{
+		Workspace: c.workspace, Chat: c.name, Model: self.Model, Source: self.Agent,
+	})
+	if err != nil || reply.Bytes == 0 {
+		return
+	}
+	a.Notify(Notice{Kind: NoticeHanded, Subject: c.name, Before: a.Name, After: next.Name, Workspace: c.workspace})
+}
+
+// next is the target that ranks first for a chat, this one left out.
+func (a *Agent) next(v *chestnutstep.View, self *chestnutstep.Target, c chat) *chestnutstep.Target {
+	place := chestnutstep.Place{Workspace: c.workspace, Chat: c.name, Model: self.Model, Region: v.Region(self.Host)}
+	for _, t := range a.Ranker(v).Rank(nil, place, 2) {
+		if t.Name != self.Name {
+			return t
+		}
+	}
+	return nil
+}
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -150,7 +150,7 @@
 	if o.Ticket != "" {
 		log.Prefer()
 	}
-	home := o.Chat != "" && a.chats.has(chatKey(o.Workspace, o.Chat))
+	home := o.Chat != "" && a.chats.has(chat{o.Workspace, o.Chat})
 	alone := a.Jury.Judge(now, o.Fingerprint) == chestnutstep.Suspect
 	d := a.Gate.Offer(now, j.work(now, home, alone))
 	switch d.Verdict {
@@ -165,6 +165,7 @@
 	a.Shelf.Remove(o.Workspace, o.Id)
 	r := refusal(d.Reason, chestnutstep.RunNo)
 	r.Retry = int64(d.Retry)
+	r.Home = home
 	return a.deny(now, o, r)
 }
 
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -36,8 +36,10 @@
 	// maybe is set once a target may have run the request without an answer.
 	maybe  bool
 	served string
-	// full counts refusals that waiting may mend.
+	// full is the first target whose refusal waiting may mend.
 	full *chestnutstep.Target
+	// source is the agent that holds the chat's KV cache and refused.
+	source string
 }
 
 // step is what one try led to.
@@ -140,6 +142,7 @@
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
 	}
 	o := k.ask.offer(k.entry.Clock(), patience)
+	o.Source = k.source
 	down, err := k.offer(l, o)
 	if err != nil {
 		defer l.cancel()
@@ -256,6 +259,9 @@
 	if r.Moved != "" {
 		return k.joinMoved(ctx, r.Moved)
 	}
+	if r.Home {
+		k.source = l.target.Agent
+	}
 	ref := &ErrRefused{
 		Reason: chestnutstep.Reason(r.Reason),
 		Run:    chestnutstep.Run(r.Run),
--- a/publication.go
+++ b/publication.go
@@ -28,6 +28,9 @@
 	Name   string `json:"name"`
 	Domain string `json:"domain"`
 	Out    bool   `json:"out,omitempty"`
+	// Entry says that an entry runs here: workspaces' rates are shared out over
+	// the entries in service.
+	Entry bool `json:"entry,omitempty"`
 }
 
 // Kinds of a model.
@@ -54,6 +57,11 @@
 	// Done is the text that the last event of a whole event stream holds, such
 	// as "event: done"; if unset, any clean end counts as whole.
 	Done string `json:"done,omitempty"`
+	// Prefill is how many prompt tokens a second a target reads that are not in
+	// its cache, and Cache the bytes of KV cache for one token: what rebuilding
+	// and importing a chat's prefix cost. If either is 0, nothing is imported.
+	Prefill float64 `json:"prefill,omitempty"`
+	Cache   int64   `json:"cache,omitempty"`
 	// Cold is how many requests a target in cold start can carry.
 	Cold int `json:"cold"`
 }
