agent, entry: a crashing request stops at two targets; repeats run anew

Change: an idempotent run that failed is forgotten when it is asked for again; an entry tells the next agent which targets died and stops after two; only a death seen by boot id or refused connection counts as a crash; an action runs on for the linger time. Not shown yet: the fault matrix plays these.

--- a/agent/call.go
+++ b/agent/call.go
@@ -81,6 +81,7 @@
 		// Ask before the job is marked ended: if the target died, this job and
 		// all that ran beside it become crash suspects.
 		j.agent.health.check(j.agent)
+		res.reason = j.blame(res.reason)
 	}
 	if res.outcome != chestnutstep.Served {
 		j.agent.settle(j, &res)
@@ -89,6 +90,20 @@
 	j.agent.finish(j, res)
 }
 
+// blame tells a dead target from a dropped connection: only the first makes a
+// request suspect.
+func (j *job) blame(reason chestnutstep.Reason) chestnutstep.Reason {
+	if reason != chestnutstep.ReasonCrashed && reason != chestnutstep.ReasonShort {
+		return reason
+	}
+	j.agent.mu.Lock()
+	defer j.agent.mu.Unlock()
+	if j.agent.health.crashes != j.crashes {
+		return chestnutstep.ReasonCrashed
+	}
+	return chestnutstep.ReasonShort
+}
+
 // acquit ends the watch on a request that never reached the target, before the
 // target is found dead: it can't have been the cause.
 func (a *Agent) acquit(j *job) {
--- a/agent/job.go
+++ b/agent/job.go
@@ -43,6 +43,11 @@
 	placed chan struct{}
 	// refusal is set before placed is closed if the job never ran.
 	refusal *wire.Refuse
+	// failed says that an idempotent run ended without a whole answer: a repeat
+	// runs anew instead of hearing of the failure again.
+	failed bool
+	// crashes is the target's count when the job started.
+	crashes int
 	// abort ends the call to the target.
 	abort context.CancelFunc
 }
@@ -130,13 +135,24 @@
 		return
 	}
 	j.state = running
+	j.crashes = a.health.crashes
 	a.Jury.Start(now, j.offer.Fingerprint)
-	ctx, cancel := context.WithDeadline(context.Background(), j.deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), j.limit())
 	j.abort = cancel
 	a.runs.Add(1)
 	go j.run(ctx)
 }
 
+// limit is when the call to the target is cut. A non-idempotent request gets
+// longer than its caller waits: cutting it leaves an outcome that nobody knows,
+// while a repeat of its ticket can still fetch the answer.
+func (j *job) limit() time.Time {
+	if j.once() {
+		return j.deadline.Add(j.agent.Linger)
+	}
+	return j.deadline
+}
+
 // expire ends a job that nobody feeds or reads any more.
 func (a *Agent) expire(now time.Time, j *job) {
 	switch {
@@ -188,6 +204,7 @@
 	defer a.mu.Unlock()
 	now := a.Clock()
 	j.state = over
+	j.failed = res.outcome != chestnutstep.Served && !j.once()
 	j.abort()
 	if !res.unsent {
 		a.Jury.End(now, j.offer.Fingerprint, res.outcome == chestnutstep.Served)
--- a/agent/link.go
+++ b/agent/link.go
@@ -112,6 +112,9 @@
 }
 
 func (a *Agent) noteMoved(m *wire.Moved) {
+	if m.Target == a.Name {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.moved.put(jobKey(m.Workspace, m.Id), m.Target, a.Clock())
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -20,6 +20,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Clock()
+	if len(o.Crashed) > 0 {
+		a.Jury.Learn(now, []chestnutstep.Suspicion{{Fingerprint: o.Fingerprint, Crashed: o.Crashed, Seen: now}})
+	}
 	if adm, known := a.join(o); known {
 		return adm
 	}
@@ -34,7 +37,12 @@
 
 // join finds the request if it is known here already.
 func (a *Agent) join(o *wire.Offer) (admission, bool) {
-	if j := a.jobs[jobKey(o.Workspace, o.Id)]; j != nil {
+	j := a.jobs[jobKey(o.Workspace, o.Id)]
+	if j != nil && j.failed && j.links == 0 {
+		a.remove(j)
+		j = nil
+	}
+	if j != nil {
 		if j.offer.Fingerprint != o.Fingerprint {
 			return admission{refuse: refusal(chestnutstep.ReasonSpent, chestnutstep.RunNo)}, true
 		}
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 )
@@ -110,7 +111,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, e := range p.conns {
-		if now.Sub(e.used) < 2*p.idle() || e.conn.GetState().String() != "IDLE" {
+		if now.Sub(e.used) < 2*p.idle() || e.conn.GetState() != connectivity.Idle {
 			continue
 		}
 		_ = e.conn.Close()
@@ -124,3 +125,23 @@
 	defer p.mu.Unlock()
 	return len(p.conns)
 }
+
+// Reach connects to an address, or says why it can't within ctx. A frozen
+// process does not answer the connection's first frames, so it isn't reached.
+func (p *Pool) Reach(ctx context.Context, addr string) error {
+	c, err := p.Conn(addr)
+	if err != nil {
+		return err
+	}
+	conn := c.(*grpc.ClientConn)
+	conn.Connect()
+	for {
+		state := conn.GetState()
+		if state == connectivity.Ready {
+			return nil
+		}
+		if !conn.WaitForStateChange(ctx, state) {
+			return errors.Wrapf(ctx.Err(), "reach %s", addr)
+		}
+	}
+}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -47,6 +47,7 @@
 
 func (noHosts) Fail(time.Time, string)   {}
 func (noHosts) Answer(time.Time, string) {}
+func (noHosts) Refuse(time.Time, string) {}
 
 func hash(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -17,6 +17,10 @@
 	// agent keeps the run for its linger time; the pauses add up to less.
 	attachMost  = 4
 	attachPause = 100 * time.Millisecond
+	// crashesMost is how many targets one request may take down. One crash may
+	// be chance; a second one right after is the request's doing, and a third
+	// target would follow.
+	crashesMost = 2
 )
 
 // walk takes one request down the ranking until it is served or given up.
@@ -38,6 +42,8 @@
 	served string
 	// full is the first target whose refusal waiting may mend.
 	full *chestnutstep.Target
+	// crashed lists the targets that died while they ran the request.
+	crashed []string
 	// source is the agent that holds the chat's KV cache and refused.
 	source string
 }
@@ -143,6 +149,7 @@
 	}
 	o := k.ask.offer(k.entry.Clock(), patience)
 	o.Source = k.source
+	o.Crashed = k.crashed
 	down, err := k.offer(l, o)
 	if err != nil {
 		defer l.cancel()
@@ -208,7 +215,7 @@
 // target that refused where the request is.
 func (k *walk) accepted(l *link, acc *wire.Accept) step {
 	k.served = l.target.Name
-	if k.refused != nil {
+	if k.refused != nil && k.refused.target != l.target {
 		k.refused.noteMoved(k.ask, l.target.Name)
 		k.refused = nil
 	}
@@ -262,6 +269,9 @@
 	if r.Home {
 		k.source = l.target.Agent
 	}
+	if r.Reason == string(chestnutstep.ReasonLeaving) {
+		k.entry.Hosts.Refuse(k.entry.Clock(), l.target.Host)
+	}
 	ref := &ErrRefused{
 		Reason: chestnutstep.Reason(r.Reason),
 		Run:    chestnutstep.Run(r.Run),
@@ -298,6 +308,12 @@
 		Run:    chestnutstep.Run(b.Run),
 		Retry:  time.Duration(b.Retry),
 	}
+	if ref.Reason == chestnutstep.ReasonCrashed && ref.Run != chestnutstep.RunNo {
+		k.crashed = append(k.crashed, k.served)
+	}
+	if len(k.crashed) >= crashesMost {
+		ref.Reason = chestnutstep.ReasonCondemned
+	}
 	return k.decide(ref)
 }
 
