faults: scripts that kill and freeze real processes; standin pass

The scripts are data and the harness one interpreter.

A first form waited for the run to begin before the kill; whether the caller had read anything by then was chance, so scripts wait for tokens read.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,7 @@
 		engineCommand(),
 		serviceCommand(),
 		callCommand(),
+		passCommand(),
 		demoCommand(),
 	}
 	for _, c := range commands {
--- a/fake/caller.go
+++ b/fake/caller.go
@@ -58,6 +58,8 @@
 	Body         []byte
 	// Cancel gives up after so many tokens; 0 reads to the end.
 	Cancel int
+	// Seen, if set, is told how many tokens have come so far.
+	Seen func(tokens int)
 }
 
 // Result is what the caller got.
@@ -203,6 +205,7 @@
 				return s.end(Foreign, bad)
 			}
 			s.clock()
+			s.tell()
 		}
 		if s.ask.Cancel > 0 && s.checker.Tokens >= s.ask.Cancel {
 			return s.end(Canceled, nil)
@@ -227,6 +230,12 @@
 	s.last = now
 }
 
+func (s *stage) tell() {
+	if s.ask.Seen != nil {
+		s.ask.Seen(s.checker.Tokens)
+	}
+}
+
 func (s *stage) atEnd() Kind {
 	switch {
 	case s.checker.Done != nil:
--- /dev/null
+++ b/faults/faults_test.go
@@ -0,0 +1,47 @@
+package faults
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// programs is the directory with the programs under test.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(build(m))
+}
+
+// build compiles the programs that the scripts start.
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "programs")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	programs = dir
+	c := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	c.Stdout, c.Stderr = os.Stderr, os.Stderr
+	if err := c.Run(); err != nil {
+		return 1
+	}
+	return m.Run()
+}
+
+// TestNaive plays some of the same faults on the naive pass-through. What the
+// scripts note is how it fails, so that it is seen which mechanism matters.
+func TestNaive(t *testing.T) {
+	walk(t, "testdata/naive")
+}
+
+func walk(t *testing.T, dir string) {
+	datadriven.Walk(t, dir, func(t *testing.T, path string) {
+		play(t, filepath.Clean(path))
+	})
+}
--- /dev/null
+++ b/faults/verbs_test.go
@@ -0,0 +1,160 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/fleet"
+)
+
+// signal KIND PROCESS...: kill, stop, freeze or thaw.
+func (s *stage) signal(d *datadriven.TestData) string {
+	for _, a := range d.CmdArgs[1:] {
+		p := s.process(a.Key)
+		switch d.CmdArgs[0].Key {
+		case "kill":
+			p.Kill()
+		case "stop":
+			p.Stop()
+		case "freeze":
+			p.Freeze()
+		case "thaw":
+			p.Thaw()
+		}
+	}
+	return ""
+}
+
+// restart PROCESS... starts entries and agents that ended, and waits for them.
+func (s *stage) restart(d *datadriven.TestData) string {
+	for _, a := range d.CmdArgs {
+		p := s.process(a.Key)
+		<-p.Ended()
+		s.ok(s.begin(p))
+	}
+	return s.ready(d)
+}
+
+func (s *stage) begin(p *fleet.Process) error {
+	for _, t := range s.fleet.Targets {
+		if t.Agent == p {
+			return s.fleet.StartAgent(t)
+		}
+	}
+	return s.fleet.StartEntry(p)
+}
+
+func (s *stage) ready(*datadriven.TestData) string {
+	s.ok(s.fleet.Ready(s.ctx))
+	return ""
+}
+
+// ended PROCESS waits for its end and says how it ended.
+func (s *stage) ended(d *datadriven.TestData) string {
+	p := s.process(d.CmdArgs[0].Key)
+	select {
+	case <-p.Ended():
+	case <-time.After(time.Minute):
+		return "still running after a minute\n"
+	}
+	if err := p.Err(); err != nil {
+		return err.Error() + "\n"
+	}
+	return "by itself\n"
+}
+
+// fault TARGET..., with the fault as input.
+func (s *stage) fault(d *datadriven.TestData) string {
+	var f fake.Fault
+	assert.NilError(s.t, json.Unmarshal([]byte(d.Input), &f))
+	for _, a := range d.CmdArgs {
+		s.ok(s.fleet.Target(a.Key).Fault(s.ctx, f))
+	}
+	return ""
+}
+
+// platform, with a mode as input.
+func (s *stage) platform(d *datadriven.TestData) string {
+	var m fake.Mode
+	assert.NilError(s.t, json.Unmarshal([]byte(d.Input), &m))
+	s.ok(s.fleet.Misbehave(s.ctx, m))
+	return ""
+}
+
+// domain out|back NAME publishes it and waits until all know.
+func (s *stage) domain(d *datadriven.TestData) string {
+	s.ok(s.fleet.Out(s.ctx, d.CmdArgs[1].Key, d.CmdArgs[0].Key == "out"))
+	if s.fleet.Naive {
+		return ""
+	}
+	_, err := s.fleet.Settled(s.ctx)
+	s.ok(err)
+	return ""
+}
+
+func (s *stage) count(domain string) int {
+	n := 0
+	for _, t := range s.fleet.Targets {
+		if t.Domain == domain {
+			all, err := t.Executions(s.ctx)
+			s.ok(err)
+			n += len(all)
+		}
+	}
+	return n
+}
+
+// mark DOMAIN remembers how much its targets have run; fresh tells what came
+// since.
+func (s *stage) mark(d *datadriven.TestData) string {
+	s.marks[d.CmdArgs[0].Key] = s.count(d.CmdArgs[0].Key)
+	return ""
+}
+
+func (s *stage) fresh(d *datadriven.TestData) string {
+	name := d.CmdArgs[0].Key
+	n := s.count(name) - s.marks[name]
+	if d.HasArg("some") {
+		return fmt.Sprintln(n > 0)
+	}
+	return fmt.Sprintln(n)
+}
+
+// many PREFIX n=N [entry=N] makes that many chats, one after the other, and
+// counts what callers got.
+func (s *stage) many(d *datadriven.TestData) string {
+	n := 1
+	d.MaybeScanArgs(s.t, "n", &n)
+	kinds := map[fake.Kind]int{}
+	for i := range n {
+		body, _ := json.Marshal(fake.Ask{Prompt: 20, Output: 3, Note: fmt.Sprint(d.CmdArgs[0].Key, i)})
+		c := &call{ask: fake.Request{
+			Entry: s.entry(d), Profile: fleet.ProfileChat, Body: body,
+			Chat: fmt.Sprint(d.CmdArgs[0].Key, i), ID: fmt.Sprint("id-", d.CmdArgs[0].Key, i),
+		}}
+		s.launch(fmt.Sprint(d.CmdArgs[0].Key, i), c)
+		<-c.done
+		kinds[c.res.Kind]++
+	}
+	var out []string
+	for _, k := range []fake.Kind{fake.Whole, fake.Refused, fake.Broken, fake.Short, fake.Foreign, fake.Absent} {
+		if kinds[k] > 0 {
+			out = append(out, fmt.Sprintf("%d %s", kinds[k], k))
+		}
+	}
+	return strings.Join(out, ", ") + "\n"
+}
+
+// sleep D lets time pass where time itself is the fault.
+func (s *stage) sleep(d *datadriven.TestData) string {
+	v, err := time.ParseDuration(d.CmdArgs[0].Key)
+	s.ok(err)
+	time.Sleep(v)
+	return ""
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,9 @@
 	Services, Entries int
 	// EngineFlags and ServiceFlags are passed to the stand-ins.
 	EngineFlags, ServiceFlags []string
+	// Naive puts plain pass-throughs in the entries' place and starts no agents:
+	// what the fleet is compared with.
+	Naive bool
 	// Settings changes the settings of a process before it starts, if set.
 	Settings func(*Settings)
 	// Change changes the first publication, if set.
@@ -92,6 +95,9 @@
 	if err := f.Publish(ctx, func(*chestnutstep.Publication) {}); err != nil {
 		return err
 	}
+	if f.Naive {
+		return f.startNaive(ctx)
+	}
 	for _, t := range f.Targets {
 		if err := f.StartAgent(t); err != nil {
 			return err
@@ -105,6 +111,35 @@
 	return f.Ready(ctx)
 }
 
+func (f *Fleet) startNaive(ctx context.Context) error {
+	for _, d := range f.Doors {
+		if err := f.StartEntry(d); err != nil {
+			return err
+		}
+	}
+	for _, d := range f.Doors {
+		err := Until(ctx, d.Name, func() error {
+			c, err := net.Dial("tcp", d.Address)
+			if err != nil {
+				return err
+			}
+			return c.Close()
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) passFlags(p *Process) []string {
+	flags := []string{"pass", "--listen", p.Address}
+	for _, t := range f.Targets {
+		flags = append(flags, "--"+t.Kind, "http://"+t.Back.Address)
+	}
+	return flags
+}
+
 // claim finds a loopback network that no other fleet uses: the platform's
 // address is bound as long as the fleet runs.
 func (f *Fleet) claim() error {
@@ -187,6 +222,9 @@
 
 // StartEntry starts an entry, also again after it ended.
 func (f *Fleet) StartEntry(p *Process) error {
+	if f.Naive {
+		return f.start(p, "standin", f.passFlags(p)...)
+	}
 	s := &Settings{
 		Name:   p.Name,
 		Host:   "host-" + p.Name,
--- a/load/pass.go
+++ b/load/pass.go
@@ -15,8 +15,9 @@
 // a random target, no decisions, and plain retry if Tries is above 1. It
 // doubles actions and passes short answers on as whole; tests show that.
 type Pass struct {
-	// Targets are base URLs.
-	Targets []string
+	// Targets are base URLs of engines, Services of plain services, which get
+	// the paths that the services know.
+	Targets, Services []string
 	// Tries bounds the targets that a request is sent to.
 	Tries int
 	// Client calls targets; nil is a default one.
@@ -40,7 +41,7 @@
 }
 
 func (p *Pass) try(w http.ResponseWriter, r *http.Request, body []byte) bool {
-	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target()+r.URL.RequestURI(), bytes.NewReader(body))
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, p.target(r.URL.Path)+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -57,11 +58,16 @@
 	return true
 }
 
-func (p *Pass) target() string {
+func (p *Pass) target(path string) string {
+	list := p.Targets
+	switch path {
+	case "/bookings", "/edits", "/slots":
+		list = p.Services
+	}
 	if p.Pick != nil {
-		return p.Targets[p.Pick(len(p.Targets))]
+		return list[p.Pick(len(list))]
 	}
-	return p.Targets[rand.IntN(len(p.Targets))]
+	return list[rand.IntN(len(list))]
 }
 
 func (p *Pass) client() *http.Client {
