--- a/ticket/token.go
+++ b/ticket/token.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"strings"
 )
 
 const (
@@ -65,13 +66,14 @@
 	return base64.RawURLEncoding.EncodeToString(b)
 }
 
-// parse splits a token into its claim, the signed bytes and the MAC.
+// parse splits a token into its claim, the signed bytes and the MAC. Line ends,
+// which the decoder skips, are refused, so that one text stands for one ticket.
 func parse(token string) (c claim, body, mac []byte, ok bool) {
 	if len(token) > maxToken {
 		return claim{}, nil, nil, false
 	}
 	b, err := base64.RawURLEncoding.Strict().DecodeString(token)
-	if err != nil || len(b) < macSize {
+	if err != nil || len(b) < macSize || strings.ContainsAny(token, "\r\n") {
 		return claim{}, nil, nil, false
 	}
 	body, mac = b[:len(b)-macSize], b[len(b)-macSize:]
