--- /dev/null
+++ b/chart/chart_test.go
@@ -0,0 +1,82 @@
+package chart
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+)
+
+// The scripts in testdata check charts with one fault each, and walk a sound one.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/parse", func(t *testing.T, path string) {
+		var c *Chart
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "parse":
+				parsed, err := Parse(d.Input)
+				if err != nil {
+					assert.Assert(t, IsErrChart(err))
+					return err.Error()
+				}
+				c = parsed
+				return c.Doc()
+			case "walk":
+				return walk(c, strings.Fields(d.Input))
+			}
+			return "unknown command"
+		})
+	})
+}
+
+func walk(c *Chart, events []string) string {
+	var out strings.Builder
+	state := c.Start()
+	for _, event := range events {
+		next, err := c.Next(state, event)
+		if err != nil {
+			fmt.Fprintf(&out, "%v %v\n", err, IsErrTransition(err))
+			continue
+		}
+		state = next
+		fmt.Fprintf(&out, "%s -> %s, final %v\n", event, state, c.Final(state))
+	}
+	return out.String()
+}
+
+// A target that operators took out, or that leaves, restarts: it goes silent,
+// comes back and looks healthy. It must not get work by that, or an operator
+// sees requests on a host that is being replaced.
+func TestNoRestartBringsATargetBack(t *testing.T) {
+	for _, state := range []string{"out", "leaving"} {
+		at := state
+		for _, event := range []string{"lost", "ready", "chill", "earn", "prove", "lost"} {
+			at, _ = Target.Next(at, event)
+			assert.Equal(t, at, state)
+		}
+	}
+	at, err := Target.Next("leaving", "out")
+	assert.NilError(t, err)
+	assert.Equal(t, at, "out")
+}
+
+func ExampleChart_Next() {
+	state, err := Publication.Next("fetched", "force")
+	fmt.Println(state, err)
+	_, err = Publication.Next("superseded", "force")
+	fmt.Println(err)
+	// Output:
+	// forced <nil>
+	// chart publication: no move from "superseded" on "force"
+}
+
+func BenchmarkNext(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Target.Next("warm", "chill"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/chart/error.go
+++ b/chart/error.go
@@ -33,6 +33,9 @@
 }
 
 func (e ErrChart) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("chart %s: %s", e.Chart, e.Problem)
+	}
 	return fmt.Sprintf("chart %s, line %d: %s", e.Chart, e.Line, e.Problem)
 }
 
