--- a/fake/engine.go
+++ b/fake/engine.go
@@ -217,8 +217,21 @@
 	return e.Cold > 0 && e.served < e.Warm
 }
 
+// carried counts what the engine has taken in and not ended. A canceled answer
+// stays in the batch until its next step, but costs nothing any more: its
+// cancel was confirmed, and who asked for it takes the place for free.
+func (e *Engine) carried() int {
+	n := len(e.queue)
+	for _, s := range e.batch {
+		if !s.over {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *Engine) overloaded() bool {
-	n := len(e.queue) + len(e.batch)
+	n := e.carried()
 	if e.cold() && n > e.Cold {
 		return true
 	}
