admit, agent: a cold target grows only after its published proof

Cause: the cap of a cold target doubled after as many whole answers as it allowed at once, 4, while the engine carries more than 4 only after 8. Operators publish "warm" now, and an agent also takes the target's own word when it turns cold without a restart (the change counts, as the report lags). An aborted event stream that ended in mid-event got two empty lines more than it needs; a strict reader took them for an event.

--- a/admit/cold.go
+++ b/admit/cold.go
@@ -12,6 +12,10 @@
 type Cold struct {
 	// Start is what a target in cold start can carry; below 1 it is read as 1.
 	Start int
+	// Warm is how many whole answers a target needs before it carries more than
+	// Start; growing sooner pushed engines over in a run of the demo. Below
+	// Start it is read as Start.
+	Warm int
 	// Slots is what a warm target can run; reaching it is being warm.
 	Slots int
 
@@ -50,7 +54,7 @@
 		return
 	}
 	c.earned++
-	if c.earned < limit {
+	if c.earned < c.wanted(limit) {
 		return
 	}
 	c.earned = 0
@@ -59,6 +63,14 @@
 	c.warm = !cold
 }
 
+// wanted is how many whole answers prove the present cap.
+func (c *Cold) wanted(limit int) int {
+	if c.cap <= max(c.Start, 1) {
+		return max(c.Warm, limit)
+	}
+	return limit
+}
+
 // Fail counts a bad answer to work of the given era: a cold target steps back
 // to half, as the last step may have been too much for it.
 func (c *Cold) Fail(era uint64) {
--- a/agent/health.go
+++ b/agent/health.go
@@ -25,6 +25,8 @@
 type health struct {
 	boot string
 	down bool
+	// cold is what the target last said of itself.
+	cold bool
 	// crashes counts deaths with requests running.
 	crashes int
 }
@@ -33,6 +35,7 @@
 type report struct {
 	Boot    string `json:"boot"`
 	Running int    `json:"running"`
+	Cold    bool   `json:"cold"`
 }
 
 func (h *health) loop(ctx context.Context, a *Agent) {
@@ -54,13 +57,14 @@
 func (h *health) check(a *Agent) {
 	a.probing.Lock()
 	defer a.probing.Unlock()
-	boot, err := a.probe()
+	r, err := a.probe()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Clock()
 	switch {
 	case err == nil:
-		h.alive(now, a, boot)
+		h.alive(now, a, r.Boot)
+		h.temper(now, a, r.Cold)
 	case isRefused(err):
 		h.dead(now, a)
 	}
@@ -68,25 +72,39 @@
 }
 
 // probe asks the target for its boot id.
-func (a *Agent) probe() (string, error) {
+func (a *Agent) probe() (report, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
 	defer cancel()
 	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, a.URL+"/control/load", nil)
 	if err != nil {
-		return "", errors.Wrap(err, "probe")
+		return report{}, errors.Wrap(err, "probe")
 	}
 	rs, err := a.Single.Do(rq)
 	if err != nil {
-		return "", errors.Wrap(err, "probe")
+		return report{}, errors.Wrap(err, "probe")
 	}
 	defer rs.Body.Close()
-	if boot := rs.Header.Get(chestnutstep.HeaderBoot); boot != "" {
-		return boot, nil
-	}
 	var r report
 	// A plain service may know no such path: that it answers is enough.
 	_ = json.NewDecoder(rs.Body).Decode(&r)
-	return r.Boot, nil
+	if boot := rs.Header.Get(chestnutstep.HeaderBoot); boot != "" {
+		r.Boot = boot
+	}
+	return r, nil
+}
+
+// temper notices a target that turned cold without restarting. Only the change
+// counts: the report lags, and says cold for a while after the target has
+// proven warm.
+func (h *health) temper(now time.Time, a *Agent, cold bool) {
+	turned := cold && !h.cold
+	h.cold = cold
+	if !turned {
+		return
+	}
+	a.chats.clear()
+	a.Gate.Chill(now)
+	a.Notify(Notice{Kind: NoticeCold, Subject: a.Name, Before: h.boot, After: h.boot})
 }
 
 // seen takes a boot id from an answer.
@@ -114,6 +132,7 @@
 	}
 	before := h.boot
 	h.boot = boot
+	h.cold = true
 	a.chats.clear()
 	a.Gate.Chill(now)
 	a.Notify(Notice{Kind: NoticeCold, Subject: a.Name, Before: before, After: boot})
--- a/entry/output.go
+++ b/entry/output.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -23,11 +24,14 @@
 	// status can't be changed any more.
 	started bool
 	status  int
-	events  bool
-	offset  int64
-	sum     *xxhash.Digest
-	first   time.Time
-	cached  int64
+	// events says that the answer is an event stream, and gap that its last
+	// byte ended an event.
+	events bool
+	gap    bool
+	offset int64
+	sum    *xxhash.Digest
+	first  time.Time
+	cached int64
 }
 
 // head sends status and headers, once. A second head with another status
@@ -66,6 +70,7 @@
 	data := f.Data[skip:]
 	_, _ = o.sum.Write(data)
 	o.offset += int64(len(data))
+	o.gap = bytes.HasSuffix(data, []byte("\n\n"))
 	if _, err := o.w.Write(data); err != nil {
 		return true, err
 	}
@@ -89,7 +94,11 @@
 	if o.events {
 		ref := refused(err)
 		data, _ := json.Marshal(problem{Code: string(ref.Reason), Run: string(ref.Run), Title: "answer broken off"})
-		_, _ = o.w.Write([]byte("\n\nevent: error\ndata: " + string(data) + "\n\n"))
+		if !o.gap {
+			// Ends the half event that stands there.
+			_, _ = o.w.Write([]byte("\n\n"))
+		}
+		_, _ = o.w.Write([]byte("event: error\ndata: " + string(data) + "\n\n"))
 		o.flush()
 	}
 	panic(http.ErrAbortHandler)
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -37,7 +37,7 @@
 func (f *Fleet) first() *chestnutstep.Publication {
 	p := &chestnutstep.Publication{
 		Models: []chestnutstep.Model{
-			{Name: ModelChat, Kind: chestnutstep.KindEngine, Multiple: 1.5, Floor: 4, Slots: 32, Queue: 64, Cold: 4},
+			{Name: ModelChat, Kind: chestnutstep.KindEngine, Multiple: 1.5, Floor: 4, Slots: 32, Queue: 64, Cold: 4, Warm: 8, Done: "event: done"},
 			{Name: ModelBook, Kind: chestnutstep.KindService, Multiple: 2, Floor: 8, Slots: 64, Queue: 64, Cold: 8},
 		},
 		Profiles: profiles(),
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -55,6 +55,7 @@
 	g.cap.Weight = l.Weight
 	g.cap.Single = l.Single
 	g.cold.Start = l.Model.Cold
+	g.cold.Warm = l.Model.Warm
 	g.cold.Slots = l.Model.Slots
 	g.queue.Bound = l.Model.Queue
 	g.queue.Weights = l.Workspaces
--- a/publication.go
+++ b/publication.go
@@ -64,6 +64,9 @@
 	Cache   int64   `json:"cache,omitempty"`
 	// Cold is how many requests a target in cold start can carry.
 	Cold int `json:"cold"`
+	// Warm is how many whole answers a target needs after its start before it
+	// carries more than Cold.
+	Warm int `json:"warm,omitempty"`
 }
 
 // Target is one back end: a model engine or a plain service on a host.
