--- /dev/null
+++ b/order/warden_test.go
@@ -0,0 +1,183 @@
+package order
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const (
+	loads   = 2.0
+	wardens = 4
+	moment  = 50 * time.Millisecond
+)
+
+// published are the targets of two publications that differ by two at each end.
+func published(version uint64) []string {
+	var all []string
+	for n := 2 * version; n < 2*version+8; n++ {
+		all = append(all, fmt.Sprint("t", n))
+	}
+	return all
+}
+
+// store counts what the wardens of a fleet let through to the weight store while
+// cold targets ask all of them all the time.
+type store struct {
+	now     time.Time
+	agents  []*Warden
+	version []uint64
+	times   []time.Time
+}
+
+func newStore() *store {
+	s := &store{now: epoch}
+	for n := range 14 {
+		s.agents = append(s.agents, &Warden{Target: fmt.Sprint("t", n)})
+		s.version = append(s.version, 0)
+	}
+	return s
+}
+
+func (s *store) learn(n int, version uint64) {
+	s.version[n] = version
+	s.agents[n].Limit(s.now, published(version), loads, wardens)
+}
+
+func (s *store) restart(n int) {
+	s.agents[n] = &Warden{Target: fmt.Sprint("t", n)}
+	s.learn(n, s.version[n])
+}
+
+func (s *store) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(moment) {
+		for _, a := range s.agents {
+			if ok, _ := a.Permit(s.now); ok {
+				s.times = append(s.times, s.now)
+			}
+		}
+	}
+}
+
+// excess is the most permits, over any stretch of time, above the fleet's rate.
+func (s *store) excess() float64 {
+	most := 0.0
+	for i := range s.times {
+		for j := i; j < len(s.times); j++ {
+			allowed := loads * s.times[j].Sub(s.times[i]).Seconds()
+			most = max(most, float64(j-i+1)-allowed)
+		}
+	}
+	return most
+}
+
+// A publication spreads, and agents learn it at different moments and restart. If each new warden began with its full share,
+// the store would refuse loads just while a domain starts cold.
+func TestLoadsStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newStore()
+		s.now = s.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+		for n := range s.agents {
+			s.learn(n, 1)
+		}
+		s.pass(20 * time.Second)
+		left := rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13}).Draw(t, "order")
+		for _, n := range left {
+			s.pass(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			s.learn(n, 2)
+			if rapid.Bool().Draw(t, "restart") {
+				s.restart(left[0])
+			}
+		}
+		s.pass(20 * time.Second)
+		assert.Assert(t, s.excess() <= wardens, "%.1f permits above the rate", s.excess())
+		assert.Assert(t, len(s.times) > 30, "only %d loads", len(s.times))
+	})
+}
+
+// Two halves of a fleet hold different publications for long. The excess is the
+// share of the wardens that differ. Wardens picked from who is thought alive, as
+// each agent sees it, have no such bound: three views let three times as much
+// through.
+func TestPartitionBoundsTheExcess(t *testing.T) {
+	s := newStore()
+	for n := range s.agents {
+		s.learn(n, 1+uint64(n%2))
+	}
+	s.pass(110 * time.Second)
+	moved := 0
+	for _, name := range Wardens(published(2), wardens) {
+		if !contains(Wardens(published(1), wardens), name) {
+			moved++
+		}
+	}
+	most := loads * 100 * (1 + float64(moved)/wardens)
+	t.Logf("100 s at %.0f loads a second, %d of %d wardens differ: %d loads, at most %.0f", loads, moved, wardens, len(s.times), most)
+	assert.Assert(t, float64(len(s.times)) <= most+wardens)
+
+	naive := newStore()
+	r := rand.New(rand.NewSource(1))
+	for _, a := range naive.agents {
+		view := append(published(0), published(3)...)
+		r.Shuffle(len(view), func(i, j int) { view[i], view[j] = view[j], view[i] })
+		a.Limit(naive.now, append(view[:6], a.Target), loads, wardens)
+	}
+	naive.pass(110 * time.Second)
+	t.Logf("by each agent's own view of who is alive: %d loads", len(naive.times))
+	assert.Assert(t, len(naive.times) > 300)
+}
+
+func contains(all []string, name string) bool {
+	for _, one := range all {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// A quiet hour passes and then many targets start cold at once. What the wardens
+// saved up in that hour would flood the store.
+func TestQuietSavesOnePermit(t *testing.T) {
+	w := &Warden{Target: "t"}
+	w.Limit(epoch, []string{"t"}, loads, wardens)
+	assert.Equal(t, burst(w, epoch.Add(time.Hour)), 1)
+	ok, wait := w.Permit(epoch.Add(time.Hour))
+	assert.Assert(t, !ok && wait == time.Second/2)
+	w.Limit(epoch.Add(time.Hour), []string{"t", "u"}, 2*loads, wardens)
+	assert.Equal(t, burst(w, epoch.Add(time.Hour+time.Second/2)), 1, "the same share in a new publication goes on")
+}
+
+// Operators write a rate that is close to nothing. An overflow would turn it into
+// no limit at all.
+func TestTinyRate(t *testing.T) {
+	w := &Warden{Target: "t"}
+	w.Limit(epoch, []string{"t"}, 1e-30, wardens)
+	assert.Equal(t, burst(w, epoch.Add(2*maxEach)), 1)
+	w.Limit(epoch, []string{"t"}, 0, wardens)
+	assert.Equal(t, burst(w, epoch.Add(9*maxEach)), 0, "a rate of 0 lets nothing go")
+}
+
+func burst(w *Warden, now time.Time) int {
+	n := 0
+	for range 100 {
+		if ok, _ := w.Permit(now); ok {
+			n++
+		}
+	}
+	return n
+}
+
+func BenchmarkWardens(b *testing.B) {
+	names := make([]string, 2700)
+	for i := range names {
+		names[i] = fmt.Sprint("domain-1-engine-", i)
+	}
+	for b.Loop() {
+		Wardens(names, DefaultWardens)
+	}
+}
