--- a/ticket/booth_test.go
+++ b/ticket/booth_test.go
@@ -73,6 +73,8 @@
 		s.booth.Release(s.now, token)
 	case "done":
 		s.booth.Done(s.now, token, arg(2) == "known")
+	case "unsent":
+		return say(s.booth.Unsent(s.now, token))
 	case "restart":
 		s.restart()
 	case "pass":
--- a/ticket/model_test.go
+++ b/ticket/model_test.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// unsent ends a run whose connection was refused: it did not run after all.
+func (m *model) unsent(t *rapid.T) {
+	a := m.pick(t)
+	known := m.known(a)
+	if known && a.state == chestnutstep.TicketRunning {
+		a.state = chestnutstep.TicketDropped
+		a.runs = 0
+	}
+	stub := m.booth.Unsent(m.now, a.token)
+	if known && a.state != chestnutstep.TicketFresh {
+		m.hear(t, a, known, stub)
+	}
+}
+
 func (m *model) release(t *rapid.T) {
 	a := m.pick(t)
 	m.booth.Release(m.now, a.token)
@@ -158,7 +172,7 @@
 		m.restart(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"mint": m.mint, "hold": m.hold, "run": m.run, "end": m.end,
-			"release": m.release, "drop": m.drop, "pass": m.pass,
+			"release": m.release, "unsent": m.unsent, "drop": m.drop, "pass": m.pass,
 			"hold again": m.hold, "run again": m.run,
 			"restart": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
