fake: an engine that turns cold says so in its next report

Reports were made only when a request came or ended, so an idle engine that was told to turn cold went on reporting warm for ever, not just for its lag. The cells first, middle, last and lost by cold of the fault matrix fell over by it.

--- a/fake/control.go
+++ b/fake/control.go
@@ -183,6 +183,7 @@
 	if f.Cold {
 		e.served = 0
 		e.cache.clear()
+		e.reports.add(time.Now(), e.load())
 	}
 	if f.Crash {
 		e.crash()
