--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -79,6 +79,9 @@
 // Addr is where to dial.
 func (r *Relay) Addr() string { return r.l.Addr().String() }
 
+// Aim sends new connections to another backend.
+func (r *Relay) Aim(backend string) { r.tell(func() { r.Backend = backend }) }
+
 // Stop breaks all connections and ends the relay.
 func (r *Relay) Stop() {
 	r.tell(func() { r.closed = true })
@@ -164,12 +167,13 @@
 	r.mu.Lock()
 	r.dialled++
 	refuse := r.refuse
+	backend := r.Backend
 	r.mu.Unlock()
 	if refuse {
 		c.Close()
 		return
 	}
-	b, err := net.Dial("tcp", r.Backend)
+	b, err := net.Dial("tcp", backend)
 	if err != nil {
 		c.Close()
 		return
