--- /dev/null
+++ b/matrix/fault_test.go
@@ -0,0 +1,159 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/pipe"
+)
+
+// faults are what happens at a step, by the name in testdata/cells. Each is
+// told the node where the request stands.
+var faults = map[string]func(*play, *Node) error{
+	"none":    func(*play, *Node) error { return nil },
+	"break":   func(_ *play, n *Node) error { n.Links[0].Break(); return nil },
+	"cut":     func(p *play, n *Node) error { return p.cut(n, pipe.Up, pipe.Down) },
+	"cutup":   func(p *play, n *Node) error { return p.cut(n, pipe.Up) },
+	"cutdown": func(p *play, n *Node) error { return p.cut(n, pipe.Down) },
+	"delay":   func(p *play, _ *Node) error { p.late = true; return nil },
+	"crossed": func(_ *play, n *Node) error { n.Misbehave(fake.Fault{Crossed: true, Count: 1}); return nil },
+	"cold":    (*play).cold,
+	"crash":   (*play).crash,
+	"drop":    func(_ *play, n *Node) error { n.Back.Break(); return nil },
+	"leave":   (*play).leave,
+	"out":     (*play).out,
+	"restart": func(p *play, _ *Node) error { p.stack.RestartEntries(); return nil },
+	"stale":   (*play).stale,
+	"rival":   (*play).rival,
+	"half":    (*play).half,
+}
+
+func (p *play) cut(n *Node, ways ...pipe.Way) error {
+	for _, w := range ways {
+		n.Links[0].Cut(w)
+	}
+	return nil
+}
+
+func (p *play) crash(n *Node) error {
+	n.Misbehave(fake.Fault{Crash: true})
+	n.Back.Break()
+	return nil
+}
+
+// leave begins a planned stop. The naive version knows none: its process ends.
+func (p *play) leave(n *Node) error {
+	if p.stack.Naive {
+		n.Links[0].Break()
+		return nil
+	}
+	go func() { _ = n.Agent.Leave(context.Background()) }()
+	return until(func() bool { return n.Agent.Load().Leaving }, "the agent leaves")
+}
+
+func (p *play) out(n *Node) error {
+	p.gone = n.Domain
+	return p.stack.Publish(p.takeOut)
+}
+
+func (p *play) takeOut(pub *chestnutstep.Publication) {
+	for i := range pub.Domains {
+		pub.Domains[i].Out = pub.Domains[i].Name == p.gone
+	}
+}
+
+// stale offers an older publication, as a service does that was restored from
+// an old copy.
+func (p *play) stale(*Node) error {
+	root, parts := config.Pack(p.stack.Next(-1, func(*chestnutstep.Publication) {}))
+	err := p.stack.Store.Put(time.Now(), root, parts)
+	if !config.IsErrOld(err) {
+		return errors.Newf("an older publication was not refused: %v", err)
+	}
+	return nil
+}
+
+// rival lets two operators publish the same version with different contents.
+func (p *play) rival(n *Node) error {
+	p.gone = n.Domain
+	first := p.stack.Next(1, p.takeOut)
+	second := p.stack.Next(1, func(pub *chestnutstep.Publication) { pub.Workspaces[0].Weight = 2 })
+	clash := 0
+	for _, pub := range []*chestnutstep.Publication{first, second, first} {
+		root, parts := config.Pack(pub)
+		if config.IsErrClash(p.stack.Store.Put(time.Now(), root, parts)) {
+			clash++
+		}
+	}
+	if clash == 0 {
+		return errors.New("neither publication was refused")
+	}
+	if !p.stack.Store.View().Out(p.stack.Store.View().Targets[n.Name]) {
+		p.gone = ""
+	}
+	return nil
+}
+
+// half gives a process the root of a publication without the part that changed.
+func (p *play) half(n *Node) error {
+	p.gone = n.Domain
+	root, parts := config.Pack(p.stack.Next(1, p.takeOut))
+	before := p.stack.Store.View()
+	if err := p.stack.Store.Put(time.Now(), root, nil); !config.IsErrPart(err) {
+		return errors.Newf("half a publication: %v", err)
+	}
+	if p.stack.Store.View() != before {
+		return errors.New("half a publication is in force")
+	}
+	p.later = append(p.later, func() error { return p.stack.Store.Put(time.Now(), root, parts) })
+	return nil
+}
+
+// cold makes the engine lose its cache and warmth without a word. Once its
+// agent had a chance to see it, more work comes than a cold engine carries.
+func (p *play) cold(n *Node) error {
+	n.Misbehave(fake.Fault{Cold: true})
+	p.later = append(p.later, func() error { return p.flood(n) })
+	return nil
+}
+
+// floodSize is more than a cold engine carries and less than a warm one does.
+const floodSize = 3 * coldLoad
+
+func (p *play) flood(n *Node) error {
+	if !p.stack.Naive {
+		_ = until(func() bool { return n.Agent.Load().Cold }, "the agent sees the cold")
+	}
+	var all sync.WaitGroup
+	for i := range floodSize {
+		c := *p.caller
+		c.Name, c.Tried = fmt.Sprint("flood-", i), nil
+		all.Go(func() { c.Run() })
+	}
+	all.Wait()
+	for _, e := range n.Executions() {
+		if e.Outcome == fake.OutcomeCrashed {
+			return errors.New("the cold engine fell over")
+		}
+	}
+	return nil
+}
+
+// untilLimit bounds the wait for a condition; it decides nothing by itself.
+const untilLimit = 5 * time.Second
+
+func until(ok func() bool, what string) error {
+	for end := time.Now().Add(untilLimit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return nil
+		}
+	}
+	return errors.Newf("never: %s", what)
+}
--- /dev/null
+++ b/matrix/halt.go
@@ -0,0 +1,78 @@
+// Package matrix is a test aid: the fleet in one process over real sockets,
+// stopped at a step of a request so that a fault can happen right there.
+package matrix
+
+import "sync"
+
+// Step is a point in the life of a request or of a process.
+type Step string
+
+// The steps, in the order of a request's life.
+const (
+	StepMint   Step = "mint"   // tickets are minted, the caller has not seen them
+	StepOffer  Step = "offer"  // the offer was sent, the agent has not read it
+	StepAccept Step = "accept" // the agent accepted, the entry has not heard
+	StepBody   Step = "body"   // the body was sent, the agent has not read its end
+	StepStart  Step = "start"  // the target has the request and did nothing yet
+	StepSpent  Step = "spent"  // the action took effect, nobody has heard
+	StepFirst  Step = "first"  // the first byte left the agent
+	StepMiddle Step = "middle" // some of the answer left the agent
+	StepLast   Step = "last"   // all but the last frame left the agent
+	StepLost   Step = "lost"   // all left the agent, the caller has got nothing
+	StepDrain  Step = "drain"  // as middle, and the agent has just begun to drain
+)
+
+// Halt stops the first request that comes to the armed step.
+type Halt struct {
+	mu      sync.Mutex
+	at      Step
+	target  string
+	reached chan struct{}
+	release chan struct{}
+}
+
+// Arm makes the next request that comes to the step stop there.
+func (h *Halt) Arm(at Step) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.at = at
+	h.reached = make(chan struct{})
+	h.release = make(chan struct{})
+}
+
+// Reach is called where a step is; it blocks when the step is armed.
+func (h *Halt) Reach(at Step, target string) {
+	h.mu.Lock()
+	if h.at != at {
+		h.mu.Unlock()
+		return
+	}
+	h.at = ""
+	h.target = target
+	release := h.release
+	close(h.reached)
+	h.mu.Unlock()
+	<-release
+}
+
+// Reached is closed once a request stands at the step.
+func (h *Halt) Reached() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reached
+}
+
+// Target is where the request stands.
+func (h *Halt) Target() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.target
+}
+
+// Release lets the request go on. Arm must have come before.
+func (h *Halt) Release() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.at = ""
+	close(h.release)
+}
--- /dev/null
+++ b/matrix/hook.go
@@ -0,0 +1,131 @@
+package matrix
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// middleFrame is the frame of an answer that counts as its middle.
+const middleFrame = 3
+
+// hooks stops requests on their way through one agent.
+type hooks struct {
+	halt   *Halt
+	target string
+	// probes counts what the agent asked of the target's controls.
+	probes atomic.Int64
+}
+
+func (h *hooks) stream(srv any, st grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+	return next(srv, &hookedStream{ServerStream: st, hooks: h})
+}
+
+func (h *hooks) unary(ctx context.Context, rq any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	reply, err := next(ctx, rq)
+	if _, ok := reply.(*wire.MintReply); ok && err == nil {
+		h.halt.Reach(StepMint, h.target)
+	}
+	return reply, err
+}
+
+// hookedStream sees the messages of one request.
+type hookedStream struct {
+	grpc.ServerStream
+	*hooks
+	frames atomic.Int32
+}
+
+// RecvMsg stops before the agent gets what came.
+func (s *hookedStream) RecvMsg(m any) error {
+	if err := s.ServerStream.RecvMsg(m); err != nil {
+		return err
+	}
+	up, _ := m.(*wire.Up)
+	if up.GetOffer() != nil {
+		s.halt.Reach(StepOffer, s.target)
+	}
+	if up.GetBody().GetLast() {
+		s.halt.Reach(StepBody, s.target)
+	}
+	return nil
+}
+
+// SendMsg stops before an accept or a last frame leaves, and after others.
+func (s *hookedStream) SendMsg(m any) error {
+	down, _ := m.(*wire.Down)
+	if down.GetAccept() != nil {
+		s.halt.Reach(StepAccept, s.target)
+	}
+	if down.GetLast() != nil {
+		s.halt.Reach(StepLast, s.target)
+	}
+	err := s.ServerStream.SendMsg(m)
+	s.sent(down)
+	return err
+}
+
+func (s *hookedStream) sent(down *wire.Down) {
+	switch {
+	case down.GetLast() != nil:
+		s.halt.Reach(StepLost, s.target)
+	case down.GetFrame() == nil:
+		return
+	}
+	n := s.frames.Add(1)
+	if n == 1 {
+		s.halt.Reach(StepFirst, s.target)
+	}
+	if n == middleFrame {
+		s.halt.Reach(StepMiddle, s.target)
+	}
+}
+
+// hookedTarget stops requests at a target before and after they take effect.
+type hookedTarget struct {
+	http.Handler
+	*hooks
+	// plain says that no agent stands before the target: what would be an
+	// offer, an accept and a body is then one step, the request's arrival.
+	plain bool
+	// whole says that the answer is held until the action took effect.
+	whole bool
+}
+
+// ServeHTTP passes a request on, and stops it where it should.
+func (t *hookedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/control/") {
+		t.probes.Add(1)
+		t.Handler.ServeHTTP(w, r)
+		return
+	}
+	if t.plain {
+		t.halt.Reach(StepOffer, t.target)
+		t.halt.Reach(StepAccept, t.target)
+		t.halt.Reach(StepBody, t.target)
+	}
+	t.halt.Reach(StepStart, t.target)
+	if !t.whole {
+		t.Handler.ServeHTTP(w, r)
+		return
+	}
+	held := &heldAnswer{ResponseWriter: w}
+	t.Handler.ServeHTTP(held, r)
+	t.halt.Reach(StepSpent, t.target)
+	_, _ = w.Write(held.body.Bytes())
+}
+
+// heldAnswer keeps a body back; its status and headers are the target's own.
+type heldAnswer struct {
+	http.ResponseWriter
+	body bytes.Buffer
+}
+
+// Write keeps the bytes.
+func (h *heldAnswer) Write(p []byte) (int, error) { return h.body.Write(p) }
--- /dev/null
+++ b/matrix/naive.go
@@ -0,0 +1,82 @@
+package matrix
+
+import (
+	"bytes"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"slices"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// naive is what the fleet is compared with: a plain pass-through that spreads
+// by hash and repeats at the next target when something went wrong.
+type naive struct {
+	halt *Halt
+	// targets lists the addresses of each model's targets.
+	targets map[string][]address
+}
+
+type address struct {
+	name string
+	url  string
+}
+
+// ServeHTTP passes a request on.
+func (n *naive) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(r.Header.Get(chestnutstep.HeaderChat)))
+	list := n.targets[r.Header.Get(chestnutstep.HeaderProfile)]
+	first := int(h.Sum32()) % len(list)
+	order := append(slices.Clone(list[first:]), list[:first]...)
+	for _, a := range order {
+		if n.try(w, r, a, body) {
+			return
+		}
+	}
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+func (n *naive) try(w http.ResponseWriter, r *http.Request, a address, body []byte) bool {
+	rq, err := http.NewRequestWithContext(r.Context(), r.Method, a.url+r.URL.Path, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	rq.Header = r.Header.Clone()
+	rq.Header.Set(chestnutstep.HeaderRequest, r.Header.Get(chestnutstep.HeaderIdempotency))
+	rs, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		return false
+	}
+	defer rs.Body.Close()
+	if rs.StatusCode >= http.StatusInternalServerError {
+		return false
+	}
+	w.WriteHeader(rs.StatusCode)
+	n.copy(w, rs.Body, a.name)
+	return true
+}
+
+func (n *naive) copy(w http.ResponseWriter, body io.Reader, target string) {
+	piece := make([]byte, 1<<10)
+	var err error
+	for i := 1; err == nil; i++ {
+		var k int
+		k, err = body.Read(piece)
+		_, _ = w.Write(piece[:k])
+		_ = http.NewResponseController(w).Flush()
+		if i == 1 {
+			n.halt.Reach(StepFirst, target)
+		}
+		if i == middleFrame {
+			n.halt.Reach(StepMiddle, target)
+		}
+	}
+	n.halt.Reach(StepLast, target)
+	n.halt.Reach(StepLost, target)
+}
--- /dev/null
+++ b/matrix/play_test.go
@@ -0,0 +1,262 @@
+package matrix
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/pipe"
+)
+
+// play is one run of a cell, by the fleet or by the naive version.
+type play struct {
+	cell
+	stack  *Stack
+	caller *Caller
+	tries  []Attempt
+	// late keeps the request at its step until the caller's first try is over.
+	late bool
+	// gone is the failure domain that was taken out.
+	gone string
+	// before counts each target's executions when the domain was out.
+	before map[string]int
+	// later is done once the caller has finished.
+	later []func() error
+}
+
+const (
+	tryTime = 2 * time.Second
+	tries   = 5
+	// stepLimit bounds the wait for the step, and for the caller to finish.
+	stepLimit = 30 * time.Second
+)
+
+func (p *play) run() error {
+	if err := p.stack.Start(); err != nil {
+		return err
+	}
+	defer p.stack.Close()
+	if slices.Contains(p.faults, "cold") {
+		if err := p.warm(); err != nil {
+			return err
+		}
+	}
+	if err := p.act(); err != nil {
+		return err
+	}
+	for _, f := range p.later {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	return p.judge()
+}
+
+// act sends the request, stops it at the step, lets the faults happen and
+// waits for the caller to finish.
+func (p *play) act() error {
+	at := Step(p.step)
+	if at == StepDrain {
+		p.faults = append([]string{"leave"}, p.faults...)
+		at = StepMiddle
+	}
+	p.stack.Halt.Arm(at)
+	if at == StepLost {
+		p.stack.Fronts[0].Hold(pipe.Down)
+	}
+	first := make(chan struct{})
+	p.caller = &Caller{
+		Stack: p.stack, Profile: p.profile, Chat: "c", Name: "n", Large: at == StepBody,
+		Timeout: tryTime, Tries: tries,
+		Tried: func(i int) {
+			if i == 0 {
+				close(first)
+			}
+		},
+	}
+	done := make(chan []Attempt, 1)
+	go func() { done <- p.caller.Run() }()
+	select {
+	case <-p.stack.Halt.Reached():
+	case <-time.After(stepLimit):
+		return errors.Newf("step %s never came: %v", at, <-done)
+	}
+	if err := p.strike(at, first); err != nil {
+		return err
+	}
+	<-first
+	n := p.stack.Halted()
+	n.Links[0].Heal()
+	n.Links[0].Break()
+	p.tries = <-done
+	return nil
+}
+
+// strike lets the faults happen and the request go on.
+func (p *play) strike(at Step, first <-chan struct{}) error {
+	defer p.stack.Halt.Release()
+	n := p.stack.Halted()
+	for _, f := range p.faults {
+		if err := faults[f](p, n); err != nil {
+			return err
+		}
+	}
+	if p.gone != "" {
+		p.before = p.started()
+	}
+	if at == StepLost {
+		p.stack.Fronts[0].Break()
+		p.stack.Fronts[0].Heal()
+	}
+	if p.late {
+		<-first
+	}
+	return nil
+}
+
+// started counts the executions at each target.
+func (p *play) started() map[string]int {
+	m := make(map[string]int)
+	for _, n := range p.stack.Nodes {
+		m[n.Name] = len(n.Executions())
+	}
+	return m
+}
+
+// warm serves engines until they and their agents count as warm.
+func (p *play) warm() error {
+	for i := range 200 {
+		c := Caller{Stack: p.stack, Profile: ProfileChat, Chat: fmt.Sprint("warm-", i), Name: fmt.Sprint("warm", i), Timeout: tryTime, Tries: 1}
+		c.Run()
+		if p.warmed() {
+			return p.probed()
+		}
+	}
+	return errors.New("the engines never got warm")
+}
+
+// probed waits until each agent has read its warm target's report.
+func (p *play) probed() error {
+	if p.stack.Naive {
+		return nil
+	}
+	for _, n := range p.stack.Nodes {
+		seen := n.Probes()
+		if err := until(func() bool { return n.Probes() > seen+1 }, "the agent probes"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *play) warmed() bool {
+	for _, n := range p.stack.Nodes {
+		if n.Engine == nil {
+			continue
+		}
+		if len(n.Executions()) < warmAfter || n.Agent != nil && n.Agent.Load().Cold {
+			return false
+		}
+	}
+	return true
+}
+
+// judge compares what the caller got with what the far end logged.
+func (p *play) judge() error {
+	if err := until(p.rested, "all runs end"); err != nil {
+		return err
+	}
+	if err := p.judgeTries(); err != nil {
+		return err
+	}
+	if err := p.judgeRuns(); err != nil {
+		return err
+	}
+	return p.judgeDomain()
+}
+
+func (p *play) rested() bool {
+	for _, n := range p.stack.Nodes {
+		for _, e := range n.Executions() {
+			if e.Outcome == fake.OutcomeRunning {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (p *play) judgeTries() error {
+	ran := 0
+	for _, a := range p.tries {
+		if a.Verdict == Short || a.Verdict == Mistaken {
+			return errors.Newf("the caller was given a wrong answer: %v", p.tries)
+		}
+		if a.Run == chestnutstep.RunNo && a.Ran > ran {
+			return errors.Newf("\"not run\" was untrue: %v", p.tries)
+		}
+		if a.Run == chestnutstep.RunNo && p.profile == ProfileBook && p.caller.ran(a.Key) > 0 {
+			return errors.Newf("\"not run\" did not stay true: %v", p.tries)
+		}
+		ran = a.Ran
+	}
+	if last := ended(p.tries[len(p.tries)-1]); !slices.Contains(p.wanted, last) {
+		return errors.Newf("ended %s, wanted %v: %v", last, p.wanted, p.tries)
+	}
+	return nil
+}
+
+// ended names how the last try left its caller.
+func ended(a Attempt) string {
+	switch {
+	case a.Verdict == Whole:
+		return "whole"
+	case a.Verdict == Refused && a.Run == chestnutstep.RunNo:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
+
+// judgeRuns counts the request's executions, under whatever key.
+func (p *play) judgeRuns() error {
+	n := 0
+	for _, node := range p.stack.Nodes {
+		for _, e := range node.Executions() {
+			if strings.HasPrefix(e.Request, p.caller.Name+"-") {
+				n++
+			}
+		}
+	}
+	if n > p.runs {
+		return errors.Newf("ran %d times, wanted %d at most: %v", n, p.runs, p.tries)
+	}
+	return nil
+}
+
+// judgeDomain sends new work and looks where it went.
+func (p *play) judgeDomain() error {
+	if p.gone == "" {
+		return nil
+	}
+	for i := range 8 {
+		c := Caller{Stack: p.stack, Profile: p.profile, Chat: fmt.Sprint("new-", i), Name: fmt.Sprint("new", i), Timeout: tryTime, Tries: 2}
+		c.Run()
+	}
+	for _, n := range p.stack.Nodes {
+		if n.Domain != p.gone {
+			continue
+		}
+		for _, e := range n.Executions()[p.before[n.Name]:] {
+			if strings.HasPrefix(e.Request, "new") {
+				return errors.Newf("new work went to the domain that is out: %v", e)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/matrix/stack.go
@@ -0,0 +1,360 @@
+package matrix
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/agent"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/dial"
+	"chestnutstep.example/chestnutstep/entry"
+	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/gate"
+	"chestnutstep.example/chestnutstep/pipe"
+	"chestnutstep.example/chestnutstep/retry"
+	"chestnutstep.example/chestnutstep/route"
+	"chestnutstep.example/chestnutstep/ticket"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// Names of what the stack serves.
+const (
+	ProfileChat = "chat" // answered by the engines
+	ProfileBook = "book" // answered by the services, at most once
+	Key         = "key"
+	// Entries is how many entries there are.
+	Entries = 2
+	// coldLoad is what a cold engine can carry, warmAfter when it is warm.
+	coldLoad  = 2
+	warmAfter = 4
+)
+
+// Node is one target with what stands around it.
+type Node struct {
+	Name    string
+	Model   string
+	Domain  string
+	Engine  *fake.Engine
+	Service *fake.Service
+	Agent   *agent.Agent
+	// Links are the ways from each entry to the agent, Back the one from the
+	// agent to its target. In a naive stack the links end at the target.
+	Links [Entries]*pipe.Relay
+	Back  *pipe.Relay
+
+	hooks *hooks
+}
+
+// Probes counts how often the agent has asked its target for a report.
+func (n *Node) Probes() int64 { return n.hooks.probes.Load() }
+
+// Misbehave puts a fault of the target in force.
+func (n *Node) Misbehave(f fake.Fault) {
+	if n.Engine != nil {
+		n.Engine.Misbehave(f)
+		return
+	}
+	n.Service.Misbehave(f)
+}
+
+// Executions is the target's own log.
+func (n *Node) Executions() []fake.Execution {
+	if n.Engine != nil {
+		return n.Engine.Journal.Executions()
+	}
+	return n.Service.Journal.Executions()
+}
+
+func (n *Node) handler() http.Handler {
+	if n.Engine != nil {
+		return n.Engine
+	}
+	return n.Service
+}
+
+// Stack is two engines and two services in two failure domains, an agent
+// beside each, and two entries. Start it, Close it.
+type Stack struct {
+	// Naive puts a plain pass-through in the place of entries and agents.
+	Naive bool
+	Halt  Halt
+	Nodes []*Node
+	// Fronts are the ways from callers to each entry.
+	Fronts [Entries]*pipe.Relay
+
+	// Store is what is in force at all processes.
+	Store config.Store
+
+	mu      sync.Mutex
+	pub     chestnutstep.Publication
+	views   [Entries + 1]*chestnutstep.View
+	entries [Entries]*httptest.Server
+	pools   [Entries]*mortal
+	closers []func()
+}
+
+// agentView is the place in views of what agents see; entries see the
+// addresses of their own relays.
+const agentView = Entries
+
+// Start brings everything up.
+func (s *Stack) Start() error {
+	s.pub = publication()
+	for _, n := range []*Node{
+		{Name: "chat-a", Model: ProfileChat, Domain: "a", Engine: newEngine()},
+		{Name: "chat-b", Model: ProfileChat, Domain: "b", Engine: newEngine()},
+		{Name: "book-a", Model: ProfileBook, Domain: "a", Service: &fake.Service{}},
+		{Name: "book-b", Model: ProfileBook, Domain: "b", Service: &fake.Service{}},
+	} {
+		if err := s.addNode(n); err != nil {
+			return err
+		}
+	}
+	s.Store.OnChange = append(s.Store.OnChange, s.changed)
+	if err := s.Publish(func(*chestnutstep.Publication) {}); err != nil {
+		return err
+	}
+	for i := range s.Fronts {
+		s.startEntry(i)
+		s.Fronts[i] = &pipe.Relay{Backend: s.entries[i].Listener.Addr().String()}
+		if err := s.startRelay(s.Fronts[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends everything.
+func (s *Stack) Close() {
+	for i := len(s.closers) - 1; i >= 0; i-- {
+		s.closers[i]()
+	}
+}
+
+func (s *Stack) onClose(f func()) { s.closers = append(s.closers, f) }
+
+func newEngine() *fake.Engine {
+	return &fake.Engine{Base: 2 * time.Millisecond, Cold: coldLoad, Warm: warmAfter, Restart: 50 * time.Millisecond}
+}
+
+func publication() chestnutstep.Publication {
+	sum := sha256.Sum256([]byte(Key))
+	limit := chestnutstep.Duration(10 * time.Second)
+	return chestnutstep.Publication{
+		Version: 1,
+		Domains: []chestnutstep.Domain{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}},
+		Hosts:   []chestnutstep.Host{{Name: "a", Domain: "a"}, {Name: "b", Domain: "b"}},
+		Models: []chestnutstep.Model{
+			{Name: ProfileChat, Kind: chestnutstep.KindEngine, Floor: 8, Slots: 8, Queue: 8, Cold: coldLoad, Warm: warmAfter, Done: "event: done"},
+			{Name: ProfileBook, Kind: chestnutstep.KindService, Floor: 8, Slots: 8, Queue: 8, Cold: 8},
+		},
+		Profiles: []chestnutstep.Profile{
+			{Name: ProfileChat, Model: ProfileChat, Class: "urgent", Timeout: limit, Tries: 2, Tokens: 10, Body: 1 << 20},
+			{Name: ProfileBook, Model: ProfileBook, Class: "normal", Timeout: limit, Tries: 2, Tokens: 1, Body: 1 << 20, Once: true},
+		},
+		Workspaces: []chestnutstep.Workspace{{Name: "w", Keys: []string{hex.EncodeToString(sum[:])}}},
+		Budget:     chestnutstep.Budget{Reads: 100, Loads: 1, Retries: 0.1, Export: 1 << 20},
+	}
+}
+
+func (s *Stack) startRelay(r *pipe.Relay) error {
+	if err := r.Start(); err != nil {
+		return err
+	}
+	s.onClose(r.Stop)
+	return nil
+}
+
+func (s *Stack) addNode(n *Node) error {
+	h := &hooks{halt: &s.Halt, target: n.Name}
+	n.hooks = h
+	back := httptest.NewServer(&hookedTarget{Handler: n.handler(), hooks: h, plain: s.Naive, whole: n.Service != nil})
+	s.onClose(back.Close)
+	n.Back = &pipe.Relay{Backend: back.Listener.Addr().String()}
+	if err := s.startRelay(n.Back); err != nil {
+		return err
+	}
+	addr := n.Back.Addr()
+	if !s.Naive {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		s.startAgent(n, l, h)
+		addr = l.Addr().String()
+	}
+	for i := range n.Links {
+		n.Links[i] = &pipe.Relay{Backend: addr}
+		if err := s.startRelay(n.Links[i]); err != nil {
+			return err
+		}
+	}
+	s.pub.Targets = append(s.pub.Targets, chestnutstep.Target{Name: n.Name, Host: n.Domain, Model: n.Model, Agent: addr})
+	s.Nodes = append(s.Nodes, n)
+	return nil
+}
+
+func (s *Stack) startAgent(n *Node, l net.Listener, h *hooks) {
+	reuse, single := agent.Clients()
+	n.Agent = &agent.Agent{
+		Name: n.Name, URL: "http://" + n.Back.Addr(), Incarnation: "1",
+		View: func() *chestnutstep.View { return s.View(agentView) },
+		Gate: &gate.Gate{}, Jury: &crash.Jury{Target: n.Name}, Booth: &ticket.Booth{Target: n.Name},
+		Shelf: &answer.Shelf{}, Reuse: reuse, Single: single,
+	}
+	srv := grpc.NewServer(grpc.StreamInterceptor(h.stream), grpc.UnaryInterceptor(h.unary))
+	wire.RegisterAgentServer(srv, n.Agent.Service())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = n.Agent.Run(ctx) }()
+	go func() { _ = srv.Serve(l) }()
+	s.onClose(func() { cancel(); srv.Stop() })
+}
+
+// startEntry starts an entry, or starts it again with nothing remembered.
+func (s *Stack) startEntry(i int) {
+	s.entries[i] = httptest.NewServer(s.newEntry(i))
+	s.onClose(s.entries[i].Close)
+}
+
+func (s *Stack) newEntry(i int) http.Handler {
+	if s.Naive {
+		return s.newNaive(i)
+	}
+	s.pools[i] = &mortal{Pool: dial.Pool{Credentials: insecure.NewCredentials()}}
+	return &entry.Entry{
+		Name: "e", Region: "r", Hosts: noHosts{},
+		View: func() *chestnutstep.View { return s.View(i) },
+		Ranker: func(v *chestnutstep.View) chestnutstep.Ranker {
+			t := &route.Table{View: v}
+			t.Build()
+			return t
+		},
+		Links:   s.pools[i],
+		Repeats: &retry.Allowance{}, Steps: retry.Steps(),
+		Entries: func() int { return Entries }, Clock: time.Now, Notify: func(entry.Notice) {},
+	}
+}
+
+func (s *Stack) newNaive(i int) http.Handler {
+	n := &naive{halt: &s.Halt, targets: make(map[string][]address)}
+	for _, d := range s.Nodes {
+		n.targets[d.Model] = append(n.targets[d.Model], address{d.Name, "http://" + d.Links[i].Addr()})
+	}
+	return n
+}
+
+// RestartEntries kills all entries and starts them anew behind the same
+// addresses. A killed process says no word to anyone: its links just break.
+func (s *Stack) RestartEntries() {
+	for i, f := range s.Fronts {
+		if p := s.pools[i]; p != nil {
+			p.dead.Store(true)
+		}
+		for _, n := range s.Nodes {
+			n.Links[i].Break()
+		}
+		f.Break()
+		s.startEntry(i)
+		f.Aim(s.entries[i].Listener.Addr().String())
+	}
+}
+
+// mortal is the links of an entry that may be killed.
+type mortal struct {
+	dial.Pool
+	dead atomic.Bool
+}
+
+// Conn implements entry.Links.
+func (m *mortal) Conn(addr string) (grpc.ClientConnInterface, error) {
+	if m.dead.Load() {
+		return nil, net.ErrClosed
+	}
+	return m.Pool.Conn(addr)
+}
+
+// Publish puts a changed publication in force under the next version.
+func (s *Stack) Publish(change func(*chestnutstep.Publication)) error {
+	p := s.Next(1, change)
+	root, parts := config.Pack(p)
+	return s.Store.Put(time.Now(), root, parts)
+}
+
+// Next is the publication in force with a change, so many versions later.
+func (s *Stack) Next(versions int, change func(*chestnutstep.Publication)) *chestnutstep.Publication {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := clone(s.pub)
+	p.Version = uint64(int(p.Version) + versions)
+	change(&p)
+	return &p
+}
+
+// changed builds what each process sees of a publication that came into force.
+func (s *Stack) changed(c config.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pub = clone(*c.To.Publication)
+	s.views[agentView] = c.To
+	for i := range Entries {
+		p := clone(s.pub)
+		for t := range p.Targets {
+			p.Targets[t].Agent = s.node(p.Targets[t].Name).Links[i].Addr()
+		}
+		s.views[i] = chestnutstep.NewView(&p)
+	}
+}
+
+// clone copies what changes touch.
+func clone(p chestnutstep.Publication) chestnutstep.Publication {
+	p.Domains = slices.Clone(p.Domains)
+	p.Targets = slices.Clone(p.Targets)
+	p.Workspaces = slices.Clone(p.Workspaces)
+	return p
+}
+
+// View is the publication in force at an entry, or with Entries at the agents.
+func (s *Stack) View(i int) *chestnutstep.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.views[i]
+}
+
+// node finds a node by its target's name.
+func (s *Stack) node(name string) *Node {
+	for _, n := range s.Nodes {
+		if n.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// Halted is the node where a request stands.
+func (s *Stack) Halted() *Node { return s.node(s.Halt.Target()) }
+
+// noHosts knows nothing of hosts: what an entry learns must not matter here.
+type noHosts struct{}
+
+// Refuse implements entry.Hosts.
+func (noHosts) Refuse(time.Time, string) {}
+
+// Fail implements entry.Hosts.
+func (noHosts) Fail(time.Time, string) {}
+
+// Answer implements entry.Hosts.
+func (noHosts) Answer(time.Time, string) {}
