trial: the decisions on a recorded load, against naive ones

An event loop with the real route, gate and mean on in-memory targets: caches, cold targets that fall over, restarts, a domain that leaves and returns.

--- /dev/null
+++ b/trial/config.go
@@ -0,0 +1,144 @@
+// Package trial plays a recorded load against the decisions of the fleet, on
+// in-memory targets and a clock of its own, and counts what callers get. It is
+// a bench for comparing policies on the same load, and no simulation of a
+// cluster: messages arrive at once and whole, and faults are the few named in
+// Config.
+package trial
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/gate"
+)
+
+// Policy is which of the decisions are switched on.
+type Policy struct {
+	// Naive sends each request to a random target that seems in service, without
+	// caps or queues, and sends again at once what broke.
+	Naive bool
+	// Hint has callers name the target that served the chat last.
+	Hint bool
+	// Home lets a chat wait for its patience at its first target.
+	Home bool
+	// Moved has the first target of a chat name the target that took it last.
+	Moved bool
+	// Know has agents remember which chats they served since the last restart:
+	// a chat may then wait wherever its prefix is, and nowhere else.
+	Know bool
+	// Import moves a spilled chat's prefix from the target that holds it.
+	Import bool
+}
+
+// Stream is one workspace's requests of one kind.
+type Stream struct {
+	Workspace string
+	Class     chestnutstep.Class
+	// Rate is the requests a second, at random moments.
+	Rate float64
+	// From and Until bound the stream; until the end if zero.
+	From, Until time.Duration
+	// Chats that the requests belong to, drawn evenly at Skew 1; with greater
+	// Skew the first chats take more.
+	Chats int
+	Skew  float64
+	// Answer is the mean time that an answer takes, Prefill what it takes more
+	// when the chat's prefix is not in the target's cache.
+	Answer, Prefill time.Duration
+	// Cost is the estimate that offers carry, in tokens.
+	Cost float64
+	// Limit of time, and Patience at the first target.
+	Limit, Patience time.Duration
+	// Cancel is the share that is given up before its answer is whole.
+	Cancel float64
+}
+
+// Config is a load, a fleet, its faults and a policy.
+type Config struct {
+	Seed uint64
+	For  time.Duration
+	// Warm is how long caches fill and targets warm up before anything counts.
+	Warm    time.Duration
+	Streams []Stream
+	Policy  Policy
+
+	Targets int
+	Domains int
+	Model   chestnutstep.Model
+	// NewGate makes the targets' gates; the fleet's own if nil.
+	NewGate func() chestnutstep.Gate
+	// Tries bounds the targets that a request is offered to before it waits.
+	Tries int
+	// Cache is how many chats' prefixes a target keeps.
+	Cache int
+	// Weights of workspaces.
+	Weights map[string]float64
+
+	// Restart is how often some target restarts, losing what it ran and kept;
+	// never if zero. It is down for Down.
+	Restart, Down time.Duration
+	// Fragile is how long a started target falls over above twice Model.Cold.
+	Fragile time.Duration
+	// Leave and Return are when failure domain 0 is taken out and brought back
+	// with empty caches; never if zero. Entries hear of it Lag later.
+	Leave, Return, Lag time.Duration
+	// Slow is how many times slower target 0 is from a third of the time on.
+	Slow float64
+	// MeanError is the standard deviation of an error put on each mean.
+	MeanError float64
+	// ImportFor is what an import takes instead of the prefill.
+	ImportFor time.Duration
+}
+
+func (c Config) newGate() chestnutstep.Gate {
+	if c.NewGate != nil {
+		return c.NewGate()
+	}
+	return &gate.Gate{}
+}
+
+// Result is what callers got.
+type Result struct {
+	Streams []Share
+	All     Share
+	// Offers for each request.
+	Offers float64
+	// Largest is the highest load of a target against the mean of the moment,
+	// in the worst second and in 99 of 100 seconds.
+	Largest, Largest99 float64
+	// OverCap counts starts beyond the cap in force, OverRule those beyond the
+	// rule: the multiple, with the margin of the estimate, of the highest true
+	// mean of the last seconds. OverTrue is the share of starts beyond the
+	// multiple of the true mean of that very moment, which no one can know.
+	OverCap, OverRule int
+	OverTrue          float64
+	// Crashes of fragile targets.
+	Crashes int
+	// After counts starts in the domain that was taken out, two seconds on.
+	After int
+}
+
+// Share is what the callers of a stream got.
+type Share struct {
+	Workspace string
+	Requests  int
+	// InTime is the share of the requests not given up that were answered
+	// within their limit.
+	InTime float64
+	// Reuse is the share of starts of returning chats that found their prefix.
+	Reuse float64
+	// Imported is the share whose prefix came from another target.
+	Imported float64
+	// Wait from the request to its start, of those that started.
+	WaitMean, Wait95 time.Duration
+	// Goodput is answers in time a second.
+	Goodput float64
+}
+
+const (
+	// Margin is what an agent's estimate of the mean may be too high: three and a
+	// half standard deviations of what relayed samples err at a steady load.
+	Margin = 0.15
+	// Stale is how long the estimate may rest on an earlier, higher mean.
+	Stale = 10
+)
--- /dev/null
+++ b/trial/load.go
@@ -0,0 +1,84 @@
+package trial
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// request is one caller's request on its way.
+type request struct {
+	stream int
+	chat   string
+	came   time.Duration
+	limit  time.Duration
+	answer time.Duration
+	// cancel is when the caller gives up, after it came; 0 is never.
+	cancel time.Duration
+	// first says that the chat was not seen before.
+	first bool
+
+	work  chestnutstep.Work
+	ranks []*chestnutstep.Target
+	next  int
+	tries int
+	home  *target
+	at    *target
+	left  time.Duration
+	// pause before a refused caller comes back.
+	pause time.Duration
+	over  bool
+	began bool
+}
+
+// record draws the load. It depends on the seed and the streams alone, so that
+// all policies face the same requests at the same moments.
+func record(cfg Config) []*request {
+	var all []*request
+	for i, s := range cfg.Streams {
+		r := rand.New(rand.NewPCG(cfg.Seed, uint64(i)))
+		all = append(all, s.record(r, i, cfg.For)...)
+	}
+	slices.SortStableFunc(all, func(a, b *request) int { return int(a.came - b.came) })
+	seen := make(map[string]bool)
+	for i, x := range all {
+		x.first = !seen[x.chat]
+		seen[x.chat] = true
+		x.work.ID = fmt.Sprint("r", i)
+	}
+	return all
+}
+
+func (s Stream) record(r *rand.Rand, stream int, end time.Duration) []*request {
+	if s.Until > 0 {
+		end = min(end, s.Until)
+	}
+	var list []*request
+	for at := s.From; ; {
+		at += time.Duration(r.ExpFloat64() / s.Rate * float64(time.Second))
+		if at >= end {
+			return list
+		}
+		list = append(list, s.request(r, stream, at))
+	}
+}
+
+func (s Stream) request(r *rand.Rand, stream int, at time.Duration) *request {
+	chat := int(float64(s.Chats) * math.Pow(r.Float64(), max(1, s.Skew)))
+	x := &request{
+		stream: stream,
+		chat:   fmt.Sprintf("%s-%d-%d", s.Workspace, s.Class, chat),
+		came:   at,
+		limit:  s.Limit,
+		answer: time.Duration((0.25 + 0.75*r.ExpFloat64()) * float64(s.Answer)),
+	}
+	if gives := r.Float64() * float64(s.Answer); r.Float64() < s.Cancel {
+		x.cancel = time.Duration(gives) + time.Millisecond
+	}
+	x.work = chestnutstep.Work{Workspace: s.Workspace, Class: s.Class, Cost: s.Cost}
+	return x
+}
--- /dev/null
+++ b/trial/loads.go
@@ -0,0 +1,48 @@
+package trial
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// Churn is the recorded load on which policies are compared: a hundred engines
+// that run 8.5 requests each on average, chats that return after two minutes on
+// average, half of all requests given up, an engine restarting every 20 s, and
+// a third of the fleet taken out for a minute and a half when domain is set.
+func Churn(multiple float64, p Policy, domain bool) Config {
+	cfg := Config{
+		Seed: 20261202,
+		For:  30 * time.Minute,
+		Warm: 10 * time.Minute,
+		Streams: []Stream{{
+			Workspace: "desk",
+			Class:     chestnutstep.ClassNormal,
+			Rate:      156,
+			Chats:     18700,
+			Answer:    6 * time.Second,
+			Prefill:   1500 * time.Millisecond,
+			Cost:      400,
+			Limit:     time.Minute,
+			Patience:  2 * time.Second,
+			Cancel:    0.5,
+		}},
+		Policy:  p,
+		Targets: 100,
+		Domains: 3,
+		Model: chestnutstep.Model{
+			Name: "chat", Multiple: multiple, Floor: 4, Slots: 32, Queue: 64, Cold: 4,
+		},
+		Tries:     4,
+		Cache:     400,
+		Restart:   20 * time.Second,
+		Down:      5 * time.Second,
+		Fragile:   5 * time.Second,
+		Lag:       2 * time.Second,
+		ImportFor: 300 * time.Millisecond,
+	}
+	if domain {
+		cfg.Leave, cfg.Return = 15*time.Minute, 16*time.Minute+30*time.Second
+	}
+	return cfg
+}
--- /dev/null
+++ b/trial/loop.go
@@ -0,0 +1,65 @@
+package trial
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a moment of the trial's clock.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+// loop runs events in the order of their moments, and those of one moment in
+// the order in which they were planned, so that a trial always runs alike.
+type loop struct {
+	now    time.Duration
+	seq    int
+	events []event
+}
+
+func (l *loop) Len() int { return len(l.events) }
+
+func (l *loop) Less(i, j int) bool {
+	a, b := l.events[i], l.events[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+
+func (l *loop) Swap(i, j int) { l.events[i], l.events[j] = l.events[j], l.events[i] }
+
+// Push and Pop serve container/heap.
+func (l *loop) Push(x any) { l.events = append(l.events, x.(event)) }
+
+// Pop takes the last event off.
+func (l *loop) Pop() any {
+	last := len(l.events) - 1
+	e := l.events[last]
+	l.events[last] = event{}
+	l.events = l.events[:last]
+	return e
+}
+
+func (l *loop) after(d time.Duration, do func()) {
+	l.seq++
+	heap.Push(l, event{at: l.now + max(0, d), seq: l.seq, do: do})
+}
+
+func (l *loop) every(d time.Duration, do func()) {
+	l.after(d, func() {
+		do()
+		l.every(d, do)
+	})
+}
+
+func (l *loop) runUntil(end time.Duration) {
+	for len(l.events) > 0 && l.events[0].at <= end {
+		e := heap.Pop(l).(event)
+		l.now = e.at
+		e.do()
+	}
+}
+
+// time is the moment on the clock that the decisions are given.
+func (l *loop) time() time.Time { return time.Unix(0, 0).Add(l.now) }
--- /dev/null
+++ b/trial/play_test.go
@@ -0,0 +1,195 @@
+package trial
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+)
+
+// fifo is the naive gate: slots, and behind them a line of any length, first
+// come, first served.
+type fifo struct {
+	slots   int
+	running map[string]bool
+	line    []string
+}
+
+func (f *fifo) Limit(_ time.Time, l chestnutstep.Limits) {
+	f.slots, f.running = l.Model.Slots, map[string]bool{}
+}
+
+func (f *fifo) Offer(_ time.Time, w chestnutstep.Work) chestnutstep.Decision {
+	if len(f.running) < f.slots {
+		f.running[w.ID] = true
+		return chestnutstep.Decision{Verdict: chestnutstep.Accept}
+	}
+	f.line = append(f.line, w.ID)
+	return chestnutstep.Decision{Verdict: chestnutstep.Queue}
+}
+
+func (f *fifo) End(_ time.Time, id string, _ chestnutstep.Outcome) {
+	delete(f.running, id)
+	for i, x := range f.line {
+		if x == id {
+			f.line = append(f.line[:i], f.line[i+1:]...)
+			return
+		}
+	}
+}
+
+func (f *fifo) Next(time.Time) chestnutstep.Next {
+	var n chestnutstep.Next
+	for len(f.line) > 0 && len(f.running) < f.slots {
+		n.Start = append(n.Start, f.line[0])
+		f.running[f.line[0]] = true
+		f.line = f.line[1:]
+	}
+	return n
+}
+
+func (f *fifo) Measure(time.Time, chestnutstep.Mean) {}
+func (f *fifo) Chill(time.Time)                      {}
+func (f *fifo) Leave(time.Time, bool)                {}
+
+func (f *fifo) Load(time.Time) chestnutstep.Load {
+	return chestnutstep.Load{Running: len(f.running), Waiting: len(f.line), Cap: f.slots}
+}
+
+// TestPlays plays the loads in testdata and checks what callers get: "play"
+// runs one policy on the streams of its input, "expect" compares figures of
+// the plays before it with bounds, or with each other.
+func TestPlays(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		figures := map[string]float64{}
+		streams := ""
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "streams":
+				streams = d.Input
+			case "play":
+				r := Run(scriptConfig(t, d, streams))
+				return note(figures, d.CmdArgs[0].Key, r)
+			case "expect":
+				for _, line := range strings.Split(d.Input, "\n") {
+					expect(t, d, figures, line)
+				}
+			}
+			return ""
+		})
+	})
+}
+
+func number(t *testing.T, s string) float64 {
+	f, err := strconv.ParseFloat(s, 64)
+	assert.NilError(t, err)
+	return f
+}
+
+func span(f float64) time.Duration { return time.Duration(f * float64(time.Second)) }
+
+// scriptConfig reads "play NAME key=value...".
+func scriptConfig(t *testing.T, d *datadriven.TestData, streams string) Config {
+	arg := func(key string, unset float64) float64 {
+		d.MaybeScanArgs(t, key, &unset)
+		return unset
+	}
+	cfg := Config{
+		Seed:    7,
+		For:     span(arg("for", 120)),
+		Warm:    span(arg("warm", 20)),
+		Policy:  Policy{Hint: true, Home: true},
+		Targets: int(arg("targets", 6)),
+		Domains: 3,
+		Tries:   int(arg("tries", 4)),
+		Cache:   int(arg("cache", 300)),
+		Fragile: span(arg("fragile", 0)),
+		Down:    5 * time.Second,
+		Slow:    arg("slow", 0),
+		Leave:   span(arg("leave", 0)),
+		Return:  span(arg("return", 0)),
+		Lag:     2 * time.Second,
+		Weights: map[string]float64{"big": arg("big", 1)},
+	}
+	slots := int(arg("slots", 16))
+	cfg.Model = chestnutstep.Model{
+		Name: "m", Multiple: arg("multiple", 1.25), Floor: 4, Slots: slots,
+		Queue: int(arg("queue", 32)), Cold: int(arg("cold", float64(slots))),
+	}
+	switch d.CmdArgs[0].Key {
+	case "random":
+		cfg.Policy = Policy{Naive: true}
+	case "fifo":
+		cfg.Policy, cfg.NewGate = Policy{}, func() chestnutstep.Gate { return &fifo{} }
+	}
+	for _, line := range strings.Split(streams, "\n") {
+		cfg.Streams = append(cfg.Streams, scriptStream(t, line, arg("times", 1)))
+	}
+	return cfg
+}
+
+// scriptStream reads "WORKSPACE key=value...".
+func scriptStream(t *testing.T, line string, times float64) Stream {
+	words := strings.Fields(line)
+	v := map[string]float64{"class": 1, "chats": 200, "skew": 1, "answer": 2, "prefill": 0.5, "cost": 200, "limit": 20, "patience": 1}
+	for _, word := range words[1:] {
+		key, value, _ := strings.Cut(word, "=")
+		v[key] = number(t, value)
+	}
+	return Stream{
+		Workspace: words[0], Class: chestnutstep.Class(v["class"]), Rate: v["rate"] * times,
+		From: span(v["from"]), Until: span(v["until"]), Chats: int(v["chats"]), Skew: v["skew"],
+		Answer: span(v["answer"]), Prefill: span(v["prefill"]), Cost: v["cost"],
+		Limit: span(v["limit"]), Patience: span(v["patience"]), Cancel: v["cancel"],
+	}
+}
+
+// note prints what callers got and keeps it for "expect".
+func note(figures map[string]float64, name string, r Result) string {
+	var out strings.Builder
+	for i, s := range append(r.Streams, r.All) {
+		who := fmt.Sprintf("%s.%d", s.Workspace, i)
+		if i == len(r.Streams) {
+			who = "all"
+		}
+		key := name + "." + who + "."
+		figures[key+"intime"] = 100 * s.InTime
+		figures[key+"wait95"] = s.Wait95.Seconds()
+		figures[key+"goodput"] = s.Goodput
+		figures[key+"reuse"] = 100 * s.Reuse
+		fmt.Fprintf(&out, "%-10s in time %3.0f%%  goodput %5.1f/s  wait95 %4.1f s  reuse %3.0f%%\n",
+			who, 100*s.InTime, s.Goodput, s.Wait95.Seconds(), 100*s.Reuse)
+	}
+	figures[name+".largest"] = r.Largest99
+	figures[name+".offers"] = r.Offers
+	figures[name+".after"] = float64(r.After)
+	figures[name+".crashes"] = float64(r.Crashes)
+	figures[name+".overcap"] = float64(r.OverCap)
+	fmt.Fprintf(&out, "largest/mean %.1f  offers %.1f  crashes %d  over cap %d  after leaving %d\n", r.Largest99, r.Offers, r.Crashes, r.OverCap, r.After)
+	return out.String()
+}
+
+// expect checks "FIGURE < VALUE" or "FIGURE > VALUE", where a value is a
+// number or a figure, perhaps times a number: "a.goodput > b.goodput * 0.9".
+func expect(t *testing.T, d *datadriven.TestData, figures map[string]float64, line string) {
+	words := strings.Fields(line)
+	value := func(word string) float64 {
+		if f, ok := figures[word]; ok {
+			return f
+		}
+		return number(t, word)
+	}
+	bound := value(words[2])
+	if len(words) == 5 {
+		bound *= number(t, words[4])
+	}
+	have, ok := figures[words[0]]
+	if !ok || (words[1] == "<") != (have < bound) || have == bound {
+		t.Errorf("%s: %s: have %v, bound %v", d.Pos, line, have, bound)
+	}
+}
--- /dev/null
+++ b/trial/target.go
@@ -0,0 +1,192 @@
+package trial
+
+import (
+	"container/list"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/mean"
+)
+
+// target is an engine with the agent beside it. It answers at full speed up to
+// Slots requests and shares that speed among more.
+type target struct {
+	trial  *trial
+	self   *chestnutstep.Target
+	domain int
+	gate   chestnutstep.Gate
+	mean   *mean.Sampler
+	cache  cache
+	// moved names, by chat, the target that took it last.
+	moved map[string]*target
+
+	running []*request
+	waiting map[string]*request
+	slow    float64
+	down    bool
+	away    bool
+	started time.Duration
+	last    time.Duration
+	plan    int
+}
+
+// cache keeps the prefixes of the chats used last.
+type cache struct {
+	most  int
+	order list.List
+	items map[string]*list.Element
+}
+
+func (c *cache) has(chat string) bool { return c.items[chat] != nil }
+
+func (c *cache) clear() {
+	c.order.Init()
+	c.items = make(map[string]*list.Element)
+}
+
+func (c *cache) use(chat string) {
+	if e := c.items[chat]; e != nil {
+		c.order.MoveToFront(e)
+		return
+	}
+	c.items[chat] = c.order.PushFront(chat)
+	if c.order.Len() > c.most {
+		delete(c.items, c.order.Remove(c.order.Back()).(string))
+	}
+}
+
+// start runs a request that the gate has let in, or any if the policy is naive.
+func (g *target) start(r *request) {
+	g.advance()
+	g.trial.started(g, r)
+	r.left = r.answer + g.prefill(r)
+	g.cache.use(r.chat)
+	g.running = append(g.running, r)
+	if g.fragile() && len(g.running) > 2*g.trial.cfg.Model.Cold {
+		g.trial.crashes++
+		g.restart()
+		return
+	}
+	g.replan()
+}
+
+// prefill is what it takes to have the chat's prefix here.
+func (g *target) prefill(r *request) time.Duration {
+	s := g.trial.cfg.Streams[r.stream]
+	if g.cache.has(r.chat) {
+		return 0
+	}
+	if g.trial.imports(g, r) {
+		return min(s.Prefill, g.trial.cfg.ImportFor)
+	}
+	return s.Prefill
+}
+
+// imports says that the prefix comes from the target that holds it.
+func (t *trial) imports(g *target, r *request) bool {
+	return t.cfg.Policy.Import && !g.cache.has(r.chat) && r.home != nil && r.home != g && r.home.cache.has(r.chat)
+}
+
+func (g *target) fragile() bool {
+	return g.started > 0 && g.trial.now-g.started < g.trial.cfg.Fragile
+}
+
+// speed is the part of full speed that each running request gets.
+func (g *target) speed() float64 {
+	n, slots := len(g.running), max(1, g.trial.cfg.Model.Slots)
+	return min(1, float64(slots)/float64(max(1, n))) / g.slow
+}
+
+// advance brings the work that is left up to now.
+func (g *target) advance() {
+	done := time.Duration(float64(g.trial.now-g.last) * g.speed())
+	g.last = g.trial.now
+	for _, r := range g.running {
+		r.left -= done
+	}
+}
+
+// replan plans the next end of an answer.
+func (g *target) replan() {
+	g.plan++
+	if len(g.running) == 0 {
+		return
+	}
+	left := g.running[0].left
+	for _, r := range g.running {
+		left = min(left, r.left)
+	}
+	plan := g.plan
+	g.trial.after(time.Duration(float64(left)/g.speed())+time.Microsecond, func() {
+		if plan == g.plan {
+			g.finish()
+		}
+	})
+}
+
+// finish ends the answers that are whole.
+func (g *target) finish() {
+	g.advance()
+	var whole []*request
+	for _, r := range g.running {
+		if r.left <= 0 {
+			whole = append(whole, r)
+		}
+	}
+	for _, r := range whole {
+		g.end(r, chestnutstep.Served)
+		g.trial.answered(g, r)
+	}
+	g.next()
+}
+
+// end takes a request out, whether it runs or waits.
+func (g *target) end(r *request, o chestnutstep.Outcome) {
+	g.advance()
+	for i, x := range g.running {
+		if x == r {
+			g.running = append(g.running[:i], g.running[i+1:]...)
+			break
+		}
+	}
+	delete(g.waiting, r.work.ID)
+	g.gate.End(g.trial.time(), r.work.ID, o)
+	r.at = nil
+	g.replan()
+}
+
+// next starts and drops what waits.
+func (g *target) next() {
+	n := g.gate.Next(g.trial.time())
+	for _, id := range n.Start {
+		r := g.waiting[id]
+		delete(g.waiting, id)
+		g.trial.checkCap(g)
+		g.start(r)
+	}
+	for _, x := range n.Drop {
+		r := g.waiting[x.ID]
+		delete(g.waiting, x.ID)
+		r.at = nil
+		g.trial.dropped(r, x.Decision)
+	}
+}
+
+// restart loses all that runs and is cached.
+func (g *target) restart() {
+	g.down = true
+	g.cache.clear()
+	g.gate.Chill(g.trial.time())
+	lost := append([]*request(nil), g.running...)
+	for _, r := range lost {
+		g.end(r, chestnutstep.Failed)
+	}
+	for _, r := range lost {
+		g.trial.broken(r)
+	}
+	g.trial.after(g.trial.cfg.Down, func() {
+		g.down = false
+		g.started = g.trial.now
+		g.next()
+	})
+}
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,108 @@
+package trial
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// small is the recorded load at a third of its size.
+func small(multiple float64, p Policy) Config {
+	cfg := Churn(multiple, p, false)
+	cfg.Targets = 30
+	cfg.Streams[0].Rate /= 3
+	cfg.Streams[0].Chats /= 3
+	cfg.Restart *= 3
+	return cfg
+}
+
+// Chats come back after their pauses, and targets restart now and then. The cap
+// sends a chat away from the target that knows it, and its user waits for the
+// booking history to be read again; without a cap the user of another target
+// waits. With hints and a short wait at home, the cap costs little reuse.
+func TestCapCostsLittleReuse(t *testing.T) {
+	chosen := Policy{Hint: true, Home: true}
+	none := Run(small(0, chosen))
+	capped := Run(small(1.25, chosen))
+	naive := Run(small(1.25, Policy{Naive: true}))
+	assert.Assert(t, capped.All.Reuse > none.All.Reuse-0.05, "reuse %.3f, without cap %.3f", capped.All.Reuse, none.All.Reuse)
+	assert.Assert(t, capped.All.InTime > 0.999, "in time %.4f", capped.All.InTime)
+	assert.Equal(t, capped.OverCap, 0)
+	assert.Equal(t, capped.OverRule, 0)
+	assert.Assert(t, capped.Largest99 < none.Largest99-0.5, "largest/mean %.2f, without cap %.2f", capped.Largest99, none.Largest99)
+	assert.Equal(t, capped.Crashes, 0)
+	assert.Assert(t, naive.All.Reuse < 0.2, "reuse of a random target %.3f", naive.All.Reuse)
+	assert.Assert(t, naive.Crashes > 0)
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	cfg := small(1.25, Policy{Hint: true, Home: true})
+	cfg.For, cfg.Warm = 3*time.Minute, time.Minute
+	assert.DeepEqual(t, Run(cfg), Run(cfg))
+}
+
+// BenchmarkTrial prints the comparison of policies on the recorded load.
+func BenchmarkTrial(b *testing.B) {
+	curve := []float64{1.1, 1.25, 1.5, 2, 0}
+	one := []float64{1.25}
+	for _, c := range []struct {
+		name      string
+		policy    Policy
+		multiples []float64
+	}{
+		{"naive", Policy{Naive: true}, one},
+		{"hash", Policy{}, curve},
+		{"hint", Policy{Hint: true}, curve},
+		{"hint+home", Policy{Hint: true, Home: true}, curve},
+		{"home", Policy{Home: true}, one},
+		{"home+moved", Policy{Home: true, Moved: true}, one},
+		{"hint+home+know", Policy{Hint: true, Home: true, Know: true}, one},
+		{"hint+import", Policy{Hint: true, Import: true}, one},
+	} {
+		for _, multiple := range c.multiples {
+			b.Run(fmt.Sprintf("%s/multiple=%v", c.name, multiple), func(b *testing.B) {
+				for range b.N {
+					report(b, Run(Churn(multiple, c.policy, false)))
+				}
+			})
+		}
+	}
+}
+
+func report(b *testing.B, r Result) {
+	b.ReportMetric(100*r.All.Reuse, "%reuse")
+	b.ReportMetric(r.Offers, "offers")
+	b.ReportMetric(r.Largest, "largest")
+	b.ReportMetric(r.Largest99, "largest99")
+	b.ReportMetric(100*r.All.InTime, "%intime")
+	b.ReportMetric(float64(r.All.Wait95.Milliseconds()), "ms-wait95")
+	b.ReportMetric(100*r.All.Imported, "%imported")
+	b.ReportMetric(float64(r.All.WaitMean.Milliseconds()), "ms-wait")
+	b.ReportMetric(100*r.OverTrue, "%over")
+	b.ReportMetric(float64(r.OverRule), "over-rule")
+	b.ReportMetric(float64(r.Crashes), "crashes")
+}
+
+// BenchmarkDomain prints what callers get while a third of the fleet leaves for
+// a minute and a half and comes back with nothing cached.
+func BenchmarkDomain(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		policy Policy
+	}{
+		{"naive", Policy{Naive: true}},
+		{"chosen", Policy{Hint: true, Home: true}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				cfg := Churn(1.25, c.policy, true)
+				cfg.Warm, cfg.For = 14*time.Minute, 19*time.Minute
+				r := Run(cfg)
+				report(b, r)
+				b.ReportMetric(float64(r.After), "after")
+			}
+		})
+	}
+}
