route: displaced chats drift home, one request in eight

First try, reverted before landing: swapping the first two targets. Change: for one request in eight, by its id, the chat's own first target goes before the hint and may import the KV cache from there. A sampler takes its model from the agent, which learns it by publication.

--- a/entry/walk.go
+++ b/entry/walk.go
@@ -6,6 +6,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/retry"
+	"chestnutstep.example/chestnutstep/route"
 	"chestnutstep.example/chestnutstep/ticket"
 	"chestnutstep.example/chestnutstep/wire"
 )
@@ -89,10 +90,24 @@
 	return s.err
 }
 
+// rank orders the targets for the chat: the hinted one first, but for the part
+// of a displaced chat's requests that take it home.
 func (k *walk) rank() {
 	ranker := k.entry.Ranker(k.ask.view)
 	n := min(max(k.ask.profile.Tries, 1), triesMost)
-	k.targets = ranker.Rank(make([]*chestnutstep.Target, 0, n), k.ask.place(k.entry.Region), n)
+	place := k.ask.place(k.entry.Region)
+	k.targets = ranker.Rank(make([]*chestnutstep.Target, 0, n), place, n)
+	if place.Hint == "" || len(k.targets) == 0 {
+		return
+	}
+	hinted := k.targets[0]
+	place.Hint = ""
+	home := ranker.Rank(make([]*chestnutstep.Target, 0, n), place, n)
+	if hinted.Name == k.ask.hint && route.Drift(home[0], k.ask.hint, k.ask.id) {
+		// The home imports the chat's KV cache from where it was.
+		k.targets = home
+		k.source = hinted.Agent
+	}
 }
 
 // patience lets a request wait at its first target, where its prompt prefix
--- a/mean/mean.go
+++ b/mean/mean.go
@@ -40,7 +40,7 @@
 // Sampler is a chestnutstep.Sampler for one target. Set the fields before use.
 // It is not safe for use by several goroutines.
 type Sampler struct {
-	// Model of the target; samples of other models are ignored.
+	// Model of the target; samples of other models are ignored. Own sets it too.
 	Model string
 	// Target is this agent's own.
 	Target string
@@ -54,8 +54,11 @@
 
 var _ chestnutstep.Sampler = (*Sampler)(nil)
 
-// Own sets this target's load.
+// Own sets this target's load, and the model if the publication changed it.
 func (s *Sampler) Own(now time.Time, own chestnutstep.Sample) {
+	if own.Model != "" {
+		s.Model = own.Model
+	}
 	own.Target, own.Model, own.Seen = s.Target, s.Model, now
 	s.own = own
 }
