--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -230,3 +231,24 @@
 		}
 	}
 }
+
+// BenchmarkShelf prints what an empty answer takes in memory.
+func BenchmarkShelf(b *testing.B) {
+	s := Shelf{Most: 1 << 40}
+	before := heap()
+	for i := range b.N {
+		l, _ := s.Put(epoch, "darkroom", "0b6c3f3e-7d5e-4f1e-9b1a-"+strconv.Itoa(1e11+i))
+		l.SetHead(&wire.Head{Status: 204})
+		l.Finish()
+	}
+	b.ReportMetric((heap()-before)/float64(b.N), "B/answer")
+	runtime.KeepAlive(&s)
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/answer/shelf.go
+++ b/answer/shelf.go
@@ -18,9 +18,10 @@
 	// DefaultBytes bounds what all answers of an agent keep: a quarter of the
 	// 64 MB that a process may use.
 	DefaultBytes = 16 << 20
-	// overhead is what a log costs besides its bytes, rounded up from a
-	// measurement, so that empty answers count against the bound too.
-	overhead = 512
+	// overhead is what a log costs besides its bytes, so that empty answers
+	// count against the bound too: 517 were measured with a request id of 36
+	// bytes, and the longest id is some 100 bytes longer.
+	overhead = 640
 )
 
 // key names a request. The workspace is part of it, so that no caller can join
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -252,22 +252,35 @@
 	// Output: false false
 }
 
-// BenchmarkJudge prints the cost of a judgement, and of a suspicion in memory.
+// BenchmarkJudge prints the cost of a judgement, and what a suspicion and a
+// served fingerprint take in memory.
 func BenchmarkJudge(b *testing.B) {
 	j := &Jury{Target: "bay-engine-1"}
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
+	before := heap()
 	for n := range uint64(DefaultMost) {
 		target := fmt.Sprint("bay-engine-", n)
 		j.Learn(epoch, []chestnutstep.Suspicion{{Fingerprint: n + 1, Crashed: []string{target}, Seen: epoch}})
 	}
-	runtime.GC()
-	runtime.ReadMemStats(&after)
+	between := heap()
+	for n := range uint64(DefaultServed) {
+		j.Start(epoch, n<<20)
+		j.End(epoch, n<<20, true)
+	}
+	after := heap()
 	var n uint64
 	for b.Loop() {
 		n++
 		j.Judge(epoch, n%(2*DefaultMost))
 	}
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/DefaultMost, "B/suspicion")
+	b.ReportMetric((between-before)/DefaultMost, "B/suspicion")
+	b.ReportMetric((after-between)/DefaultServed, "B/served")
+	runtime.KeepAlive(j)
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
 }
--- a/crash/jury.go
+++ b/crash/jury.go
@@ -26,11 +26,11 @@
 	DefaultKeep = 10 * time.Minute
 	// DefaultMost bounds the suspicions that are kept. A crash brings at most
 	// as many as a target runs at once, so that 1,024 hold some tens of crashes
-	// in ten minutes, in about 150 KB.
+	// in ten minutes, in about 160 KB.
 	DefaultMost = 1024
 	// DefaultServed bounds the fingerprints that are remembered as served, the
 	// evidence that a popular request is not what crashed a target. 4,096 are a
-	// minute's worth at 70 requests a second, in about 150 KB.
+	// minute's worth at 70 requests a second, in about 370 KB.
 	DefaultServed = 4096
 )
 
--- a/ticket/booth.go
+++ b/ticket/booth.go
@@ -45,10 +45,10 @@
 	// to ten minutes, longer than any request's time limit and a caller's
 	// repeats after a restart of its own.
 	DefaultSlots = 10
-	// DefaultMost bounds the spent tickets that are remembered. 65,536 of them
-	// are 109 actions a second over ten minutes, and with the longest request
-	// ids take about 15 MB: a quarter of what a process may use.
-	DefaultMost = 1 << 16
+	// DefaultMost bounds the spent tickets that are remembered: 54 actions a
+	// second over ten minutes. At 209 bytes for each they take 7 MB, and 9.4 MB
+	// with the longest request ids, a seventh of what a process may use.
+	DefaultMost = 1 << 15
 	// MaxRequest bounds a request's id in bytes, as it is part of what each
 	// spent ticket costs.
 	MaxRequest = 128
--- a/ticket/booth_test.go
+++ b/ticket/booth_test.go
@@ -116,25 +116,35 @@
 	assert.Equal(t, b.spent, 100, "held tickets stay, all others are forgotten")
 }
 
-// BenchmarkHoldRunDone prints the cost of one action, and of remembering it.
+// BenchmarkHoldRunDone prints the cost of one action, and what it costs to
+// remember it, with common and with the longest request ids.
 func BenchmarkHoldRunDone(b *testing.B) {
-	booth := &Booth{Target: "bay-service-1", Most: 1 << 30}
-	tokens := booth.Mint(epoch, "darkroom", b.N)
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	b.ResetTimer()
-	for i, token := range tokens {
-		booth.Hold(epoch, token, "darkroom", "0b6c3f3e-7d5e-4f1e-9b1a-"+strconv.Itoa(1e11+i))
-		booth.Run(epoch, token)
-		booth.Done(epoch, token, true)
+	for _, size := range []int{36, MaxRequest} {
+		b.Run(fmt.Sprint("id=", size), func(b *testing.B) {
+			id := strings.Repeat("r", size)
+			booth := &Booth{Target: "bay-service-1", Most: 1 << 30}
+			tokens := booth.Mint(epoch, "darkroom", b.N)
+			before := heap()
+			b.ResetTimer()
+			for _, token := range tokens {
+				booth.Hold(epoch, token, "darkroom", id)
+				booth.Run(epoch, token)
+				booth.Done(epoch, token, true)
+			}
+			b.StopTimer()
+			b.ReportMetric((heap()-before)/float64(b.N), "B/ticket")
+			runtime.KeepAlive(booth)
+			runtime.KeepAlive(tokens)
+		})
 	}
-	b.StopTimer()
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	var m runtime.MemStats
 	runtime.GC()
-	runtime.ReadMemStats(&after)
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N), "B/ticket")
-	runtime.KeepAlive(booth)
-	runtime.KeepAlive(tokens)
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
 }
 
 func BenchmarkMint(b *testing.B) {
