agent: orders by publication, cache events, KV cache moves by price

Change: what an engine shall have been told is published with its target; its agent sends what is missing, one order at a time under a fencing number, loads only with a permit of a warden of the weight store's rate. Engines' cache events, late and with gaps, correct what an agent believes of its target's prompt cache. An import is made where the price says so, and a leaving target hands over the chats that are worth most for each byte. Ruled out: an operator's call that gives an order. Orders are configuration, so that an engine which restarts gets them again with nobody awake. Not shown yet: orders against a stand-in that restarts.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,6 +60,9 @@
 	// Leaving says whether the platform's list shows this host as leaving; nil
 	// if nobody knows.
 	Leaving func() bool
+	// Uptime is the host's at this process's start: with the publication's
+	// version it makes fencing numbers that rise without a disk.
+	Uptime time.Duration
 	// Clock is time.Now, but for tests.
 	Clock func() time.Time
 	// Notify is told of what operators should see; it must not block.
@@ -79,6 +82,8 @@
 	runs    sync.WaitGroup
 	exports bucket
 	mover   mover
+	clerk   clerk
+	events  cacheLog
 	out     bool
 }
 
@@ -120,6 +125,8 @@
 func (a *Agent) Run(ctx context.Context) error {
 	a.init()
 	go a.mover.loop(ctx, a)
+	go a.clerk.loop(ctx, a)
+	go a.events.loop(ctx, a)
 	go a.health.loop(ctx, a)
 	a.loop(ctx)
 	return ctx.Err()
@@ -137,6 +144,9 @@
 	if a.Clock == nil {
 		a.Clock = time.Now
 	}
+	a.clerk.warden.Target = a.Name
+	a.clerk.desk.Began = a.Clock()
+	a.clerk.desk.Uptime = a.Uptime
 	if a.Linger == 0 {
 		a.Linger = DefaultLinger
 	}
--- a/agent/cache.go
+++ b/agent/cache.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/status"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/price"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -141,12 +142,11 @@
 	return nil
 }
 
-// fetch imports a chat's KV cache from another agent, given up as soon as it
-// takes longer than the target would need to rebuild the prefix.
+// fetch imports a chat's KV cache from another agent where that is cheaper than
+// rebuilding, and gives up as soon as it has cost as much.
 func (a *Agent) fetch(ctx context.Context, source string, c chat) (int64, error) {
-	m := a.model()
-	if m == nil || a.Dial == nil || m.Prefill <= 0 || m.Cache <= 0 {
-		return 0, errors.New("import: not set up for this model")
+	if a.Dial == nil {
+		return 0, errors.New("import: no way to other agents")
 	}
 	peer, err := a.Dial(source)
 	if err != nil {
@@ -162,8 +162,11 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "import")
 	}
-	rebuild := time.Duration(float64(first.Tokens) / m.Prefill * float64(time.Second))
-	defer time.AfterFunc(rebuild, cancel).Stop()
+	p := price.Choose(a.quote(first))
+	if p.Choice != price.Import {
+		return 0, errors.New("import: rebuilding is cheaper")
+	}
+	defer time.AfterFunc(p.Stop, cancel).Stop()
 	data, err := receive(st, first.Size)
 	if err != nil {
 		return 0, errors.Wrap(err, "import")
@@ -173,10 +176,25 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.chats.put(c)
+	a.chats.hold(c, first.Tokens, a.Clock())
 	return int64(len(data)), nil
 }
 
+// quote is what an import is weighed by.
+func (a *Agent) quote(first *wire.Chunk) price.Quote {
+	q := price.Quote{Prompt: float64(first.Tokens), Cached: float64(first.Tokens)}
+	m, v := a.model(), a.View()
+	if m == nil || v == nil {
+		return q
+	}
+	q.Prefill = m.Prefill
+	q.Token = float64(m.Cache)
+	q.Link = float64(v.Publication.Budget.Export)
+	load := a.Load()
+	q.Load = float64(load.Running) / float64(max(m.Slots, 1))
+	return q
+}
+
 func receive(st grpc.ServerStreamingClient[wire.Chunk], size int64) ([]byte, error) {
 	if size <= 0 || size > cacheMost {
 		return nil, errors.Newf("size %d is not between 1 and %d", size, cacheMost)
--- /dev/null
+++ b/agent/cachelog.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// cacheEvery is how often an engine is asked for its cache events. They come
+// late anyway.
+const cacheEvery = time.Second
+
+// cacheEvent is one line of an engine's cache events, which come late and with
+// gaps.
+type cacheEvent struct {
+	Seq       uint64 `json:"seq"`
+	Kind      string `json:"kind"`
+	Workspace string `json:"workspace"`
+	Chat      string `json:"chat"`
+	Tokens    int64  `json:"tokens"`
+}
+
+// Kinds of cache events. An engine that lost all is known by its boot id.
+const (
+	cacheStored  = "stored"
+	cacheEvicted = "evicted"
+)
+
+// cacheLog follows what an engine says of its prompt cache. What it says only
+// corrects what the agent believes: a gap or a late event costs a wait at a
+// target that has lost the prefix, or a rebuild, and never an answer.
+type cacheLog struct {
+	seq uint64
+}
+
+func (c *cacheLog) loop(ctx context.Context, a *Agent) {
+	tick := time.NewTicker(cacheEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if a.kind() != chestnutstep.KindEngine {
+			continue
+		}
+		events, err := c.read(ctx, a)
+		if err != nil {
+			continue
+		}
+		c.apply(a, events)
+	}
+}
+
+func (c *cacheLog) read(ctx context.Context, a *Agent) ([]cacheEvent, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	at := a.URL + "/control/events?after=" + strconv.FormatUint(c.seq, 10)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, at, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "cache events")
+	}
+	rs, err := a.Reuse.Do(rq)
+	if err != nil {
+		return nil, errors.Wrap(err, "cache events")
+	}
+	defer rs.Body.Close()
+	var list struct {
+		Events []cacheEvent `json:"events"`
+	}
+	if err := json.NewDecoder(rs.Body).Decode(&list); err != nil {
+		return nil, errors.Wrap(err, "cache events")
+	}
+	return list.Events, nil
+}
+
+func (c *cacheLog) apply(a *Agent, events []cacheEvent) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock()
+	for _, e := range events {
+		c.seq = max(c.seq, e.Seq)
+		key := chat{e.Workspace, e.Chat}
+		switch e.Kind {
+		case cacheStored:
+			a.chats.hold(key, e.Tokens, now)
+		case cacheEvicted:
+			a.chats.remove(key)
+		}
+	}
+}
--- a/agent/chats.go
+++ b/agent/chats.go
@@ -21,9 +21,18 @@
 	name      string
 }
 
-// chatCache remembers which chats were served here lately, as the engine's own
-// cache events come late and with gaps. An error costs a wait or a rebuild,
-// never an answer.
+// held is what is thought to be of a chat at the target.
+type held struct {
+	chat
+	// tokens of its prefix as the engine said, 0 if it has not said yet.
+	tokens int64
+	// served is when the chat's last request ended.
+	served time.Time
+}
+
+// chatCache remembers which chats were served here lately, corrected by what
+// the engine says late and with gaps. An error costs a wait or a rebuild, never
+// an answer.
 type chatCache struct {
 	at    map[chat]*list.Element
 	order list.List
@@ -34,29 +43,54 @@
 	return ok
 }
 
-func (c *chatCache) put(key chat) {
+// put notes that a chat was served here.
+func (c *chatCache) put(key chat, now time.Time) {
+	h := c.get(key)
+	h.served = now
+	if c.order.Len() <= chatsKept {
+		return
+	}
+	last := c.order.Back().Value.(*held)
+	c.remove(last.chat)
+}
+
+// hold notes the size of a chat's prefix. A chat that is not known was served
+// before this agent's start.
+func (c *chatCache) hold(key chat, tokens int64, now time.Time) {
+	if !c.has(key) {
+		c.put(key, now)
+	}
+	c.get(key).tokens = tokens
+}
+
+// get finds or adds a chat and moves it to the front.
+func (c *chatCache) get(key chat) *held {
 	if c.at == nil {
 		c.at = make(map[chat]*list.Element)
 	}
 	if e, ok := c.at[key]; ok {
 		c.order.MoveToFront(e)
-		return
+		return e.Value.(*held)
 	}
-	c.at[key] = c.order.PushFront(key)
-	if c.order.Len() <= chatsKept {
+	h := &held{chat: key}
+	c.at[key] = c.order.PushFront(h)
+	return h
+}
+
+func (c *chatCache) remove(key chat) {
+	e, ok := c.at[key]
+	if !ok {
 		return
 	}
-	last := c.order.Back()
-	c.order.Remove(last)
-	delete(c.at, last.Value.(chat))
+	c.order.Remove(e)
+	delete(c.at, key)
 }
 
-// latest lists at most n chats, the last served first: the sooner a chat was
-// served, the likelier it returns.
-func (c *chatCache) latest(n int) []chat {
-	out := make([]chat, 0, min(n, c.order.Len()))
-	for e := c.order.Front(); e != nil && len(out) < n; e = e.Next() {
-		out = append(out, e.Value.(chat))
+// all lists the chats, the last served first.
+func (c *chatCache) all() []held {
+	out := make([]held, 0, c.order.Len())
+	for e := c.order.Front(); e != nil; e = e.Next() {
+		out = append(out, *e.Value.(*held))
 	}
 	return out
 }
--- a/agent/job.go
+++ b/agent/job.go
@@ -213,7 +213,7 @@
 		a.Booth.Done(now, j.offer.Ticket, res.outcome == chestnutstep.Served)
 	}
 	if res.outcome == chestnutstep.Served && j.offer.Chat != "" {
-		a.chats.put(chat{j.offer.Workspace, j.offer.Chat})
+		a.chats.put(chat{j.offer.Workspace, j.offer.Chat}, now)
 	}
 	a.Gate.End(now, j.key, res.outcome)
 	a.advance(now)
--- a/agent/mover.go
+++ b/agent/mover.go
@@ -5,13 +5,15 @@
 	"time"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/price"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
 const (
-	// shiftMost bounds the chats that a leaving target hands over. Those served
-	// last are the likeliest to return; most return within minutes.
-	shiftMost = 512
+	// chatPause and chatShare describe returning chats: nine in ten come back,
+	// after two minutes on average ("most within minutes").
+	chatPause = 2 * time.Minute
+	chatShare = 0.9
 	// shiftLimit is how long handing over may take: an operator who takes a
 	// failure domain out at short notice gives it seconds, not minutes.
 	shiftLimit = 30 * time.Second
@@ -22,7 +24,7 @@
 // mover hands the KV cache of the latest chats to the targets that rank next
 // for them, where their callers' next requests go. It answers a failure domain
 // that leaves: without it, all its chats rebuild their prefixes at once at
-// targets that just got more load. One chat at a time, latest first.
+// targets that just got more load. One chat at a time, the most valuable first.
 type mover struct {
 	wake chan struct{}
 }
@@ -56,15 +58,35 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, shiftLimit)
 	defer cancel()
-	a.mu.Lock()
-	chats := a.chats.latest(shiftMost)
-	a.mu.Unlock()
-	for _, c := range chats {
+	for _, c := range a.valuable() {
 		if ctx.Err() != nil {
 			return
 		}
-		a.handOver(ctx, c)
+		a.handOver(ctx, chat{c.Workspace, c.Name})
+	}
+}
+
+// valuable lists the chats worth handing over, the most valuable first.
+func (a *Agent) valuable() []price.Chat {
+	m, v := a.model(), a.View()
+	if m == nil || v == nil || m.Cache <= 0 {
+		return nil
+	}
+	a.mu.Lock()
+	all := a.chats.all()
+	now := a.Clock()
+	a.mu.Unlock()
+	chats := make([]price.Chat, 0, len(all))
+	for _, h := range all {
+		chats = append(chats, price.Chat{
+			Workspace: h.workspace,
+			Name:      h.name,
+			Tokens:    float64(h.tokens),
+			Bytes:     float64(h.tokens * m.Cache),
+			Return:    price.Return(now.Sub(h.served), chatPause, chatShare),
+		})
 	}
+	return price.Plan(chats, float64(v.Publication.Budget.Export), shiftLimit)
 }
 
 // handOver asks the agent that ranks next for a chat to take its KV cache. A
--- a/publication.go
+++ b/publication.go
@@ -82,8 +82,29 @@
 	Out    bool    `json:"out,omitempty"`
 	// Fenced says that the target refuses orders with an old fencing number.
 	Fenced bool `json:"fenced,omitempty"`
+	// Orders is what the engine shall have been told, in this order. Its agent
+	// sends what is missing, again after each restart of the engine.
+	Orders []Order `json:"orders,omitempty"`
 }
 
+// Kinds of an order.
+const (
+	OrderModel   = "model"   // load a model's weights
+	OrderAdapter = "adapter" // load an adapter
+	OrderVersion = "version" // change to a version
+	OrderRole    = "role"    // change the engine's role
+)
+
+// Order is something that an engine is told to do.
+type Order struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+}
+
+// Loads says whether the order reads from the weight store, whose rate all
+// targets share.
+func (o Order) Loads() bool { return o.Kind == OrderModel || o.Kind == OrderAdapter }
+
 // Profile is a named way of being served; callers pick one for each request.
 type Profile struct {
 	Name  string `json:"name"`
