--- a/gate/gate.go
+++ b/gate/gate.go
@@ -81,7 +81,7 @@
 		g.ramp.Leave(now)
 		return
 	}
-	g.ramp.Return(now)
+	g.ramp.Return()
 }
 
 // End says that running or waiting work is over.
@@ -116,10 +116,7 @@
 		Cap:     limit,
 		Cold:    cold,
 		Leaving: g.ramp.Away(),
-		Weight:  g.ramp.Share(now),
-	}
-	if cold {
-		l.Weight = min(l.Weight, float64(coldCap)/float64(max(1, g.limits.Model.Slots)))
+		Weight:  g.ramp.Weight(coldCap, g.limits.Model.Slots),
 	}
 	if l.Leaving || !g.limited {
 		l.Cap, l.Weight = 0, 0
@@ -134,19 +131,13 @@
 	return g.queue.Len()
 }
 
-// limit is the cap in force, and the reason to give when it is reached.
+// limit is the cap in force, and the reason to give when it is reached. It holds
+// for what still starts while the target leaves, too.
 func (g *Gate) limit(now time.Time) (int, chestnutstep.Reason) {
 	limit, reason := g.cap.At(now), chestnutstep.ReasonFull
 	if cold, _ := g.cold.Cap(); cold < limit {
 		limit, reason = cold, chestnutstep.ReasonCold
 	}
-	if g.ramp.Away() {
-		// What waited may still start until it is shed.
-		return limit, reason
-	}
-	if scaled := g.ramp.Scale(now, limit); scaled < limit {
-		limit, reason = scaled, chestnutstep.ReasonCold
-	}
 	return limit, reason
 }
 
--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -2,9 +2,13 @@
 //
 // The load it answers: operators take a whole failure domain out at short
 // notice and bring it back, and targets flap. Without it, all that waited at
-// the domain's targets moves in one wave to the next targets of the ranking,
-// and at the return all chats of the domain come home in the same second, to
-// caches that are empty or hours old.
+// the domain's targets moves in one wave to the next targets of the ranking.
+//
+// The way back needs no clock. A target that lost its caches comes back under
+// its cold cap, which whole answers raise; one that kept them is warm; and a
+// chat with a hint stays where it was served meanwhile. A share that rose over
+// 30 s was tried on top of this, and only made callers wait: see the design
+// page.
 package ramp
 
 import (
@@ -14,14 +18,6 @@
 )
 
 const (
-	// Start is the share of its cap that a returning target begins with: enough
-	// to see at once whether it serves, too little to matter if it doesn't.
-	Start = 0.1
-	// Rise is how long a returning target takes to its full share. A chat costs
-	// its target most on the first turn, when its prompt is read anew; over
-	// 30 s a third of the fleet comes back at 3% of the load a second, which
-	// the others' spare room under their caps covers.
-	Rise = 30 * time.Second
 	// Step is how long the waiting work of one class has, after that of the
 	// next less urgent one, before it is turned away. Three classes at 0.7 s
 	// are gone in about two seconds: a target that leaves starts nothing new
@@ -30,50 +26,32 @@
 	Step = 700 * time.Millisecond
 )
 
-// Ramp is one target's way out and back. The zero value is fully in: what a
-// start costs is the cold cap's matter.
+// Ramp is one target's way out and back. The zero value is in.
 type Ramp struct {
 	away  bool
 	since time.Time
-	rises bool
 }
 
 // Leave says that the target takes no new work from now on.
 func (r *Ramp) Leave(now time.Time) {
-	if r.away {
-		return
-	}
-	r.away, r.since = true, now
-}
-
-// Return says that the target takes work again. A target that flaps returns to
-// Start each time, so it never gets far, whatever its last share was.
-func (r *Ramp) Return(now time.Time) {
 	if !r.away {
-		return
+		r.away, r.since = true, now
 	}
-	r.away, r.since, r.rises = false, now, true
 }
 
+// Return says that the target takes work again.
+func (r *Ramp) Return() { r.away = false }
+
 // Away says whether the target takes no new work.
 func (r *Ramp) Away() bool { return r.away }
 
-// Share is the part of its full cap that the target asks for: 0 to 1.
-func (r *Ramp) Share(now time.Time) float64 {
+// Weight is the share of full load, 0 to 1, that a target asks for: none while
+// it leaves, and as much as it has proven to carry of what it could.
+func (r *Ramp) Weight(proven, slots int) float64 {
 	if r.away {
 		return 0
 	}
-	if !r.rises {
-		return 1
-	}
-	gone := float64(now.Sub(r.since)) / float64(Rise)
-	return min(1, Start+(1-Start)*max(0, gone))
-}
-
-// Scale applies the share to a cap, rounded down; a target that takes work at
-// all takes one request.
-func (r *Ramp) Scale(now time.Time, limit int) int {
-	return max(1, int(r.Share(now)*float64(limit)))
+	return min(1, float64(proven)/float64(max(1, slots)))
 }
 
 // Shed says whether waiting work of a class must go elsewhere by now: the least
--- a/trial/config.go
+++ b/trial/config.go
@@ -82,6 +82,8 @@
 	// Leave and Return are when failure domain 0 is taken out and brought back
 	// with empty caches; never if zero. Entries hear of it Lag later.
 	Leave, Return, Lag time.Duration
+	// WarmReturn brings the domain back with its caches kept and targets warm.
+	WarmReturn bool
 	// Slow is how many times slower target 0 is from a third of the time on.
 	Slow float64
 	// MeanError is the standard deviation of an error put on each mean.
--- a/trial/run.go
+++ b/trial/run.go
@@ -197,9 +197,11 @@
 func (t *trial) comeBack() {
 	for _, g := range t.targets {
 		if g.domain == 0 {
-			g.cache.clear()
-			g.started = t.now
-			g.gate.Chill(t.time())
+			if !t.cfg.WarmReturn {
+				g.cache.clear()
+				g.started = t.now
+				g.gate.Chill(t.time())
+			}
 			g.gate.Leave(t.time(), false)
 		}
 	}
