gossip: publications, loads, suspicions and host news spread between processes

Up to 16 processes watch the service within a published budget, each process derives its own share; everyone exchanges with six neighbours in turn, pushes a change at once and fetches the parts that it lacks from whoever told it.

And with all targets out of service nobody watched, so that the publication that brings them back went unseen: the watchers are now filled up from those that are out. Ruled out as causes: the long poll of the stand-in and the store.

--- /dev/null
+++ b/gossip/exchange.go
@@ -0,0 +1,166 @@
+package gossip
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// lonelyAfter is how long no exchange may go well until a process takes itself
+// to be cut off from its peers and relies on the service.
+const lonelyAfter = 10 * time.Second
+
+// nearCache keeps the lists to choose neighbours from, made anew for each
+// publication and not for each exchange.
+type nearCache struct {
+	view      *chestnutstep.View
+	all, near []string
+}
+
+// loop begins an exchange each interval.
+func (n *Node) loop(ctx context.Context) {
+	for {
+		if a := n.neighbour(time.Now()); a != "" {
+			n.exchange(ctx, a, n.message(time.Now()))
+		}
+		if !sleep(ctx, n.jitter(n.Interval)) {
+			return
+		}
+	}
+}
+
+// pushLoop tells the neighbours at once when a publication comes into force.
+// Each of them fetches it from here and tells its own: a change crosses the
+// fleet in a few fetches instead of a dozen intervals.
+func (n *Node) pushLoop(ctx context.Context) {
+	changed := n.Store.Changed()
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		changed = n.Store.Changed() // before the push: the next change may come during it
+		n.push(ctx)
+	}
+}
+
+func (n *Node) push(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, a := range n.circleNow(time.Now()) {
+		wg.Add(1)
+		go n.run(ctx, &wg, func(ctx context.Context) { n.exchange(ctx, a, n.brief(time.Now())) })
+	}
+	wg.Wait()
+}
+
+// circleNow lists the neighbours and those who chose this process.
+func (n *Node) circleNow(now time.Time) []string {
+	n.neighbour(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := append(slices.Clone(n.circle.places), n.recent.list(now)...)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// neighbour returns whom to exchange with next.
+func (n *Node) neighbour(now time.Time) string {
+	view := n.Store.View()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if view == nil {
+		return n.circle.next(now, n.rand, nil, n.Peers)
+	}
+	if n.near.view != view {
+		n.near = n.candidates(view)
+	}
+	return n.circle.next(now, n.rand, n.near.near, n.near.all)
+}
+
+// candidates are the agents of the publication, in service or not: one that is
+// out still has to learn when it comes back. The settings' peers count as well,
+// as they may be the only way out of a cut.
+func (n *Node) candidates(view *chestnutstep.View) nearCache {
+	c := nearCache{view: view}
+	for i := range view.Publication.Targets {
+		t := &view.Publication.Targets[i]
+		if t.Agent == n.Address {
+			continue
+		}
+		c.all = append(c.all, t.Agent)
+		if n.Model != "" && t.Model == n.Model {
+			c.near = append(c.near, t.Agent)
+		}
+	}
+	for _, a := range n.Peers {
+		if a != n.Address && !slices.Contains(c.all, a) {
+			c.all = append(c.all, a)
+		}
+	}
+	return c
+}
+
+// exchange swaps messages with one peer.
+func (n *Node) exchange(ctx context.Context, address string, m *wire.GossipMessage) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
+	defer cancel()
+	reply, err := n.call(ctx, address, m)
+	if err != nil {
+		n.missed(address, err)
+		return
+	}
+	now := time.Now()
+	n.count(Traffic{In: proto.Size(reply), Out: proto.Size(m)})
+	n.met(now)
+	n.learn(now, reply, address)
+}
+
+func (n *Node) call(ctx context.Context, address string, m *wire.GossipMessage) (*wire.GossipMessage, error) {
+	conn, err := n.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewPeerClient(conn).Gossip(ctx, m)
+}
+
+// met notes that a peer answered.
+func (n *Node) met(now time.Time) {
+	n.mu.Lock()
+	n.last = now
+	found := n.lost
+	n.lost = false
+	n.mu.Unlock()
+	if found {
+		n.notify(NoticeFound, "", nil)
+	}
+}
+
+// missed notes that a peer did not answer, and says so once when none does.
+func (n *Node) missed(address string, err error) {
+	n.mu.Lock()
+	n.circle.drop(address)
+	alone := n.lonely(time.Now()) && !n.lost
+	n.lost = n.lost || alone
+	n.mu.Unlock()
+	n.count(Traffic{Failed: true})
+	n.notify(NoticeUnreachable, address, err)
+	if alone {
+		n.notify(NoticeLost, "", err)
+	}
+}
+
+// lonely says whether no peer has answered for long; mu is held.
+func (n *Node) lonely(now time.Time) bool {
+	since := n.last
+	if since.IsZero() {
+		since = n.began
+	}
+	return now.Sub(since) > lonelyAfter
+}
--- /dev/null
+++ b/gossip/net_test.go
@@ -0,0 +1,395 @@
+package gossip
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/member"
+	"chestnutstep.example/chestnutstep/wire"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+)
+
+// patience is how long a script waits for what must come about. It is no
+// verdict on speed: what it waits for takes a fraction of a second.
+const patience = 20 * time.Second
+
+// world is a small fleet over real sockets, with a platform that misbehaves.
+type world struct {
+	t        *testing.T
+	platform fake.Platform
+	srv      *httptest.Server
+	pubs     map[uint64]packed
+	reads    float64
+
+	mu    sync.Mutex
+	cut   map[string]bool // by node name or "platform"
+	nodes []*process
+	notes []string
+}
+
+type packed struct {
+	root  []byte
+	parts map[string][]byte
+}
+
+// process is one node and what it said.
+type process struct {
+	*Node
+	w *world
+	// name and address outlive the node, which is made anew at each start.
+	name, address string
+	listen        net.Listener
+	stop          func()
+	seen          []config.Stamp
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, pubs: make(map[uint64]packed), cut: make(map[string]bool)}
+	w.srv = httptest.NewServer(&w.platform)
+	t.Cleanup(w.close)
+	return w
+}
+
+func (w *world) close() {
+	for _, p := range w.nodes {
+		p.stop()
+	}
+	w.srv.Close()
+}
+
+// add makes a process whose address is known and that is not started yet.
+func (w *world) add(name string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(w.t, err)
+	p := &process{w: w, name: name, address: l.Addr().String(), listen: l, stop: func() {}}
+	w.nodes = append(w.nodes, p)
+}
+
+func (w *world) find(name string) *process {
+	for _, p := range w.nodes {
+		if p.name == name {
+			return p
+		}
+	}
+	w.t.Fatalf("no process %s", name)
+	return nil
+}
+
+// launch starts a process that knows nothing but its settings.
+func (p *process) launch(peers []string) {
+	var conns []*grpc.ClientConn
+	p.Node = &Node{
+		Name: p.name, Address: p.address, Peers: peers, Platform: p.w.srv.URL,
+		Store: new(config.Store), Members: new(member.List), Interval: 20 * time.Millisecond, Seed: 1 + uint64(len(p.name)),
+		HTTP: &http.Client{Transport: p},
+	}
+	p.seen = nil
+	p.Store.OnChange = []func(config.Change){func(c config.Change) { p.note(c) }}
+	p.Store.OnRefuse = []func(config.Refusal){func(r config.Refusal) { p.refused(r) }}
+	open := make(map[string]grpc.ClientConnInterface)
+	var mu sync.Mutex
+	p.Dial = func(address string) (grpc.ClientConnInterface, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if c := open[address]; c != nil {
+			return c, nil
+		}
+		c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			return nil, err
+		}
+		conns = append(conns, c)
+		open[address] = &link{ClientConnInterface: c, from: p, to: address}
+		return open[address], nil
+	}
+	srv := grpc.NewServer()
+	wire.RegisterPeerServer(srv, p.Node)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = srv.Serve(p.listen) }()
+	go func() { defer close(done); _ = p.Run(ctx) }()
+	p.stop = func() {
+		p.stop = func() {}
+		cancel()
+		srv.Stop()
+		<-done
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+}
+
+// note checks on every change that a process never goes back.
+func (p *process) note(c config.Change) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if n := len(p.seen); n > 0 && p.seen[n-1].Compare(c.Stamp) >= 0 {
+		p.w.t.Errorf("%s went back from %s to %s", p.name, p.seen[n-1], c.Stamp)
+	}
+	p.seen = append(p.seen, c.Stamp)
+}
+
+func (p *process) refused(r config.Refusal) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	kind := "invalid"
+	switch {
+	case config.IsErrOld(r.Err):
+		kind = "old"
+	case config.IsErrClash(r.Err):
+		kind = "clash"
+	}
+	p.w.notes = append(p.w.notes, fmt.Sprintf("%s refused %d as %s", p.name, r.Stamp.Version, kind))
+}
+
+// link is a connection that a cut swallows.
+type link struct {
+	grpc.ClientConnInterface
+	from *process
+	to   string
+}
+
+func (l *link) Invoke(ctx context.Context, method string, args, reply any, opts ...grpc.CallOption) error {
+	if l.from.w.isCut(l.from.name, l.to) {
+		return errors.New("cut")
+	}
+	return l.ClientConnInterface.Invoke(ctx, method, args, reply, opts...)
+}
+
+// RoundTrip reads the service unless the process is cut off from it. An answer
+// that comes after the cut, to a watch that waited, is lost as well.
+func (p *process) RoundTrip(r *http.Request) (*http.Response, error) {
+	if p.w.isCut(p.name, "platform") {
+		return nil, errors.New("cut")
+	}
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && p.w.isCut(p.name, "platform") {
+		res.Body.Close()
+		return nil, errors.New("cut")
+	}
+	return res, err
+}
+
+func (w *world) isCut(from, to string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut[from] || w.cut[to] {
+		return true
+	}
+	for _, p := range w.nodes {
+		if p.address == to && w.cut[p.name] {
+			return true
+		}
+	}
+	return false
+}
+
+// publication lists the agents of this world; the domain that is out tells
+// contents apart.
+func (w *world) publication(version uint64, out bool) *chestnutstep.Publication {
+	p := &chestnutstep.Publication{
+		Version: version,
+		Domains: []chestnutstep.Domain{{Name: "a", Region: "r", Out: out}},
+		Models:  []chestnutstep.Model{{Name: "m", Kind: chestnutstep.KindEngine, Slots: 4, Cold: 1}},
+		Budget:  chestnutstep.Budget{Reads: w.reads},
+	}
+	for _, n := range w.nodes {
+		p.Hosts = append(p.Hosts, chestnutstep.Host{Name: "h" + n.name, Domain: "a"})
+		if !strings.HasPrefix(n.name, "entry") {
+			p.Targets = append(p.Targets, chestnutstep.Target{Name: n.name, Host: "h" + n.name, Model: "m", Agent: n.address})
+		}
+	}
+	return p
+}
+
+// The scripts in testdata/net run a small fleet and a platform over real
+// sockets through what may go wrong with publishing.
+func TestNet(t *testing.T) {
+	datadriven.Walk(t, "testdata/net", func(t *testing.T, path string) {
+		w := newWorld(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w.t = t
+			return w.run(d)
+		})
+	})
+}
+
+func (w *world) run(d *datadriven.TestData) string {
+	names := keys(d)
+	switch d.Cmd {
+	case "fleet":
+		d.ScanArgs(w.t, "reads", &w.reads)
+		for _, name := range strings.Fields(d.Input) {
+			w.add(name)
+		}
+	case "start":
+		peers := []string{}
+		if d.HasArg("peers") {
+			var peer string
+			d.ScanArgs(w.t, "peers", &peer)
+			peers = append(peers, w.find(peer).address)
+		}
+		for _, name := range names {
+			w.find(name).launch(peers)
+		}
+	case "stop":
+		for _, name := range names {
+			p := w.find(name)
+			p.stop()
+			l, err := net.Listen("tcp", p.address)
+			assert.NilError(w.t, err)
+			p.listen = l
+		}
+	case "publish":
+		w.publish(d)
+	case "mode":
+		m := fake.Mode{Down: d.HasArg("down")}
+		d.MaybeScanArgs(w.t, "stale", &m.Stale)
+		w.platform.Misbehave(m)
+	case "cut", "heal":
+		w.mu.Lock()
+		for _, name := range names {
+			w.cut[name] = d.Cmd == "cut"
+		}
+		w.mu.Unlock()
+	case "leave":
+		for _, name := range names {
+			w.platform.SetHost(name, fake.HostLeaving)
+		}
+	case "hosts":
+		for _, name := range names {
+			w.platform.SetHost(name, fake.HostLive)
+		}
+	case "await":
+		return w.await(d, names)
+	case "refused":
+		return w.awaitRefused(d, names)
+	case "held":
+		return w.held(names)
+	case "refusals":
+		return w.refusals()
+	}
+	return ""
+}
+
+// held lists the versions that each process had in force since it started.
+func (w *world) held(names []string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, "%s held", name)
+		for _, st := range w.find(name).seen {
+			fmt.Fprintf(&b, " %d", st.Version)
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// awaitRefused waits until the processes refused a version.
+func (w *world) awaitRefused(d *datadriven.TestData, names []string) string {
+	var version uint64
+	d.ScanArgs(w.t, "version", &version)
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		all := w.refusals()
+		missing := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
+			return strings.Contains(all, fmt.Sprintf("%s refused %d ", name, version))
+		})
+		if len(missing) == 0 {
+			return ""
+		}
+	}
+	return "not refused by all:\n" + w.refusals()
+}
+
+// refusals lists what processes refused, each once.
+func (w *world) refusals() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slices.Sort(w.notes)
+	return strings.Join(w.notes, "\n") + "\n"
+}
+
+// keys are the arguments without a value.
+func keys(d *datadriven.TestData) []string {
+	var list []string
+	for _, a := range d.CmdArgs {
+		if len(a.Vals) == 0 {
+			list = append(list, a.Key)
+		}
+	}
+	return list
+}
+
+// publish puts parts and then the root on the platform, or leaves some out.
+func (w *world) publish(d *datadriven.TestData) {
+	var version uint64
+	d.ScanArgs(w.t, "version", &version)
+	p := w.publication(version, d.HasArg("out"))
+	if d.HasArg("invalid") {
+		p.Models[0].Slots = 0
+	}
+	root, parts := config.Pack(p)
+	for hash, raw := range parts {
+		if !d.HasArg("rootonly") {
+			w.platform.Put(config.PartPrefix+hash, raw)
+		}
+	}
+	if !d.HasArg("partsonly") {
+		w.platform.Put(config.RootName, root)
+	}
+}
+
+// await waits until the processes hold a version, or believe hosts to leave.
+func (w *world) await(d *datadriven.TestData, names []string) string {
+	var version uint64
+	var host string
+	d.MaybeScanArgs(w.t, "version", &version)
+	d.MaybeScanArgs(w.t, "leaving", &host)
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		left := 0
+		for _, name := range names {
+			p := w.find(name)
+			if version > 0 && p.Store.Stamp().Version != version {
+				left++
+			}
+			if host != "" && !p.Members.Leaving(time.Now(), host) {
+				left++
+			}
+		}
+		if left == 0 && w.alike(names) {
+			return ""
+		}
+	}
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, "%s holds %s\n", name, w.find(name).Store.Stamp())
+	}
+	return b.String()
+}
+
+func (w *world) alike(names []string) bool {
+	for _, name := range names {
+		if w.find(name).Store.Stamp() != w.find(names[0]).Store.Stamp() {
+			return false
+		}
+	}
+	return true
+}
