--- a/answer/link.go
+++ b/answer/link.go
@@ -51,13 +51,6 @@
 // Close ends the link. It may be called more than once.
 func (k *Link) Close() { k.log.detach(k) }
 
-// Next waits for the piece at an offset; a negative one asks for the head. It
-// holds no place in the log: the writer does not wait for such a reader, which
-// gets ErrGone when it falls behind by more than what is kept.
-func (l *Log) Next(ctx context.Context, offset int64) (Piece, error) {
-	return l.next(ctx, max(offset, 0), offset >= 0)
-}
-
 func (l *Log) next(ctx context.Context, offset int64, headed bool) (Piece, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
