node, cmd: entry and agent as processes; the whole path runs

Cause: the parts stood beside each other with nothing to start them. Change: package node puts settings, publication, gossip, logs, metrics, audit trail, admin address and an entry or agent together; the program has entry, agent and status. An agent's listening port is the lock of its target's one slot. Gossip takes an agent's model from the publication.

--- a/cmd/chestnutstep/main.go
+++ b/cmd/chestnutstep/main.go
@@ -2,4 +2,54 @@
 // and the operators' tools.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/integrii/flaggy"
+)
+
+// command is a subcommand and what runs when it is used.
+type command struct {
+	flags *flaggy.Subcommand
+	run   func() error
+}
+
+func main() {
+	flaggy.SetName("chestnutstep")
+	flaggy.SetDescription("a router fleet for chats that return")
+	flaggy.SetVersion(version)
+	commands := commands()
+	for _, c := range commands {
+		flaggy.AttachSubcommand(c.flags, 1)
+	}
+	flaggy.Parse()
+	for _, c := range commands {
+		if c.flags.Used {
+			exit(c.run())
+		}
+	}
+	flaggy.ShowHelpAndExit("name a subcommand")
+}
+
+// version of the program, shown by --version.
+const version = "0.1.0"
+
+func commands() []command {
+	var list []command
+	add := func(flags *flaggy.Subcommand, run func() error) {
+		list = append(list, command{flags, run})
+	}
+	add(entryCommand())
+	add(agentCommand())
+	add(statusCommand())
+	return list
+}
+
+func exit(err error) {
+	if err == nil {
+		os.Exit(0)
+	}
+	fmt.Fprintln(os.Stderr, "chestnutstep:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/cmd/chestnutstep/serve.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/node"
+)
+
+// entryCommand returns the subcommand that runs an entry.
+func entryCommand() (*flaggy.Subcommand, func() error) {
+	c, path := serveFlags("entry", "take callers' requests and bring them to targets")
+	return c, func() error {
+		s, err := config.Load(*path, config.RoleEntry)
+		if err != nil {
+			return err
+		}
+		return serve((&node.Entry{Settings: s}).Run)
+	}
+}
+
+// agentCommand returns the subcommand that runs an agent.
+func agentCommand() (*flaggy.Subcommand, func() error) {
+	c, path := serveFlags("agent", "stand beside one target and decide what it takes")
+	return c, func() error {
+		s, err := config.Load(*path, config.RoleAgent)
+		if err != nil {
+			return err
+		}
+		return serve((&node.Agent{Settings: s}).Run)
+	}
+}
+
+func serveFlags(name, description string) (*flaggy.Subcommand, *string) {
+	c := flaggy.NewSubcommand(name)
+	c.Description = description
+	path := new(string)
+	c.String(path, "s", "settings", "settings file, JSON with comments")
+	return c, path
+}
+
+// serve runs a process until SIGTERM or SIGINT, then lets it drain.
+func serve(run func(context.Context) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return run(ctx)
+}
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -37,7 +37,7 @@
 func (f *Fleet) first() *chestnutstep.Publication {
 	p := &chestnutstep.Publication{
 		Models: []chestnutstep.Model{
-			{Name: ModelChat, Kind: chestnutstep.KindEngine, Multiple: 1.5, Floor: 4, Slots: 32, Queue: 64, Cold: 4, Warm: 8, Done: "event: done"},
+			{Name: ModelChat, Kind: chestnutstep.KindEngine, Multiple: 1.5, Floor: 4, Slots: 32, Queue: 64, Cold: 4, Warm: 8, Done: "event: done", Prefill: 20000, Cache: 64},
 			{Name: ModelBook, Kind: chestnutstep.KindService, Multiple: 2, Floor: 8, Slots: 64, Queue: 64, Cold: 8},
 		},
 		Profiles: profiles(),
@@ -53,7 +53,7 @@
 		})
 	}
 	for _, d := range f.Doors {
-		p.Hosts = append(p.Hosts, chestnutstep.Host{Name: "host-" + d.Name, Domain: d.Domain})
+		p.Hosts = append(p.Hosts, chestnutstep.Host{Name: "host-" + d.Name, Domain: d.Domain, Entry: true})
 	}
 	for _, name := range []string{"darkroom", "prairie", "archive"} {
 		sum := sha256.Sum256([]byte(Keys[name]))
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -89,13 +89,14 @@
 // as they may be the only way out of a cut.
 func (n *Node) candidates(view *chestnutstep.View) nearCache {
 	c := nearCache{view: view}
+	model := n.model(view)
 	for i := range view.Publication.Targets {
 		t := &view.Publication.Targets[i]
 		if t.Agent == n.Address {
 			continue
 		}
 		c.all = append(c.all, t.Agent)
-		if n.Model != "" && t.Model == n.Model {
+		if model != "" && t.Model == model {
 			c.near = append(c.near, t.Agent)
 		}
 	}
@@ -107,6 +108,15 @@
 	return c
 }
 
+// model is what the publication says that this agent's target serves.
+func (n *Node) model(view *chestnutstep.View) string {
+	own := view.Targets[n.Name]
+	if own == nil || own.Agent != n.Address {
+		return n.Model
+	}
+	return own.Model
+}
+
 // exchange swaps messages with one peer.
 func (n *Node) exchange(ctx context.Context, address string, m *wire.GossipMessage) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -45,8 +45,9 @@
 	// Name of the process, an agent's is its target's; Address is where it
 	// answers peers.
 	Name, Address string
-	// Model is an agent's own: half of its exchanges go to agents of the same
-	// model, whose load samples it can use. Empty for an entry.
+	// Model is an agent's own, where the publication does not say it: half of
+	// its exchanges go to agents of the same model, whose load samples it can
+	// use. Empty for an entry.
 	Model string
 	// Peers are addresses to ask before a publication is known.
 	Peers []string
--- /dev/null
+++ b/node/agent.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/admin"
+	"chestnutstep.example/chestnutstep/agent"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/gate"
+	"chestnutstep.example/chestnutstep/mean"
+	"chestnutstep.example/chestnutstep/route"
+	"chestnutstep.example/chestnutstep/ticket"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// Agent is the process beside one target. Set the exported fields before Run.
+type Agent struct {
+	Settings *config.Settings
+	// Out receives the log; standard error if unset.
+	Out io.Writer
+
+	*base
+	agent  *agent.Agent
+	jury   *crash.Jury
+	server *grpc.Server
+}
+
+// Run serves until ctx ends, then lets what runs come to its end.
+func (n *Agent) Run(ctx context.Context) error {
+	// The listening port is the lock of the target's one slot: a second agent
+	// beside the same target can't get it, and says so instead of running.
+	l, err := net.Listen("tcp", n.Settings.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "listen: the slot of %s is taken, or the address is not this host's", n.Settings.Name)
+	}
+	if err := n.build(); err != nil {
+		return err
+	}
+	n.log.Emit(event.ProcessStart, event.Str("role", string(config.RoleAgent)))
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	served := make(chan error, 2)
+	start(work,
+		n.loop, n.pool.Run, n.gossip, n.await, n.measure,
+		func(ctx context.Context) { _ = n.agent.Run(ctx) },
+		func(ctx context.Context) { served <- n.admin(ctx, n.ready, n.status) },
+		func(context.Context) { served <- n.server.Serve(l) },
+	)
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+		return n.stop()
+	}
+}
+
+// stop takes no new work and waits for what runs: a planned stop cuts nothing.
+func (n *Agent) stop() error {
+	n.log.Emit(event.ProcessDrain, event.Int("running", int64(n.agent.Load().Running)))
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Drain.Std())
+	defer cancel()
+	err := n.agent.Leave(ctx)
+	n.server.Stop()
+	n.log.Emit(event.ProcessStop, event.Err(err))
+	return errors.Wrap(err, "drain")
+}
+
+func (n *Agent) build() error {
+	var err error
+	if n.base, err = newBase(n.Settings, config.RoleAgent, n.Out); err != nil {
+		return err
+	}
+	name := n.Settings.Target.Name
+	n.jury = &crash.Jury{Target: name}
+	sampler := &mean.Sampler{Target: name, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	reuse, single := agent.Clients()
+	n.agent = &agent.Agent{
+		Name:        name,
+		URL:         strings.TrimSuffix(n.Settings.Target.URL, "/"),
+		Incarnation: n.settings.Host + "-" + newIncarnation(),
+		View:        n.store.View,
+		Gate:        &gate.Gate{},
+		Jury:        n.jury,
+		Booth:       &ticket.Booth{Target: name},
+		Sampler:     sampler,
+		Shelf:       &answer.Shelf{Keep: n.settings.Keep.Time.Std(), Most: n.settings.Keep.Bytes},
+		Reuse:       reuse,
+		Single:      single,
+		Linger:      n.settings.Linger.Std(),
+		Dial:        n.dial,
+		Uptime:      uptime(),
+		Ranker:      newRanker,
+		Leaving:     func() bool { return n.members.Leaving(time.Now(), n.settings.Host) },
+		Notify:      n.notice,
+	}
+	n.server = n.base.server()
+	wire.RegisterAgentServer(n.server, n.agent.Service())
+	n.peer = n.newGossip(name, n.settings.Listen)
+	n.peer.Sampler, n.peer.Jury, n.peer.Lock = sampler, n.jury, n.agent.Lock()
+	n.peer.Weight = func() float64 { return n.agent.Load().Weight }
+	n.register(n.server)
+	return nil
+}
+
+// dial reaches another agent, to move KV cache.
+func (n *Agent) dial(addr string) (wire.AgentClient, error) {
+	conn, err := n.pool.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewAgentClient(conn), nil
+}
+
+// newRanker builds the ranking of a publication for a single use.
+func newRanker(v *chestnutstep.View) chestnutstep.Ranker {
+	t := &route.Table{View: v}
+	t.Build()
+	return t
+}
+
+func (n *Agent) ready() error {
+	if n.store.View() == nil {
+		return &ErrNotReady{Cause: "no publication yet"}
+	}
+	if n.agent.Load().Leaving {
+		return &ErrNotReady{Cause: "leaving"}
+	}
+	return nil
+}
+
+// status is what this agent shows: its own target.
+func (n *Agent) status() admin.Status {
+	ready := n.ready()
+	load := n.agent.Load()
+	s := n.base.status(ready, int64(load.Running+load.Waiting))
+	v := n.store.View()
+	if v == nil {
+		return s
+	}
+	t := v.Targets[n.agent.Name]
+	if t == nil {
+		return s
+	}
+	s.Domains = ownDomain(v, t, admin.Target{
+		Name: t.Name, Host: t.Host, Model: t.Model, Load: &load,
+		Why: admin.Why(v, t, &load, true),
+	})
+	return s
+}
+
+func ownDomain(v *chestnutstep.View, t *chestnutstep.Target, show admin.Target) []admin.Domain {
+	d := v.Domains[t.Host]
+	if d == nil {
+		return nil
+	}
+	return []admin.Domain{{Name: d.Name, Region: d.Region, Out: d.Out, Targets: []admin.Target{show}}}
+}
+
+// measure sets the gauges once a second.
+func (n *Agent) measure(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		l := n.agent.Load()
+		n.meters.Agent.Running.Set(float64(l.Running))
+		n.meters.Agent.Waiting.Set(float64(l.Waiting))
+		n.meters.Agent.Cap.Set(float64(l.Cap))
+		n.meters.Agent.Weight.Set(l.Weight)
+		cold := 0.0
+		if l.Cold {
+			cold = 1
+		}
+		n.meters.Agent.Cold.Set(cold)
+	}
+}
--- /dev/null
+++ b/node/base.go
@@ -0,0 +1,136 @@
+// Package node puts the parts of one process together: settings, publication,
+// peers, logs, metrics, the admin address, and an entry or an agent.
+package node
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"chestnutstep.example/chestnutstep/admin"
+	"chestnutstep.example/chestnutstep/audit"
+	"chestnutstep.example/chestnutstep/cert"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/dial"
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/gossip"
+	"chestnutstep.example/chestnutstep/member"
+	"chestnutstep.example/chestnutstep/meter"
+)
+
+const (
+	// pauseCheck is how often a process looks whether it slept, and pauseMost
+	// the gap that counts as a pause: far above what a busy host's scheduler
+	// causes, and below what any lease or time limit here allows.
+	pauseCheck = 500 * time.Millisecond
+	pauseMost  = 2 * time.Second
+	// connectionBuffer of gRPC for each connection and direction; the default
+	// of 32 KiB times hundreds of connections would take a quarter of the
+	// memory that a process may use.
+	connectionBuffer = 8 << 10
+)
+
+// base is what entries and agents have in common.
+type base struct {
+	settings *config.Settings
+	role     config.Role
+	started  time.Time
+
+	log     *event.Log
+	trail   *audit.Trail
+	meters  *meter.Set
+	store   *config.Store
+	members *member.List
+	pool    *dial.Pool
+	files   *cert.Files
+	peer    *gossip.Node
+	source  source
+}
+
+func newBase(s *config.Settings, role config.Role, out io.Writer) (*base, error) {
+	if out == nil {
+		out = os.Stderr
+	}
+	b := &base{settings: s, role: role, started: time.Now()}
+	b.log = &event.Log{Out: out, Process: s.Name}
+	b.trail = &audit.Trail{Log: b.log, Process: s.Name}
+	b.members = &member.List{}
+	var err error
+	if b.meters, err = meter.NewSet(); err != nil {
+		return nil, errors.Wrap(err, "metrics")
+	}
+	if s.Encrypted() {
+		b.files = &cert.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA, Log: b.log}
+		if err := b.files.Load(); err != nil {
+			return nil, errors.Wrap(err, "tls")
+		}
+	}
+	b.pool = &dial.Pool{Credentials: b.credentials(), Idle: s.Idle.Std()}
+	b.store = &config.Store{
+		OnChange: []func(config.Change){b.accepted},
+		OnRefuse: []func(config.Refusal){b.refused},
+	}
+	return b, nil
+}
+
+// credentials of links between processes. The settings were checked: plain
+// ones stand only where they say so or on loopback.
+func (b *base) credentials() credentials.TransportCredentials {
+	if b.files == nil {
+		return insecure.NewCredentials()
+	}
+	return b.files.Credentials()
+}
+
+// server returns a gRPC server for the other processes of the system.
+func (b *base) server() *grpc.Server {
+	return grpc.NewServer(
+		grpc.Creds(b.credentials()),
+		grpc.ReadBufferSize(connectionBuffer),
+		grpc.WriteBufferSize(connectionBuffer),
+		grpc.SharedWriteBuffer(true),
+		grpc.MaxConcurrentStreams(uint32(b.settings.Streams)),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
+	)
+}
+
+// admin serves health, status, metrics and audit until ctx ends.
+func (b *base) admin(ctx context.Context, ready func() error, status func() admin.Status) error {
+	srv := &admin.Server{
+		Addr:    b.settings.Admin,
+		Log:     b.log,
+		Ready:   ready,
+		Status:  status,
+		Metrics: b.meters.Handler(),
+		Audit:   b.trail,
+	}
+	return srv.Run(ctx)
+}
+
+// loop looks for pauses of this process. Nothing depends on it: every decision
+// checks its own clock. It tells operators why requests were late.
+func (b *base) loop(ctx context.Context) {
+	tick := time.NewTicker(pauseCheck)
+	defer tick.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		if gap := now.Sub(last); gap > pauseMost {
+			b.log.Emit(event.ProcessPaused, event.Dur("gap", gap))
+		}
+		last = now
+	}
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/admin"
+	"chestnutstep.example/chestnutstep/cert"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/entry"
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/retry"
+	"chestnutstep.example/chestnutstep/route"
+)
+
+const (
+	// leaveGrace is how long a stopping entry still takes new requests after it
+	// said that it is not ready: the balancer needs a check or two to notice.
+	leaveGrace = time.Second
+	// headerLimit bounds the reading of a caller's headers.
+	headerLimit = 10 * time.Second
+	// callerIdle closes callers' connections that carry nothing.
+	callerIdle = 2 * time.Minute
+	// tableEvery is how often the ranking takes in what changed about hosts.
+	tableEvery = time.Second
+)
+
+// Entry is the process that callers talk to. Set the exported fields before
+// Run.
+type Entry struct {
+	Settings *config.Settings
+	// Out receives the log; standard error if unset.
+	Out io.Writer
+
+	*base
+	entry  *entry.Entry
+	table  atomic.Pointer[route.Table]
+	server *grpc.Server
+}
+
+// Run serves until ctx ends, then lets requests in progress come to their end.
+func (n *Entry) Run(ctx context.Context) error {
+	if err := n.build(); err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", n.Settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	peers, err := net.Listen("tcp", n.Settings.Peer)
+	if err != nil {
+		return errors.Wrap(err, "peer")
+	}
+	n.log.Emit(event.ProcessStart, event.Str("role", string(config.RoleEntry)))
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	srv := n.httpServer()
+	served := make(chan error, 3)
+	start(work,
+		n.loop, n.pool.Run, n.gossip, n.await, n.refresh, n.probe,
+		func(ctx context.Context) { served <- n.admin(ctx, n.ready, n.status) },
+		func(context.Context) { served <- n.server.Serve(peers) },
+		func(context.Context) { served <- n.serve(srv, callers) },
+	)
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+		return n.stop(srv)
+	}
+}
+
+func (n *Entry) build() error {
+	var err error
+	if n.base, err = newBase(n.Settings, config.RoleEntry, n.Out); err != nil {
+		return err
+	}
+	n.entry = &entry.Entry{
+		Name:    n.settings.Name,
+		Region:  n.settings.Region,
+		View:    n.store.View,
+		Ranker:  n.ranker,
+		Links:   n.pool,
+		Hosts:   n.members,
+		Repeats: &retry.Allowance{},
+		Steps:   retry.Steps(),
+		Entries: n.entries,
+		Clock:   time.Now,
+		Notify:  n.notice,
+	}
+	n.server = n.base.server()
+	n.peer = n.newGossip(n.settings.Name, n.settings.Peer)
+	n.peer.Lock = &sync.Mutex{}
+	n.register(n.server)
+	return nil
+}
+
+func (n *Entry) httpServer() *http.Server {
+	srv := &http.Server{
+		Handler:           n.entry,
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       callerIdle,
+	}
+	if n.settings.EncryptedCallers() {
+		files := &cert.Files{Cert: n.settings.Callers.Cert, Key: n.settings.Callers.Key, Log: n.log}
+		srv.TLSConfig = files.Public()
+	}
+	return srv
+}
+
+func (n *Entry) serve(srv *http.Server, l net.Listener) error {
+	if srv.TLSConfig != nil {
+		return srv.ServeTLS(l, "", "")
+	}
+	return srv.Serve(l)
+}
+
+// stop says "not ready" first, takes no new connections after a grace, and
+// waits for requests in progress: a planned stop cuts nothing.
+func (n *Entry) stop(srv *http.Server) error {
+	n.entry.Leave()
+	n.log.Emit(event.ProcessDrain, event.Int("open", n.entry.Open()))
+	time.Sleep(leaveGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Drain.Std())
+	defer cancel()
+	err := srv.Shutdown(ctx)
+	n.server.Stop()
+	n.log.Emit(event.ProcessStop, event.Err(err))
+	return errors.Wrap(err, "drain")
+}
+
+// ranker returns the table of a publication, building it when it is new.
+func (n *Entry) ranker(v *chestnutstep.View) chestnutstep.Ranker {
+	if t := n.table.Load(); t != nil && t.View == v {
+		return t
+	}
+	return n.rebuild(v)
+}
+
+// rebuild makes a table without the hosts that are leaving or silent. Where
+// that leaves a model with nothing, the evidence is more likely wrong (this
+// process may be the one that is cut off), and all its targets are kept.
+func (n *Entry) rebuild(v *chestnutstep.View) *route.Table {
+	now := time.Now()
+	left := make(map[string]int)
+	skip := func(t *chestnutstep.Target) bool {
+		return n.members.Leaving(now, t.Host) || n.members.Suspect(now, t.Host)
+	}
+	for i := range v.Publication.Targets {
+		if t := &v.Publication.Targets[i]; !v.Out(t) && !skip(t) {
+			left[t.Model]++
+		}
+	}
+	t := &route.Table{View: v, Skip: func(t *chestnutstep.Target) bool { return left[t.Model] > 0 && skip(t) }}
+	t.Build()
+	n.table.Store(t)
+	return t
+}
+
+// refresh rebuilds the table while what is believed of hosts changes.
+func (n *Entry) refresh(ctx context.Context) {
+	tick := time.NewTicker(tableEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if v := n.store.View(); v != nil {
+			n.rebuild(v)
+		}
+		n.meters.Entry.Open.Set(float64(n.entry.Open()))
+		n.meters.Entry.Links.Set(float64(n.pool.Len()))
+	}
+}
+
+func (n *Entry) ready() error {
+	if n.store.View() == nil {
+		return &ErrNotReady{Cause: "no publication yet"}
+	}
+	if !n.entry.Ready() {
+		return &ErrNotReady{Cause: "leaving"}
+	}
+	return nil
+}
+
+// status lists all targets as this entry sees them.
+func (n *Entry) status() admin.Status {
+	s := n.base.status(n.ready(), n.entry.Open())
+	v := n.store.View()
+	if v == nil {
+		return s
+	}
+	now := time.Now()
+	s.Domains = admin.Layout(v, func(t *chestnutstep.Target) admin.Target {
+		reached := !n.members.Suspect(now, t.Host)
+		return admin.Target{Name: t.Name, Host: t.Host, Model: t.Model, Why: admin.Why(v, t, nil, reached)}
+	})
+	return s
+}
+
+// entries counts the entries that share the callers.
+func (n *Entry) entries() int {
+	v := n.store.View()
+	if v == nil {
+		return 1
+	}
+	now := time.Now()
+	count := 0
+	for i := range v.Publication.Hosts {
+		h := &v.Publication.Hosts[i]
+		if h.Entry && !h.Out && !n.members.Leaving(now, h.Name) {
+			count++
+		}
+	}
+	return max(count, 1)
+}
--- /dev/null
+++ b/node/gossip.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/gossip"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// newGossip returns this process's part in the gossip; an agent adds its load
+// and its suspicions.
+func (b *base) newGossip(name, address string) *gossip.Node {
+	return &gossip.Node{
+		Store:    b.store,
+		Name:     name,
+		Address:  address,
+		Peers:    b.settings.Peers,
+		Platform: b.settings.Platform,
+		Dial:     b.pool.Conn,
+		Members:  b.members,
+		Notify:   b.gossipNotice,
+		Count:    b.gossipCount,
+	}
+}
+
+// gossip keeps the publication and what is known of hosts up to date.
+func (b *base) gossip(ctx context.Context) { _ = b.peer.Run(ctx) }
+
+// register lets other processes ask this one.
+func (b *base) register(srv *grpc.Server) { wire.RegisterPeerServer(srv, b.peer) }
+
+// gossipEvents are the log events of gossip's notices.
+var gossipEvents = map[gossip.NoticeKind]event.ID{
+	gossip.NoticeUnreachable: event.PeerUnreachable,
+	gossip.NoticeLost:        event.PeersLost,
+	gossip.NoticeFound:       event.PeersFound,
+	gossip.NoticeLeaving:     event.HostLeaving,
+	gossip.NoticeWatcher:     event.WatcherChosen,
+	gossip.NoticeDown:        event.PlatformDown,
+	gossip.NoticeUp:          event.PlatformUp,
+	gossip.NoticeStale:       event.PlatformBack,
+	gossip.NoticePart:        event.PublicationPart,
+}
+
+func (b *base) gossipNotice(m gossip.Notice) {
+	id, ok := gossipEvents[m.Kind]
+	if !ok {
+		return
+	}
+	b.log.Emit(id, event.Str("subject", m.Subject), event.Err(m.Err))
+}
+
+func (b *base) gossipCount(t gossip.Traffic) {
+	b.meters.Publication.Gossip.Add(int64(t.In), "in")
+	b.meters.Publication.Gossip.Add(int64(t.Out), "out")
+	result := "ok"
+	if t.Failed {
+		result = "failed"
+	}
+	b.meters.Publication.Rounds.Add(1, result)
+}
+
+// publicationWait bounds how long a starting process looks for a publication
+// before it says so in its log.
+const publicationWait = 5 * time.Second
+
+// await tells operators when a process has no publication to work by.
+func (b *base) await(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-b.store.Changed():
+		b.log.Emit(event.ProcessReady, event.Version(b.version()))
+	case <-time.After(publicationWait):
+		b.log.Emit(event.PublicationNone)
+	}
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chestnutstep.example/chestnutstep/config"
+)
+
+// lines is a log that tests read.
+type lines struct {
+	mu  sync.Mutex
+	all []byte
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, p...)
+	return len(p), nil
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(l.all)
+}
+
+// free returns an address that nothing listens at.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func agentSettings(t *testing.T, listen string) *config.Settings {
+	raw := fmt.Sprintf(`{"name": "t1", "host": "h1", "domain": "a", "region": "r", "listen": %q, "admin": %q,
+		"platform": "http://127.0.0.1:1", "target": {"name": "t1", "url": "http://127.0.0.1:2", "kind": "engine"}}`,
+		listen, free(t))
+	s, err := config.ParseSettings("t1.json", []byte(raw), config.RoleAgent)
+	assert.NilError(t, err)
+	return s
+}
+
+// An operator starts a second agent beside a target by mistake. Two agents
+// would each admit up to the target's cap and hand out tickets that the other
+// does not know. The second one must say so and stop.
+func TestSecondAgentStops(t *testing.T) {
+	listen := free(t)
+	out := &lines{}
+	ctx, cancel := context.WithCancel(context.Background())
+	first := make(chan error, 1)
+	a := &Agent{Settings: agentSettings(t, listen), Out: out}
+	go func() { first <- a.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c, err := net.Dial("tcp", listen)
+		if err != nil {
+			return poll.Continue("not listening")
+		}
+		c.Close()
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+	second := &Agent{Settings: agentSettings(t, listen), Out: out}
+	assert.ErrorContains(t, second.Run(ctx), "the slot of t1 is taken")
+	cancel()
+	assert.NilError(t, <-first)
+}
+
+// The platform is down when a process starts, and no peer is there. The
+// process says that it is not ready, so that the balancer sends no callers, and
+// why; it does not stop.
+func TestStartWithoutPlatform(t *testing.T) {
+	out := &lines{}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	a := &Agent{Settings: agentSettings(t, free(t)), Out: out}
+	assert.NilError(t, a.build())
+	assert.ErrorContains(t, a.ready(), "no publication yet")
+	b := &Agent{Settings: a.Settings, Out: out}
+	go func() { done <- b.Run(ctx) }()
+	cancel()
+	assert.NilError(t, <-done)
+	assert.Assert(t, IsErrNotReady(a.ready()))
+}
--- /dev/null
+++ b/node/notice.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"chestnutstep.example/chestnutstep/agent"
+	"chestnutstep.example/chestnutstep/audit"
+	"chestnutstep.example/chestnutstep/entry"
+	"chestnutstep.example/chestnutstep/event"
+)
+
+// targetEvents are the notices of an agent that change the state of its
+// target: they go to the log and the audit trail.
+var targetEvents = map[agent.NoticeKind]event.ID{
+	agent.NoticeCold:    event.TargetCold,
+	agent.NoticeDown:    event.TargetDown,
+	agent.NoticeUp:      event.TargetUp,
+	agent.NoticeCrash:   event.TargetCrash,
+	agent.NoticeLeaving: event.TargetLeaving,
+}
+
+// contentEvents are about a request's content.
+var contentEvents = map[agent.NoticeKind]event.ID{
+	agent.NoticeSuspect:   event.ContentSuspect,
+	agent.NoticeCondemned: event.ContentCondemned,
+}
+
+// notice puts what an agent says into log, metrics and audit trail.
+func (n *Agent) notice(m agent.Notice) {
+	if id, ok := targetEvents[m.Kind]; ok {
+		n.log.Emit(id, event.Target(m.Subject))
+		n.record(audit.KindTarget, m)
+	}
+	if id, ok := contentEvents[m.Kind]; ok {
+		n.log.Emit(id, event.Str("content", m.Subject))
+		n.record(audit.KindCondemned, m)
+	}
+	switch m.Kind {
+	case agent.NoticeCrash:
+		n.meters.Agent.Crashes.Add(1)
+	case agent.NoticeRefused:
+		n.log.Emit(event.OfferRefused, event.Request(m.Subject), event.Reason(m.Reason))
+		n.meters.Agent.Offers.Add(1, m.Profile, string(m.Reason))
+	case agent.NoticeMoved:
+		n.record(audit.KindTarget, m)
+	case agent.NoticeOrder:
+		n.record(audit.KindOrder, m)
+	case agent.NoticeEnded:
+		n.meters.Agent.Runs.Add(1, m.Profile, string(m.Reason))
+		n.meters.Workspaces.Requests.Add(1, m.Workspace, string(m.Reason))
+		n.meters.Workspaces.Tokens.Add(int64(m.Cost), m.Workspace)
+	}
+}
+
+func (n *Agent) record(kind audit.Kind, m agent.Notice) {
+	n.trail.Add(audit.Record{
+		Kind: kind, Subject: m.Subject, Cause: string(m.Kind) + " " + string(m.Reason),
+		Before: m.Before, After: m.After, Version: n.version(),
+	})
+}
+
+// notice puts how a caller's request ended into log and metrics.
+func (n *Entry) notice(m entry.Notice) {
+	result := "ok"
+	id := event.RequestDone
+	switch {
+	case m.Reason != "" && m.First > 0:
+		result, id = string(m.Reason), event.RequestBroken
+	case m.Reason != "":
+		result, id = string(m.Reason), event.RequestRefused
+	}
+	n.log.Emit(
+		id,
+		event.Request(m.Request),
+		event.Chat(m.Chat),
+		event.Workspace(m.Workspace),
+		event.Profile(m.Profile),
+		event.Target(m.Target),
+		event.Reason(m.Reason),
+		event.Str("run", string(m.Run)),
+		event.Int("offers", int64(m.Offers)),
+		event.Dur("total", m.Total),
+	)
+	n.meters.Entry.Requests.Add(1, m.Profile, result)
+	if m.First > 0 {
+		n.meters.Entry.FirstByte.Observe(m.First, m.Profile)
+	}
+	if result == "ok" {
+		n.meters.Entry.Answer.Observe(m.Total, m.Profile)
+	}
+}
--- /dev/null
+++ b/node/probe.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+const (
+	// probeEvery and probeMost bound the connections that an entry tries to
+	// suspect hosts: a failure domain of 190 targets must not cost it a core.
+	probeEvery = time.Second
+	probeMost  = 8
+	// probeLimit is how long one try may take.
+	probeLimit = 400 * time.Millisecond
+)
+
+// probe tries suspect hosts again, apart from callers' requests: a request that
+// tries a host which is still silent pays for it with half a second.
+func (n *Entry) probe(ctx context.Context) {
+	tick := time.NewTicker(probeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if v := n.store.View(); v != nil {
+			n.probeSuspects(ctx, v)
+		}
+	}
+}
+
+func (n *Entry) probeSuspects(ctx context.Context, v *chestnutstep.View) {
+	left := probeMost
+	for i := range v.Publication.Targets {
+		t := &v.Publication.Targets[i]
+		now := time.Now()
+		if !n.members.Suspect(now, t.Host) || !n.members.Probe(now, t.Host) {
+			continue
+		}
+		n.probeHost(ctx, t)
+		if left--; left == 0 {
+			return
+		}
+	}
+}
+
+func (n *Entry) probeHost(ctx context.Context, t *chestnutstep.Target) {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	if err := n.pool.Reach(ctx, t.Agent); err != nil {
+		n.members.Fail(time.Now(), t.Host)
+		return
+	}
+	n.members.Answer(time.Now(), t.Host)
+}
--- /dev/null
+++ b/node/publication.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/admin"
+	"chestnutstep.example/chestnutstep/audit"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/event"
+)
+
+// source remembers what the status page says about the publication.
+type source struct {
+	mu      sync.Mutex
+	since   time.Time
+	refused uint64
+	why     string
+}
+
+// accepted notes a publication that came into force.
+func (b *base) accepted(c config.Change) {
+	p := c.To.Publication
+	b.source.mu.Lock()
+	b.source.since = c.Now
+	b.source.mu.Unlock()
+	var old *chestnutstep.Publication
+	before := ""
+	if c.From != nil {
+		old = c.From.Publication
+		before = strconv.FormatUint(old.Version, 10)
+	}
+	b.log.Emit(event.PublicationInForce, event.Version(p.Version))
+	b.meters.Publication.Version.Set(float64(p.Version))
+	b.meters.Publication.Changes.Add(1, "accepted")
+	if c.Clash {
+		b.log.Emit(event.PublicationConflict, event.Version(p.Version))
+	}
+	b.trail.Add(audit.Record{
+		Kind: audit.KindAccepted, Subject: "publication", Cause: "published",
+		Before: before, After: c.Stamp.String(), Version: p.Version,
+	})
+	for _, r := range audit.Changes(old, p) {
+		b.trail.Add(r)
+	}
+}
+
+// refused notes a publication that was not put in force.
+func (b *base) refused(r config.Refusal) {
+	b.source.mu.Lock()
+	b.source.refused = r.Stamp.Version
+	b.source.why = r.Err.Error()
+	b.source.mu.Unlock()
+	id := event.PublicationRefused
+	if config.IsErrOld(r.Err) {
+		id = event.PublicationOld
+	}
+	if config.IsErrClash(r.Err) {
+		id = event.PublicationConflict
+	}
+	b.log.Emit(id, event.Version(r.Stamp.Version), event.Err(r.Err))
+	b.meters.Publication.Changes.Add(1, "refused")
+	b.trail.Add(audit.Record{
+		Kind: audit.KindRefused, Subject: "publication", Cause: r.Err.Error(),
+		After: r.Stamp.String(), Version: b.version(),
+	})
+}
+
+func (b *base) version() uint64 {
+	if v := b.store.View(); v != nil {
+		return v.Publication.Version
+	}
+	return 0
+}
+
+func (b *base) publicationStatus() admin.Publication {
+	b.source.mu.Lock()
+	defer b.source.mu.Unlock()
+	return admin.Publication{
+		Version: b.version(),
+		Since:   b.source.since,
+		Refused: b.source.refused,
+		Why:     b.source.why,
+	}
+}
+
+// status fills in what entries and agents show alike.
+func (b *base) status(ready error, streams int64) admin.Status {
+	s := admin.Status{
+		Process:     b.settings.Name,
+		Role:        string(b.role),
+		Host:        b.settings.Host,
+		Domain:      b.settings.Domain,
+		Region:      b.settings.Region,
+		Started:     b.started,
+		Ready:       ready == nil,
+		Streams:     int(streams),
+		Publication: b.publicationStatus(),
+		Changes:     b.trail.Last(statusChanges),
+	}
+	if ready != nil {
+		s.Why = ready.Error()
+	}
+	return s
+}
+
+// statusChanges is how many audit records a status page shows.
+const statusChanges = 20
