--- a/config/publication_check.go
+++ b/config/publication_check.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"slices"
 
 	"chestnutstep.example/chestnutstep"
 )
@@ -125,6 +126,15 @@
 	if m.Cold < 1 || m.Cold > max(m.Slots, 1) {
 		c.add(path+".cold", "want 1 to slots (%d): a target that carries nothing never warms; got %d", m.Slots, m.Cold)
 	}
+	if m.Warm < 0 {
+		c.add(path+".warm", "want 0 or more, got %d", m.Warm)
+	}
+	if !finite(m.Prefill) || m.Prefill < 0 {
+		c.add(path+".prefill", "want 0 or more tokens a second, got %v", m.Prefill)
+	}
+	if m.Cache < 0 {
+		c.add(path+".cache", "want 0 or more bytes, got %d", m.Cache)
+	}
 }
 
 func (c *checker) checkTargets(list []chestnutstep.Target) {
@@ -141,6 +151,23 @@
 			c.add(path+".agent", "%s is the agent of %s too; each target has its own", t.Agent, first)
 		}
 		agents[t.Agent] = path
+		c.checkOrders(path+".orders", t.Orders)
+	}
+}
+
+// orderKinds are the orders that engines know.
+var orderKinds = []string{
+	chestnutstep.OrderModel, chestnutstep.OrderAdapter, chestnutstep.OrderVersion, chestnutstep.OrderRole,
+}
+
+func (c *checker) checkOrders(path string, list []chestnutstep.Order) {
+	for i, o := range list {
+		if !slices.Contains(orderKinds, o.Kind) {
+			c.add(at(path, i)+".kind", "want one of %q, got %q", orderKinds, o.Kind)
+		}
+		if o.Name == "" {
+			c.add(at(path, i)+".name", "is missing")
+		}
 	}
 }
 
