crash: the end of a run that died is not taken off the repeat's

Found in review of the agent: it notes a run's end after the crash, when the caller's repeat may run already. The count lost that repeat, and its crash passed without a suspicion. Ends of runs that a crash ended are counted apart.

--- a/crash/jury.go
+++ b/crash/jury.go
@@ -49,7 +49,9 @@
 	cases   map[uint64]*file
 	running map[uint64]int
 	total   int
-	served  memory
+	// owed counts the runs that a crash ended and whose End is still to come.
+	owed   map[uint64]int
+	served memory
 }
 
 var _ chestnutstep.Jury = (*Jury)(nil)
@@ -78,6 +80,7 @@
 	}
 	j.cases = map[uint64]*file{}
 	j.running = map[uint64]int{}
+	j.owed = map[uint64]int{}
 	j.served = memory{most: j.Served, at: map[uint64]time.Time{}}
 }
 
@@ -130,18 +133,12 @@
 	j.total++
 }
 
-// End notes that the content no longer runs. Content that was served to its end
-// is cleared for all, as it did not crash the target that ran it.
+// End notes that the content no longer runs; each Start has one End, also after a
+// crash. Content that was served to its end is cleared for all, as it did not
+// crash the target that ran it.
 func (j *Jury) End(now time.Time, fingerprint uint64, served bool) {
 	j.init()
-	if j.running[fingerprint] == 0 {
-		return
-	}
-	j.total--
-	j.running[fingerprint]--
-	if j.running[fingerprint] == 0 {
-		delete(j.running, fingerprint)
-	}
+	j.leave(fingerprint)
 	if !served || fingerprint == 0 {
 		return
 	}
@@ -152,6 +149,27 @@
 	}
 }
 
+// leave takes one run off the count. The end of a run that died in a crash comes
+// after it, when the caller's repeat may run already: taken off that one, it
+// would let the next crash of the same content pass unnoticed.
+func (j *Jury) leave(fingerprint uint64) {
+	if j.owed[fingerprint] > 0 {
+		drop(j.owed, fingerprint)
+		return
+	}
+	if j.running[fingerprint] > 0 {
+		drop(j.running, fingerprint)
+		j.total--
+	}
+}
+
+func drop(counts map[uint64]int, fingerprint uint64) {
+	counts[fingerprint]--
+	if counts[fingerprint] == 0 {
+		delete(counts, fingerprint)
+	}
+}
+
 func (j *Jury) clear(f *file) {
 	if !f.Cleared {
 		f.Cleared = true
@@ -180,6 +198,9 @@
 		f.passed = false
 		changed = append(changed, f.Suspicion)
 	}
+	for fingerprint, n := range j.running {
+		j.owed[fingerprint] += n
+	}
 	clear(j.running)
 	j.total = 0
 	j.bound(now)
