--- a/gossip/circle.go
+++ b/gossip/circle.go
@@ -19,23 +19,23 @@
 	circleTurn = time.Minute
 )
 
-// candidate is a process that may be a neighbour.
-type candidate struct {
-	address string
-	model   string
-}
-
 // circle chooses whom a process exchanges with. Every second place goes to a
 // process of the same model if there is one.
 type circle struct {
-	places []string
-	turn   int
-	since  time.Time
+	all, near []string
+	places    []string
+	turn      int
+	since     time.Time
 }
 
-// next returns the address for the next exchange, or "" when there is nobody.
-func (c *circle) next(now time.Time, r *rand.Rand, near, all []string) string {
+// set says who may be chosen from now on; near are those of the same model.
+func (c *circle) set(near, all []string) {
+	c.near, c.all = near, all
 	c.places = slices.DeleteFunc(c.places, func(a string) bool { return !slices.Contains(all, a) })
+}
+
+// next returns the address for the next exchange, or "" when there is nobody.
+func (c *circle) next(now time.Time, r *rand.Rand) string {
 	if c.since.IsZero() {
 		c.since = now
 	}
@@ -43,7 +43,7 @@
 		c.places = slices.Delete(c.places, 0, 1)
 		c.since = now
 	}
-	c.fill(r, near, all)
+	c.fill(r)
 	if len(c.places) == 0 {
 		return ""
 	}
@@ -53,15 +53,15 @@
 
 // fill draws neighbours for the empty places. It tries a few times only: in a
 // small fleet there are fewer processes than places.
-func (c *circle) fill(r *rand.Rand, near, all []string) {
+func (c *circle) fill(r *rand.Rand) {
 	const tries = 4 * circleSize
 	for range tries {
-		if len(c.places) >= circleSize || len(all) == 0 {
+		if len(c.places) >= circleSize || len(c.all) == 0 {
 			return
 		}
-		from := all
-		if len(c.places)%2 == 1 && len(near) > 0 {
-			from = near
+		from := c.all
+		if len(c.places)%2 == 1 && len(c.near) > 0 {
+			from = c.near
 		}
 		if a := from[r.IntN(len(from))]; !slices.Contains(c.places, a) {
 			c.places = append(c.places, a)
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -16,13 +16,6 @@
 // to be cut off from its peers and relies on the service.
 const lonelyAfter = 10 * time.Second
 
-// nearCache keeps the lists to choose neighbours from, made anew for each
-// publication and not for each exchange.
-type nearCache struct {
-	view      *chestnutstep.View
-	all, near []string
-}
-
 // loop begins an exchange each interval.
 func (n *Node) loop(ctx context.Context) {
 	for {
@@ -75,37 +68,36 @@
 	view := n.Store.View()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if view == nil {
-		return n.circle.next(now, n.rand, nil, n.Peers)
+	if len(n.circle.all) == 0 || n.chosen != view {
+		n.circle.set(n.candidates(view))
+		n.chosen = view
 	}
-	if n.near.view != view {
-		n.near = n.candidates(view)
-	}
-	return n.circle.next(now, n.rand, n.near.near, n.near.all)
+	return n.circle.next(now, n.rand)
 }
 
 // candidates are the agents of the publication, in service or not: one that is
 // out still has to learn when it comes back. The settings' peers count as well,
 // as they may be the only way out of a cut.
-func (n *Node) candidates(view *chestnutstep.View) nearCache {
-	c := nearCache{view: view}
-	model := n.model(view)
-	for i := range view.Publication.Targets {
-		t := &view.Publication.Targets[i]
-		if t.Agent == n.Address {
-			continue
-		}
-		c.all = append(c.all, t.Agent)
-		if model != "" && t.Model == model {
-			c.near = append(c.near, t.Agent)
+func (n *Node) candidates(view *chestnutstep.View) (near, all []string) {
+	if view != nil {
+		model := n.model(view)
+		for i := range view.Publication.Targets {
+			t := &view.Publication.Targets[i]
+			if t.Agent == n.Address {
+				continue
+			}
+			all = append(all, t.Agent)
+			if model != "" && t.Model == model {
+				near = append(near, t.Agent)
+			}
 		}
 	}
 	for _, a := range n.Peers {
-		if a != n.Address && !slices.Contains(c.all, a) {
-			c.all = append(c.all, a)
+		if a != n.Address && !slices.Contains(all, a) {
+			all = append(all, a)
 		}
 	}
-	return c
+	return near, all
 }
 
 // model is what the publication says that this agent's target serves.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -81,7 +81,7 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	circle circle
-	near   nearCache
+	chosen *chestnutstep.View // that the circle was chosen from
 	recent recent
 	news   rumours
 	bucket bucket
--- a/gossip/net_test.go
+++ b/gossip/net_test.go
@@ -38,7 +38,8 @@
 	reads    float64
 
 	mu    sync.Mutex
-	cut   map[string]bool // by node name or "platform"
+	cut   map[string]bool // by node name
+	lag   time.Duration   // of calls between processes
 	nodes []*process
 	notes []string
 }
@@ -169,6 +170,7 @@
 	if l.from.w.isCut(l.from.name, l.to) {
 		return errors.New("cut")
 	}
+	sleep(ctx, l.from.w.delay())
 	return l.ClientConnInterface.Invoke(ctx, method, args, reply, opts...)
 }
 
@@ -186,6 +188,12 @@
 	return res, err
 }
 
+func (w *world) delay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lag
+}
+
 func (w *world) isCut(from, to string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -268,6 +276,14 @@
 			w.cut[name] = d.Cmd == "cut"
 		}
 		w.mu.Unlock()
+	case "lag":
+		var by string
+		d.ScanArgs(w.t, "by", &by)
+		lag, err := time.ParseDuration(by)
+		assert.NilError(w.t, err)
+		w.mu.Lock()
+		w.lag = lag
+		w.mu.Unlock()
 	case "leave":
 		for _, name := range names {
 			w.platform.SetHost(name, fake.HostLeaving)
