order: numbers hold with an uptime in seconds; restarts of the engine

Found in review of the agent that uses the desk: the system tells the uptime in whole seconds, and a successor that started within the second of its predecessor's last order could draw a lower number. The random test now rounds the uptime either way and failed at once; an agent waits for two seconds and a tick before its first order. With one second it still fails.

Restart forgets what was done when the engine restarts, as an old number would else be sent after newer ones. Ready says whether an order can be taken, so that no permit to load is spent on one that has to wait.

--- a/order/desk.go
+++ b/order/desk.go
@@ -55,6 +55,10 @@
 	// limit of a call to an engine: what was on its way has then arrived,
 	// unless the engine itself was frozen, which nothing here can rule out.
 	DefaultQuiet = 30 * time.Second
+	// coarse is how far two lives of an agent may differ in what they take the
+	// host's uptime to be: systems tell it in whole seconds, rounded either way.
+	// A new life keeps this distance before its first order.
+	coarse = 2 * time.Second
 	// maxJobs bounds the orders that are remembered for repeats and status.
 	maxJobs = 64
 )
@@ -86,7 +90,7 @@
 type Desk struct {
 	// Began is when the agent started, by its own monotonic clock.
 	Began time.Time
-	// Uptime is the host's uptime at Began.
+	// Uptime is the host's uptime at Began, to the second.
 	Uptime time.Duration
 	// Fenced says that the target checks fencing numbers.
 	Fenced bool
@@ -125,6 +129,32 @@
 	return j, nil
 }
 
+// Ready says whether the desk takes a new order now: none is under way, and the
+// target need not be left alone. Ask it before a permit to load is spent.
+func (d *Desk) Ready(now time.Time) bool {
+	if d.wait(now) > 0 {
+		return false
+	}
+	for _, j := range d.jobs {
+		if j.State == Sent {
+			return false
+		}
+	}
+	return true
+}
+
+// Restart notes that the engine restarted and has forgotten what it was told: an
+// order that was done is then sent again, under a number of its own. The old
+// number would be sent after newer ones.
+func (d *Desk) Restart(now time.Time) {
+	for i := range d.jobs {
+		if d.jobs[i].State == Sent {
+			d.move(now, &d.jobs[i], Lose)
+		}
+	}
+	d.jobs = slices.DeleteFunc(d.jobs, func(j Job) bool { return j.State == Done })
+}
+
 // same finds the last order of the kind if it is equal and was not given up. One
 // whose outcome is unknown is tried again, under a higher number. Older ones do
 // not count: a role that was changed there and back is changed again.
@@ -145,7 +175,7 @@
 
 // free makes sure that no other order is under way.
 func (d *Desk) free(now time.Time, o Order) error {
-	if wait := d.quiet(now); wait > 0 {
+	if wait := d.wait(now); wait > 0 {
 		return ErrBusy{Order: o, Wait: wait}
 	}
 	for i := range d.jobs {
@@ -162,10 +192,12 @@
 	return nil
 }
 
-// quiet is how long a target that ignores fencing numbers is still left alone.
-func (d *Desk) quiet(now time.Time) time.Duration {
+// wait is how long the target is still left alone: after the agent's start until
+// its numbers lie above a predecessor's, and longer if it ignores numbers.
+func (d *Desk) wait(now time.Time) time.Duration {
+	start := coarse + tick - now.Sub(d.Began)
 	if d.Fenced {
-		return 0
+		return max(0, start)
 	}
 	from := d.Began
 	for _, j := range d.jobs {
@@ -177,7 +209,7 @@
 	if quiet <= 0 {
 		quiet = DefaultQuiet
 	}
-	return max(0, quiet-now.Sub(from))
+	return max(0, start, quiet-now.Sub(from))
 }
 
 func (d *Desk) pause() time.Duration {
@@ -187,11 +219,10 @@
 	return d.Pause
 }
 
-// next returns a number above all that this agent and its predecessors sent. It
-// never uses the tick in which the agent began: a predecessor may have sent an
-// order in it and died.
+// next returns a number above all that this agent and, as free has waited for
+// long enough, its predecessors sent.
 func (d *Desk) next(now time.Time, version uint64) (Fence, error) {
-	ticks := max(d.ticks(now), d.ticks(d.Began)+1, d.last+1)
+	ticks := max(d.ticks(now), d.last+1)
 	f, err := fence(version, ticks)
 	if err == nil {
 		d.last = ticks
@@ -222,8 +253,8 @@
 		return ErrLate{Waited: waited}
 	}
 	if ahead := f.ticks(); ahead > d.ticks(now) {
-		// A burst of orders runs ahead of the clock by a tick each; a number
-		// that the uptime has not reached could lie above a successor's.
+		// A burst of orders runs ahead of the clock by a tick each, and a
+		// number that the uptime has not reached could lie above a successor's.
 		return ErrBusy{Order: j.Order, Wait: time.Duration(ahead-d.ticks(now)) * tick}
 	}
 	d.move(now, j, send)
--- a/order/desk_test.go
+++ b/order/desk_test.go
@@ -42,6 +42,11 @@
 		}
 		p.fences[f[1]] = j.Fence
 		return fmt.Sprintf("%s %s, version %d", j.State, j.Fence, j.Fence.Version())
+	case "restart":
+		p.desk.Restart(p.now)
+		return "ok"
+	case "ready":
+		return strconv.FormatBool(p.desk.Ready(p.now))
 	case "send":
 		version, _ := strconv.ParseUint(f[2], 10, 64)
 		return say(p.desk.MaySend(p.now, p.fences[f[1]], version))
@@ -70,8 +75,12 @@
 	did    Job
 }
 
-func (e *engine) restart(*rapid.T) {
-	e.desk = &Desk{Began: e.now, Uptime: e.now.Sub(e.booted), Fenced: true}
+// restart starts an agent anew. Systems tell the uptime in seconds, rounded
+// either way.
+func (e *engine) restart(t *rapid.T) {
+	round := time.Duration(rapid.IntRange(0, 1).Draw(t, "round")) * (time.Second - 1)
+	up := (e.now.Sub(e.booted) + round).Truncate(time.Second)
+	e.desk = &Desk{Began: e.now, Uptime: up, Fenced: true}
 }
 
 func (e *engine) take(t *rapid.T) {
