trial: plays and figures of the whole policy

Chats that drift home, prefixes that move, and agents that know what they cached are now played too, beside the plays of hint and home alone, whose bounds stay as they were.

--- a/trial/config.go
+++ b/trial/config.go
@@ -26,10 +26,15 @@
 	// Know has agents remember which chats they served since the last restart:
 	// a chat may then wait wherever its prefix is, and nowhere else.
 	Know bool
+	// Drift takes some requests of a chat that was displaced to its first target.
+	Drift bool
 	// Import moves a spilled chat's prefix from the target that holds it.
 	Import bool
 }
 
+// All is the policy of the fleet: every decision on.
+var All = Policy{Hint: true, Home: true, Know: true, Drift: true, Import: true}
+
 // Stream is one workspace's requests of one kind.
 type Stream struct {
 	Workspace string
@@ -116,6 +121,8 @@
 	OverTrue          float64
 	// Crashes of fragile targets.
 	Crashes int
+	// Back is failure domain 0's share of what runs in the last minute.
+	Back float64
 	// After counts starts in the domain that was taken out, two seconds on.
 	After int
 }
--- a/trial/load.go
+++ b/trial/load.go
@@ -27,8 +27,10 @@
 	next  int
 	tries int
 	home  *target
-	at    *target
-	left  time.Duration
+	// source holds the chat's prefix, if a target other than home does.
+	source *target
+	at     *target
+	left   time.Duration
 	// pause before a refused caller comes back.
 	pause time.Duration
 	over  bool
--- a/trial/play_test.go
+++ b/trial/play_test.go
@@ -122,6 +122,8 @@
 		Queue: int(arg("queue", 32)), Cold: int(arg("cold", float64(slots))),
 	}
 	switch d.CmdArgs[0].Key {
+	case "whole":
+		cfg.Policy = All
 	case "random":
 		cfg.Policy = Policy{Naive: true}
 	case "fifo":
--- a/trial/result.go
+++ b/trial/result.go
@@ -77,7 +77,7 @@
 }
 
 func (t *trial) result() Result {
-	r := Result{OverCap: t.overCap, OverRule: t.rule, OverTrue: ratio(t.over, t.starts), Crashes: t.crashes, After: t.late}
+	r := Result{OverCap: t.overCap, OverRule: t.rule, OverTrue: ratio(t.over, t.starts), Crashes: t.crashes, Back: ratio(t.lastZero, t.last), After: t.late}
 	var all tally
 	for i, s := range t.cfg.Streams {
 		all.add(t.tallies[i])
--- a/trial/target.go
+++ b/trial/target.go
@@ -84,7 +84,11 @@
 
 // imports says that the prefix comes from the target that holds it.
 func (t *trial) imports(g *target, r *request) bool {
-	return t.cfg.Policy.Import && !g.cache.has(r.chat) && r.home != nil && r.home != g && r.home.cache.has(r.chat)
+	from := r.home
+	if r.source != nil {
+		from = r.source
+	}
+	return t.cfg.Policy.Import && !g.cache.has(r.chat) && from != nil && from != g && from.cache.has(r.chat)
 }
 
 func (g *target) fragile() bool {
