agent: scripts with a played clock and target; two untrue answers mended

Cause, found by the first scripts: - a request whose body never came was ended with "not run", but its answer is dropped with it, and a link that read it heard "gone, it ran". The caller of an idempotent request would not have sent it again. Seen in the script "freeze" as "broken: gone run=yes". - a repeat that came before the first link was closed heard of the old failure instead of running anew (script "crash"). Change: a link whose answer is gone says what became of the job.

--- a/agent/job.go
+++ b/agent/job.go
@@ -43,9 +43,9 @@
 	placed chan struct{}
 	// refusal is set before placed is closed if the job never ran.
 	refusal *wire.Refuse
-	// failed says that an idempotent run ended without a whole answer: a repeat
+	// failed is how an idempotent run ended without a whole answer: a repeat
 	// runs anew instead of hearing of the failure again.
-	failed bool
+	failed *wire.Broken
 	// crashes is the target's count when the job started.
 	crashes int
 	// abort ends the call to the target.
@@ -204,7 +204,9 @@
 	defer a.mu.Unlock()
 	now := a.Clock()
 	j.state = over
-	j.failed = res.outcome != chestnutstep.Served && !j.once()
+	if res.outcome != chestnutstep.Served && !j.once() {
+		j.failed = &wire.Broken{Reason: string(res.reason), Run: string(res.run)}
+	}
 	j.abort()
 	if !res.unsent {
 		a.Jury.End(now, j.offer.Fingerprint, res.outcome == chestnutstep.Served)
--- a/agent/link.go
+++ b/agent/link.go
@@ -23,8 +23,6 @@
 	stream stream
 	// owner brought the job here and sends its body.
 	owner bool
-	// gone is closed when the entry has nothing more to say.
-	gone chan struct{}
 }
 
 // service is the gRPC face of an agent: the protocol calls its method Run, a
@@ -60,7 +58,7 @@
 	if adm.refuse != nil {
 		return a.sendRefusal(st, adm.refuse)
 	}
-	l := &link{agent: a, job: adm.job, stream: st, owner: !adm.joined, gone: make(chan struct{})}
+	l := &link{agent: a, job: adm.job, stream: st, owner: !adm.joined}
 	defer l.close()
 	go l.loop()
 	return l.serve(0)
@@ -78,7 +76,7 @@
 			Refuse: refusal(chestnutstep.ReasonUnknown, chestnutstep.RunMaybe),
 		}})
 	}
-	l := &link{agent: a, job: j, stream: st, gone: make(chan struct{})}
+	l := &link{agent: a, job: j, stream: st}
 	defer l.close()
 	go l.loop()
 	return l.serve(at.Offset)
@@ -184,14 +182,27 @@
 	if !answer.IsErrGone(err) {
 		return err
 	}
-	b := &wire.Broken{Reason: string(chestnutstep.ReasonGone), Run: string(chestnutstep.RunYes)}
-	return l.stream.Send(&wire.Down{Kind: &wire.Down_Broken{Broken: b}})
+	return l.stream.Send(&wire.Down{Kind: &wire.Down_Broken{Broken: l.gone()}})
+}
+
+// gone is the last word on a job whose answer is not kept. If it never ran, its
+// answer was dropped for that, and the caller must hear "not run": told that it
+// ran, it would not send it again.
+func (l *link) gone() *wire.Broken {
+	l.agent.mu.Lock()
+	defer l.agent.mu.Unlock()
+	if r := l.job.refusal; r != nil {
+		return &wire.Broken{Reason: r.Reason, Run: r.Run, Retry: r.Retry}
+	}
+	if l.job.failed != nil {
+		return l.job.failed
+	}
+	return &wire.Broken{Reason: string(chestnutstep.ReasonGone), Run: string(chestnutstep.RunYes)}
 }
 
 // loop takes what the entry sends: pieces of the body, or that its caller gave
 // up. A stream that ends without a word is a lost link, not a cancel.
 func (l *link) loop() {
-	defer close(l.gone)
 	for {
 		up, err := l.stream.Recv()
 		if err != nil {
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -38,7 +38,7 @@
 // join finds the request if it is known here already.
 func (a *Agent) join(o *wire.Offer) (admission, bool) {
 	j := a.jobs[jobKey(o.Workspace, o.Id)]
-	if j != nil && j.failed && j.links == 0 {
+	if j != nil && j.failed != nil {
 		a.remove(j)
 		j = nil
 	}
--- /dev/null
+++ b/agent/script_test.go
@@ -0,0 +1,352 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/gate"
+	"chestnutstep.example/chestnutstep/ticket"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// call is a request that the target holds.
+type call struct {
+	ctx context.Context
+	end chan func() (*http.Response, error)
+}
+
+// target stands in for a target and its connection: it holds each request until
+// the script answers it or lets the target die.
+type target struct {
+	mu    sync.Mutex
+	boot  string
+	down  bool
+	calls map[string]*call
+	ran   []string
+}
+
+func (t *target) RoundTrip(rq *http.Request) (*http.Response, error) {
+	t.mu.Lock()
+	boot, down := t.boot, t.down
+	t.mu.Unlock()
+	if down {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	if strings.HasPrefix(rq.URL.Path, "/control/") {
+		return reply(rq, boot, fmt.Sprintf(`{"boot":%q}`, boot)), nil
+	}
+	id := rq.Header.Get(chestnutstep.HeaderRequest)
+	c := &call{ctx: rq.Context(), end: make(chan func() (*http.Response, error), 1)}
+	t.mu.Lock()
+	t.ran = append(t.ran, id)
+	t.calls[id] = c
+	t.mu.Unlock()
+	select {
+	case f := <-c.end:
+		return f()
+	case <-rq.Context().Done():
+		t.mu.Lock()
+		delete(t.calls, id)
+		t.mu.Unlock()
+		return nil, rq.Context().Err()
+	}
+}
+
+func reply(rq *http.Request, boot, body string) *http.Response {
+	rs := &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{}, Request: rq,
+		Body: io.NopCloser(bytes.NewBufferString(body)), ContentLength: int64(len(body)),
+	}
+	rs.Header.Set(chestnutstep.HeaderBoot, boot)
+	rs.Header.Set(chestnutstep.HeaderRequest, rq.Header.Get(chestnutstep.HeaderRequest))
+	return rs
+}
+
+// scripted is an agent whose clock, target and entries are played by a script.
+type scripted struct {
+	t       *testing.T
+	agent   *Agent
+	target  *target
+	now     time.Time
+	pub     chestnutstep.Publication
+	links   map[string]*link
+	tickets map[string]string
+	notices []string
+}
+
+func newScripted(t *testing.T) *scripted {
+	s := &scripted{t: t, now: time.Now(), links: map[string]*link{}, tickets: map[string]string{}}
+	s.target = &target{boot: "boot-1", calls: map[string]*call{}}
+	s.pub = chestnutstep.Publication{
+		Version: 1,
+		Domains: []chestnutstep.Domain{{Name: "a", Region: "r"}},
+		Hosts:   []chestnutstep.Host{{Name: "h", Domain: "a"}},
+		Models:  []chestnutstep.Model{{Name: "m", Kind: chestnutstep.KindEngine, Floor: 2, Slots: 2, Queue: 4, Cold: 2}},
+		Targets: []chestnutstep.Target{{Name: "t", Host: "h", Model: "m", Agent: "127.0.0.1:1"}},
+	}
+	client := &http.Client{Transport: s.target}
+	s.agent = &Agent{
+		Name: "t", URL: "http://127.0.0.1:2", Incarnation: "1",
+		View:  func() *chestnutstep.View { p := s.pub; return chestnutstep.NewView(&p) },
+		Gate:  &gate.Gate{},
+		Jury:  &crash.Jury{Target: "t"},
+		Booth: &ticket.Booth{Target: "t", Incarnation: "1", Key: make([]byte, 32), Rand: zeros{}},
+		Shelf: &answer.Shelf{}, Reuse: client, Single: client,
+		Clock:  func() time.Time { return s.now },
+		Notify: func(n Notice) { s.notices = append(s.notices, string(n.Kind)) },
+	}
+	s.agent.init()
+	s.agent.health.check(s.agent)
+	return s
+}
+
+// zeros counts up, so that nonces differ and runs do not.
+type zeros struct{}
+
+var drawn byte
+
+func (zeros) Read(p []byte) (int, error) {
+	drawn++
+	for i := range p {
+		p[i] = drawn
+	}
+	return len(p), nil
+}
+
+func (s *scripted) run(d *datadriven.TestData) string {
+	id := ""
+	if len(d.CmdArgs) > 0 && len(d.CmdArgs[0].Vals) == 0 {
+		id = d.CmdArgs[0].Key
+	}
+	if l := s.links[id]; l == nil && strings.Contains("body cancel detach ask", d.Cmd) {
+		return "no such link\n"
+	}
+	switch d.Cmd {
+	case "offer":
+		return s.offer(d, id)
+	case "body":
+		s.agent.grow(s.links[id].job, &wire.Body{Data: []byte(d.Input), Last: d.HasArg("last")})
+	case "cancel":
+		s.agent.cancel(s.links[id].job)
+	case "detach":
+		s.links[id].close()
+	case "sleep":
+		dur, err := time.ParseDuration(id)
+		assert.NilError(s.t, err)
+		s.now = s.now.Add(dur)
+		if !d.HasArg("frozen") {
+			s.agent.tick()
+		}
+	case "tick":
+		s.agent.tick()
+	case "answer":
+		return s.release(id)
+	case "die":
+		s.die()
+	case "revive":
+		s.target.mu.Lock()
+		s.target.down, s.target.boot = false, "boot-2"
+		s.target.mu.Unlock()
+		s.agent.health.check(s.agent)
+	case "mint":
+		s.tickets[id] = s.agent.Booth.Mint(s.now, "w", 1)[0]
+	case "out":
+		s.pub.Version++
+		s.pub.Domains = []chestnutstep.Domain{{Name: "a", Region: "r", Out: id != "back"}}
+		s.agent.tick()
+	case "moved":
+		s.agent.noteMoved(&wire.Moved{Id: id, Workspace: "w", Target: "other"})
+	case "ask":
+		return s.outcome(id)
+	}
+	s.settle()
+	return s.state()
+}
+
+func (s *scripted) offer(d *datadriven.TestData, id string) string {
+	o := &wire.Offer{
+		Id: id, Workspace: "w", Model: "m", Method: http.MethodPost, Path: "/v1",
+		Remain: int64(10 * time.Second), Idempotent: true, Fingerprint: 1, Chat: "c",
+	}
+	read := func(key string, to any) { d.MaybeScanArgs(s.t, key, to) }
+	var remain, patience, name, from string
+	read("remain", &remain)
+	read("patience", &patience)
+	read("ticket", &name)
+	read("content", &o.Fingerprint)
+	read("size", &o.Size)
+	read("crashed", &from)
+	if remain != "" {
+		v, err := time.ParseDuration(remain)
+		assert.NilError(s.t, err)
+		o.Remain = int64(v)
+	}
+	if patience != "" {
+		v, err := time.ParseDuration(patience)
+		assert.NilError(s.t, err)
+		o.Patience = int64(v)
+	}
+	if from != "" {
+		o.Crashed = strings.Split(from, "+")
+	}
+	o.Idempotent = !d.HasArg("once")
+	o.Ticket = s.tickets[name]
+	adm := s.agent.admit(o)
+	s.settle()
+	if adm.refuse != nil {
+		extra := ""
+		if adm.refuse.Ticket != "" {
+			extra = " with a fresh ticket"
+		}
+		if adm.refuse.Moved != "" {
+			extra = " to " + adm.refuse.Moved
+		}
+		return fmt.Sprintf("refused %s run=%s%s\n%s", adm.refuse.Reason, adm.refuse.Run, extra, s.state())
+	}
+	name = id
+	for s.links[name] != nil {
+		name += "'"
+	}
+	s.links[name] = &link{agent: s.agent, job: adm.job}
+	how := "taken"
+	if adm.joined {
+		how = "joined"
+	}
+	return fmt.Sprintf("%s as %s\n%s", how, name, s.state())
+}
+
+// release lets a held request end with a whole answer.
+func (s *scripted) release(id string) string {
+	s.target.mu.Lock()
+	c := s.target.calls[id]
+	delete(s.target.calls, id)
+	s.target.mu.Unlock()
+	if c == nil {
+		return "the target runs no such request\n"
+	}
+	rq, err := http.NewRequest(http.MethodPost, "http://x/", nil)
+	assert.NilError(s.t, err)
+	rq.Header.Set(chestnutstep.HeaderRequest, id)
+	c.end <- func() (*http.Response, error) {
+		return reply(rq, s.target.boot, "answer to "+id), nil
+	}
+	s.settle()
+	return s.state()
+}
+
+// die kills the target with all that runs there.
+func (s *scripted) die() {
+	s.target.mu.Lock()
+	s.target.down = true
+	s.target.mu.Unlock()
+	for _, id := range s.running() {
+		s.target.calls[id].end <- func() (*http.Response, error) { return nil, errors.New("connection reset") }
+		delete(s.target.calls, id)
+	}
+	s.settle()
+	s.agent.health.check(s.agent)
+}
+
+func (s *scripted) running() []string {
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	var ids []string
+	for _, j := range s.agent.jobs {
+		if j.state == running {
+			ids = append(ids, j.offer.Id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// settle waits until no released request is still on its way.
+func (s *scripted) settle() {
+	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
+		if n, held := len(s.running()), s.target.held(); n != held {
+			return poll.Continue("%d run, %d are held", n, held)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+// held counts the requests that nobody has canceled.
+func (t *target) held() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, c := range t.calls {
+		if c.ctx.Err() == nil {
+			n++
+		}
+	}
+	return n
+}
+
+// outcome is what a reader of the request's answer gets.
+func (s *scripted) outcome(id string) string {
+	k, err := s.links[id].job.log.Attach(0)
+	if err != nil {
+		b := s.links[id].gone()
+		return fmt.Sprintf("broken: %s run=%s\n", b.Reason, b.Run)
+	}
+	defer k.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	var body []byte
+	for {
+		p, err := k.Next(ctx)
+		switch {
+		case err != nil:
+			return fmt.Sprintf("still running, %d bytes\n", len(body))
+		case p.Last != nil:
+			return fmt.Sprintf("whole: %s\n", body)
+		case p.Broken != nil:
+			return fmt.Sprintf("broken: %s run=%s\n", p.Broken.Reason, p.Broken.Run)
+		}
+		body = append(body, p.Data...)
+	}
+}
+
+func (s *scripted) state() string {
+	s.agent.mu.Lock()
+	defer s.agent.mu.Unlock()
+	names := map[state]string{waiting: "waiting", placed: "placed", running: "running", over: "over"}
+	var out []string
+	for _, j := range s.agent.jobs {
+		out = append(out, fmt.Sprintf("%s %s\n", j.offer.Id, names[j.state]))
+	}
+	sort.Strings(out)
+	l := s.agent.Gate.Load(s.now)
+	return strings.Join(out, "") + fmt.Sprintf("load %d running, %d waiting\n", l.Running, l.Waiting)
+}
+
+// Each script tells in its first lines how the failure comes about and what a
+// caller or an operator would notice.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScripted(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.t = t
+			return s.run(d)
+		})
+	})
+}
