gossip: news of hosts is pushed at once, as publications are

A few watchers told the agents of leaving hosts one by one, and only those that the host's name chose: the first watcher to read the list was seldom among them, and with a read each 15 s at 3,050 hosts the promise of a few seconds hung on the regular rounds. Pushing news to the neighbours reaches every process as a publication does (TestSpread), at most once a second each, and is less code.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -12,9 +12,15 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// lonelyAfter is how long no exchange may go well until a process takes itself
-// to be cut off from its peers and relies on the service.
-const lonelyAfter = 10 * time.Second
+const (
+	// lonelyAfter is how long no exchange may go well until a process takes
+	// itself to be cut off from its peers and relies on the service.
+	lonelyAfter = 10 * time.Second
+	// newsPause is the least time between pushes of news of hosts. When a whole
+	// failure domain leaves, its hosts are told together, and not hundreds of
+	// times to the same neighbours.
+	newsPause = time.Second
+)
 
 // loop begins an exchange each interval.
 func (n *Node) loop(ctx context.Context) {
@@ -30,20 +36,37 @@
 
 // pushLoop tells the neighbours at once when a publication comes into force.
 // Each of them fetches it from here and tells its own: a change crosses the
-// fleet in a few fetches instead of a dozen intervals.
+// fleet in a few fetches instead of a dozen intervals. News of hosts is pushed
+// alike, so that the agent of a leaving host, who keeps the promise that it
+// takes no new work, hears of it whoever read the list.
 func (n *Node) pushLoop(ctx context.Context) {
 	changed := n.Store.Changed()
+	var last time.Time
 	for {
 		select {
 		case <-changed:
+		case <-n.fresh:
+			n.gather(ctx, changed, newsPause-time.Since(last))
 		case <-ctx.Done():
 			return
 		}
 		changed = n.Store.Changed() // before the push: the next change may come during it
+		last = time.Now()
 		n.push(ctx)
 	}
 }
 
+// gather lets more news of hosts come together, but no publication wait.
+func (n *Node) gather(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) push(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, a := range n.circleNow(time.Now()) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -84,6 +84,7 @@
 	chosen *chestnutstep.View // that the circle was chosen from
 	recent recent
 	news   rumours
+	fresh  chan struct{} // there is news to push
 	bucket bucket
 	last   time.Time // of the last exchange that went well
 	began  time.Time
@@ -154,6 +155,7 @@
 		}
 		n.rand = rand.New(rand.NewPCG(n.Seed, 0))
 		n.puller.wake = make(chan struct{}, 1)
+		n.fresh = make(chan struct{}, 1)
 		n.began = time.Now()
 		if n.Interval == 0 {
 			n.Interval = DefaultInterval
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -114,6 +114,10 @@
 	n.mu.Lock()
 	n.news.add(now, h, age)
 	n.mu.Unlock()
+	select {
+	case n.fresh <- struct{}{}:
+	default:
+	}
 	kind := NoticeBack
 	if h.Leaving {
 		kind = NoticeLeaving
--- a/gossip/plan.go
+++ b/gossip/plan.go
@@ -120,13 +120,10 @@
 // with nobody left to watch, the publication that brings it back would wait for
 // the next direct read.
 func chooseWatchers(steady, others []string, n int) []string {
-	names := nearest(watchKey, steady, n)
-	return append(names, nearest(watchKey, others, n-len(names))...)
+	names := highest(steady, n)
+	return append(names, highest(others, n-len(names))...)
 }
 
-// watchKey is the key under which watchers are chosen.
-const watchKey = "watch"
-
 type scored struct {
 	name  string
 	score uint64
@@ -140,13 +137,12 @@
 	return cmp.Compare(a.name, b.name)
 }
 
-// nearest returns the n candidates whose names hash highest with a key: the
-// watchers, or those of them who see to one host's news. It goes through the
-// candidates once, as n is small and they are thousands.
-func nearest(key string, candidates []string, n int) []string {
+// highest returns the n candidates whose names hash highest. It goes through
+// them once, as n is small and they are thousands.
+func highest(candidates []string, n int) []string {
 	top := make([]scored, 0, n+1)
 	for _, c := range candidates {
-		s := scored{c, xxhash.Sum64String(key + "\x00" + c)}
+		s := scored{c, xxhash.Sum64String(c)}
 		i, _ := slices.BinarySearchFunc(top, s, compare)
 		if i < n {
 			top = first(slices.Insert(top, i, s), n)
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -13,7 +13,6 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/member"
-	"chestnutstep.example/chestnutstep/wire"
 
 	"github.com/cockroachdb/errors"
 )
@@ -29,12 +28,6 @@
 	peersFirst = 2 * time.Second
 	// startSpread spreads the first reads of processes that start together.
 	startSpread = time.Second
-	// tellPace is the least time between two messages that carry news of hosts to
-	// their agents: fifty a second, some ten kilobytes.
-	tellPace = 20 * time.Millisecond
-	// tellers is how many watchers tell an agent that its host leaves: one may
-	// just be stopping.
-	tellers = 3
 )
 
 // ErrStatus says that the service answered with an unexpected status.
@@ -315,7 +308,7 @@
 				continue
 			}
 			failures, size = 0, read
-			n.learnList(ctx, list)
+			n.learnList(list)
 		}
 		sleep(ctx, n.jitter(p.Hosts))
 	}
@@ -364,7 +357,7 @@
 }
 
 // learnList takes a host list and lets its news go round.
-func (n *Node) learnList(ctx context.Context, list []member.Host) {
+func (n *Node) learnList(list []member.Host) {
 	now := time.Now()
 	news, ok := n.Members.Learn(now, list)
 	if !ok {
@@ -373,42 +366,4 @@
 	for _, h := range news {
 		n.spread(now, h, 0)
 	}
-	if view := n.Store.View(); view != nil && len(news) > 0 {
-		n.tellAgents(ctx, view, news)
-	}
-}
-
-// tellAgents tells the agents on hosts with news, who keep the promise that a
-// leaving target takes no new work, without waiting until the news comes round
-// to them. Only a few of the watchers do so for each host.
-func (n *Node) tellAgents(ctx context.Context, view *chestnutstep.View, news []member.Host) {
-	now := time.Now()
-	names := n.watchers(now, view)
-	n.mu.Lock()
-	n.rand.Shuffle(len(news), func(i, j int) { news[i], news[j] = news[j], news[i] })
-	n.mu.Unlock()
-	for _, h := range news {
-		if !slices.Contains(nearest(h.Name, names, tellers), n.Name) {
-			continue
-		}
-		for _, t := range agentsOn(view, h.Name) {
-			m := n.brief(now)
-			m.Hosts = append([]*wire.HostState{{Host: h.Name, Leaving: h.Leaving}}, m.Hosts...)
-			n.exchange(ctx, t.Agent, m)
-			if !sleep(ctx, tellPace) {
-				return
-			}
-		}
-	}
-}
-
-func agentsOn(view *chestnutstep.View, host string) []*chestnutstep.Target {
-	var list []*chestnutstep.Target
-	for i := range view.Publication.Targets {
-		t := &view.Publication.Targets[i]
-		if t.Host == host && t.Agent != "" {
-			list = append(list, t)
-		}
-	}
-	return list
 }
