node, cmd: check and pack attached; metrics of runs, waits and moves

Cause: the metrics of docs/METRICS.md for waits, first token, cache and KV moves were never set; check and pack stood without a program. Ruled out: an audit record for each chat that spills.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -98,6 +98,13 @@
 	Workspace string
 	Profile   string
 	Cost      float64
+	// Of a run: how long it waited, the time from the call to the answer's
+	// start, and the prompt tokens found in the target's cache.
+	Wait   time.Duration
+	First  time.Duration
+	Cached int64
+	// Bytes of KV cache that were moved.
+	Bytes int64
 }
 
 // NoticeKind names a notice.
@@ -112,6 +119,10 @@
 	NoticeSuspect   NoticeKind = "suspect"   // a request's content became suspect
 	NoticeCondemned NoticeKind = "condemned" // a request's content was condemned
 	NoticeRefused   NoticeKind = "refused"   // an offer was refused
+	NoticeAccepted  NoticeKind = "accepted"  // an offer was accepted
+	NoticeQueued    NoticeKind = "queued"    // an offer waits
+	NoticeImported  NoticeKind = "imported"  // a chat's KV cache was imported
+	NoticeTicket    NoticeKind = "ticket"    // a ticket reached the state in After
 	NoticeMoved     NoticeKind = "moved"     // a chat's request went elsewhere
 	NoticeLimits    NoticeKind = "limits"    // a publication changed the limits
 	NoticeLeaving   NoticeKind = "leaving"   // the target takes no new work
--- a/agent/cache.go
+++ b/agent/cache.go
@@ -177,6 +177,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.chats.hold(c, first.Tokens, a.Clock())
+	a.Notify(Notice{Kind: NoticeImported, Subject: c.name, Before: source, After: a.Name, Workspace: c.workspace, Bytes: first.Size})
 	return int64(len(data)), nil
 }
 
--- a/agent/call.go
+++ b/agent/call.go
@@ -152,7 +152,9 @@
 		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonCrossed, run: chestnutstep.RunMaybe}
 	}
 	j.agent.health.seen(j.agent, rs.Header.Get(chestnutstep.HeaderBoot))
-	j.log.SetHead(head(rs))
+	h := head(rs)
+	j.seeHead(h)
+	j.log.SetHead(h)
 	return j.copy(ctx, rs)
 }
 
--- a/agent/job.go
+++ b/agent/job.go
@@ -34,6 +34,12 @@
 	whole    bool
 	// moved is when the body last grew.
 	moved time.Time
+	// offered, begun and answered are when the offer came, the target was
+	// called, and its answer started.
+	offered  time.Time
+	begun    time.Time
+	answered time.Time
+	cached   int64
 	// links counts the entries that read the answer; lost is when the last
 	// one went.
 	links int
@@ -66,6 +72,7 @@
 		body:     o.Small,
 		whole:    int64(len(o.Small)) == o.Size,
 		moved:    now,
+		offered:  now,
 		placed:   make(chan struct{}),
 		abort:    func() {},
 	}
@@ -135,6 +142,7 @@
 		return
 	}
 	j.state = running
+	j.begun = now
 	j.crashes = a.health.crashes
 	a.Jury.Start(now, j.offer.Fingerprint)
 	ctx, cancel := context.WithDeadline(context.Background(), j.limit())
@@ -219,7 +227,26 @@
 	}
 	a.Gate.End(now, j.key, res.outcome)
 	a.advance(now)
-	a.Notify(j.notice(NoticeEnded, res.reason))
+	a.Notify(j.ended(res))
+}
+
+// ended is what is told of a run.
+func (j *job) ended(res result) Notice {
+	n := j.notice(NoticeEnded, res.reason)
+	n.Wait = j.begun.Sub(j.offered)
+	n.Cached = j.cached
+	if !j.answered.IsZero() {
+		n.First = j.answered.Sub(j.begun)
+	}
+	return n
+}
+
+// seeHead notes when the answer started and what was found in the target's cache.
+func (j *job) seeHead(h *wire.Head) {
+	j.agent.mu.Lock()
+	defer j.agent.mu.Unlock()
+	j.answered = j.agent.Clock()
+	j.cached = h.Cached
 }
 
 func (j *job) notice(kind NoticeKind, reason chestnutstep.Reason) Notice {
--- a/agent/mover.go
+++ b/agent/mover.go
@@ -113,7 +113,7 @@
 	if err != nil || reply.Bytes == 0 {
 		return
 	}
-	a.Notify(Notice{Kind: NoticeHanded, Subject: c.name, Before: a.Name, After: next.Name, Workspace: c.workspace})
+	a.Notify(Notice{Kind: NoticeHanded, Subject: c.name, Before: a.Name, After: next.Name, Workspace: c.workspace, Bytes: reply.Bytes})
 }
 
 // next is the target that ranks first for a chat, this one left out.
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -165,9 +165,11 @@
 	case chestnutstep.Accept:
 		a.jobs[j.key] = j
 		a.place(now, j)
+		a.Notify(j.notice(NoticeAccepted, ""))
 		return a.follow(j, false)
 	case chestnutstep.Queue:
 		a.jobs[j.key] = j
+		a.Notify(j.notice(NoticeQueued, ""))
 		return a.follow(j, false)
 	}
 	a.Shelf.Remove(o.Workspace, o.Id)
--- a/cmd/chestnutstep/main.go
+++ b/cmd/chestnutstep/main.go
@@ -42,6 +42,8 @@
 	}
 	add(entryCommand())
 	add(agentCommand())
+	add(checkCommand())
+	add(packCommand())
 	add(statusCommand())
 	return list
 }
--- a/cmd/chestnutstep/serve.go
+++ b/cmd/chestnutstep/serve.go
@@ -5,6 +5,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
 
 	"chestnutstep.example/chestnutstep/config"
@@ -15,7 +16,7 @@
 func entryCommand() (*flaggy.Subcommand, func() error) {
 	c, path := serveFlags("entry", "take callers' requests and bring them to targets")
 	return c, func() error {
-		s, err := config.Load(*path, config.RoleEntry)
+		s, err := settings(*path, config.RoleEntry)
 		if err != nil {
 			return err
 		}
@@ -27,7 +28,7 @@
 func agentCommand() (*flaggy.Subcommand, func() error) {
 	c, path := serveFlags("agent", "stand beside one target and decide what it takes")
 	return c, func() error {
-		s, err := config.Load(*path, config.RoleAgent)
+		s, err := settings(*path, config.RoleAgent)
 		if err != nil {
 			return err
 		}
@@ -43,6 +44,13 @@
 	return c, path
 }
 
+func settings(path string, role config.Role) (*config.Settings, error) {
+	if path == "" {
+		return nil, errors.Newf("name the settings file: chestnutstep %s --settings FILE", role)
+	}
+	return config.Load(path, role)
+}
+
 // serve runs a process until SIGTERM or SIGINT, then lets it drain.
 func serve(run func(context.Context) error) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/node/notice.go
+++ b/node/notice.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"strings"
+
 	"chestnutstep.example/chestnutstep/agent"
 	"chestnutstep.example/chestnutstep/audit"
 	"chestnutstep.example/chestnutstep/entry"
@@ -39,14 +41,45 @@
 	case agent.NoticeRefused:
 		n.log.Emit(event.OfferRefused, event.Request(m.Subject), event.Reason(m.Reason))
 		n.meters.Agent.Offers.Add(1, m.Profile, string(m.Reason))
-	case agent.NoticeMoved:
-		n.record(audit.KindTarget, m)
+	case agent.NoticeAccepted:
+		n.meters.Agent.Offers.Add(1, m.Profile, "accept")
+	case agent.NoticeQueued:
+		n.meters.Agent.Offers.Add(1, m.Profile, "wait")
 	case agent.NoticeOrder:
-		n.record(audit.KindOrder, m)
+		n.order(m)
+	case agent.NoticeHanded:
+		n.meters.Agent.Moves.Add(1, "export", "ok")
+		n.meters.Agent.Moved.Add(m.Bytes, "export")
+	case agent.NoticeImported:
+		n.meters.Agent.Moves.Add(1, "import", "ok")
+		n.meters.Agent.Moved.Add(m.Bytes, "import")
 	case agent.NoticeEnded:
-		n.meters.Agent.Runs.Add(1, m.Profile, string(m.Reason))
-		n.meters.Workspaces.Requests.Add(1, m.Workspace, string(m.Reason))
-		n.meters.Workspaces.Tokens.Add(int64(m.Cost), m.Workspace)
+		n.ended(m)
+	}
+}
+
+// order notes an order to the engine.
+func (n *Agent) order(m agent.Notice) {
+	n.log.Emit(event.OrderDone, event.Str("order", m.Subject), event.Str("fence", m.Before), event.Str("end", m.After))
+	kind, _, _ := strings.Cut(m.Subject, " ")
+	n.meters.Agent.Orders.Add(1, kind, m.After)
+	n.record(audit.KindOrder, m)
+}
+
+// ended counts a run.
+func (n *Agent) ended(m agent.Notice) {
+	result := string(m.Reason)
+	if result == "" {
+		result = "served"
+	}
+	n.meters.Agent.Runs.Add(1, m.Profile, result)
+	n.meters.Agent.Wait.Observe(m.Wait, m.Profile)
+	n.meters.Agent.Cached.Add(m.Cached, m.Profile)
+	n.meters.Workspaces.Requests.Add(1, m.Workspace, result)
+	n.meters.Workspaces.Tokens.Add(int64(m.Cost), m.Workspace)
+	n.meters.Workspaces.Wait.Observe(m.Wait, m.Workspace)
+	if m.First > 0 {
+		n.meters.Agent.FirstToken.Observe(m.First, m.Profile)
 	}
 }
 
