--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -6,6 +6,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -125,7 +127,17 @@
 		return err
 	}
 	f.Publication = next
-	return nil
+	return f.save()
+}
+
+// save writes the publication where an operator can try changes on it.
+func (f *Fleet) save() error {
+	raw, err := json.MarshalIndent(f.Publication, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "publication")
+	}
+	path := filepath.Join(f.Dir, "publication.json")
+	return errors.Wrap(os.WriteFile(path, append(raw, '\n'), 0o644), "publication")
 }
 
 // value puts a value on the platform, which may still be starting.
