matrix: an order to an engine stopped on its way

An order is held right before the engine while its agent is killed, the engine crashes or a newer order is published; the engine's own list must end with the newest and never show an older one after a newer.

--- a/matrix/fault_test.go
+++ b/matrix/fault_test.go
@@ -30,6 +30,7 @@
 	"leave":   (*play).leave,
 	"out":     (*play).out,
 	"kill":    (*play).kill,
+	"next":    func(p *play, _ *Node) error { return p.tell("second") },
 	"stall":   (*play).stall,
 	"restart": func(p *play, _ *Node) error { p.stack.RestartEntries(); return nil },
 	"stale":   (*play).stale,
--- a/matrix/halt.go
+++ b/matrix/halt.go
@@ -19,6 +19,7 @@
 	StepMiddle Step = "middle" // some of the answer left the agent
 	StepLast   Step = "last"   // all but the last frame left the agent
 	StepLost   Step = "lost"   // all left the agent, the caller has got nothing
+	StepOrder  Step = "order"  // an order was sent, the engine has not read it
 	StepDrain  Step = "drain"  // as middle, and the agent has just begun to drain
 )
 
--- a/matrix/hook.go
+++ b/matrix/hook.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 	target string
 	// probes counts what the agent asked of the target's controls.
 	probes atomic.Int64
+	// orders counts the orders on their way to the target.
+	orders atomic.Int64
 }
 
 func (h *hooks) stream(srv any, st grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
@@ -101,7 +104,7 @@
 // ServeHTTP passes a request on, and stops it where it should.
 func (t *hookedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if strings.HasPrefix(r.URL.Path, "/control/") {
-		t.probes.Add(1)
+		defer t.control(r)()
 		t.Handler.ServeHTTP(w, r)
 		return
 	}
@@ -121,6 +124,21 @@
 	_, _ = w.Write(held.body.Bytes())
 }
 
+// control counts what the agent asks, and stops an order on its way. It returns
+// what to do when the target is through with it.
+func (t *hookedTarget) control(r *http.Request) (done func()) {
+	t.probes.Add(1)
+	if r.Method != http.MethodPost || r.URL.Path != "/control/orders" {
+		return func() {}
+	}
+	t.orders.Add(1)
+	// All of it has arrived: an order that is only late is not cut as well.
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	t.halt.Reach(StepOrder, t.target)
+	return func() { t.orders.Add(-1) }
+}
+
 // heldAnswer keeps a body back; its status and headers are the target's own.
 type heldAnswer struct {
 	http.ResponseWriter
--- a/matrix/play_test.go
+++ b/matrix/play_test.go
@@ -31,6 +31,8 @@
 	before map[string]int
 	// later is done once the caller has finished.
 	later []func() error
+	// told is the order that was published last.
+	told chestnutstep.Order
 }
 
 const (
@@ -41,6 +43,9 @@
 )
 
 func (p *play) run() error {
+	if p.profile == profileOrder {
+		return p.runOrder()
+	}
 	if err := p.stack.Start(); err != nil {
 		return err
 	}
--- a/matrix/stack.go
+++ b/matrix/stack.go
@@ -103,6 +103,8 @@
 	// Store is what is in force at all processes.
 	Store config.Store
 
+	// began is when the host of all processes started.
+	began   time.Time
 	mu      sync.Mutex
 	pub     chestnutstep.Publication
 	views   [Entries + 1]*chestnutstep.View
@@ -117,6 +119,7 @@
 
 // Start brings everything up.
 func (s *Stack) Start() error {
+	s.began = time.Now()
 	s.pub = publication()
 	for _, n := range []*Node{
 		{Name: "chat-a", Model: ProfileChat, Domain: "a", Engine: newEngine()},
@@ -219,7 +222,7 @@
 	n.lives++
 	reuse, single := agent.Clients()
 	n.Agent = &agent.Agent{
-		Name: n.Name, URL: "http://" + n.Back.Addr(), Incarnation: strconv.Itoa(n.lives),
+		Name: n.Name, URL: "http://" + n.Back.Addr(), Incarnation: strconv.Itoa(n.lives), Uptime: time.Since(s.began),
 		View: func() *chestnutstep.View { return s.View(agentView) },
 		Gate: &gate.Gate{}, Jury: &crash.Jury{Target: n.Name}, Booth: &ticket.Booth{Target: n.Name},
 		Shelf: &answer.Shelf{}, Reuse: reuse, Single: single,
