matrix: the naive version's requests arrive whole before they are stopped

Whether a broken link cut the body of a large request as well hung on a race, so that four rows of the naive version came out one way or the other.

--- a/matrix/hook.go
+++ b/matrix/hook.go
@@ -109,6 +109,7 @@
 		return
 	}
 	if t.plain {
+		arrive(r)
 		t.halt.Reach(StepOffer, t.target)
 		t.halt.Reach(StepAccept, t.target)
 		t.halt.Reach(StepBody, t.target)
@@ -132,13 +133,18 @@
 		return func() {}
 	}
 	t.orders.Add(1)
-	// All of it has arrived: an order that is only late is not cut as well.
-	body, _ := io.ReadAll(r.Body)
-	r.Body = io.NopCloser(bytes.NewReader(body))
+	arrive(r)
 	t.halt.Reach(StepOrder, t.target)
 	return func() { t.orders.Add(-1) }
 }
 
+// arrive waits for all of a request: one that is stopped here is late or its
+// answer is lost, but it is not cut as well.
+func arrive(r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+}
+
 // heldAnswer keeps a body back; its status and headers are the target's own.
 type heldAnswer struct {
 	http.ResponseWriter
