agent: orders and tickets as their packages mean them

Cause, from the review of the parts against each other: - a ticket that waits for one request, asked for by another, answers "held" with the reason "spent"; the agent took it for its own, and the second request's refusal wrote a tombstone under the first; - after an engine's restart an order went out under its old number, without the last check; - a permit of the weight store was spent before the desk was ready, so a quiet target took one a second and used none.

--- a/agent/offer.go
+++ b/agent/offer.go
@@ -140,7 +140,7 @@
 		return r
 	}
 	stub := a.Booth.Hold(now, o.Ticket, o.Workspace, o.Id)
-	if stub.State == chestnutstep.TicketHeld {
+	if stub.State == chestnutstep.TicketHeld && stub.Reason == "" {
 		return nil
 	}
 	reason := stub.Reason
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -42,15 +42,24 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			c.step(ctx, a)
 		}
-		o, ok := c.missing(a)
-		if !ok || (o.Loads() && !a.permitted(ctx)) {
-			continue
-		}
-		c.send(ctx, a, o)
 	}
 }
 
+// step sends at most one order. Whether the desk is ready is asked first: a
+// permit that is taken and not used is lost to the targets that could use it.
+func (c *clerk) step(ctx context.Context, a *Agent) {
+	o, ok := c.missing(a)
+	if !ok || !c.ready(a) {
+		return
+	}
+	if o.Loads() && !a.permitted(ctx) {
+		return
+	}
+	c.send(ctx, a, o)
+}
+
 // missing is the first published order that the engine has not followed.
 func (c *clerk) missing(a *Agent) (chestnutstep.Order, bool) {
 	a.mu.Lock()
@@ -64,6 +73,7 @@
 	if c.boot != a.health.boot {
 		c.boot = a.health.boot
 		c.obeyed = make(map[chestnutstep.Order]bool)
+		c.desk.Restart(a.Clock())
 	}
 	for _, o := range t.Orders {
 		if !c.obeyed[o] {
@@ -73,6 +83,12 @@
 	return chestnutstep.Order{}, false
 }
 
+func (c *clerk) ready(a *Agent) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return c.desk.Ready(a.Clock())
+}
+
 // permitted asks the wardens of the weight store's rate, of which one is
 // enough. Without them a failure domain that starts cold at once asks the store
 // for everything at once, and gets refusals for as long as it keeps asking.
@@ -91,7 +107,7 @@
 
 func (a *Agent) permittedBy(ctx context.Context, v *chestnutstep.View, name string) bool {
 	if name == a.Name {
-		ok, _ := a.grant(v)
+		ok, _ := a.grant()
 		return ok
 	}
 	if a.Dial == nil {
@@ -108,12 +124,10 @@
 }
 
 // grant hands out a permit if this agent is a warden.
-func (a *Agent) grant(v *chestnutstep.View) (bool, time.Duration) {
+func (a *Agent) grant() (bool, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.Clock()
-	a.clerk.warden.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
-	return a.clerk.warden.Permit(now)
+	return a.clerk.warden.Permit(a.Clock())
 }
 
 func targetNames(v *chestnutstep.View) []string {
@@ -126,11 +140,7 @@
 
 // Permit lets another agent load weights.
 func (s *service) Permit(context.Context, *wire.PermitRequest) (*wire.PermitReply, error) {
-	v := s.View()
-	if v == nil {
-		return &wire.PermitReply{}, nil
-	}
-	ok, wait := s.grant(v)
+	ok, wait := s.grant()
 	return &wire.PermitReply{Ok: ok, Wait: int64(wait)}, nil
 }
 
@@ -173,11 +183,6 @@
 	if err != nil {
 		return order.Job{}, err
 	}
-	if job.State == order.Done {
-		// An earlier life of the engine followed it; the repeat needs no number
-		// of its own, as it is the same order.
-		return job, nil
-	}
 	return job, c.desk.MaySend(now, job.Fence, version)
 }
 
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,6 +42,10 @@
 	down  bool
 	calls map[string]*call
 	ran   []string
+	// orders lists what was obeyed, with its fencing number; high is the
+	// highest seen, which a target that checks refuses to go below.
+	orders []string
+	high   uint64
 }
 
 func (t *target) RoundTrip(rq *http.Request) (*http.Response, error) {
@@ -50,6 +55,9 @@
 	if down {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
+	if rq.URL.Path == "/control/orders" {
+		return t.order(rq), nil
+	}
 	if strings.HasPrefix(rq.URL.Path, "/control/") {
 		return reply(rq, boot, fmt.Sprintf(`{"boot":%q}`, boot)), nil
 	}
@@ -70,6 +78,21 @@
 	}
 }
 
+func (t *target) order(rq *http.Request) *http.Response {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	fence, _ := strconv.ParseUint(rq.Header.Get(chestnutstep.HeaderFence), 10, 64)
+	body, _ := io.ReadAll(rq.Body)
+	rs := reply(rq, t.boot, "")
+	if fence < t.high {
+		rs.StatusCode = http.StatusConflict
+		return rs
+	}
+	t.high = fence
+	t.orders = append(t.orders, string(body))
+	return rs
+}
+
 func reply(rq *http.Request, boot, body string) *http.Response {
 	rs := &http.Response{
 		StatusCode: http.StatusOK, Header: http.Header{}, Request: rq,
@@ -172,6 +195,17 @@
 		s.pub.Version++
 		s.pub.Domains = []chestnutstep.Domain{{Name: "a", Region: "r", Out: id != "back"}}
 		s.agent.tick()
+	case "publish":
+		return s.publish(d)
+	case "orders":
+		s.agent.clerk.step(context.Background(), s.agent)
+		s.target.mu.Lock()
+		defer s.target.mu.Unlock()
+		return strings.Join(append(s.target.orders, ""), "\n")
+	case "overtake":
+		// Somebody else, perhaps this agent's frozen predecessor, has given the
+		// target a higher number.
+		s.target.high = 1 << 63
 	case "moved":
 		s.agent.noteMoved(&wire.Moved{Id: id, Workspace: "w", Target: "other"})
 	case "ask":
@@ -181,6 +215,17 @@
 	return s.state()
 }
 
+// publish puts a version with these orders in force.
+func (s *scripted) publish(d *datadriven.TestData) string {
+	s.pub.Version++
+	s.pub.Targets = []chestnutstep.Target{{Name: "t", Host: "h", Model: "m", Agent: "127.0.0.1:1", Fenced: true}}
+	for _, arg := range d.CmdArgs {
+		s.pub.Targets[0].Orders = append(s.pub.Targets[0].Orders, chestnutstep.Order{Kind: arg.Key, Name: arg.Vals[0]})
+	}
+	s.agent.tick()
+	return ""
+}
+
 func (s *scripted) offer(d *datadriven.TestData, id string) string {
 	o := &wire.Offer{
 		Id: id, Workspace: "w", Model: "m", Method: http.MethodPost, Path: "/v1",
