gate: a plan that can't start turns no question away

Cause: a class that had let sixteen starts pass counted as next in line even while no slot was free for it, only slots kept for more urgent work. Those offers were then refused as full although the target had room. The script showed it: the seventeenth question was refused, and none is now.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -166,6 +166,11 @@
 	return spare == 0 || len(g.running) < limit-spare
 }
 
+// may is room as the queue asks for it.
+func (g *Gate) may(now time.Time) func(c chestnutstep.Class) bool {
+	return func(c chestnutstep.Class) bool { return g.room(now, c) }
+}
+
 // spare is how many slots the class must leave free.
 func (g *Gate) spare(now time.Time, class chestnutstep.Class, limit int) int {
 	urgent := g.inUse(now, chestnutstep.ClassUrgent)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -67,6 +67,8 @@
 		})
 	case "offer":
 		return scriptOffers(t, g, now, d)
+	case "serve":
+		return scriptServe(t, g, now, d)
 	case "end":
 		for _, id := range strings.Fields(d.Input) {
 			g.End(now, id, scriptOutcome(t, d))
@@ -120,6 +122,21 @@
 	return out.String()
 }
 
+// scriptServe offers and ends the same request many times over, and prints the
+// answers that differ from the one before.
+func scriptServe(t *testing.T, g *Gate, now time.Time, d *datadriven.TestData) string {
+	out, last := "", ""
+	for i := range scan(t, d, "times", 1) {
+		answer := scriptOffers(t, g, now, d)
+		if answer != last {
+			out += fmt.Sprint(i, " ", answer)
+		}
+		last = answer
+		g.End(now, strings.TrimSpace(d.Input), chestnutstep.Served)
+	}
+	return out
+}
+
 func describeDecision(d chestnutstep.Decision) string {
 	switch d.Verdict {
 	case chestnutstep.Accept:
--- a/gate/next.go
+++ b/gate/next.go
@@ -74,9 +74,8 @@
 		return []string{id}
 	}
 	var ids []string
-	may := func(c chestnutstep.Class) bool { return g.room(now, c) }
 	for {
-		w, ok := g.queue.Pop(may)
+		w, ok := g.queue.Pop(g.may(now))
 		if !ok {
 			return ids
 		}
--- a/gate/offer.go
+++ b/gate/offer.go
@@ -24,7 +24,7 @@
 	if w.Alone {
 		return g.offerAlone(now, w)
 	}
-	if !g.queue.Behind(w.Class) && g.room(now, w.Class) {
+	if g.room(now, w.Class) && !g.queue.Behind(w.Class, g.may(now)) {
 		g.queue.Pass(w.Class)
 		g.start(now, w)
 		return chestnutstep.Decision{Verdict: chestnutstep.Accept}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -133,11 +133,13 @@
 }
 
 // Behind says whether a new request of the class must wait its turn: something
-// as urgent waits already, or a class that has let enough pass.
-func (q *Queue) Behind(class chestnutstep.Class) bool {
+// as urgent waits already, or a class that has let enough pass. A class that may
+// not start now is nobody's reason to wait: otherwise a plan, for which no slot
+// is free, would have questions turned away from slots that are kept for them.
+func (q *Queue) Behind(class chestnutstep.Class, may func(c chestnutstep.Class) bool) bool {
 	for c := range q.lanes {
 		l := &q.lanes[c]
-		if l.count > 0 && (c <= int(class) || l.passed >= Turn) {
+		if l.count > 0 && (c <= int(class) || l.passed >= Turn) && may(chestnutstep.Class(c)) {
 			return true
 		}
 	}
