entry, node: bounds on slow and many callers; a stop sends its last frames

Cause, found by reading: - a ticketed offer that got no answer only looked for a run; if the offer had been lost the caller heard "unknown" for an action that could simply be offered again, as its ticket lets it run once at most; - a caller that stopped in mid-body held its memory for good, and nothing bounded the requests in progress (settings had "streams" for it); - an agent that had drained closed its connections under frames that were written and not sent. Proof: entry, node and agent tests pass; the process tests of package faults play stops.

--- a/chestnutstep.go
+++ b/chestnutstep.go
@@ -103,4 +103,5 @@
 	ReasonTarget  Reason = "target"  // no target would take the request
 	ReasonBudget  Reason = "budget"  // the retry budget is spent
 	ReasonStop    Reason = "stop"    // the process is stopping
+	ReasonBusy    Reason = "busy"    // the entry has too many requests in progress
 )
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -143,6 +143,10 @@
 }
 
 func (a *ask) readBody(w http.ResponseWriter) error {
+	// A caller that stops sending in mid-body would hold memory here for ever.
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(a.deadline)
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
 	body := http.MaxBytesReader(w, a.request.Body, a.profile.Body)
 	b, err := io.ReadAll(body)
 	var large *http.MaxBytesError
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,9 @@
 	Steps   chestnutstep.Allowance
 	// Entries returns how many entries share the callers, for rate limits.
 	Entries func() int
+	// Most bounds the requests in progress; 0 is no bound. Beyond it a surge
+	// would take this process's memory, and with it all answers in progress.
+	Most int64
 	// Clock is time.Now, but for tests.
 	Clock func() time.Time
 	// Notify is told of what operators should see; it must not block.
@@ -110,8 +113,12 @@
 
 // ServeHTTP serves one caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.open.Add(1)
+	open := e.open.Add(1)
 	defer e.open.Add(-1)
+	if e.Most > 0 && open > e.Most {
+		e.refuse(w, &ErrRefused{Reason: chestnutstep.ReasonBusy, Run: chestnutstep.RunMaybe, Retry: time.Second}, Notice{})
+		return
+	}
 	if r.URL.Path == ticketsPath {
 		e.serveTickets(w, r)
 		return
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -32,6 +32,8 @@
 
 	targets []*chestnutstep.Target
 	offers  int
+	// repeats counts the offers of a ticketed request that got no answer.
+	repeats int
 	// refused is the open link of the first target that refused, to be told
 	// where the request went.
 	refused *link
@@ -189,10 +191,10 @@
 	if int64(len(o.Small)) < o.Size {
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
 	}
+	k.maybe = true
 	if !o.Idempotent {
-		return k.attach(ctx, l.target)
+		return k.again(ctx, l.target)
 	}
-	k.maybe = true
 	return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: chestnutstep.RunMaybe})
 }
 
@@ -355,6 +357,22 @@
 	return step{done: true, err: k.giveUp().(*ErrRefused)}
 }
 
+// again offers a ticketed request once more to the one agent that may run it.
+// Whether the first offer arrived is not known here and need not be: the ticket
+// makes the second one join it.
+func (k *walk) again(ctx context.Context, t *chestnutstep.Target) step {
+	k.repeats++
+	if k.repeats > attachMost {
+		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: chestnutstep.RunMaybe})
+	}
+	select {
+	case <-ctx.Done():
+		return k.outOfTime(ctx)
+	case <-time.After(attachPause << k.repeats):
+	}
+	return k.try(ctx, t, k.ask.deadline.Sub(k.entry.Clock()))
+}
+
 // attach joins the request again at its agent after the link broke: the run
 // goes on there, and the answer continues at the byte where it stopped.
 func (k *walk) attach(ctx context.Context, t *chestnutstep.Target) step {
--- a/node/agent.go
+++ b/node/agent.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Drain.Std())
 	defer cancel()
 	err := n.agent.Leave(ctx)
-	n.server.Stop()
+	stopServer(ctx, n.server)
 	n.log.Emit(event.ProcessStop, event.Err(err))
 	return errors.Wrap(err, "drain")
 }
--- a/node/base.go
+++ b/node/base.go
@@ -102,6 +102,30 @@
 	)
 }
 
+// graceful ends a gRPC server once its streams are over. Stop alone closes the
+// connections under frames that are written and not sent: callers would get
+// their answers short of the last piece.
+type graceful struct {
+	server *grpc.Server
+	done   chan struct{}
+}
+
+func (g *graceful) run() {
+	g.server.GracefulStop()
+	close(g.done)
+}
+
+// stopServer waits for the server's streams until ctx ends.
+func stopServer(ctx context.Context, srv *grpc.Server) {
+	g := &graceful{server: srv, done: make(chan struct{})}
+	go g.run()
+	select {
+	case <-g.done:
+	case <-ctx.Done():
+		srv.Stop()
+	}
+}
+
 // admin serves health, status, metrics and audit until ctx ends.
 func (b *base) admin(ctx context.Context, ready func() error, status func() admin.Status) error {
 	srv := &admin.Server{
--- a/node/entry.go
+++ b/node/entry.go
@@ -94,6 +94,7 @@
 		Repeats: &retry.Allowance{},
 		Steps:   retry.Steps(),
 		Entries: n.entries,
+		Most:    int64(n.settings.Streams),
 		Clock:   time.Now,
 		Notify:  n.notice,
 	}
--- a/node/notice.go
+++ b/node/notice.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/agent"
 	"chestnutstep.example/chestnutstep/audit"
 	"chestnutstep.example/chestnutstep/entry"
@@ -93,13 +94,10 @@
 // notice puts how a caller's request ended into log and metrics.
 func (n *Entry) notice(m entry.Notice) {
 	result := "ok"
-	id := event.RequestDone
-	switch {
-	case m.Reason != "" && m.First > 0:
-		result, id = string(m.Reason), event.RequestBroken
-	case m.Reason != "":
-		result, id = string(m.Reason), event.RequestRefused
+	if m.Reason != "" {
+		result = string(m.Reason)
 	}
+	id := requestEvent(m)
 	n.log.Emit(
 		id,
 		event.Request(m.Request),
@@ -120,3 +118,20 @@
 		n.meters.Entry.Answer.Observe(m.Total, m.Profile)
 	}
 }
+
+// requestEvent is the log event of how a request ended.
+func requestEvent(m entry.Notice) event.ID {
+	switch {
+	case m.Reason == "":
+		return event.RequestDone
+	case m.Reason == chestnutstep.ReasonKey:
+		return event.KeyUnknown
+	case m.Reason == chestnutstep.ReasonRate:
+		return event.RateExceeded
+	case m.Reason == chestnutstep.ReasonCanceled:
+		return event.RequestCanceled
+	case m.First > 0:
+		return event.RequestBroken
+	}
+	return event.RequestRefused
+}
--- a/retry/answer.go
+++ b/retry/answer.go
@@ -88,6 +88,7 @@
 	chestnutstep.ReasonTarget:  {503, "No target takes the request.", true, soon, all},
 	chestnutstep.ReasonBudget:  {503, "Too many requests are failing to repeat this one.", true, later, all},
 	chestnutstep.ReasonStop:    {503, "The process is stopping.", true, soon, all},
+	chestnutstep.ReasonBusy:    {503, "The entry has too many requests in progress.", true, soon, all},
 }
 
 // statusCanceled is the status that proxies log for a caller who left; nobody
