--- a/config/bench_test.go
+++ b/config/bench_test.go
@@ -1,10 +1,34 @@
 package config
 
 import (
+	"runtime"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
+// A process may use 64 MB in all. What it holds of a publication has to leave
+// nearly all of that to requests, also while the next one is being put in force.
+func TestStoreMemory(t *testing.T) {
+	heap := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc) / (1 << 20)
+	}
+	root, parts := Pack(fleet(1, 2700, 270))
+	before := heap()
+	s := new(Store)
+	assert.NilError(t, s.Put(time.Time{}, root, parts))
+	held := heap() - before
+	runtime.KeepAlive(parts)
+	runtime.KeepAlive(s)
+	t.Logf("2,700 targets: %.1f MiB for look-ups, beside the parts themselves", held)
+	assert.Assert(t, held < 8)
+}
+
 // BenchmarkPut puts a changed publication of 2,700 targets in force, which each
 // process does for every change: 11,000 times a day.
 func BenchmarkPut(b *testing.B) {
--- a/config/store.go
+++ b/config/store.go
@@ -90,7 +90,6 @@
 	mu      sync.Mutex
 	stamp   Stamp
 	root    []byte
-	parsed  *Root
 	parts   map[string][]byte
 	changed chan struct{}
 	refused map[Stamp]error
@@ -258,7 +257,7 @@
 	defer s.mu.Unlock()
 	was := s.stamp
 	s.stamp = Stamp{Version: r.Version, Digest: Hash(root)}
-	s.root, s.parts, s.parsed = root, parts, r
+	s.root, s.parts = root, parts
 	s.spare.clear()
 	c := Change{Now: now, From: s.view.Load(), To: v, Stamp: s.stamp, Clash: was.Version == r.Version}
 	s.view.Store(v)
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -158,15 +159,20 @@
 	return nil
 }
 
+// published is what operators publish in the schedules.
+var published = sync.OnceValue(func() []packed {
+	return []packed{
+		publish(1, "", true), publish(2, "a", true), publish(2, "b", true), publish(3, "", false),
+		publish(4, "c", true), publish(4, "", true), publish(5, "a", false),
+	}
+})
+
 // schedule lets five processes meet publications in an arbitrary order: from a
 // service that is stale or goes back, in halves, from operators who publish
 // against each other, invalid ones, across cuts and restarts. It returns the
 // first broken promise.
 func schedule(draw func(label string, n int) int, fresh func() holder) error {
-	pubs := []packed{
-		publish(1, "", true), publish(2, "a", true), publish(2, "b", true), publish(3, "", false),
-		publish(4, "c", true), publish(4, "", true), publish(5, "a", false),
-	}
+	pubs := published()
 	byStamp := make(map[Stamp]packed)
 	for _, p := range pubs {
 		byStamp[p.stamp] = p
--- /dev/null
+++ b/gossip/carry_test.go
@@ -0,0 +1,73 @@
+package gossip
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/wire"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+)
+
+// direct is a connection to a node in the same process.
+type direct struct {
+	grpc.ClientConnInterface
+	to *Node
+}
+
+func (d direct) Invoke(ctx context.Context, _ string, args, reply any, _ ...grpc.CallOption) error {
+	m, err := d.to.Gossip(ctx, args.(*wire.GossipMessage))
+	proto.Merge(reply.(*wire.GossipMessage), m)
+	return err
+}
+
+// listener keeps what it learns.
+type listener struct {
+	talker
+	heard    []chestnutstep.Sample
+	suspects []chestnutstep.Suspicion
+}
+
+func (l *listener) Learn(_ time.Time, s []chestnutstep.Sample) { l.heard = append(l.heard, s...) }
+
+type jury struct {
+	chestnutstep.Jury
+	l *listener
+}
+
+func (j jury) Tell(time.Time, int) []chestnutstep.Suspicion     { return j.l.suspects }
+func (j jury) Learn(_ time.Time, list []chestnutstep.Suspicion) { j.l.suspects = list }
+
+// Loads and suspicions cross from one process to another as ages, because no two
+// clocks are compared: sent as times, a host whose clock is a minute ahead would
+// make old samples look fresh, and its own load would outlive it everywhere.
+func TestCarries(t *testing.T) {
+	now := time.Now()
+	var told, heard listener
+	told.samples = []chestnutstep.Sample{{Target: "t1", Model: "m", Load: 3, Seen: now.Add(-5 * time.Second)}}
+	told.suspects = []chestnutstep.Suspicion{{Fingerprint: 7, Crashed: []string{"t1"}, Seen: now.Add(-time.Minute)}}
+	weights := make(map[string]float64)
+	b := &Node{
+		Name: "b", Store: new(config.Store), Sampler: &heard, Jury: jury{l: &heard},
+		OnWeight: func(target string, w float64) { weights[target] = w },
+	}
+	a := &Node{
+		Name: "a", Store: new(config.Store), Sampler: &told, Jury: jury{l: &told}, Weight: func() float64 { return 0.5 },
+		Dial: func(string) (grpc.ClientConnInterface, error) { return direct{to: b}, nil },
+	}
+	a.init()
+	a.exchange(t.Context(), "b", a.message(time.Now()))
+
+	assert.Equal(t, len(heard.heard), 1)
+	age := time.Since(heard.heard[0].Seen)
+	assert.Assert(t, age >= 5*time.Second && age < 30*time.Second, "%v", age)
+	assert.Equal(t, heard.heard[0].Load, 3.0)
+	assert.DeepEqual(t, heard.suspects[0].Crashed, []string{"t1"})
+	assert.Assert(t, time.Since(heard.suspects[0].Seen) >= time.Minute)
+	assert.Equal(t, weights["a"], 0.5)
+}
--- a/gossip/net_test.go
+++ b/gossip/net_test.go
@@ -39,6 +39,7 @@
 
 	mu    sync.Mutex
 	cut   map[string]bool // by node name
+	split map[string]bool // those who can talk only to each other
 	lag   time.Duration   // of calls between processes
 	nodes []*process
 	notes []string
@@ -197,15 +198,12 @@
 func (w *world) isCut(from, to string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cut[from] || w.cut[to] {
-		return true
-	}
 	for _, p := range w.nodes {
-		if p.address == to && w.cut[p.name] {
-			return true
+		if p.address == to {
+			to = p.name
 		}
 	}
-	return false
+	return w.cut[from] || w.cut[to] || w.split[from] != w.split[to]
 }
 
 // publication lists the agents of this world; the domain that is out tells
@@ -276,6 +274,13 @@
 			w.cut[name] = d.Cmd == "cut"
 		}
 		w.mu.Unlock()
+	case "split":
+		w.mu.Lock()
+		w.split = make(map[string]bool)
+		for _, name := range names {
+			w.split[name] = true
+		}
+		w.mu.Unlock()
 	case "lag":
 		var by string
 		d.ScanArgs(w.t, "by", &by)
