agent: a target that drops connections without a word has died

Where something else holds the target's port while it restarts, a probe is not refused but its connection is closed at once. The agent then waited for a clear answer, and the request that had killed the target went unsuspected to the next: on the processes of standin demo one request took down three engines at each of its tries. Two dropped probes in a row now count as death.

--- a/agent/health.go
+++ b/agent/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -58,6 +59,10 @@
 	a.probing.Lock()
 	defer a.probing.Unlock()
 	r, err := a.probe()
+	if isDropped(err) {
+		// Once may be a connection that broke by itself.
+		r, err = a.probe()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Clock()
@@ -65,7 +70,7 @@
 	case err == nil:
 		h.alive(now, a, r.Boot)
 		h.temper(now, a, r.Cold)
-	case isRefused(err):
+	case isRefused(err) || isDropped(err):
 		h.dead(now, a)
 	}
 	a.advance(now)
@@ -165,3 +170,11 @@
 // isRefused says that nothing listens at the target's address: on the same
 // host that is certain, unlike a probe that takes too long.
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// isDropped says that the target's address took the connection and closed it
+// without a word: what listens there is not the target that was running, but
+// what restarts it. Waiting for a clear answer would let the request that
+// killed it go unsuspected to the next target, and the next.
+func isDropped(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+}
