entry: a repeat that follows a note of a move is offered, not attached

The first target's agent remembers for a minute where a request went. An entry attached there, and when that run had failed, each repeat heard the recorded failure again instead of being run anew. An offer joins a run that goes on and starts one that failed. Two notes that point at each other end at the bound of tries.

--- a/entry/walk.go
+++ b/entry/walk.go
@@ -306,13 +306,17 @@
 	return r == chestnutstep.ReasonFull || r == chestnutstep.ReasonCold
 }
 
-// joinMoved attaches to a run of this request at another target.
+// joinMoved goes where an earlier try of this request went. It offers instead
+// of attaching: a run that goes on there is joined, but one that failed is run
+// anew. Attached, a caller would hear the recorded failure again and again for
+// as long as the note of the move lives.
 func (k *walk) joinMoved(ctx context.Context, name string) step {
 	t := k.ask.view.Targets[name]
-	if t == nil {
+	// Notes of two agents may point at each other.
+	if t == nil || k.offers >= triesMost {
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonMoved, Run: chestnutstep.RunMaybe})
 	}
-	return k.attach(ctx, t)
+	return k.try(ctx, t, 0)
 }
 
 // broken acts on an answer that did not become whole.
