--- a/matrix/fault_test.go
+++ b/matrix/fault_test.go
@@ -30,6 +30,7 @@
 	"leave":   (*play).leave,
 	"out":     (*play).out,
 	"kill":    (*play).kill,
+	"poison":  (*play).poison,
 	"next":    func(p *play, _ *Node) error { return p.tell("second") },
 	"stall":   (*play).stall,
 	"restart": func(p *play, _ *Node) error { p.stack.RestartEntries(); return nil },
@@ -64,6 +65,14 @@
 	return nil
 }
 
+// poison makes every engine crash that runs this request.
+func (p *play) poison(*Node) error {
+	for _, n := range p.stack.Nodes {
+		n.Misbehave(fake.Fault{Poison: `"note":"` + p.caller.Name + `"`})
+	}
+	return nil
+}
+
 // kill ends the agent, or the naive version's process, and starts it anew.
 func (p *play) kill(n *Node) error {
 	if p.stack.Naive {
--- a/matrix/hook.go
+++ b/matrix/hook.go
@@ -22,8 +22,8 @@
 	target string
 	// probes counts what the agent asked of the target's controls.
 	probes atomic.Int64
-	// orders counts the orders on their way to the target.
-	orders atomic.Int64
+	// busy counts the requests and orders that the target has not seen the end of.
+	busy atomic.Int64
 }
 
 func (h *hooks) stream(srv any, st grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) error {
@@ -101,13 +101,30 @@
 	whole bool
 }
 
-// ServeHTTP passes a request on, and stops it where it should.
+// ServeHTTP passes on what comes; requests and orders stop where they should.
 func (t *hookedTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, "/control/") {
-		defer t.control(r)()
+	order := r.Method == http.MethodPost && r.URL.Path == "/control/orders"
+	if strings.HasPrefix(r.URL.Path, "/control/") && !order {
+		t.probes.Add(1)
 		t.Handler.ServeHTTP(w, r)
 		return
 	}
+	t.busy.Add(1)
+	defer t.busy.Add(-1)
+	if order {
+		t.order(w, r)
+		return
+	}
+	t.request(w, r)
+}
+
+func (t *hookedTarget) order(w http.ResponseWriter, r *http.Request) {
+	arrive(r)
+	t.halt.Reach(StepOrder, t.target)
+	t.Handler.ServeHTTP(w, r)
+}
+
+func (t *hookedTarget) request(w http.ResponseWriter, r *http.Request) {
 	if t.plain {
 		arrive(r)
 		t.halt.Reach(StepOffer, t.target)
@@ -125,19 +142,6 @@
 	_, _ = w.Write(held.body.Bytes())
 }
 
-// control counts what the agent asks, and stops an order on its way. It returns
-// what to do when the target is through with it.
-func (t *hookedTarget) control(r *http.Request) (done func()) {
-	t.probes.Add(1)
-	if r.Method != http.MethodPost || r.URL.Path != "/control/orders" {
-		return func() {}
-	}
-	t.orders.Add(1)
-	arrive(r)
-	t.halt.Reach(StepOrder, t.target)
-	return func() { t.orders.Add(-1) }
-}
-
 // arrive waits for all of a request: one that is stopped here is late or its
 // answer is lost, but it is not cut as well.
 func arrive(r *http.Request) {
--- a/matrix/order_test.go
+++ b/matrix/order_test.go
@@ -66,7 +66,7 @@
 		return errors.Wrapf(err, "%v", p.obeyed(n))
 	}
 	// The order that was stopped has arrived when its handler has ended.
-	if err := until(func() bool { return n.hooks.orders.Load() == 0 }, "all orders arrive"); err != nil {
+	if err := until(func() bool { return n.hooks.busy.Load() == 0 }, "all orders arrive"); err != nil {
 		return err
 	}
 	list := p.obeyed(n)
--- a/matrix/play_test.go
+++ b/matrix/play_test.go
@@ -196,6 +196,9 @@
 
 func (p *play) rested() bool {
 	for _, n := range p.stack.Nodes {
+		if n.hooks.busy.Load() > 0 {
+			return false
+		}
 		for _, e := range n.Executions() {
 			if e.Outcome == fake.OutcomeRunning {
 				return false
