node: the whole path under TLS, and a stranger at the agent's door

Proof: a caller over HTTPS, mutual TLS between entry and agent and the publication from the platform's stand-in give a whole stream; a process with a certificate of another authority is not let in, one of the fleet's is. Seen on the way: an entry that has the publication before its agent answers 503 "version", not run, come back in a second; that stays.

--- /dev/null
+++ b/fake/authority.go
@@ -0,0 +1,94 @@
+package fake
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Authority signs certificates for stand-in fleets; an operator's own authority
+// takes its place in earnest.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	raw  []byte
+}
+
+// Files are the paths of a certificate, its key and its authority.
+type Files struct {
+	Cert, Key, CA string
+}
+
+// authorityLife is how long stand-ins' certificates are good for.
+const authorityLife = 24 * time.Hour
+
+// NewAuthority draws a new authority.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority")
+	}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "stand-in authority"}, IsCA: true,
+		BasicConstraintsValid: true, NotAfter: time.Now().Add(authorityLife), KeyUsage: x509.KeyUsageCertSign,
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
+	if err != nil {
+		return nil, errors.Wrap(err, "authority")
+	}
+	cert, err := x509.ParseCertificate(raw)
+	return &Authority{cert: cert, key: key, raw: raw}, errors.Wrap(err, "authority")
+}
+
+// Issue writes a certificate for an IP, its key and the authority into a folder.
+func (a *Authority) Issue(dir, name, ip string) (Files, error) {
+	f := Files{
+		Cert: filepath.Join(dir, name+".crt"),
+		Key:  filepath.Join(dir, name+".key"),
+		CA:   filepath.Join(dir, name+".ca"),
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return f, errors.Wrap(err, "issue")
+	}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
+		IPAddresses: []net.IP{net.ParseIP(ip)}, NotAfter: time.Now().Add(authorityLife),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, t, a.cert, key.Public(), a.key)
+	if err != nil {
+		return f, errors.Wrap(err, "issue")
+	}
+	pkcs8, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return f, errors.Wrap(err, "issue")
+	}
+	return f, f.write(raw, pkcs8, a.raw)
+}
+
+func (f Files) write(cert, key, ca []byte) error {
+	for _, part := range []struct {
+		path, kind string
+		raw        []byte
+	}{
+		{f.Cert, "CERTIFICATE", cert},
+		{f.Key, "PRIVATE KEY", key},
+		{f.CA, "CERTIFICATE", ca},
+	} {
+		if err := os.WriteFile(part.path, pem.EncodeToMemory(&pem.Block{Type: part.kind, Bytes: part.raw}), 0o600); err != nil {
+			return errors.Wrap(err, "issue")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/path_test.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/cert"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/dial"
+	"chestnutstep.example/chestnutstep/fake"
+)
+
+// small is a fleet of one engine, its agent and an entry in this process, under
+// TLS on all links, with the platform's stand-in.
+type small struct {
+	t        *testing.T
+	dir      string
+	platform *fake.Platform
+	ca       *fake.Authority
+	service  string
+	agent    string
+	callers  string
+	admins   []string
+	roots    *x509.CertPool
+}
+
+func newSmall(t *testing.T) *small {
+	f := &small{t: t, dir: t.TempDir(), platform: &fake.Platform{}, agent: free(t), callers: free(t), admins: []string{free(t), free(t)}}
+	var err error
+	f.ca, err = fake.NewAuthority()
+	assert.NilError(t, err)
+	srv := httptest.NewServer(f.platform)
+	t.Cleanup(srv.Close)
+	f.service = srv.URL
+	f.publish()
+	engine := httptest.NewServer(&fake.Engine{})
+	t.Cleanup(engine.Close)
+	f.start(&Agent{Settings: f.settings(config.RoleAgent, fmt.Sprintf(
+		`"name": "label-1", "listen": %q, "admin": %q, "target": {"name": "label-1", "url": %q}`, f.agent, f.admins[0], engine.URL,
+	)), Out: io.Discard})
+	door := f.issue("door")
+	f.start(&Entry{Settings: f.settings(config.RoleEntry, fmt.Sprintf(
+		`"name": "e1", "listen": %q, "peer": %q, "admin": %q, "callers": {"cert": %q, "key": %q}`,
+		f.callers, free(t), f.admins[1], door.Cert, door.Key,
+	)), Out: io.Discard})
+	raw, err := os.ReadFile(door.CA)
+	assert.NilError(t, err)
+	f.roots = x509.NewCertPool()
+	assert.Assert(t, f.roots.AppendCertsFromPEM(raw))
+	for _, admin := range f.admins {
+		f.ready(admin)
+	}
+	return f
+}
+
+func (f *small) issue(name string) fake.Files {
+	files, err := f.ca.Issue(f.dir, name, "127.0.0.1")
+	assert.NilError(f.t, err)
+	return files
+}
+
+func (f *small) settings(role config.Role, rest string) *config.Settings {
+	files := f.issue(string(role))
+	raw := fmt.Sprintf(`{"host": "h", "domain": "a", "region": "r", "platform": %q, "drain": "5s",
+		"tls": {"cert": %q, "key": %q, "ca": %q}, %s}`, f.service, files.Cert, files.Key, files.CA, rest)
+	s, err := config.ParseSettings(string(role), []byte(raw), role)
+	assert.NilError(f.t, err)
+	return s
+}
+
+// runner is a process of the system.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func (f *small) start(r runner) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		assert.NilError(f.t, <-done)
+	})
+}
+
+func (f *small) publish() {
+	sum := sha256.Sum256([]byte("key"))
+	p := &chestnutstep.Publication{
+		Version: 1,
+		Domains: []chestnutstep.Domain{{Name: "a", Region: "r"}},
+		Hosts:   []chestnutstep.Host{{Name: "h", Domain: "a", Entry: true}},
+		Models: []chestnutstep.Model{
+			{Name: "label", Kind: chestnutstep.KindEngine, Floor: 4, Slots: 8, Queue: 8, Cold: 4, Done: "event: done"},
+		},
+		Targets: []chestnutstep.Target{{Name: "label-1", Host: "h", Model: "label", Agent: f.agent}},
+		Profiles: []chestnutstep.Profile{{
+			Name: "quick", Model: "label", Class: "urgent", Timeout: chestnutstep.Duration(20 * time.Second), Tries: 1, Tokens: 5, Body: 1 << 16,
+		}},
+		Workspaces: []chestnutstep.Workspace{{Name: "prairie", Keys: []string{hex.EncodeToString(sum[:])}}},
+		Budget:     chestnutstep.Budget{Reads: 100, Retries: 0.1},
+	}
+	assert.NilError(f.t, config.Check(p))
+	root, parts := config.Pack(p)
+	for hash, raw := range parts {
+		f.platform.Put("chestnut/part/"+hash, raw)
+	}
+	f.platform.Put("chestnut/root", root)
+}
+
+func (f *small) ready(admin string) {
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		rs, err := http.Get("http://" + admin + "/ready")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		rs.Body.Close()
+		if rs.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", rs.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
+
+// The whole path as operators would run it: a caller over HTTPS, mutual TLS
+// between entry and agent, the publication from the platform.
+func TestWholePathUnderTLS(t *testing.T) {
+	f := newSmall(t)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: f.roots}}}
+	defer client.CloseIdleConnections()
+	rq, err := http.NewRequest(http.MethodPost, "https://"+f.callers+"/v1/chat", strings.NewReader(`{"prompt":8,"output":4}`))
+	assert.NilError(t, err)
+	rq.Header.Set("Authorization", "Bearer key")
+	rq.Header.Set(chestnutstep.HeaderProfile, "quick")
+	rs, err := client.Do(rq)
+	assert.NilError(t, err)
+	defer rs.Body.Close()
+	body, err := io.ReadAll(rs.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, rs.StatusCode, http.StatusOK, "%s", body)
+	assert.Assert(t, strings.Contains(string(body), "event: done"), "%s", body)
+}
+
+// Somebody on the operators' network starts a process of their own and talks to
+// agents. Without certificates of the fleet's authority it could run actions in
+// the name of any workspace.
+func TestStrangerCantReachAgent(t *testing.T) {
+	f := newSmall(t)
+	other, err := fake.NewAuthority()
+	assert.NilError(t, err)
+	stranger, err := other.Issue(t.TempDir(), "stranger", "127.0.0.1")
+	assert.NilError(t, err)
+	// The stranger trusts the fleet's authority, so that only the agent's check
+	// of the stranger's own certificate is between them.
+	files := &cert.Files{Cert: stranger.Cert, Key: stranger.Key, CA: f.issue("trusted").CA}
+	assert.NilError(t, files.Load())
+	pool := &dial.Pool{Credentials: files.Credentials()}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	assert.Assert(t, pool.Reach(ctx, f.agent) != nil)
+	own := f.issue("own")
+	friend := &cert.Files{Cert: own.Cert, Key: own.Key, CA: own.CA}
+	assert.NilError(t, friend.Load())
+	pool = &dial.Pool{Credentials: friend.Credentials()}
+	ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	assert.NilError(t, pool.Reach(ctx, f.agent))
+}
