--- a/gossip/message.go
+++ b/gossip/message.go
@@ -112,8 +112,11 @@
 // spread lets news of a host go round.
 func (n *Node) spread(now time.Time, h member.Host, age time.Duration) {
 	n.mu.Lock()
-	n.news.add(now, h, age)
+	news := n.news.add(now, h, age)
 	n.mu.Unlock()
+	if !news {
+		return
+	}
 	select {
 	case n.fresh <- struct{}{}:
 	default:
--- a/gossip/rumours.go
+++ b/gossip/rumours.go
@@ -31,13 +31,18 @@
 	list []rumour
 }
 
-// add takes news; what was known of the same host is replaced.
-func (rs *rumours) add(now time.Time, h member.Host, age time.Duration) {
+// add takes news and says whether it is: what goes round already is left as it
+// is, or each process that reads the list would send it round again.
+func (rs *rumours) add(now time.Time, h member.Host, age time.Duration) bool {
 	rs.expire(now)
+	if slices.ContainsFunc(rs.list, func(r rumour) bool { return r.host == h }) {
+		return false
+	}
 	rs.list = slices.DeleteFunc(rs.list, func(r rumour) bool { return r.host.Name == h.Name })
 	if len(rs.list) < rumoursKept {
 		rs.list = append(rs.list, rumour{host: h, said: now.Add(-age)})
 	}
+	return true
 }
 
 // tell returns the news that were told least often.
