--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -218,6 +218,8 @@
 		m.waiting[w.ID] = w
 	case chestnutstep.Refuse:
 		assert.Assert(t, d.Reason != "" && d.Retry >= soonest, "%+v", d)
+		full := d.Reason == chestnutstep.ReasonFull || d.Reason == chestnutstep.ReasonCold
+		assert.Assert(t, !full || w.Class > 0 || len(m.running) >= m.limit || len(m.waiting) > 0, "refused with room to spare")
 	}
 }
 
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -199,6 +199,33 @@
 	})
 }
 
+// Weights are what operators sell. If a workspace fell behind its share while
+// it had work waiting, its owners would wait longer than those of another that
+// pays the same.
+func TestBackloggedWorkspacesShareByWeight(t *testing.T) {
+	weights := map[string]float64{"a": 1, "b": 2, "c": 5}
+	const longest = 5000
+	rapid.Check(t, func(t *rapid.T) {
+		q := &Queue{Bound: 1000, Weights: weights}
+		for i := range 240 {
+			w := chestnutstep.Work{ID: fmt.Sprint(i), Deadline: later, Patience: later, Class: 1}
+			w.Workspace = string("abc"[i%3])
+			w.Cost = rapid.Float64Range(1, longest).Draw(t, "cost")
+			q.Push(epoch, w)
+		}
+		served := map[string]float64{}
+		for range rapid.IntRange(1, 70).Draw(t, "pops") {
+			w, _ := q.Pop(any3)
+			served[w.Workspace] += w.Cost / weights[w.Workspace]
+		}
+		for a, wa := range weights {
+			for b, wb := range weights {
+				assert.Assert(t, served[a]-served[b] <= longest/wa+longest/wb, "%s %v, %s %v", a, served[a], b, served[b])
+			}
+		}
+	})
+}
+
 func checkBooks(t *rapid.T, q *Queue, list map[string]chestnutstep.Work) {
 	assert.Equal(t, q.Len(), len(list))
 	assert.Assert(t, q.Len() <= q.Bound)
