--- a/node/agent.go
+++ b/node/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -84,7 +83,7 @@
 	}
 	name := n.Settings.Target.Name
 	n.jury = &crash.Jury{Target: name}
-	sampler := &mean.Sampler{Target: name, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	sampler := &mean.Sampler{Target: name}
 	reuse, single := agent.Clients()
 	n.agent = &agent.Agent{
 		Name:        name,
