--- a/agent/agent.go
+++ b/agent/agent.go
@@ -30,6 +30,11 @@
 	// tickEvery is how often waiting work is looked at when nothing else
 	// happens; it bounds how late a refusal for lateness may come.
 	tickEvery = 50 * time.Millisecond
+	// ticksEach is how many of these pass between two looks at everything else
+	// that time alone changes. It is a quarter of a second: the shortest limit
+	// there is a body's two seconds, and at every tick an idle agent spent 1.3%
+	// of a core.
+	ticksEach = 5
 )
 
 // Agent serves the target beside it. Set the exported fields before Run.
@@ -174,13 +179,27 @@
 func (a *Agent) loop(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	for {
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		}
+		if n%ticksEach == 0 {
 			a.tick()
+			continue
 		}
+		a.hurry()
+	}
+}
+
+// hurry starts or refuses waiting work whose time has come.
+func (a *Agent) hurry() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock()
+	if a.Gate.Load(now).Waiting > 0 {
+		a.advance(now)
 	}
 }
 
