admin, node: status says of service and peers only what is known

The page said that the service did not answer and that no peer was known, at processes that had never heard otherwise.

--- a/admin/page.go
+++ b/admin/page.go
@@ -42,15 +42,17 @@
 	if pub.Version == 0 {
 		p.printf("no publication in force\n")
 	} else {
-		p.printf("publication %d from %s, %s ago\n", pub.Version, pub.Source, age(now, pub.Since))
+		p.printf("publication %d in force for %s\n", pub.Version, age(now, pub.Since))
 	}
 	if pub.Refused != 0 {
 		p.printf("publication %d was refused: %s\n", pub.Refused, pub.Why)
 	}
-	if !pub.Service {
+	if pub.Silent {
 		p.printf("the configuration service does not answer\n")
 	}
-	p.printf("peers: %d of %d answer\n", s.Peers.Answering, s.Peers.Known)
+	if s.Alone {
+		p.printf("no peer answers\n")
+	}
 }
 
 func (p *pager) domain(d Domain) {
--- a/admin/status.go
+++ b/admin/status.go
@@ -23,7 +23,8 @@
 	// Streams is the requests in progress.
 	Streams     int         `json:"streams"`
 	Publication Publication `json:"publication"`
-	Peers       Peers       `json:"peers"`
+	// Alone says that no peer answers.
+	Alone bool `json:"alone,omitempty"`
 	// Domains lists the targets that the process knows, by failure domain: an
 	// agent its own, an entry all.
 	Domains  []Domain  `json:"domains"`
@@ -35,20 +36,14 @@
 // Publication is the configuration in force.
 type Publication struct {
 	Version uint64 `json:"version"`
-	// Source is where it came from: "service", or the name of a peer.
-	Source string    `json:"source"`
-	Since  time.Time `json:"since"`
+	// Since is when this process put it in force.
+	Since time.Time `json:"since"`
 	// Refused is the last version that was refused, and why.
 	Refused uint64 `json:"refused,omitempty"`
 	Why     string `json:"why,omitempty"`
-	// Service says whether the configuration service answered last time.
-	Service bool `json:"service"`
-}
-
-// Peers is the process's contact with others.
-type Peers struct {
-	Known     int `json:"known"`
-	Answering int `json:"answering"`
+	// Silent says that the configuration service did not answer when this
+	// process asked it last; most processes ask their peers instead.
+	Silent bool `json:"silent,omitempty"`
 }
 
 // Domain is a failure domain with its targets.
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -47,6 +47,7 @@
 }
 
 func (b *base) gossipNotice(m gossip.Notice) {
+	b.source.hear(m.Kind)
 	id, ok := gossipEvents[m.Kind]
 	if !ok {
 		return
--- a/node/publication.go
+++ b/node/publication.go
@@ -10,6 +10,7 @@
 	"chestnutstep.example/chestnutstep/audit"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/gossip"
 )
 
 // source remembers what the status page says about the publication.
@@ -18,6 +19,27 @@
 	since   time.Time
 	refused uint64
 	why     string
+	// silent and alone are what gossip said last of the service and of peers.
+	silent bool
+	alone  bool
+}
+
+// hear takes what gossip notices of the service and of peers.
+func (s *source) hear(kind gossip.NoticeKind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch kind {
+	case gossip.NoticeDown, gossip.NoticeUp:
+		s.silent = kind == gossip.NoticeDown
+	case gossip.NoticeLost, gossip.NoticeFound:
+		s.alone = kind == gossip.NoticeLost
+	}
+}
+
+func (b *base) isAlone() bool {
+	b.source.mu.Lock()
+	defer b.source.mu.Unlock()
+	return b.source.alone
 }
 
 // accepted notes a publication that came into force.
@@ -83,12 +105,14 @@
 		Since:   b.source.since,
 		Refused: b.source.refused,
 		Why:     b.source.why,
+		Silent:  b.source.silent,
 	}
 }
 
 // status fills in what entries and agents show alike.
 func (b *base) status(ready error, streams int64) admin.Status {
 	s := admin.Status{
+		Alone:       b.isAlone(),
 		Process:     b.settings.Name,
 		Role:        string(b.role),
 		Host:        b.settings.Host,
