--- a/node/agent.go
+++ b/node/agent.go
@@ -31,9 +31,10 @@
 	Out io.Writer
 
 	*base
-	agent  *agent.Agent
-	jury   *crash.Jury
-	server *grpc.Server
+	agent   *agent.Agent
+	jury    *crash.Jury
+	sampler *mean.Sampler
+	server  *grpc.Server
 }
 
 // Run serves until ctx ends, then lets what runs come to its end.
@@ -83,7 +84,7 @@
 	}
 	name := n.Settings.Target.Name
 	n.jury = &crash.Jury{Target: name}
-	sampler := &mean.Sampler{Target: name}
+	n.sampler = &mean.Sampler{Target: name}
 	reuse, single := agent.Clients()
 	n.agent = &agent.Agent{
 		Name:        name,
@@ -93,7 +94,7 @@
 		Gate:        &gate.Gate{},
 		Jury:        n.jury,
 		Booth:       &ticket.Booth{Target: name},
-		Sampler:     sampler,
+		Sampler:     n.sampler,
 		Shelf:       &answer.Shelf{Keep: n.settings.Keep.Time.Std(), Most: n.settings.Keep.Bytes},
 		Reuse:       reuse,
 		Single:      single,
@@ -107,7 +108,7 @@
 	n.server = n.base.server()
 	wire.RegisterAgentServer(n.server, n.agent.Service())
 	n.peer = n.newGossip(name, n.settings.Listen)
-	n.peer.Sampler, n.peer.Jury, n.peer.Lock = sampler, n.jury, n.agent.Lock()
+	n.peer.Sampler, n.peer.Jury, n.peer.Lock = n.sampler, n.jury, n.agent.Lock()
 	n.peer.Weight = func() float64 { return n.agent.Load().Weight }
 	n.register(n.server)
 	return nil
@@ -152,8 +153,9 @@
 	if t == nil {
 		return s
 	}
+	m := n.mean()
 	s.Domains = ownDomain(v, t, admin.Target{
-		Name: t.Name, Host: t.Host, Model: t.Model, Load: &load,
+		Name: t.Name, Host: t.Host, Model: t.Model, Load: &load, Mean: &m,
 		Why: admin.Why(v, t, &load, true),
 	})
 	return s
@@ -166,26 +168,3 @@
 	}
 	return []admin.Domain{{Name: d.Name, Region: d.Region, Out: d.Out, Targets: []admin.Target{show}}}
 }
-
-// measure sets the gauges once a second.
-func (n *Agent) measure(ctx context.Context) {
-	tick := time.NewTicker(time.Second)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		l := n.agent.Load()
-		n.meters.Agent.Running.Set(float64(l.Running))
-		n.meters.Agent.Waiting.Set(float64(l.Waiting))
-		n.meters.Agent.Cap.Set(float64(l.Cap))
-		n.meters.Agent.Weight.Set(l.Weight)
-		cold := 0.0
-		if l.Cold {
-			cold = 1
-		}
-		n.meters.Agent.Cold.Set(cold)
-	}
-}
--- /dev/null
+++ b/node/watch.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/audit"
+	"chestnutstep.example/chestnutstep/event"
+)
+
+// measure sets the gauges and notes changes of the target's state, once a
+// second: soon enough for who reads them, and a change that is undone within a
+// second is none that an operator could act on.
+func (n *Agent) measure(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	before := n.agent.Load()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		l := n.agent.Load()
+		n.gauge(l, n.mean())
+		n.changed(before, l)
+		before = l
+	}
+}
+
+// mean is the estimated mean load of the target's model.
+func (n *Agent) mean() chestnutstep.Mean {
+	lock := n.agent.Lock()
+	lock.Lock()
+	defer lock.Unlock()
+	return n.sampler.Mean(time.Now())
+}
+
+func (n *Agent) gauge(l chestnutstep.Load, m chestnutstep.Mean) {
+	g := &n.meters.Agent
+	g.Running.Set(float64(l.Running))
+	g.Waiting.Set(float64(l.Waiting))
+	g.Cap.Set(float64(l.Cap))
+	g.Weight.Set(l.Weight)
+	g.Mean.Set(m.Load)
+	g.MeanAge.Set(m.Age.Seconds())
+	cold := 0.0
+	if l.Cold {
+		cold = 1
+	}
+	g.Cold.Set(cold)
+}
+
+// changed notes what no notice of the agent tells: that the target has proven
+// warm, and that it leaves or is back by a publication.
+func (n *Agent) changed(before, l chestnutstep.Load) {
+	if before.Cold && !l.Cold {
+		n.turned(event.TargetWarm, "cold", "warm", "whole answers")
+	}
+	if !before.Leaving && l.Leaving {
+		n.turned(event.TargetLeaving, "in", "leaving", "publication, host list or stop")
+	}
+	if before.Leaving && !l.Leaving {
+		n.turned(event.TargetBack, "leaving", "in", "publication or host list")
+	}
+}
+
+func (n *Agent) turned(id event.ID, before, after, cause string) {
+	name := n.agent.Name
+	n.log.Emit(id, event.Target(name), event.Version(n.version()))
+	n.trail.Add(audit.Record{
+		Kind: audit.KindTarget, Subject: name, Cause: cause,
+		Before: before, After: after, Version: n.version(),
+	})
+}
