gossip: sixteen load samples in a message

Cause: the mean's own measurement (go test ./mean -bench Mean) has an error of 10.1% in a surge with 8 samples relayed and 7.1% with 16; the gossip carried 8.

--- a/gossip/message.go
+++ b/gossip/message.go
@@ -13,7 +13,9 @@
 const (
 	// samplesMax and suspicionsMax bound what a message carries of each, and
 	// what is taken from one: a peer that sends more is not listened to longer.
-	samplesMax    = 8
+	// With 16 samples the mean errs 7% in a surge, with 8 it errs 10%, and every
+	// 10% stand as much higher on the most loaded target.
+	samplesMax    = 16
 	suspicionsMax = 8
 )
 
