bench: standin load, the fleet against the naive pass-through in one run

Slow streams need an engine whose steps are short beside the times measured, hence the pace of an answer.

--- /dev/null
+++ b/bench/memory.go
@@ -0,0 +1,49 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+
+	"chestnutstep.example/chestnutstep/fleet"
+)
+
+// memory compares the resident memory of processes before and after.
+type memory struct {
+	processes []*fleet.Process
+	before    []fleet.Usage
+	after     []fleet.Usage
+}
+
+func (m *memory) begin() error {
+	var err error
+	m.before, err = usages(m.processes)
+	return err
+}
+
+func (m *memory) end() error {
+	var err error
+	m.after, err = usages(m.processes)
+	return err
+}
+
+func usages(ps []*fleet.Process) ([]fleet.Usage, error) {
+	out := make([]fleet.Usage, len(ps))
+	for i, p := range ps {
+		u, err := p.Usage()
+		if err != nil {
+			return nil, err
+		}
+		out[i] = u
+	}
+	return out, nil
+}
+
+// print gives the slope, a stream, and the whole. Resident memory includes
+// what the garbage collector has not returned yet, so it errs high.
+func (m *memory) print(w io.Writer, streams int) {
+	for i, p := range m.processes {
+		more := m.after[i].Resident - m.before[i].Resident
+		fmt.Fprintf(w, "  %-16s %d MB resident, %d KB a stream\n",
+			p.Name, m.after[i].Resident>>20, more/int64(streams)>>10)
+	}
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,6 +24,7 @@
 		serviceCommand(),
 		callCommand(),
 		passCommand(),
+		loadCommand(),
 		demoCommand(),
 	}
 	for _, c := range commands {
--- a/fake/batch.go
+++ b/fake/batch.go
@@ -60,24 +60,21 @@
 	defer e.mu.Unlock()
 	rest := e.batch[:0]
 	for _, s := range e.batch {
-		if s.over || s.uncached > 0 || !s.step() {
-			rest = e.keep(rest, s)
-			continue
+		switch {
+		case s.over:
+		case !s.due():
+			rest = append(rest, s)
+		case s.step():
+			e.finish(s, s.outcome())
+		default:
+			s.wake()
+			rest = append(rest, s)
 		}
-		e.finish(s, s.outcome())
 	}
 	clear(e.batch[len(rest):])
 	e.batch = rest
 }
 
-func (e *Engine) keep(rest []*stream, s *stream) []*stream {
-	if s.over {
-		return rest
-	}
-	s.wake()
-	return append(rest, s)
-}
-
 // finish ends an answer: what it computed stays in the cache.
 func (e *Engine) finish(s *stream, outcome string) {
 	if s.over {
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -82,6 +82,9 @@
 	Prompt int `json:"prompt"`
 	// Output is how many tokens to generate.
 	Output int `json:"output"`
+	// Pace gives this answer a token only at each Pace-th step: a load test
+	// holds many slow streams open beside quick ones. 0 and 1 are each step.
+	Pace int `json:"pace,omitempty"`
 	// Note makes the body, and so the answer, unlike any other.
 	Note string `json:"note,omitempty"`
 	// Text is any further content.
@@ -191,6 +194,7 @@
 		output:   max(ask.Output, 1),
 		cached:   cached,
 		uncached: ask.Prompt - cached,
+		pace:     max(ask.Pace, 1),
 		fault:    f,
 		boot:     e.boot,
 		sum:      xxhash.New(),
--- a/fake/fault.go
+++ b/fake/fault.go
@@ -18,7 +18,8 @@
 	Cold bool `json:"cold,omitempty"`
 	// Crash makes the target crash at once.
 	Crash bool `json:"crash,omitempty"`
-	// Drop closes all connections at once; the work of a service goes on.
+	// Drop closes all of an engine's connections at once; streams can be
+	// resumed. A service has no use for it: its work goes on in any case.
 	Drop bool `json:"drop,omitempty"`
 	// Short ends an answer cleanly after so many tokens (or half of a
 	// service's answer): the silently short answer that a caller must never see.
--- a/fake/stream.go
+++ b/fake/stream.go
@@ -16,6 +16,8 @@
 	prompt   int
 	output   int
 	cached   int
+	pace     int
+	steps    int
 	fault    Fault
 	boot     string
 	log      *Execution
@@ -33,6 +35,12 @@
 	s.change = make(chan struct{})
 }
 
+// due says whether this step gives the answer a token.
+func (s *stream) due() bool {
+	s.steps++
+	return s.uncached == 0 && (s.steps-1)%s.pace == 0
+}
+
 // step adds one token and says whether the answer is over.
 func (s *stream) step() bool {
 	n := len(s.data)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -113,23 +113,31 @@
 
 func (f *Fleet) startNaive(ctx context.Context) error {
 	for _, d := range f.Doors {
-		if err := f.StartEntry(d); err != nil {
+		if err := f.startPass(ctx, d); err != nil {
 			return err
 		}
 	}
-	for _, d := range f.Doors {
-		err := Until(ctx, d.Name, func() error {
-			c, err := net.Dial("tcp", d.Address)
-			if err != nil {
-				return err
-			}
-			return c.Close()
-		})
+	return nil
+}
+
+// StartPass starts a naive pass-through to the same targets on a host of its
+// own, beside the fleet's entries.
+func (f *Fleet) StartPass(ctx context.Context) (*Process, error) {
+	p := &Process{Name: "pass", Address: fmt.Sprintf("%s:%d", f.host(), portEntry)}
+	return p, f.startPass(ctx, p)
+}
+
+func (f *Fleet) startPass(ctx context.Context, p *Process) error {
+	if err := f.start(p, "standin", f.passFlags(p)...); err != nil {
+		return err
+	}
+	return Until(ctx, p.Name, func() error {
+		c, err := net.Dial("tcp", p.Address)
 		if err != nil {
 			return err
 		}
-	}
-	return nil
+		return c.Close()
+	})
 }
 
 func (f *Fleet) passFlags(p *Process) []string {
