--- a/faults/faults_test.go
+++ b/faults/faults_test.go
@@ -34,6 +34,11 @@
 	return m.Run()
 }
 
+// TestFleet plays the scripts on the fleet.
+func TestFleet(t *testing.T) {
+	walk(t, "testdata/fleet")
+}
+
 // TestNaive plays some of the same faults on the naive pass-through. What the
 // scripts note is how it fails, so that it is seen which mechanism matters.
 func TestNaive(t *testing.T) {
