--- a/fleet/control.go
+++ b/fleet/control.go
@@ -120,19 +120,23 @@
 // Ready waits until every agent and entry that runs is ready.
 func (f *Fleet) Ready(ctx context.Context) error {
 	for _, p := range f.processes() {
-		err := Until(ctx, p.Name+" ready", func() error {
-			if !p.Running() {
-				return errors.Newf("it ended: %v", p.err)
-			}
-			return get(ctx, p.Admin, "/ready", nil)
-		})
-		if err != nil {
+		if err := p.Ready(ctx); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// Ready waits until the process says that it is ready.
+func (p *Process) Ready(ctx context.Context) error {
+	return Until(ctx, p.Name+" ready", func() error {
+		if !p.Running() {
+			return errors.Newf("it ended: %v", p.err)
+		}
+		return get(ctx, p.Admin, "/ready", nil)
+	})
+}
+
 // Settled waits until every agent and entry that runs has put the last
 // publication in force, and returns how long that took.
 func (f *Fleet) Settled(ctx context.Context) (time.Duration, error) {
