audit: a restart begins a new chain and is no damage

A process that starts again writes on in the same log stream from number 1, and the check of that log said that record 1 was changed: seen when an agent of standin demo was stopped and started.

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -128,6 +128,21 @@
 	})
 }
 
+// A host is replaced and the new process writes on in the same log stream. An
+// alarm for each planned restart would soon be ignored, and a real one with it.
+func TestVerifyRestart(t *testing.T) {
+	var log []Record
+	for range 2 {
+		trail := &Trail{Process: "p"}
+		for range 3 {
+			trail.Add(Record{Kind: KindTarget})
+		}
+		log = append(log, trail.Last(0)...)
+	}
+	assert.NilError(t, Verify(log))
+	assert.Assert(t, IsErrBroken(Verify(append(log[:3:3], log[4:]...))), "the first of the new life is lost")
+}
+
 // FuzzRead feeds Read what an operator may hold for a log.
 func FuzzRead(f *testing.F) {
 	f.Add(`{"event":1010,"process":"p","seq":1,"at":"2026-01-02T03:04:05Z","hash":"00"}`)
--- a/audit/verify.go
+++ b/audit/verify.go
@@ -45,7 +45,8 @@
 // Verify checks that records of one process are whole, in order and unchanged.
 // The first may be any: older ones may be kept elsewhere. A chain can't show
 // that its newest records are missing; compare its last hash with the one that
-// the process itself shows.
+// the process itself shows. A process that starts anew begins a new chain at
+// number 1, behind what its former life wrote to the same log.
 func Verify(records []Record) error {
 	for i, r := range records {
 		if r.Hash != r.Sum() {
@@ -62,6 +63,9 @@
 }
 
 func link(a, b Record) error {
+	if b.Process == a.Process && b.Seq == 1 && b.Prev == "" {
+		return nil
+	}
 	if b.Process != a.Process || b.Seq <= a.Seq {
 		return errors.WithStack(ErrBroken{Process: b.Process, Seq: b.Seq})
 	}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -100,9 +100,9 @@
 	},
 	{
 		ID: ProcessStop, Name: "process_stop", Level: Info,
-		Meaning: "The process ended; cut counts requests that were still in progress.",
+		Meaning: "The process ended; with an error when requests were still in progress at the end of the drain time.",
 		Cause:   "The graceful stop is over.",
-		Action:  "When cut is not 0, give the drain setting more time.",
+		Action:  "With an error, give the drain setting more time.",
 	},
 	{
 		ID: ProcessPanic, Name: "process_panic", Level: Error,
