--- /dev/null
+++ b/gate/example_test.go
@@ -0,0 +1,30 @@
+package gate_test
+
+import (
+	"fmt"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/gate"
+)
+
+// A target with one slot runs one request. A second goes on to its next target,
+// unless its prompt prefix is here: then it waits as long as its patience.
+func ExampleGate() {
+	now := time.Unix(0, 0)
+	g := &gate.Gate{}
+	g.Limit(now, chestnutstep.Limits{Model: chestnutstep.Model{Slots: 1, Queue: 4}})
+	work := func(id string, home bool) chestnutstep.Work {
+		return chestnutstep.Work{ID: id, Home: home, Patience: now.Add(time.Second), Deadline: now.Add(time.Minute)}
+	}
+	fmt.Println(g.Offer(now, work("a", false)).Verdict == chestnutstep.Accept)
+	fmt.Println(g.Offer(now, work("b", false)).Reason)
+	fmt.Println(g.Offer(now, work("c", true)).Verdict == chestnutstep.Queue)
+	g.End(now, "a", chestnutstep.Served)
+	fmt.Println(g.Next(now).Start)
+	// Output:
+	// true
+	// full
+	// true
+	// [c]
+}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -310,6 +310,37 @@
 	}
 }
 
+// A caller sends content that crashes targets again and again. Each copy waits
+// for the target to empty and runs by itself; if the next could follow at once,
+// all others would find the target closed although it never crashes.
+func TestSuspectsTakeATenthAtMost(t *testing.T) {
+	g := &Gate{}
+	g.Limit(epoch, chestnutstep.Limits{Model: chestnutstep.Model{Slots: 4, Cold: 4}})
+	const seconds = 3000
+	ends := map[int][]string{}
+	closed := 0
+	for s := range seconds {
+		now := epoch.Add(time.Duration(s) * time.Second)
+		for _, id := range ends[s] {
+			g.End(now, id, chestnutstep.Served)
+		}
+		for _, id := range g.Next(now).Start {
+			ends[s+5] = append(ends[s+5], id)
+		}
+		suspect := chestnutstep.Work{ID: fmt.Sprint("s", s), Alone: true, Deadline: now.Add(time.Minute)}
+		if g.Offer(now, suspect).Verdict == chestnutstep.Accept {
+			ends[s+5] = append(ends[s+5], suspect.ID)
+		}
+		work := chestnutstep.Work{ID: fmt.Sprint("w", s), Deadline: now.Add(time.Minute)}
+		if g.Offer(now, work).Verdict == chestnutstep.Accept {
+			ends[s+3] = append(ends[s+3], work.ID)
+		} else {
+			closed++
+		}
+	}
+	assert.Assert(t, closed > 0 && closed < seconds/9, "closed for %d of %d seconds", closed, seconds)
+}
+
 // BenchmarkMemory prints the bytes of a gate with work in every slot and place.
 func BenchmarkMemory(b *testing.B) {
 	for range b.N {
