--- a/trial/config.go
+++ b/trial/config.go
@@ -17,6 +17,9 @@
 	// Naive sends each request to a random target that seems in service, without
 	// caps or queues, and sends again at once what broke.
 	Naive bool
+	// Line replaces the gate by slots and an endless line, first come, first
+	// served.
+	Line bool
 	// Hint has callers name the target that served the chat last.
 	Hint bool
 	// Home lets a chat wait for its patience at its first target.
@@ -70,8 +73,6 @@
 	Targets int
 	Domains int
 	Model   chestnutstep.Model
-	// NewGate makes the targets' gates; the fleet's own if nil.
-	NewGate func() chestnutstep.Gate
 	// Tries bounds the targets that a request is offered to before it waits.
 	Tries int
 	// Cache is how many chats' prefixes a target keeps.
@@ -98,8 +99,8 @@
 }
 
 func (c Config) newGate() chestnutstep.Gate {
-	if c.NewGate != nil {
-		return c.NewGate()
+	if c.Policy.Line {
+		return &line{}
 	}
 	return &gate.Gate{}
 }
--- /dev/null
+++ b/trial/line.go
@@ -0,0 +1,57 @@
+package trial
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// line is the naive gate: slots, and behind them a line of any length, first
+// come, first served. What stands in it is never refused, so callers wait for
+// answers that come after they have gone.
+type line struct {
+	slots   int
+	running map[string]bool
+	ids     []string
+}
+
+func (f *line) Limit(_ time.Time, l chestnutstep.Limits) {
+	f.slots, f.running = l.Model.Slots, map[string]bool{}
+}
+
+func (f *line) Offer(_ time.Time, w chestnutstep.Work) chestnutstep.Decision {
+	if len(f.running) < f.slots {
+		f.running[w.ID] = true
+		return chestnutstep.Decision{Verdict: chestnutstep.Accept}
+	}
+	f.ids = append(f.ids, w.ID)
+	return chestnutstep.Decision{Verdict: chestnutstep.Queue}
+}
+
+func (f *line) End(_ time.Time, id string, _ chestnutstep.Outcome) {
+	delete(f.running, id)
+	for i, x := range f.ids {
+		if x == id {
+			f.ids = append(f.ids[:i], f.ids[i+1:]...)
+			return
+		}
+	}
+}
+
+func (f *line) Next(time.Time) chestnutstep.Next {
+	var n chestnutstep.Next
+	for len(f.ids) > 0 && len(f.running) < f.slots {
+		n.Start = append(n.Start, f.ids[0])
+		f.running[f.ids[0]] = true
+		f.ids = f.ids[1:]
+	}
+	return n
+}
+
+func (f *line) Measure(time.Time, chestnutstep.Mean) {}
+func (f *line) Chill(time.Time)                      {}
+func (f *line) Leave(time.Time, bool)                {}
+
+func (f *line) Load(time.Time) chestnutstep.Load {
+	return chestnutstep.Load{Running: len(f.running), Waiting: len(f.ids), Cap: f.slots}
+}
--- a/trial/play_test.go
+++ b/trial/play_test.go
@@ -12,55 +12,6 @@
 	"gotest.tools/v3/assert"
 )
 
-// fifo is the naive gate: slots, and behind them a line of any length, first
-// come, first served.
-type fifo struct {
-	slots   int
-	running map[string]bool
-	line    []string
-}
-
-func (f *fifo) Limit(_ time.Time, l chestnutstep.Limits) {
-	f.slots, f.running = l.Model.Slots, map[string]bool{}
-}
-
-func (f *fifo) Offer(_ time.Time, w chestnutstep.Work) chestnutstep.Decision {
-	if len(f.running) < f.slots {
-		f.running[w.ID] = true
-		return chestnutstep.Decision{Verdict: chestnutstep.Accept}
-	}
-	f.line = append(f.line, w.ID)
-	return chestnutstep.Decision{Verdict: chestnutstep.Queue}
-}
-
-func (f *fifo) End(_ time.Time, id string, _ chestnutstep.Outcome) {
-	delete(f.running, id)
-	for i, x := range f.line {
-		if x == id {
-			f.line = append(f.line[:i], f.line[i+1:]...)
-			return
-		}
-	}
-}
-
-func (f *fifo) Next(time.Time) chestnutstep.Next {
-	var n chestnutstep.Next
-	for len(f.line) > 0 && len(f.running) < f.slots {
-		n.Start = append(n.Start, f.line[0])
-		f.running[f.line[0]] = true
-		f.line = f.line[1:]
-	}
-	return n
-}
-
-func (f *fifo) Measure(time.Time, chestnutstep.Mean) {}
-func (f *fifo) Chill(time.Time)                      {}
-func (f *fifo) Leave(time.Time, bool)                {}
-
-func (f *fifo) Load(time.Time) chestnutstep.Load {
-	return chestnutstep.Load{Running: len(f.running), Waiting: len(f.line), Cap: f.slots}
-}
-
 // TestPlays plays the loads in testdata and checks what callers get: "play"
 // runs one policy on the streams of its input, "expect" compares figures of
 // the plays before it with bounds, or with each other.
@@ -127,7 +78,7 @@
 	case "random":
 		cfg.Policy = Policy{Naive: true}
 	case "fifo":
-		cfg.Policy, cfg.NewGate = Policy{}, func() chestnutstep.Gate { return &fifo{} }
+		cfg.Policy = Policy{Line: true}
 	}
 	for _, line := range strings.Split(streams, "\n") {
 		cfg.Streams = append(cfg.Streams, scriptStream(t, line, arg("times", 1)))
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -44,31 +43,18 @@
 }
 
 // BenchmarkTrial prints the comparison of policies on the recorded load.
-func BenchmarkTrial(b *testing.B) {
-	curve := []float64{1.1, 1.25, 1.5, 2, 0}
-	one := []float64{1.25}
-	for _, c := range []struct {
-		name      string
-		policy    Policy
-		multiples []float64
-	}{
-		{"naive", Policy{Naive: true}, one},
-		{"hash", Policy{}, curve},
-		{"hint", Policy{Hint: true}, curve},
-		{"hint+home", Policy{Hint: true, Home: true}, curve},
-		{"home", Policy{Home: true}, one},
-		{"home+moved", Policy{Home: true, Moved: true}, one},
-		{"hint+home+know", Policy{Hint: true, Home: true, Know: true}, one},
-		{"hint+home+know+drift", Policy{Hint: true, Home: true, Know: true, Drift: true}, one},
-		{"all", All, curve},
-	} {
-		for _, multiple := range c.multiples {
-			b.Run(fmt.Sprintf("%s/multiple=%v", c.name, multiple), func(b *testing.B) {
-				for range b.N {
-					report(b, Run(Churn(multiple, c.policy, false)))
-				}
-			})
-		}
+func BenchmarkTrial(b *testing.B) { play(b, Rows()) }
+
+// BenchmarkDomain prints what callers get while a failure domain moves.
+func BenchmarkDomain(b *testing.B) { play(b, DomainRows()) }
+
+func play(b *testing.B, rows []Row) {
+	for _, row := range rows {
+		b.Run(row.Name, func(b *testing.B) {
+			for range b.N {
+				report(b, Run(row.Config))
+			}
+		})
 	}
 }
 
@@ -84,29 +70,6 @@
 	b.ReportMetric(100*r.OverTrue, "%over")
 	b.ReportMetric(float64(r.OverRule), "over-rule")
 	b.ReportMetric(float64(r.Crashes), "crashes")
-}
-
-// BenchmarkDomain prints what callers get while a third of the fleet leaves for
-// a minute and a half and comes back with nothing cached.
-func BenchmarkDomain(b *testing.B) {
-	for _, c := range []struct {
-		name   string
-		policy Policy
-	}{
-		{"naive", Policy{Naive: true}},
-		{"home+know", Policy{Home: true, Know: true}},
-		{"hint+home+know", Policy{Hint: true, Home: true, Know: true}},
-		{"all", All},
-	} {
-		b.Run(c.name, func(b *testing.B) {
-			for range b.N {
-				cfg := Churn(1.25, c.policy, true)
-				cfg.Warm, cfg.For = 14*time.Minute, 22*time.Minute
-				r := Run(cfg)
-				report(b, r)
-				b.ReportMetric(float64(r.After), "after")
-				b.ReportMetric(100*r.Back, "%back")
-			}
-		})
-	}
+	b.ReportMetric(float64(r.After), "after")
+	b.ReportMetric(100*r.Back, "%back")
 }
