--- /dev/null
+++ b/agent/size_test.go
@@ -0,0 +1,28 @@
+package agent
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkChats fills the list of chats that are thought to be cached at the
+// target to its bound.
+func BenchmarkChats(b *testing.B) {
+	var size float64
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c := &chatCache{}
+		for i := range chatsKept {
+			c.put(chat{fmt.Sprintf("workspace-%d", i%560), fmt.Sprintf("chat-%032d", i)}, time.Now())
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		size = float64(after.HeapAlloc-before.HeapAlloc) / chatsKept
+		runtime.KeepAlive(c)
+	}
+	b.ReportMetric(size, "B/chat")
+}
--- a/node/gossip.go
+++ b/node/gossip.go
@@ -71,11 +71,17 @@
 
 // await tells operators when a process has no publication to work by.
 func (b *base) await(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-b.store.Changed():
-		b.log.Emit(event.ProcessReady, event.Version(b.version()))
-	case <-time.After(publicationWait):
-		b.log.Emit(event.PublicationNone)
+	// Asked for before the look: a change in between would not be seen.
+	changed := b.store.Changed()
+	if b.store.View() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-time.After(publicationWait):
+			b.log.Emit(event.PublicationNone)
+			return
+		}
 	}
+	b.log.Emit(event.ProcessReady, event.Version(b.version()))
 }
