agent, mean: targets that take no work do not count in the mean

Cause: agents of a failure domain that is out, of leaving hosts and of dead engines went on telling a load of zero. The mean fell by their share, and the caps of the targets that took over with it: with a third out, a multiple of 1.25 held them to 0.83 of what they carry. Ruled out: leaving them out by publication at each reader; a dead engine is known only to its own agent. Also: a target that is the only one in service for its model is told so. Proof: TestTargetsThatTakeNoWorkDoNotCount, seen failing against the old sampler (it told a sample of its own eleven seconds after the last).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -245,10 +245,7 @@
 }
 
 func limits(v *chestnutstep.View, t *chestnutstep.Target) chestnutstep.Limits {
-	l := chestnutstep.Limits{Weight: t.Weight, Out: v.Out(t)}
-	if l.Weight == 0 {
-		l.Weight = 1
-	}
+	l := chestnutstep.Limits{Weight: weight(t), Out: v.Out(t), Single: single(v, t.Model)}
 	if m := v.Models[t.Model]; m != nil {
 		l.Model = *m
 	}
@@ -259,28 +256,47 @@
 	return l
 }
 
+// single says that at most one target in service serves the model.
+func single(v *chestnutstep.View, model string) bool {
+	n := 0
+	for _, t := range v.Serving[model] {
+		if !v.Out(t) {
+			n++
+		}
+	}
+	return n <= 1
+}
+
 // exchangeLoad gives this target's load to the sampler and the mean to the gate.
 func (a *Agent) exchangeLoad(now time.Time) {
-	if a.Sampler == nil {
-		return
-	}
 	v := a.View()
-	if v == nil || v.Targets[a.Name] == nil {
+	if a.Sampler == nil || v == nil || v.Targets[a.Name] == nil {
 		return
 	}
 	t := v.Targets[a.Name]
-	weight := t.Weight
-	if weight == 0 {
-		weight = 1
+	if !a.out && !a.away && !a.leaving && !a.health.down {
+		a.Sampler.Own(now, a.sample(now, t))
 	}
+	a.Gate.Measure(now, a.Sampler.Mean(now))
+}
+
+// sample is the target's load in requests for one unit of weight.
+func (a *Agent) sample(now time.Time, t *chestnutstep.Target) chestnutstep.Sample {
 	load := a.Gate.Load(now)
-	a.Sampler.Own(now, chestnutstep.Sample{
+	return chestnutstep.Sample{
 		Target: a.Name,
 		Model:  t.Model,
-		Load:   float64(load.Running+load.Waiting) / weight,
+		Load:   float64(load.Running+load.Waiting) / weight(t),
 		Seen:   now,
-	})
-	a.Gate.Measure(now, a.Sampler.Mean(now))
+	}
+}
+
+// weight of a target; 1 where the publication leaves it out.
+func weight(t *chestnutstep.Target) float64 {
+	if t.Weight == 0 {
+		return 1
+	}
+	return t.Weight
 }
 
 // followHost leaves with the host, and comes back if the list was wrong.
--- a/mean/mean.go
+++ b/mean/mean.go
@@ -103,7 +103,7 @@
 func (s *Sampler) Tell(now time.Time, n int) []chestnutstep.Sample {
 	s.trim(now)
 	list := make([]chestnutstep.Sample, 0, max(n, 0))
-	if n > 0 && !s.own.Seen.IsZero() {
+	if n > 0 && s.serves(now, Relay) {
 		list = append(list, s.own)
 	}
 	for _, x := range s.samples {
@@ -115,6 +115,14 @@
 	return list
 }
 
+// serves says whether this target's own sample is young enough to count. Its
+// agent sets none while the target takes no work: a failure domain that is out
+// would count as idle, lower the mean, and with it the caps of those that carry
+// its load.
+func (s *Sampler) serves(now time.Time, most time.Duration) bool {
+	return !s.own.Seen.IsZero() && now.Sub(s.own.Seen) <= most
+}
+
 // Mean estimates the mean over all targets of the model, this one included,
 // each counted once. With Most targets or fewer it is the mean over all.
 func (s *Sampler) Mean(now time.Time) chestnutstep.Mean {
@@ -125,7 +133,7 @@
 		sum += x.Load
 		m.Age = max(m.Age, now.Sub(x.Seen))
 	}
-	if !s.own.Seen.IsZero() {
+	if s.serves(now, Keep) {
 		sum += s.own.Load
 		n++
 	}
--- a/mean/mean_test.go
+++ b/mean/mean_test.go
@@ -308,3 +308,19 @@
 		})
 	}
 }
+
+// Operators take a failure domain out. Its agents still gossip, at no load. If
+// they counted, the mean would be too low by their share, and the targets that
+// took over their work would turn callers away below their multiple.
+func TestTargetsThatTakeNoWorkDoNotCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	out := &Sampler{Model: "m", Target: "out"}
+	out.Own(now, chestnutstep.Sample{})
+	in := &Sampler{Model: "m", Target: "in"}
+	later := now.Add(Keep + time.Second)
+	in.Own(later, chestnutstep.Sample{Load: 8})
+	assert.Equal(t, len(out.Tell(later, 16)), 0)
+	in.Learn(later, out.Tell(later, 16))
+	assert.Equal(t, in.Mean(later).Load, 8.0)
+	assert.Equal(t, out.Mean(later).Load, 0.0)
+}
