entry: the body of a ticketed request waits for the accept

An agent that was frozen when an offer came finds it on waking with its whole time limit left, since time limits travel as durations. Comparing clocks was ruled out. The price is one round trip between entry and agent for each ticketed request.

A repeat that joins a job whose first entry died between accept and body does not bring the body either: it hears a true 'not run' when that job is dropped.

--- a/entry/ask.go
+++ b/entry/ask.go
@@ -182,12 +182,21 @@
 		Headers:     headers(a.request.Header),
 		Size:        int64(len(a.body)),
 	}
-	if len(a.body) <= smallBody {
+	if a.along() {
 		o.Small = a.body
 	}
 	return o
 }
 
+// along says that the body goes with the offer. That of a ticketed request
+// never does: an agent that wakes late finds an old offer with its whole time
+// limit left, as clocks are not compared, and with the body in hand it would
+// carry out what the caller has long given up. A body that waits for the accept
+// is only sent while somebody still wants the answer.
+func (a *ask) along() bool {
+	return len(a.body) <= smallBody && a.ticket == ""
+}
+
 // place is what the ranking needs. A request without a chat spreads by its id.
 func (a *ask) place(region string) chestnutstep.Place {
 	chat := a.chat
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -236,7 +236,7 @@
 		k.refused.noteMoved(k.ask, l.target.Name)
 		k.refused = nil
 	}
-	if acc.Joined || len(k.ask.body) <= smallBody {
+	if acc.Joined || k.ask.along() {
 		return step{}
 	}
 	// A send that fails shows in the next receive, with the reason.
