--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -10,11 +10,12 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/audit"
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/audit"
 )
 
 func get(t *testing.T, url string) (int, string) {
--- a/admin/ask.go
+++ b/admin/ask.go
@@ -8,8 +8,9 @@
 	"net/http"
 	"time"
 
-	"chestnutstep.example/chestnutstep/audit"
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep/audit"
 )
 
 const (
--- a/admin/server.go
+++ b/admin/server.go
@@ -10,9 +10,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutstep.example/chestnutstep/audit"
 	"chestnutstep.example/chestnutstep/event"
-	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -9,9 +9,10 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // TestMain fixes the seed, so that CI gives the same verdict every time.
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -8,10 +8,11 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/event"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/event"
 )
 
 func TestMain(m *testing.M) {
--- a/audit/read.go
+++ b/audit/read.go
@@ -6,8 +6,9 @@
 	"io"
 	"time"
 
-	"chestnutstep.example/chestnutstep/event"
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep/event"
 )
 
 // lineMost is the longest line of a log that is read, in bytes.
--- a/cert/cert.go
+++ b/cert/cert.go
@@ -9,8 +9,9 @@
 	"sync"
 	"time"
 
-	"chestnutstep.example/chestnutstep/event"
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep/event"
 )
 
 const (
--- a/cert/cert_test.go
+++ b/cert/cert_test.go
@@ -18,9 +18,10 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep/event"
 	"google.golang.org/grpc/credentials"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/event"
 )
 
 // authority signs test certificates.
--- a/cmd/chestnutstep/check.go
+++ b/cmd/chestnutstep/check.go
@@ -7,11 +7,11 @@
 	"strconv"
 	"strings"
 
-	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/config"
-
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
 )
 
 // checkOptions are the arguments of the check subcommand.
--- a/cmd/chestnutstep/check_test.go
+++ b/cmd/chestnutstep/check_test.go
@@ -6,9 +6,9 @@
 	"strings"
 	"testing"
 
-	"chestnutstep.example/chestnutstep/config"
-
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/config"
 )
 
 const sample = `{
--- a/cmd/chestnutstep/pack.go
+++ b/cmd/chestnutstep/pack.go
@@ -6,10 +6,10 @@
 	"os"
 	"path/filepath"
 
-	"chestnutstep.example/chestnutstep/config"
-
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
+
+	"chestnutstep.example/chestnutstep/config"
 )
 
 // packOptions are the arguments of the pack subcommand.
--- a/cmd/chestnutstep/status.go
+++ b/cmd/chestnutstep/status.go
@@ -7,10 +7,11 @@
 	"os"
 	"time"
 
-	"chestnutstep.example/chestnutstep/admin"
-	"chestnutstep.example/chestnutstep/audit"
 	"github.com/cockroachdb/errors"
 	"github.com/integrii/flaggy"
+
+	"chestnutstep.example/chestnutstep/admin"
+	"chestnutstep.example/chestnutstep/audit"
 )
 
 // statusOptions are the flags of the status subcommand.
--- a/config/pack.go
+++ b/config/pack.go
@@ -10,10 +10,10 @@
 	"math/bits"
 	"slices"
 
-	"chestnutstep.example/chestnutstep"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 const (
--- a/config/publication_test.go
+++ b/config/publication_test.go
@@ -9,10 +9,10 @@
 	"strings"
 	"testing"
 
-	"chestnutstep.example/chestnutstep"
-
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // The scripts in testdata/publication give a publication's file and all that an
--- a/config/ramp_test.go
+++ b/config/ramp_test.go
@@ -9,10 +9,10 @@
 	"net/http/httptest"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/fake"
-
-	"gotest.tools/v3/assert"
 )
 
 // ramped is a part as a RAMP writer stores it: under a fixed name, with the
--- a/config/settings.go
+++ b/config/settings.go
@@ -4,9 +4,9 @@
 	"os"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // Role is what a process does in the fleet.
--- a/config/store.go
+++ b/config/store.go
@@ -5,9 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 const (
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // packed is a publication as the platform serves it.
--- a/gate/pace.go
+++ b/gate/pace.go
@@ -3,8 +3,9 @@
 import (
 	"time"
 
-	"chestnutstep.example/chestnutstep"
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // pace is how long work holds a slot of this target, as measured.
--- a/gossip/carry_test.go
+++ b/gossip/carry_test.go
@@ -5,13 +5,13 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/config"
-	"chestnutstep.example/chestnutstep/wire"
-
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/wire"
 )
 
 // direct is a connection to a node in the same process.
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/wire"
-
-	"google.golang.org/protobuf/proto"
 )
 
 const (
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -4,12 +4,12 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/member"
 	"chestnutstep.example/chestnutstep/wire"
-
-	"google.golang.org/protobuf/proto"
-	"gotest.tools/v3/assert"
 )
 
 // A peer may send anything: ages from the future, versions that nobody holds,
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -15,12 +15,12 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/member"
 	"chestnutstep.example/chestnutstep/wire"
-
-	"google.golang.org/grpc"
 )
 
 const (
--- a/gossip/hosts.go
+++ b/gossip/hosts.go
@@ -8,12 +8,12 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/member"
 	"chestnutstep.example/chestnutstep/wire"
-
-	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 )
 
 const (
--- a/gossip/net_test.go
+++ b/gossip/net_test.go
@@ -13,17 +13,17 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/config"
-	"chestnutstep.example/chestnutstep/fake"
-	"chestnutstep.example/chestnutstep/member"
-	"chestnutstep.example/chestnutstep/wire"
-
 	"github.com/cockroachdb/datadriven"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/member"
+	"chestnutstep.example/chestnutstep/wire"
 )
 
 // patience is how long a script waits for what must come about. It is no
--- a/gossip/news_test.go
+++ b/gossip/news_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep/member"
-
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/member"
 )
 
 // The platform lists a whole failure domain as leaving at one moment, more hosts
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"chestnutstep.example/chestnutstep/config"
-	"chestnutstep.example/chestnutstep/wire"
-
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
+
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/wire"
 )
 
 const (
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -8,9 +8,9 @@
 	"strconv"
 	"time"
 
-	"chestnutstep.example/chestnutstep/config"
-
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep/config"
 )
 
 // readLimit bounds one read beyond the time that a watch waits.
--- a/gossip/serve.go
+++ b/gossip/serve.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"chestnutstep.example/chestnutstep/wire"
-
 	"google.golang.org/protobuf/proto"
+
+	"chestnutstep.example/chestnutstep/wire"
 )
 
 const (
--- a/gossip/spread_test.go
+++ b/gossip/spread_test.go
@@ -11,14 +11,14 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/config"
-	"chestnutstep.example/chestnutstep/wire"
-
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/wire"
 )
 
 // Sizes of the fleet that the figures are for.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -8,10 +8,11 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // TestMain fixes the seed, so that CI gives the same verdict every time.
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -4,8 +4,9 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 var epoch = time.Unix(0, 0)
--- a/route/drift.go
+++ b/route/drift.go
@@ -1,8 +1,9 @@
 package route
 
 import (
-	"chestnutstep.example/chestnutstep"
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // driftOneIn is how many requests of a chat that lives away from its first
--- a/route/drift_test.go
+++ b/route/drift_test.go
@@ -4,8 +4,9 @@
 	"fmt"
 	"testing"
 
-	"chestnutstep.example/chestnutstep"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // A failure domain is taken out and brought back. All its chats were served
--- a/route/rank.go
+++ b/route/rank.go
@@ -3,8 +3,9 @@
 import (
 	"math"
 
-	"chestnutstep.example/chestnutstep"
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // Most is the longest ranking that Rank gives, whatever the caller asks for.
--- a/route/rank_test.go
+++ b/route/rank_test.go
@@ -8,9 +8,10 @@
 	"slices"
 	"testing"
 
-	"chestnutstep.example/chestnutstep"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // TestMain fixes the seed, so that CI gives the same verdict every time.
--- a/route/table.go
+++ b/route/table.go
@@ -16,8 +16,9 @@
 	"cmp"
 	"slices"
 
-	"chestnutstep.example/chestnutstep"
 	"github.com/cespare/xxhash/v2"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // Table is a chestnutstep.Ranker over one view of the fleet. Set the fields,
--- a/trial/play_test.go
+++ b/trial/play_test.go
@@ -7,9 +7,10 @@
 	"testing"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
 )
 
 // TestPlays plays the loads in testdata and checks what callers get: "play"
