agent, entry: one list of the headers that belong to a connection

The list stood in both packages, and the prefix of our own headers too: a header added to one would have passed in the other direction. Both now ask the root package, where the names of the headers stand. What each direction drops is unchanged: Content-Length is still only dropped on the way to the agent.

--- a/agent/call.go
+++ b/agent/call.go
@@ -7,15 +7,12 @@
 	"net"
 	"net/http"
 	"net/url"
-	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/wire"
 )
 
 const (
@@ -329,34 +326,3 @@
 	}
 	rs.Body.Close()
 }
-
-// hop lists the headers that belong to one connection, not to the message.
-var hop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-func head(rs *http.Response) *wire.Head {
-	h := &wire.Head{Status: uint32(rs.StatusCode)}
-	h.Cached, _ = strconv.ParseInt(rs.Header.Get(chestnutstep.HeaderCached), 10, 64)
-	for name, values := range rs.Header {
-		if slices.Contains(hop, name) || isControl(name) {
-			continue
-		}
-		for _, v := range values {
-			h.Headers = append(h.Headers, &wire.Header{Name: name, Value: v})
-		}
-	}
-	if rs.ContentLength >= 0 && rs.Header.Get("Content-Length") == "" {
-		h.Headers = append(h.Headers, &wire.Header{
-			Name:  "Content-Length",
-			Value: strconv.FormatInt(rs.ContentLength, 10),
-		})
-	}
-	return h
-}
-
-// isControl keeps what a target says to its agent from callers.
-func isControl(name string) bool {
-	return name == chestnutstep.HeaderBoot || strings.HasPrefix(name, "Chestnut-")
-}
--- a/entry/header.go
+++ b/entry/header.go
@@ -2,18 +2,12 @@
 
 import (
 	"net/http"
-	"slices"
 	"strings"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
-// hop lists the headers that belong to one connection, not to the message.
-var hop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
 // headers passes on what the caller sent, but for its key, what concerns the
 // entry alone, and what belongs to the connection.
 func headers(h http.Header) []*wire.Header {
@@ -30,8 +24,14 @@
 	return out
 }
 
+// passes says whether a header goes on to the target. connection lists those
+// that the caller's Connection header names. The body's length is set anew by
+// whoever sends it.
 func passes(name string, connection []string) bool {
-	if name == "Authorization" || strings.HasPrefix(name, "Chestnut-") || slices.Contains(hop, name) {
+	if name == "Authorization" || name == "Content-Length" {
+		return false
+	}
+	if chestnutstep.IsOwnHeader(name) || chestnutstep.IsHopHeader(name) {
 		return false
 	}
 	for _, c := range connection {
