entry: a request's way in three files, without fields that nobody reads

walk.go had 508 lines and three jobs: going down the ranking, judging what a try led to (now step.go), and joining a run whose link broke (attach.go); the budgets are in budget.go. A step's verdict and moved fields were set or left and never read. Functions are moved as they were but for decide, whose two equal branches are one.

--- /dev/null
+++ b/entry/step.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/retry"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// step is what one try led to.
+type step struct {
+	// done says that the walk is over; otherwise it goes on down the ranking.
+	done bool
+	// err is the final word; nil with done means a whole answer.
+	err *ErrRefused
+}
+
+// final turns a nil *ErrRefused into a nil error, which it is not by itself.
+func (s step) final() error {
+	if s.err == nil {
+		return nil
+	}
+	return s.err
+}
+
+// refuse acts on a refusal: the request has not run at this target.
+func (k *walk) refuse(ctx context.Context, l *link, r *wire.Refuse) step {
+	k.keepRefused(l)
+	if r.Moved != "" {
+		return k.joinMoved(ctx, r.Moved)
+	}
+	if r.Home {
+		k.source = l.target.Agent
+	}
+	if r.Reason == string(chestnutstep.ReasonLeaving) {
+		k.entry.Hosts.Refuse(k.entry.Clock(), l.target.Host)
+	}
+	ref := &ErrRefused{
+		Reason: chestnutstep.Reason(r.Reason),
+		Run:    chestnutstep.Run(r.Run),
+		Retry:  time.Duration(r.Retry),
+		Ticket: r.Ticket,
+	}
+	if k.ask.ticket == "" && ref.Run == chestnutstep.RunNo && waits(ref.Reason) && k.full == nil {
+		k.full = l.target
+	}
+	return k.decide(ref)
+}
+
+// waits says that a refusal for this reason may turn by waiting in a queue.
+func waits(r chestnutstep.Reason) bool {
+	return r == chestnutstep.ReasonFull || r == chestnutstep.ReasonCold
+}
+
+// broken acts on an answer that did not become whole.
+func (k *walk) broken(ctx context.Context, b *wire.Broken) step {
+	if ctx.Err() != nil {
+		return k.outOfTime(ctx)
+	}
+	ref := &ErrRefused{
+		Reason: chestnutstep.Reason(b.Reason),
+		Run:    chestnutstep.Run(b.Run),
+		Retry:  time.Duration(b.Retry),
+	}
+	if ref.Reason == chestnutstep.ReasonCrashed && ref.Run != chestnutstep.RunNo {
+		k.crashed = append(k.crashed, k.served)
+		k.entry.accuse(k.ask.fingerprint, k.crashed)
+	}
+	if len(k.crashed) >= crashesMost {
+		ref.Reason = chestnutstep.ReasonCondemned
+	}
+	return k.decide(ref)
+}
+
+// decide says how the walk goes on after a refusal or a break.
+func (k *walk) decide(ref *ErrRefused) step {
+	k.last = ref
+	if ref.Retry > 0 && (k.retry == 0 || ref.Retry < k.retry) {
+		k.retry = ref.Retry
+	}
+	if ref.Run != chestnutstep.RunNo {
+		k.maybe = true
+	}
+	if k.out.started {
+		// The caller has bytes of this answer; another run would give others.
+		return step{done: true, err: ref}
+	}
+	v := retry.May(ref.Reason, ref.Run, !k.ask.profile.Once)
+	if v == retry.Move || v == retry.Repeat && k.repeat() {
+		return step{}
+	}
+	return step{done: true, err: k.giveUp().(*ErrRefused)}
+}
+
+// giveUp is the final word after all tries.
+func (k *walk) giveUp() error {
+	err := k.last
+	if err == nil {
+		err = &ErrRefused{Reason: chestnutstep.ReasonTarget, Run: k.ask.unrun()}
+	}
+	if k.maybe {
+		err.Run = chestnutstep.RunMaybe
+	}
+	if err.Retry == 0 {
+		err.Retry = k.retry
+	}
+	if ans := retry.Answer(err.Reason); err.Retry == 0 && ans.Back {
+		err.Retry = ans.Retry
+	}
+	return err
+}
+
+// outOfTime is the final word when the time limit passed or the caller left.
+func (k *walk) outOfTime(ctx context.Context) step {
+	reason := chestnutstep.ReasonTimeout
+	if ctx.Err() == context.Canceled {
+		reason = chestnutstep.ReasonCanceled
+	}
+	run := chestnutstep.RunMaybe
+	if k.served == "" && !k.maybe {
+		run = k.ask.unrun()
+	}
+	return step{done: true, err: &ErrRefused{Reason: reason, Run: run, Retry: time.Second}}
+}
