--- a/agent/agent.go
+++ b/agent/agent.go
@@ -245,7 +245,7 @@
 }
 
 func limits(v *chestnutstep.View, t *chestnutstep.Target) chestnutstep.Limits {
-	l := chestnutstep.Limits{Weight: weight(t), Out: v.Out(t), Single: single(v, t.Model)}
+	l := chestnutstep.Limits{Weight: t.Size(), Out: v.Out(t), Single: single(v, t.Model)}
 	if m := v.Models[t.Model]; m != nil {
 		l.Model = *m
 	}
@@ -286,19 +286,11 @@
 	return chestnutstep.Sample{
 		Target: a.Name,
 		Model:  t.Model,
-		Load:   float64(load.Running+load.Waiting) / weight(t),
+		Load:   float64(load.Running+load.Waiting) / t.Size(),
 		Seen:   now,
 	}
 }
 
-// weight of a target; 1 where the publication leaves it out.
-func weight(t *chestnutstep.Target) float64 {
-	if t.Weight == 0 {
-		return 1
-	}
-	return t.Weight
-}
-
 // followHost leaves with the host, and comes back if the list was wrong.
 func (a *Agent) followHost(now time.Time) {
 	if a.Leaving == nil || a.leaving {
--- a/config/diff.go
+++ b/config/diff.go
@@ -119,7 +119,7 @@
 	total := 0.0
 	for _, s := range loads {
 		if t := find(was, s.Target); t != nil {
-			total += s.Load * weight(t)
+			total += s.Load * t.Size()
 		}
 	}
 	mean := total / sum(is)
@@ -128,7 +128,7 @@
 		if t == nil {
 			continue
 		}
-		limit, load := capAt(m, mean, weight(t)), s.Load*weight(t)
+		limit, load := capAt(m, mean, t.Size()), s.Load*t.Size()
 		if load > limit {
 			d.say("model %s: target %s carries %.0f now, above its cap of %.0f", name, t.Name, load, limit)
 		}
@@ -209,9 +209,9 @@
 	for _, t := range is {
 		share := 0.0
 		if b := find(was, t.Name); b != nil {
-			share = weight(b) / before
+			share = b.Size() / before
 		}
-		moved += max(0, weight(t)/after-share)
+		moved += max(0, t.Size()/after-share)
 	}
 	return moved
 }
@@ -219,14 +219,7 @@
 func sum(list []*chestnutstep.Target) float64 {
 	total := 0.0
 	for _, t := range list {
-		total += weight(t)
+		total += t.Size()
 	}
 	return total
 }
-
-func weight(t *chestnutstep.Target) float64 {
-	if t.Weight == 0 {
-		return 1
-	}
-	return t.Weight
-}
--- a/route/table.go
+++ b/route/table.go
@@ -108,7 +108,7 @@
 }
 
 func newSeat(target *chestnutstep.Target) seat {
-	inv := 1 / weight(target)
+	inv := 1 / target.Size()
 	return seat{
 		hash:   xxhash.Sum64String(target.Name),
 		inv:    inv,
@@ -116,11 +116,3 @@
 		target: target,
 	}
 }
-
-// weight of a target; 1 where the publication sets none.
-func weight(target *chestnutstep.Target) float64 {
-	if target.Weight > 0 {
-		return target.Weight
-	}
-	return 1
-}
--- a/view.go
+++ b/view.go
@@ -110,6 +110,15 @@
 	return d == nil || d.Out
 }
 
+// Size returns the target's weight, 1 where the publication sets none. Whoever
+// divides by the weight itself gets an infinite load for such a target.
+func (t *Target) Size() float64 {
+	if t.Weight > 0 {
+		return t.Weight
+	}
+	return 1
+}
+
 // Region returns the region of a host, or "" when the host is unknown.
 func (v *View) Region(host string) string {
 	if d := v.Domains[host]; d != nil {
