--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,7 +13,6 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/answer"
-	"chestnutstep.example/chestnutstep/order"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -93,50 +92,6 @@
 	out     bool
 }
 
-// Notice is something an operator should see; see docs/EVENTS.md.
-type Notice struct {
-	Kind    NoticeKind
-	Subject string
-	Reason  chestnutstep.Reason
-	Before  string
-	After   string
-	// Of a request: whose it was, and its estimated work in tokens.
-	Workspace string
-	Profile   string
-	Cost      float64
-	// Of a run: how long it waited, the time from the call to the answer's
-	// start, and the prompt tokens found in the target's cache.
-	Wait   time.Duration
-	First  time.Duration
-	Cached int64
-	// Bytes of KV cache that were moved.
-	Bytes int64
-}
-
-// NoticeKind names a notice.
-type NoticeKind string
-
-// The notices.
-const (
-	NoticeCold      NoticeKind = "cold"      // the target turned cold
-	NoticeDown      NoticeKind = "down"      // the target does not answer
-	NoticeUp        NoticeKind = "up"        // the target answers again
-	NoticeCrash     NoticeKind = "crash"     // the target died with requests running
-	NoticeSuspect   NoticeKind = "suspect"   // a request's content became suspect
-	NoticeCondemned NoticeKind = "condemned" // a request's content was condemned
-	NoticeRefused   NoticeKind = "refused"   // an offer was refused
-	NoticeAccepted  NoticeKind = "accepted"  // an offer was accepted
-	NoticeQueued    NoticeKind = "queued"    // an offer waits
-	NoticeImported  NoticeKind = "imported"  // a chat's KV cache was imported
-	NoticeTicket    NoticeKind = "ticket"    // a ticket reached the state in After
-	NoticeMoved     NoticeKind = "moved"     // a chat's request went elsewhere
-	NoticeLimits    NoticeKind = "limits"    // a publication changed the limits
-	NoticeLeaving   NoticeKind = "leaving"   // the target takes no new work
-	NoticeOrder     NoticeKind = "order"     // an order was passed on or refused
-	NoticeEnded     NoticeKind = "ended"     // a run ended
-	NoticeHanded    NoticeKind = "handed"    // a chat's KV cache went to another target
-)
-
 // Run watches the target and the clock until ctx ends. It must run before the
 // gRPC service is served.
 func (a *Agent) Run(ctx context.Context) error {
@@ -220,77 +175,6 @@
 	a.forget()
 }
 
-// refresh puts the limits of a new publication in force.
-func (a *Agent) refresh(now time.Time) {
-	v := a.View()
-	if v == nil || v.Publication.Version == a.version {
-		return
-	}
-	a.clerk.warden.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
-	t := v.Targets[a.Name]
-	if t == nil {
-		// Operators removed the target: it takes no new work.
-		a.version = v.Publication.Version
-		a.Gate.Limit(now, chestnutstep.Limits{Out: true})
-		return
-	}
-	before := a.version
-	a.version = v.Publication.Version
-	a.Gate.Limit(now, limits(v, t))
-	if out := v.Out(t); out != a.out {
-		a.out = out
-		a.mover.notify(out)
-	}
-	a.Notify(Notice{Kind: NoticeLimits, Subject: a.Name, Before: number(before), After: number(a.version)})
-}
-
-func limits(v *chestnutstep.View, t *chestnutstep.Target) chestnutstep.Limits {
-	l := chestnutstep.Limits{Weight: t.Size(), Out: v.Out(t), Single: single(v, t.Model)}
-	if m := v.Models[t.Model]; m != nil {
-		l.Model = *m
-	}
-	l.Workspaces = make(map[string]float64, len(v.Workspaces))
-	for name, ws := range v.Workspaces {
-		l.Workspaces[name] = ws.Weight
-	}
-	return l
-}
-
-// single says that at most one target in service serves the model.
-func single(v *chestnutstep.View, model string) bool {
-	n := 0
-	for _, t := range v.Serving[model] {
-		if !v.Out(t) {
-			n++
-		}
-	}
-	return n <= 1
-}
-
-// exchangeLoad gives this target's load to the sampler and the mean to the gate.
-func (a *Agent) exchangeLoad(now time.Time) {
-	v := a.View()
-	if a.Sampler == nil || v == nil || v.Targets[a.Name] == nil {
-		return
-	}
-	t := v.Targets[a.Name]
-	if !a.out && !a.away && !a.leaving && !a.health.down {
-		a.Sampler.Own(now, a.sample(now, t))
-	}
-	a.Gate.Measure(now, a.Sampler.Mean(now))
-}
-
-// sample is the target's load in requests for one unit of weight.
-func (a *Agent) sample(now time.Time, t *chestnutstep.Target) chestnutstep.Sample {
-	load := a.Gate.Load(now)
-	return chestnutstep.Sample{
-		Target: a.Name,
-		Model:  t.Model,
-		Load:   float64(load.Running+load.Waiting) / t.Size(),
-		Seen:   now,
-	}
-}
-
 // followHost leaves with the host, and comes back if the list was wrong.
 func (a *Agent) followHost(now time.Time) {
 	if a.Leaving == nil || a.leaving {
--- /dev/null
+++ b/agent/limits.go
@@ -0,0 +1,97 @@
+package agent
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/order"
+)
+
+// refresh puts the limits of a new publication in force.
+func (a *Agent) refresh(now time.Time) {
+	v := a.View()
+	if v == nil || v.Publication.Version == a.version {
+		return
+	}
+	a.clerk.warden.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
+	t := v.Targets[a.Name]
+	if t == nil {
+		// Operators removed the target: it takes no new work.
+		a.version = v.Publication.Version
+		a.Gate.Limit(now, chestnutstep.Limits{Out: true})
+		return
+	}
+	before := a.version
+	a.version = v.Publication.Version
+	a.Gate.Limit(now, limits(v, t))
+	if out := v.Out(t); out != a.out {
+		a.out = out
+		a.mover.notify(out)
+	}
+	a.Notify(Notice{Kind: NoticeLimits, Subject: a.Name, Before: number(before), After: number(a.version)})
+}
+
+func limits(v *chestnutstep.View, t *chestnutstep.Target) chestnutstep.Limits {
+	l := chestnutstep.Limits{Weight: t.Size(), Out: v.Out(t), Single: single(v, t.Model)}
+	if m := v.Models[t.Model]; m != nil {
+		l.Model = *m
+	}
+	l.Workspaces = make(map[string]float64, len(v.Workspaces))
+	for name, ws := range v.Workspaces {
+		l.Workspaces[name] = ws.Weight
+	}
+	return l
+}
+
+// single says that at most one target in service serves the model.
+func single(v *chestnutstep.View, model string) bool {
+	n := 0
+	for _, t := range v.Serving[model] {
+		if !v.Out(t) {
+			n++
+		}
+	}
+	return n <= 1
+}
+
+// exchangeLoad gives this target's load to the sampler and the mean to the gate.
+func (a *Agent) exchangeLoad(now time.Time) {
+	v := a.View()
+	if a.Sampler == nil || v == nil || v.Targets[a.Name] == nil {
+		return
+	}
+	t := v.Targets[a.Name]
+	if !a.out && !a.away && !a.leaving && !a.health.down {
+		a.Sampler.Own(now, a.sample(now, t))
+	}
+	a.Gate.Measure(now, a.Sampler.Mean(now))
+}
+
+// sample is the target's load in requests for one unit of weight.
+func (a *Agent) sample(now time.Time, t *chestnutstep.Target) chestnutstep.Sample {
+	load := a.Gate.Load(now)
+	return chestnutstep.Sample{
+		Target: a.Name,
+		Model:  t.Model,
+		Load:   float64(load.Running+load.Waiting) / t.Size(),
+		Seen:   now,
+	}
+}
+
+// model is the publication's entry for what the target serves, or nil.
+func (a *Agent) model() *chestnutstep.Model {
+	v := a.View()
+	if v == nil || v.Targets[a.Name] == nil {
+		return nil
+	}
+	return v.Models[v.Targets[a.Name].Model]
+}
+
+// kind of the model that this target serves.
+func (a *Agent) kind() string {
+	m := a.model()
+	if m == nil {
+		return ""
+	}
+	return m.Kind
+}
--- /dev/null
+++ b/agent/notice.go
@@ -0,0 +1,51 @@
+package agent
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+// Notice is something an operator should see; see docs/EVENTS.md.
+type Notice struct {
+	Kind    NoticeKind
+	Subject string
+	Reason  chestnutstep.Reason
+	Before  string
+	After   string
+	// Of a request: whose it was, and its estimated work in tokens.
+	Workspace string
+	Profile   string
+	Cost      float64
+	// Of a run: how long it waited, the time from the call to the answer's
+	// start, and the prompt tokens found in the target's cache.
+	Wait   time.Duration
+	First  time.Duration
+	Cached int64
+	// Bytes of KV cache that were moved.
+	Bytes int64
+}
+
+// NoticeKind names a notice.
+type NoticeKind string
+
+// The notices.
+const (
+	NoticeCold      NoticeKind = "cold"      // the target turned cold
+	NoticeDown      NoticeKind = "down"      // the target does not answer
+	NoticeUp        NoticeKind = "up"        // the target answers again
+	NoticeCrash     NoticeKind = "crash"     // the target died with requests running
+	NoticeSuspect   NoticeKind = "suspect"   // a request's content became suspect
+	NoticeCondemned NoticeKind = "condemned" // a request's content was condemned
+	NoticeRefused   NoticeKind = "refused"   // an offer was refused
+	NoticeAccepted  NoticeKind = "accepted"  // an offer was accepted
+	NoticeQueued    NoticeKind = "queued"    // an offer waits
+	NoticeImported  NoticeKind = "imported"  // a chat's KV cache was imported
+	NoticeTicket    NoticeKind = "ticket"    // a ticket reached the state in After
+	NoticeMoved     NoticeKind = "moved"     // a chat's request went elsewhere
+	NoticeLimits    NoticeKind = "limits"    // a publication changed the limits
+	NoticeLeaving   NoticeKind = "leaving"   // the target takes no new work
+	NoticeOrder     NoticeKind = "order"     // an order was passed on or refused
+	NoticeEnded     NoticeKind = "ended"     // a run ended
+	NoticeHanded    NoticeKind = "handed"    // a chat's KV cache went to another target
+)
--- a/agent/tail.go
+++ b/agent/tail.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"net/http"
 	"strings"
-
-	"chestnutstep.example/chestnutstep"
 )
 
 // tailSize is how much of an answer's end is looked at for its last event.
@@ -44,21 +42,3 @@
 	}
 	return m.Done
 }
-
-// model is the publication's entry for what the target serves, or nil.
-func (a *Agent) model() *chestnutstep.Model {
-	v := a.View()
-	if v == nil || v.Targets[a.Name] == nil {
-		return nil
-	}
-	return v.Models[v.Targets[a.Name].Model]
-}
-
-// kind of the model that this target serves.
-func (a *Agent) kind() string {
-	m := a.model()
-	if m == nil {
-		return ""
-	}
-	return m.Kind
-}
