agent: functions are named for what they do, and a quotation gives way to a reason

clerk, acquit, blame, bury and temper had to be looked up; they are sender, unwatch, crashOrShort, dropTicket and noteCold. Renamed only, in the script test's one use too.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -87,7 +87,7 @@
 	runs    sync.WaitGroup
 	exports bucket
 	mover   mover
-	clerk   clerk
+	sender  sender
 	events  cacheLog
 	out     bool
 }
@@ -97,7 +97,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	a.init()
 	go a.mover.loop(ctx, a)
-	go a.clerk.loop(ctx, a)
+	go a.sender.loop(ctx, a)
 	go a.events.loop(ctx, a)
 	go a.health.loop(ctx, a)
 	a.loop(ctx)
@@ -116,9 +116,9 @@
 	if a.Clock == nil {
 		a.Clock = time.Now
 	}
-	a.clerk.warden.Target = a.Name
-	a.clerk.desk.Began = a.Clock()
-	a.clerk.desk.Uptime = a.Uptime
+	a.sender.warden.Target = a.Name
+	a.sender.desk.Began = a.Clock()
+	a.sender.desk.Uptime = a.Uptime
 	if a.Linger == 0 {
 		a.Linger = DefaultLinger
 	}
--- a/agent/call.go
+++ b/agent/call.go
@@ -69,7 +69,7 @@
 	defer j.agent.runs.Done()
 	res := j.call(ctx)
 	if res.unsent {
-		j.agent.acquit(j)
+		j.agent.unwatch(j)
 	}
 	if res.outcome == chestnutstep.Withdraw && !res.unsent {
 		j.stop()
@@ -78,7 +78,7 @@
 		// Ask before the job is marked ended: if the target died, this job and
 		// all that ran beside it become crash suspects.
 		j.agent.health.check(j.agent)
-		res.reason = j.blame(res.reason)
+		res.reason = j.crashOrShort(res.reason)
 	}
 	if res.outcome != chestnutstep.Served {
 		j.agent.settle(j, &res)
@@ -87,9 +87,9 @@
 	j.agent.finish(j, res)
 }
 
-// blame tells a dead target from a dropped connection: only the first makes a
+// crashOrShort tells a dead target from a dropped connection: only the first makes a
 // request suspect.
-func (j *job) blame(reason chestnutstep.Reason) chestnutstep.Reason {
+func (j *job) crashOrShort(reason chestnutstep.Reason) chestnutstep.Reason {
 	if reason != chestnutstep.ReasonCrashed && reason != chestnutstep.ReasonShort {
 		return reason
 	}
@@ -101,9 +101,9 @@
 	return chestnutstep.ReasonShort
 }
 
-// acquit ends the watch on a request that never reached the target, before the
+// unwatch ends the watch on a request that never reached the target, before the
 // target is found dead: it can't have been the cause.
-func (a *Agent) acquit(j *job) {
+func (a *Agent) unwatch(j *job) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.Jury.End(a.Clock(), j.offer.Fingerprint, false)
--- a/agent/health.go
+++ b/agent/health.go
@@ -69,7 +69,7 @@
 	switch {
 	case err == nil:
 		h.alive(now, a, r.Boot)
-		h.temper(now, a, r.Cold)
+		h.noteCold(now, a, r.Cold)
 	case isRefused(err) || isDropped(err):
 		h.dead(now, a)
 	}
@@ -98,10 +98,10 @@
 	return r, nil
 }
 
-// temper notices a target that turned cold without restarting. Only the change
+// noteCold notices a target that turned cold without restarting. Only the change
 // counts: the report lags, and says cold for a while after the target has
 // proven warm.
-func (h *health) temper(now time.Time, a *Agent, cold bool) {
+func (h *health) noteCold(now time.Time, a *Agent, cold bool) {
 	turned := cold && !h.cold
 	h.cold = cold
 	if !turned {
--- a/agent/job.go
+++ b/agent/job.go
@@ -187,7 +187,7 @@
 	j.refusal = refusal(d.Reason, chestnutstep.RunNo)
 	j.refusal.Retry = int64(d.Retry)
 	if j.offer.Ticket != "" {
-		a.bury(now, j.offer, j.refusal)
+		a.dropTicket(now, j.offer, j.refusal)
 	}
 	if j.state == waiting {
 		close(j.placed)
--- a/agent/limits.go
+++ b/agent/limits.go
@@ -13,7 +13,7 @@
 	if v == nil || v.Publication.Version == a.version {
 		return
 	}
-	a.clerk.warden.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
+	a.sender.warden.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
 	t := v.Targets[a.Name]
 	if t == nil {
 		// Operators removed the target: it takes no new work.
--- a/agent/link.go
+++ b/agent/link.go
@@ -25,7 +25,7 @@
 	owner bool
 }
 
-// service is the gRPC face of an agent: the protocol calls its method Run, a
+// service is an agent as the gRPC service: the protocol calls its method Run, a
 // name that Agent needs for itself.
 type service struct {
 	wire.UnimplementedAgentServer
--- a/agent/mover.go
+++ b/agent/mover.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// chatPause and chatShare describe returning chats: nine in ten come back,
-	// after two minutes on average ("most within minutes").
+	// chatPause and chatShare describe returning chats, for the price of moving
+	// one: nine in ten come back, after two minutes on average. Where they come
+	// back less or later, too many chats are moved, which costs the link alone.
 	chatPause = 2 * time.Minute
 	chatShare = 0.9
 	// shiftLimit is how long handing over may take: an operator who takes a
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -103,15 +103,15 @@
 // true when a delayed repeat of the same ticket arrives later.
 func (a *Agent) deny(now time.Time, o *wire.Offer, r *wire.Refuse) admission {
 	if o.Ticket != "" {
-		a.bury(now, o, r)
+		a.dropTicket(now, o, r)
 	}
 	a.Notify(Notice{Kind: NoticeRefused, Subject: o.Id, Reason: chestnutstep.Reason(r.Reason), Workspace: o.Workspace, Profile: o.Profile})
 	return admission{refuse: r}
 }
 
-// bury writes the tombstone of a refused ticket and gives a fresh one, where
+// dropTicket writes the tombstone of a refused ticket and gives a fresh one, where
 // that can be used here: the caller's next try needs it.
-func (a *Agent) bury(now time.Time, o *wire.Offer, r *wire.Refuse) {
+func (a *Agent) dropTicket(now time.Time, o *wire.Offer, r *wire.Refuse) {
 	stub := a.Booth.Drop(now, o.Ticket, o.Workspace)
 	r.Run = string(stub.Run)
 	if stub.Run == chestnutstep.RunNo && a.mintRefusal() == "" {
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -23,10 +23,10 @@
 	orderLimit = 10 * time.Second
 )
 
-// clerk brings the engine to what the publication says: it sends the orders
+// sender brings the engine to what the publication says: it sends the orders
 // that are missing, one after the other, each with its fencing number. An
 // engine that restarts has forgotten what it was told, so all are sent again.
-type clerk struct {
+type sender struct {
 	desk   order.Desk
 	warden order.Warden
 	// obeyed lists the orders that the engine's present life has followed.
@@ -34,7 +34,7 @@
 	boot   string
 }
 
-func (c *clerk) loop(ctx context.Context, a *Agent) {
+func (c *sender) loop(ctx context.Context, a *Agent) {
 	tick := time.NewTicker(orderEvery)
 	defer tick.Stop()
 	for {
@@ -49,7 +49,7 @@
 
 // step sends at most one order. Whether the desk is ready is asked first: a
 // permit that is taken and not used is lost to the targets that could use it.
-func (c *clerk) step(ctx context.Context, a *Agent) {
+func (c *sender) step(ctx context.Context, a *Agent) {
 	o, ok := c.missing(a)
 	if !ok || !c.ready(a) {
 		return
@@ -61,7 +61,7 @@
 }
 
 // missing is the first published order that the engine has not followed.
-func (c *clerk) missing(a *Agent) (chestnutstep.Order, bool) {
+func (c *sender) missing(a *Agent) (chestnutstep.Order, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.View()
@@ -83,7 +83,7 @@
 	return chestnutstep.Order{}, false
 }
 
-func (c *clerk) ready(a *Agent) bool {
+func (c *sender) ready(a *Agent) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return c.desk.Ready(a.Clock())
@@ -127,7 +127,7 @@
 func (a *Agent) grant() (bool, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.clerk.warden.Permit(a.Clock())
+	return a.sender.warden.Permit(a.Clock())
 }
 
 func targetNames(v *chestnutstep.View) []string {
@@ -145,7 +145,7 @@
 }
 
 // send passes one order on.
-func (c *clerk) send(ctx context.Context, a *Agent, o chestnutstep.Order) {
+func (c *sender) send(ctx context.Context, a *Agent, o chestnutstep.Order) {
 	job, err := c.take(a, o)
 	if err != nil {
 		return
@@ -170,7 +170,7 @@
 }
 
 // take gets the fencing number and asks the desk right before the call.
-func (c *clerk) take(a *Agent, o chestnutstep.Order) (order.Job, error) {
+func (c *sender) take(a *Agent, o chestnutstep.Order) (order.Job, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	v := a.View()
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -198,7 +198,7 @@
 	case "publish":
 		return s.publish(d)
 	case "orders":
-		s.agent.clerk.step(context.Background(), s.agent)
+		s.agent.sender.step(context.Background(), s.agent)
 		s.target.mu.Lock()
 		defer s.target.mu.Unlock()
 		return strings.Join(append(s.target.orders, ""), "\n")
