gossip: the peers of the settings are not kept as neighbours

All processes of a fleet are given the same few peers.

Now the circle is drawn anew with the first publication.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -92,12 +92,23 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.circle.all) == 0 || n.chosen != view {
-		n.circle.set(n.candidates(view))
-		n.chosen = view
+		n.choose(view)
 	}
 	return n.circle.next(now, n.rand)
 }
 
+// choose draws the circle from a new view. With the first one the neighbours
+// from the settings are given up: all processes are given the same few, and
+// kept as neighbours those would answer most of the fleet's exchanges for
+// minutes, hundreds a second in a fleet of thousands.
+func (n *Node) choose(view *chestnutstep.View) {
+	if n.chosen == nil && view != nil {
+		n.circle.places = nil
+	}
+	n.circle.set(n.candidates(view))
+	n.chosen = view
+}
+
 // candidates are the agents of the publication, in service or not: one that is
 // out still has to learn when it comes back. The settings' peers count as well,
 // as they may be the only way out of a cut.
