bench: standin scale, 66 real processes under a publication of the planned size

CAPACITY.md multiplied slopes of runs with at most 20 processes. standin scale starts 60 agents, 6 entries and their engines, fills the publication up to 2,760 targets and 563 workspaces, and measures rest and changes.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -1,6 +1,7 @@
 // Package bench measures the fleet as separate processes against the naive
 // pass-through in the same run: the time to the first byte that entry and agent
-// add, memory for an open stream, and an entry's CPU time under load.
+// add, memory for an open stream, and an entry's CPU time under load. It also
+// measures a fleet of many processes at rest and under changes.
 package bench
 
 import (
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,6 +25,7 @@
 		callCommand(),
 		passCommand(),
 		loadCommand(),
+		scaleCommand(),
 		demoCommand(),
 	}
 	for _, c := range commands {
