--- a/agent/call.go
+++ b/agent/call.go
@@ -87,8 +87,8 @@
 	j.agent.finish(j, res)
 }
 
-// crashOrShort tells a dead target from a dropped connection: only the first makes a
-// request suspect.
+// crashOrShort tells a dead target from a dropped connection: only the first
+// makes a request suspect.
 func (j *job) crashOrShort(reason chestnutstep.Reason) chestnutstep.Reason {
 	if reason != chestnutstep.ReasonCrashed && reason != chestnutstep.ReasonShort {
 		return reason
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -41,10 +41,11 @@
 	Idle time.Duration
 
 	mu    sync.Mutex
-	conns map[string]*entry
+	conns map[string]*pooled
 }
 
-type entry struct {
+// pooled is a connection and when it was last asked for.
+type pooled struct {
 	conn *grpc.ClientConn
 	used time.Time
 }
@@ -63,9 +64,9 @@
 		return nil, errors.Wrapf(err, "connect to %s", addr)
 	}
 	if p.conns == nil {
-		p.conns = make(map[string]*entry)
+		p.conns = make(map[string]*pooled)
 	}
-	p.conns[addr] = &entry{conn: conn, used: now}
+	p.conns[addr] = &pooled{conn: conn, used: now}
 	return conn, nil
 }
 
