--- a/crash/jury.go
+++ b/crash/jury.go
@@ -34,7 +34,7 @@
 	DefaultServed = 4096
 )
 
-// Jury implements chestnutstep.Jury for one agent. Set the fields before the
+// Jury implements chestnutstep.Jury for one process. Set the fields before the
 // first call. It is not safe for concurrent use.
 type Jury struct {
 	// Target is the target beside the agent; empty at an entry.
@@ -56,7 +56,7 @@
 
 var _ chestnutstep.Jury = (*Jury)(nil)
 
-// file is a suspicion with what only this agent knows of it.
+// file is a suspicion with what only this process knows of it.
 type file struct {
 	chestnutstep.Suspicion
 	// passed says that it ran to its end here since the last crash known.
--- a/decide.go
+++ b/decide.go
@@ -195,7 +195,9 @@
 	Seen time.Time
 }
 
-// Jury keeps the crash suspicions of one agent.
+// Jury keeps the crash suspicions of one process: an agent's are of its own
+// target and what it was told, an entry's of the breaks that it saw and what it
+// was told.
 type Jury interface {
 	Judge(now time.Time, fingerprint uint64) Judgement
 	// Start and End bracket a run of the content at this target.
