tests: five packages take their seed from script.Main

Each had its own TestMain with the same seed. The shared one keeps the seed and the hundred cases, doubles the steps of random state machines from rapid's 30 to 60, and lets a flag on the command line go first, so that another seed can be tried without an edit.

--- a/config/main_test.go
+++ b/config/main_test.go
@@ -1,25 +1,15 @@
 package config
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/script"
 )
 
-// TestMain fixes rapid's seed, so that a run in CI gives the same verdict each
-// time.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20261202", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { script.Main(m, 100) }
 
 // fleet makes a valid publication: one engine model, n targets spread over
 // three domains, each on its own host, and ws workspaces.
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,9 +1,7 @@
 package queue
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -13,16 +11,10 @@
 	"pgregory.net/rapid"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/script"
 )
 
-// TestMain fixes the seed, so that CI gives the same verdict every time.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { script.Main(m, 100) }
 
 var (
 	epoch = time.Unix(0, 0)
