--- a/meter/set.go
+++ b/meter/set.go
@@ -69,7 +69,8 @@
 	Orders     Counter
 }
 
-// Workspaces is what Prairie's monthly report of fairness is made of.
+// Workspaces is what a report of fairness between workspaces is made of, summed
+// over all agents.
 type Workspaces struct {
 	Requests Counter
 	Tokens   Counter
