agent: KV cache is really imported and handed over

Cause: no import was ever made (agent_moves_total stayed at 0 in the demo). The quote for the price left waiting at the holder open at no cost, although the holder had refused or was leaving, so waiting always won. The race detector also found Take reading the agent's state without its lock. Condemned content is answered "maybe": it ran where it crashed.

--- a/agent/cache.go
+++ b/agent/cache.go
@@ -184,6 +184,9 @@
 // quote is what an import is weighed by.
 func (a *Agent) quote(first *wire.Chunk) price.Quote {
 	q := price.Quote{Prompt: float64(first.Tokens), Cached: float64(first.Tokens)}
+	// The holder has refused the request, or leaves: no patience is left for
+	// waiting there, which would otherwise be the cheapest way always.
+	q.Queue = time.Nanosecond
 	m, v := a.model(), a.View()
 	if m == nil || v == nil {
 		return q
@@ -219,10 +222,17 @@
 	}
 }
 
+// takes says whether this target has new work to come, and so a use for chats.
+func (a *Agent) takes() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.mintRefusal() == ""
+}
+
 // Take imports a chat whose target is leaving, before its next request comes.
 func (s *service) Take(ctx context.Context, rq *wire.TakeRequest) (*wire.TakeReply, error) {
 	a := s.Agent
-	if a.mintRefusal() != "" {
+	if !a.takes() {
 		return &wire.TakeReply{}, nil
 	}
 	n, err := a.fetch(ctx, rq.Source, chat{rq.Workspace, rq.Chat})
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -94,7 +94,8 @@
 	case o.Remain <= 0:
 		return refusal(chestnutstep.ReasonTimeout, chestnutstep.RunNo)
 	case a.Jury.Judge(now, o.Fingerprint) == chestnutstep.Condemned:
-		return refusal(chestnutstep.ReasonCondemned, chestnutstep.RunNo)
+		// It ran where it crashed, under this name or another.
+		return refusal(chestnutstep.ReasonCondemned, chestnutstep.RunMaybe)
 	}
 	return nil
 }
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -50,7 +50,7 @@
 func (k *walk) run(ctx context.Context) error {
 	defer k.closeRefused()
 	if k.entry.condemned(k.ask.fingerprint) {
-		return &ErrRefused{Reason: chestnutstep.ReasonCondemned, Run: k.ask.unrun()}
+		return &ErrRefused{Reason: chestnutstep.ReasonCondemned, Run: chestnutstep.RunMaybe}
 	}
 	if k.ask.ticket != "" {
 		return k.runTicket(ctx)
