--- /dev/null
+++ b/agent/copy.go
@@ -0,0 +1,114 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+)
+
+const (
+	// pieceSize is the buffer for one read of the target's answer: a token's
+	// event is a few hundred bytes, a plain answer a few kilobytes.
+	pieceSize = 16 << 10
+	// resumes is how often a stream that broke is continued at a target that
+	// still lives. A third break in one answer is no passing fault.
+	resumes = 2
+)
+
+// copy moves the answer into the log, and continues a stream that breaks
+// while the target lives.
+func (j *job) copy(ctx context.Context, rs *http.Response) result {
+	body := rs.Body
+	tail := &tail{wanted: j.agent.ending(rs)}
+	for try := 0; ; try++ {
+		err := j.drain(body, tail)
+		if err == nil && tail.complete() {
+			j.log.Finish()
+			return served
+		}
+		if err == nil {
+			break
+		}
+		if ended, ok := endedBy(ctx); ok {
+			return ended
+		}
+		if try == resumes {
+			break
+		}
+		next := j.resume(ctx, rs, tail.size)
+		if next == nil {
+			break
+		}
+		defer next.Close()
+		body = next
+	}
+	return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonShort, run: chestnutstep.RunYes}
+}
+
+func (j *job) drain(body io.Reader, t *tail) error {
+	buf := make([]byte, pieceSize)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			t.add(buf[:n])
+			if err := j.log.Append(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// resume asks an engine that still has the same boot id to go on from an
+// offset. A target that restarted has forgotten the stream.
+func (j *job) resume(ctx context.Context, rs *http.Response, offset int64) io.ReadCloser {
+	boot := rs.Header.Get(chestnutstep.HeaderBoot)
+	if boot == "" || j.agent.kind() != chestnutstep.KindEngine {
+		return nil
+	}
+	q := url.Values{"request": {j.offer.Id}, "offset": {strconv.FormatInt(offset, 10)}}
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, j.agent.URL+"/control/resume?"+q.Encode(), nil)
+	if err != nil {
+		return nil
+	}
+	next, err := j.agent.Reuse.Do(rq)
+	if err != nil {
+		return nil
+	}
+	if next.StatusCode != http.StatusOK || next.Header.Get(chestnutstep.HeaderBoot) != boot || !j.own(next) {
+		next.Body.Close()
+		return nil
+	}
+	return next.Body
+}
+
+// stop tells an engine that nobody wants the answer any more. The place at the
+// target is only free when it has stopped.
+func (j *job) stop() {
+	if j.agent.kind() != chestnutstep.KindEngine {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
+	defer cancel()
+	at := j.agent.URL + "/control/cancel?" + url.Values{"request": {j.offer.Id}}.Encode()
+	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, at, nil)
+	if err != nil {
+		return
+	}
+	rs, err := j.agent.Reuse.Do(rq)
+	if err != nil {
+		return
+	}
+	rs.Body.Close()
+}
--- a/gossip/circle.go
+++ b/gossip/circle.go
@@ -15,7 +15,7 @@
 	// push reaches thousands in five steps.
 	circleSize = 6
 	// circleTurn is how long a neighbour stays. Replacing one now and then
-	// heals a circle whose members are cut off together.
+	// reconnects a circle whose members are cut off together.
 	circleTurn = time.Minute
 )
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,7 +1,7 @@
 // Package queue orders the work that waits at one target.
 //
 // The load it answers: saturation, a surge of one workspace, and long plans
-// among quick questions. Without it (first come, first served) a large brand's
+// among quick questions. Without it (first come, first served) one workspace's
 // surge stands before everybody's next question, quick answers wait behind
 // drafts of minutes, and work is started that its caller has given up, so that
 // goodput falls as the offered load grows.
