event, meter, node: every listed event is written, every metric set

Cause: 22 of 63 events and 9 metrics stood in the catalogues and nothing wrote them; an operator would wait for lines that never come. Change: offers that failed, denied and spent repeats, links taken up again, hints kept and lost, crossed and short answers, expired offers, tickets' fates and orders' ends are told. 9 events and 4 metrics that nothing could tell are gone. A test fails when a listed event is written nowhere. Also: "yes" is no longer turned into "maybe" by what came before it, and the final "no" of a ticket's agent stands.

--- a/agent/job.go
+++ b/agent/job.go
@@ -252,7 +252,7 @@
 func (j *job) notice(kind NoticeKind, reason chestnutstep.Reason) Notice {
 	return Notice{
 		Kind: kind, Subject: j.offer.Id, Reason: reason,
-		Workspace: j.offer.Workspace, Profile: j.offer.Profile, Cost: j.offer.Cost,
+		Workspace: j.offer.Workspace, Profile: j.offer.Profile, Cost: j.offer.Cost, Ticket: j.offer.Ticket != "",
 	}
 }
 
--- a/agent/mint.go
+++ b/agent/mint.go
@@ -24,6 +24,7 @@
 	if reason := a.mintRefusal(); reason != "" {
 		return nil, status.Error(codes.Unavailable, string(reason))
 	}
+	a.Notify(Notice{Kind: NoticeMinted, Subject: a.Name, Workspace: rq.Workspace, Profile: rq.Profile, Count: int(rq.Count)})
 	return &wire.MintReply{
 		Tickets: a.Booth.Mint(a.Clock(), rq.Workspace, int(rq.Count)),
 		Target:  a.Name,
--- a/agent/notice.go
+++ b/agent/notice.go
@@ -16,7 +16,9 @@
 	// Of a request: whose it was, and its estimated work in tokens.
 	Workspace string
 	Profile   string
-	Cost      float64
+	// Ticket says that it carried one.
+	Ticket bool
+	Cost   float64
 	// Of a run: how long it waited, the time from the call to the answer's
 	// start, and the prompt tokens found in the target's cache.
 	Wait   time.Duration
@@ -24,6 +26,8 @@
 	Cached int64
 	// Bytes of KV cache that were moved.
 	Bytes int64
+	// Count of tickets.
+	Count int
 }
 
 // NoticeKind names a notice.
@@ -41,7 +45,7 @@
 	NoticeAccepted  NoticeKind = "accepted"  // an offer was accepted
 	NoticeQueued    NoticeKind = "queued"    // an offer waits
 	NoticeImported  NoticeKind = "imported"  // a chat's KV cache was imported
-	NoticeTicket    NoticeKind = "ticket"    // a ticket reached the state in After
+	NoticeMinted    NoticeKind = "minted"    // tickets were handed out
 	NoticeMoved     NoticeKind = "moved"     // a chat's request went elsewhere
 	NoticeLimits    NoticeKind = "limits"    // a publication changed the limits
 	NoticeLeaving   NoticeKind = "leaving"   // the target takes no new work
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -30,6 +30,7 @@
 		return a.deny(now, o, r)
 	}
 	if r := a.hold(now, o); r != nil {
+		a.Notify(Notice{Kind: NoticeRefused, Subject: o.Id, Reason: chestnutstep.Reason(r.Reason), Workspace: o.Workspace, Profile: o.Profile, Ticket: true})
 		return admission{refuse: r}
 	}
 	return a.decide(now, o)
@@ -106,7 +107,7 @@
 	if o.Ticket != "" {
 		a.dropTicket(now, o, r)
 	}
-	a.Notify(Notice{Kind: NoticeRefused, Subject: o.Id, Reason: chestnutstep.Reason(r.Reason), Workspace: o.Workspace, Profile: o.Profile})
+	a.Notify(Notice{Kind: NoticeRefused, Subject: o.Id, Reason: chestnutstep.Reason(r.Reason), Workspace: o.Workspace, Profile: o.Profile, Ticket: o.Ticket != ""})
 	return admission{refuse: r}
 }
 
--- a/entry/attach.go
+++ b/entry/attach.go
@@ -82,5 +82,6 @@
 		return step{}, false
 	}
 	k.served = t.Name
+	k.attached++
 	return k.follow(ctx, l, down), true
 }
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -20,5 +20,10 @@
 func (k *walk) repeat() bool {
 	k.entry.budget.Lock()
 	defer k.entry.budget.Unlock()
-	return k.entry.Repeats.Spend(k.entry.Clock())
+	if !k.entry.Repeats.Spend(k.entry.Clock()) {
+		k.denied = true
+		return false
+	}
+	k.repeated++
+	return true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,8 +76,16 @@
 	Reason    chestnutstep.Reason
 	Run       chestnutstep.Run
 	Status    int
-	// Offers is how many agents were asked.
+	// Offers is how many agents were asked, Hint what the caller hoped for.
 	Offers int
+	Hint   string
+	// Repeated counts repeats of what may have run, Denied says that the budget
+	// for them was spent. Attached counts links taken up again. Silent names the
+	// targets whose agents did not answer.
+	Repeated int
+	Denied   bool
+	Attached int
+	Silent   []string
 	// First is the time to the first byte; zero if none came.
 	First time.Duration
 	Total time.Duration
--- a/entry/step.go
+++ b/entry/step.go
@@ -100,7 +100,9 @@
 	if err == nil {
 		err = &ErrRefused{Reason: chestnutstep.ReasonTarget, Run: k.ask.unrun()}
 	}
-	if k.maybe {
+	// A ticketed request's "no" comes from the agent that holds its tombstone,
+	// and is final whatever was unclear before.
+	if k.maybe && err.Run == chestnutstep.RunNo && k.ask.ticket == "" {
 		err.Run = chestnutstep.RunMaybe
 	}
 	if err.Retry == 0 {
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -27,6 +27,13 @@
 
 	targets []*chestnutstep.Target
 	offers  int
+	// repeated counts repeats out of the budget, denied says that it was spent;
+	// attached counts links taken up again, silent names targets that did not
+	// answer.
+	repeated int
+	denied   bool
+	attached int
+	silent   []string
 	// repeats counts the offers of a ticketed request that got no answer.
 	repeats int
 	// refused is the open link of the first target that refused, to be told
@@ -123,7 +130,7 @@
 	k.offers++
 	l, err := k.entry.openLink(t)
 	if err != nil {
-		k.entry.Hosts.Fail(k.entry.Clock(), t.Host)
+		k.fail(t)
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
 	}
 	o := k.ask.offer(k.entry.Clock(), patience)
@@ -132,13 +139,19 @@
 	down, err := k.offer(l, o)
 	if err != nil {
 		defer l.cancel()
-		k.entry.Hosts.Fail(k.entry.Clock(), t.Host)
+		k.fail(t)
 		return k.lost(ctx, l, o)
 	}
 	k.entry.Hosts.Answer(k.entry.Clock(), t.Host)
 	return k.follow(ctx, l, down)
 }
 
+// fail notes that a target's agent did not answer.
+func (k *walk) fail(t *chestnutstep.Target) {
+	k.silent = append(k.silent, t.Name)
+	k.entry.Hosts.Fail(k.entry.Clock(), t.Host)
+}
+
 // offer sends the offer and waits for its answer.
 func (k *walk) offer(l *link, o *wire.Offer) (*wire.Down, error) {
 	if err := l.send(&wire.Up{Kind: &wire.Up_Offer{Offer: o}}); err != nil {
@@ -277,6 +290,11 @@
 		Target:    k.served,
 		Status:    k.out.status,
 		Offers:    k.offers,
+		Hint:      k.ask.hint,
+		Repeated:  k.repeated,
+		Denied:    k.denied,
+		Attached:  k.attached,
+		Silent:    k.silent,
 		Total:     k.entry.Clock().Sub(start),
 		Cached:    k.out.cached,
 	}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -7,7 +7,6 @@
 	ProcessNotReady ID = 1003
 	ProcessDrain    ID = 1004
 	ProcessStop     ID = 1005
-	ProcessPanic    ID = 1006
 	ProcessPaused   ID = 1007
 	AuditRecord     ID = 1010
 	CertLoaded      ID = 1020
@@ -45,20 +44,14 @@
 	TargetCrash      ID = 4007
 	ContentSuspect   ID = 4008
 	ContentCondemned ID = 4009
-	ContentCleared   ID = 4010
 	AnswerCrossed    ID = 4011
 	AnswerShort      ID = 4012
 	OfferExpired     ID = 4013
-	OverCap          ID = 4014
-	RunAbandoned     ID = 4015
-	MeanStale        ID = 4016
 
 	TicketsMinted ID = 5001
 	TicketRefused ID = 5002
 	TicketUnknown ID = 5003
 	TicketDropped ID = 5004
-	TicketsFull   ID = 5005
-	OrderSent     ID = 5010
 	OrderDone     ID = 5011
 	OrderRefused  ID = 5012
 	OrderUnknown  ID = 5013
@@ -67,9 +60,7 @@
 	PeersLost       ID = 6002
 	PeersFound      ID = 6003
 	HostLeaving     ID = 6004
-	HostGone        ID = 6005
 	WatcherChosen   ID = 6006
-	ReadBudget      ID = 6007
 )
 
 // Catalog lists all events by number. It is the source of docs/EVENTS.md.
@@ -104,12 +95,6 @@
 		Cause:   "The graceful stop is over.",
 		Action:  "With an error, give the drain setting more time.",
 	},
-	{
-		ID: ProcessPanic, Name: "process_panic", Level: Error,
-		Meaning: "A fault of the program was caught; the request it served failed.",
-		Cause:   "A defect.",
-		Action:  "Report it with the stack.",
-	},
 	{
 		ID: ProcessPaused, Name: "process_paused", Level: Warn,
 		Meaning: "The process did not run for a while, as its own timer shows.",
@@ -314,12 +299,6 @@
 		Cause:   "A request that crashes each target that runs it.",
 		Action:  "See docs/operate/suspect.md.",
 	},
-	{
-		ID: ContentCleared, Name: "content_cleared", Level: Info,
-		Meaning: "A suspect ran to its end and is suspect no more.",
-		Cause:   "It merely ran beside the culprit.",
-		Action:  "Nothing.",
-	},
 	{
 		ID: AnswerCrossed, Name: "answer_crossed", Level: Error, Often: true,
 		Meaning: "The target answered with the id of another request; the answer was thrown away.",
@@ -338,24 +317,6 @@
 		Cause:   "The entry is frozen, gone or slow.",
 		Action:  "Nothing; when it lasts look at the entries' hosts.",
 	},
-	{
-		ID: OverCap, Name: "over_cap", Level: Error,
-		Meaning: "The target carries more than its cap.",
-		Cause:   "A defect, or a cap that fell below what runs.",
-		Action:  "Right after a publication it passes as requests end; else report it.",
-	},
-	{
-		ID: RunAbandoned, Name: "run_abandoned", Level: Info, Often: true,
-		Meaning: "A run whose entry vanished went on for a while and was then cancelled.",
-		Cause:   "The entry died and no repeat came.",
-		Action:  "Nothing.",
-	},
-	{
-		ID: MeanStale, Name: "mean_stale", Level: Warn,
-		Meaning: "The mean load rests on samples that are too old; the cap stays on the careful side.",
-		Cause:   "The agent is cut off from its peers.",
-		Action:  "See 6002.",
-	},
 	{
 		ID: TicketsMinted, Name: "tickets_minted", Level: Debug, Often: true,
 		Meaning: "Tickets were minted for a workspace.",
@@ -380,18 +341,6 @@
 		Cause:   "The caller asked for a final answer.",
 		Action:  "Nothing.",
 	},
-	{
-		ID: TicketsFull, Name: "tickets_full", Level: Warn, Often: true,
-		Meaning: "No room to remember more spent tickets; new ones are refused.",
-		Cause:   "More actions than planned for.",
-		Action:  "Add targets, or ask for fewer tickets ahead.",
-	},
-	{
-		ID: OrderSent, Name: "order_sent", Level: Info,
-		Meaning: "An order was passed to the target's engine.",
-		Cause:   "Operators ordered it.",
-		Action:  "Nothing.",
-	},
 	{
 		ID: OrderDone, Name: "order_done", Level: Info,
 		Meaning: "The engine carried an order out.",
@@ -434,22 +383,10 @@
 		Cause:   "A planned replacement.",
 		Action:  "Nothing.",
 	},
-	{
-		ID: HostGone, Name: "host_gone", Level: Info,
-		Meaning: "A host is no longer in the platform's list.",
-		Cause:   "It was replaced.",
-		Action:  "Nothing.",
-	},
 	{
 		ID: WatcherChosen, Name: "watcher_chosen", Level: Debug,
 		Meaning: "This process watches the configuration service for others.",
 		Cause:   "It is among the first by hash of those that it knows.",
 		Action:  "Nothing.",
 	},
-	{
-		ID: ReadBudget, Name: "read_budget", Level: Warn, Often: true,
-		Meaning: "A direct read was put off: this process's share of the budget is spent.",
-		Cause:   "A start of many processes at once.",
-		Action:  "Nothing; peers are asked.",
-	},
 }
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -78,3 +80,26 @@
 	assert.Equal(t, Mask("abc"), "ba7816bf8f01")
 	assert.Equal(t, Mask(""), "")
 }
+
+// An event that nothing writes sends operators looking for lines that never
+// come, and hides that a failure is not told at all.
+func TestEveryEventIsWritten(t *testing.T) {
+	raw, err := os.ReadFile("catalog.go")
+	assert.NilError(t, err)
+	files, err := filepath.Glob("../*/*.go")
+	assert.NilError(t, err)
+	var source strings.Builder
+	for _, f := range files {
+		if strings.HasSuffix(f, "_test.go") {
+			continue
+		}
+		text, err := os.ReadFile(f)
+		assert.NilError(t, err)
+		source.Write(text)
+	}
+	names := regexp.MustCompile(`(?m)^\t(\w+) +ID = `).FindAllStringSubmatch(string(raw), -1)
+	assert.Equal(t, len(names), len(Catalog))
+	for _, n := range names {
+		assert.Assert(t, regexp.MustCompile(`event\.`+n[1]+`\b`).MatchString(source.String()), "%s is never written", n[1])
+	}
+}
--- a/meter/set.go
+++ b/meter/set.go
@@ -39,7 +39,6 @@
 	Open      Gauge     // streams open to callers
 	FirstByte Histogram // time to the first byte of an answer
 	Answer    Histogram // time to the last byte of an answer
-	Offers    Counter   // offers to agents, by their verdict
 	Retries   Counter   // repeats, by whether the budget allowed them
 	Attached  Counter   // broken links taken up again
 	Hints     Counter   // what became of hints
@@ -60,9 +59,7 @@
 	Weight     Gauge
 	Cold       Gauge
 	Crashes    Counter
-	Suspects   Gauge
 	Cached     Counter // prompt tokens found in the target's cache
-	Rebuilt    Counter // prompt tokens that the target had to read again
 	Moves      Counter // KV cache moves, by way and end
 	Moved      Counter // bytes of KV cache moved
 	Tickets    Counter
@@ -81,7 +78,6 @@
 type Publication struct {
 	Version Gauge
 	Changes Counter
-	Reads   Counter
 	Gossip  Counter
 	Rounds  Counter
 }
@@ -110,7 +106,6 @@
 		{&s.Entry.Open, entry{"entry_open", kindGauge, "streams", nil, "Requests of callers in progress."}},
 		{&s.Entry.FirstByte, entry{"entry_first_byte_seconds", kindHistogram, "seconds", profile, "From the request's headers to the first byte of the answer's body."}},
 		{&s.Entry.Answer, entry{"entry_answer_seconds", kindHistogram, "seconds", profile, "From the request's headers to the end of a whole answer."}},
-		{&s.Entry.Offers, entry{"entry_offers_total", kindCounter, "offers", result, "Offers to agents: accept, wait, or the reason of the refusal."}},
 		{&s.Entry.Retries, entry{"entry_retries_total", kindCounter, "requests", result, "Repeats after a failure: spent, or denied by the retry budget."}},
 		{&s.Entry.Attached, entry{"entry_attached_total", kindCounter, "links", result, "Broken links to agents in mid-answer: ok when taken up again, else the reason."}},
 		{&s.Entry.Hints, entry{"entry_hints_total", kindCounter, "requests", result, "Requests with a hint: kept when the hinted target served, lost when another did."}},
@@ -127,9 +122,7 @@
 		{&s.Agent.Weight, entry{"agent_weight", kindGauge, "share", nil, "Share of its full load that the target asks for: 0 to 1."}},
 		{&s.Agent.Cold, entry{"agent_cold", kindGauge, "0 or 1", nil, "1 while the target has not proven warm."}},
 		{&s.Agent.Crashes, entry{"agent_crashes_total", kindCounter, "crashes", nil, "Times that the target died or restarted."}},
-		{&s.Agent.Suspects, entry{"agent_suspects", kindGauge, "contents", nil, "Contents that run alone or not at all because targets crashed under them."}},
 		{&s.Agent.Cached, entry{"agent_cached_tokens_total", kindCounter, "tokens", profile, "Prompt tokens that the target found in its cache."}},
-		{&s.Agent.Rebuilt, entry{"agent_rebuilt_tokens_total", kindCounter, "tokens", profile, "Prompt tokens that the target had to read again."}},
 		{&s.Agent.Moves, entry{"agent_moves_total", kindCounter, "chats", []string{labelWay, labelResult}, "KV cache moves of chats: way is import or export, result is ok or why it was given up."}},
 		{&s.Agent.Moved, entry{"agent_moved_bytes_total", kindCounter, "bytes", []string{labelWay}, "Bytes of KV cache moved."}},
 		{&s.Agent.Tickets, entry{"agent_tickets_total", kindCounter, "tickets", []string{labelResult}, "Tickets by state reached: fresh, running, done, unknown, dropped, or the reason of a refusal."}},
@@ -139,7 +132,6 @@
 		{&s.Workspaces.Wait, entry{"workspace_wait_seconds", kindHistogram, "seconds", []string{labelWorkspace}, "Time that a workspace's requests waited before they ran."}},
 		{&s.Publication.Version, entry{"publication_version", kindGauge, "version", nil, "Version of the publication in force; 0 for none."}},
 		{&s.Publication.Changes, entry{"publications_total", kindCounter, "publications", []string{labelResult}, "Publications seen: accepted, or why not."}},
-		{&s.Publication.Reads, entry{"platform_reads_total", kindCounter, "calls", []string{labelKind, labelResult}, "Calls to the configuration service."}},
 		{&s.Publication.Gossip, entry{"gossip_bytes_total", kindCounter, "bytes", []string{labelWay}, "Bytes of control messages with peers: in and out."}},
 		{&s.Publication.Rounds, entry{"gossip_rounds_total", kindCounter, "exchanges", []string{labelResult}, "Exchanges with peers: ok or failed."}},
 		{&s.Process.Audit, entry{"audit_records_total", kindCounter, "records", []string{labelKind}, "Records of the audit trail by kind."}},
--- a/node/agent.go
+++ b/node/agent.go
@@ -68,6 +68,7 @@
 
 // stop takes no new work and waits for what runs: a planned stop cuts nothing.
 func (n *Agent) stop() error {
+	n.log.Emit(event.ProcessNotReady, event.Str("cause", "leaving"))
 	n.log.Emit(event.ProcessDrain, event.Int("running", int64(n.agent.Load().Running)))
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.Drain.Std())
 	defer cancel()
--- a/node/entry.go
+++ b/node/entry.go
@@ -131,6 +131,7 @@
 // waits for requests in progress: a planned stop cuts nothing.
 func (n *Entry) stop(srv *http.Server) error {
 	n.entry.Leave()
+	n.log.Emit(event.ProcessNotReady, event.Str("cause", "leaving"))
 	n.log.Emit(event.ProcessDrain, event.Int("open", n.entry.Open()))
 	time.Sleep(leaveGrace)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Drain.Std())
--- a/node/notice.go
+++ b/node/notice.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"strings"
 
 	"chestnutstep.example/chestnutstep"
@@ -8,6 +9,7 @@
 	"chestnutstep.example/chestnutstep/audit"
 	"chestnutstep.example/chestnutstep/entry"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/order"
 )
 
 // targetEvents are the notices of an agent that change the state of its
@@ -40,8 +42,10 @@
 	case agent.NoticeCrash:
 		n.meters.Agent.Crashes.Add(1)
 	case agent.NoticeRefused:
-		n.log.Emit(event.OfferRefused, event.Request(m.Subject), event.Reason(m.Reason))
-		n.meters.Agent.Offers.Add(1, m.Profile, string(m.Reason))
+		n.refusedOffer(m)
+	case agent.NoticeMinted:
+		n.log.Emit(event.TicketsMinted, event.Workspace(m.Workspace), event.Int("count", int64(m.Count)))
+		n.meters.Agent.Tickets.Add(int64(m.Count), "fresh")
 	case agent.NoticeAccepted:
 		n.meters.Agent.Offers.Add(1, m.Profile, "accept")
 	case agent.NoticeQueued:
@@ -59,9 +63,41 @@
 	}
 }
 
+// refusedOffer notes an offer that was turned away, for a ticket with what
+// became of it.
+func (n *Agent) refusedOffer(m agent.Notice) {
+	id := event.OfferRefused
+	switch {
+	case m.Reason == chestnutstep.ReasonLink:
+		id = event.OfferExpired
+	case m.Ticket && slices.Contains(ticketReasons, m.Reason):
+		id = event.TicketRefused
+	case m.Ticket:
+		id = event.TicketDropped
+	}
+	n.log.Emit(id, event.Request(m.Subject), event.Reason(m.Reason), event.Workspace(m.Workspace))
+	n.meters.Agent.Offers.Add(1, m.Profile, string(m.Reason))
+	if m.Ticket {
+		n.meters.Agent.Tickets.Add(1, string(m.Reason))
+	}
+}
+
+// ticketReasons are refusals for the ticket's own sake.
+var ticketReasons = []chestnutstep.Reason{
+	chestnutstep.ReasonTicket, chestnutstep.ReasonDead, chestnutstep.ReasonExpired, chestnutstep.ReasonSpent,
+	chestnutstep.ReasonForged, chestnutstep.ReasonDropped, chestnutstep.ReasonGone,
+}
+
 // order notes an order to the engine.
 func (n *Agent) order(m agent.Notice) {
-	n.log.Emit(event.OrderDone, event.Str("order", m.Subject), event.Str("fence", m.Before), event.Str("end", m.After))
+	id := event.OrderDone
+	switch order.Event(m.After) {
+	case order.Refuse:
+		id = event.OrderRefused
+	case order.Lose:
+		id = event.OrderUnknown
+	}
+	n.log.Emit(id, event.Str("order", m.Subject), event.Str("fence", m.Before), event.Str("end", m.After))
 	kind, _, _ := strings.Cut(m.Subject, " ")
 	n.meters.Agent.Orders.Add(1, kind, m.After)
 	n.record(audit.KindOrder, m)
@@ -73,6 +109,7 @@
 	if result == "" {
 		result = "served"
 	}
+	n.endedBadly(m)
 	n.meters.Agent.Runs.Add(1, m.Profile, result)
 	n.meters.Agent.Wait.Observe(m.Wait, m.Profile)
 	n.meters.Agent.Cached.Add(m.Cached, m.Profile)
@@ -84,8 +121,26 @@
 	}
 }
 
+// endedBadly logs runs that an operator should know of, and counts tickets.
+func (n *Agent) endedBadly(m agent.Notice) {
+	request, target := event.Request(m.Subject), event.Target(n.agent.Name)
+	switch m.Reason {
+	case chestnutstep.ReasonCrossed:
+		n.log.Emit(event.AnswerCrossed, request, target)
+	case chestnutstep.ReasonShort:
+		n.log.Emit(event.AnswerShort, request, target)
+	}
+	switch {
+	case m.Ticket && m.Reason == "":
+		n.meters.Agent.Tickets.Add(1, "done")
+	case m.Ticket:
+		n.log.Emit(event.TicketUnknown, request, target, event.Reason(m.Reason))
+		n.meters.Agent.Tickets.Add(1, "unknown")
+	}
+}
+
 func (n *Agent) record(kind audit.Kind, m agent.Notice) {
-	n.trail.Add(audit.Record{
+	n.note(audit.Record{
 		Kind: kind, Subject: m.Subject, Cause: string(m.Kind) + " " + string(m.Reason),
 		Before: m.Before, After: m.After, Version: n.version(),
 	})
@@ -110,6 +165,7 @@
 		event.Int("offers", int64(m.Offers)),
 		event.Dur("total", m.Total),
 	)
+	n.onTheWay(m)
 	n.meters.Entry.Requests.Add(1, m.Profile, result)
 	if m.First > 0 {
 		n.meters.Entry.FirstByte.Observe(m.First, m.Profile)
@@ -119,6 +175,31 @@
 	}
 }
 
+// onTheWay notes what a request met before it ended.
+func (n *Entry) onTheWay(m entry.Notice) {
+	for _, name := range m.Silent {
+		n.log.Emit(event.OfferFailed, event.Request(m.Request), event.Target(name))
+	}
+	if m.Attached > 0 {
+		n.log.Emit(event.AnswerAttached, event.Request(m.Request), event.Target(m.Target))
+		n.meters.Entry.Attached.Add(int64(m.Attached), m.Profile, "ok")
+	}
+	if m.Denied {
+		n.log.Emit(event.RetryDenied, event.Request(m.Request), event.Profile(m.Profile))
+		n.meters.Entry.Retries.Add(1, m.Profile, "denied")
+	}
+	if m.Repeated > 0 {
+		n.meters.Entry.Retries.Add(int64(m.Repeated), m.Profile, "spent")
+	}
+	switch m.Hint {
+	case "":
+	case m.Target:
+		n.meters.Entry.Hints.Add(1, m.Profile, "kept")
+	default:
+		n.meters.Entry.Hints.Add(1, m.Profile, "lost")
+	}
+}
+
 // requestEvent is the log event of how a request ended.
 func requestEvent(m entry.Notice) event.ID {
 	switch {
--- a/node/publication.go
+++ b/node/publication.go
@@ -42,6 +42,12 @@
 	return b.source.alone
 }
 
+// note adds a record to the audit trail and counts it.
+func (b *base) note(r audit.Record) {
+	b.trail.Add(r)
+	b.meters.Process.Audit.Add(1, string(r.Kind))
+}
+
 // accepted notes a publication that came into force.
 func (b *base) accepted(c config.Change) {
 	p := c.To.Publication
@@ -60,12 +66,12 @@
 	if c.Clash {
 		b.log.Emit(event.PublicationConflict, event.Version(p.Version))
 	}
-	b.trail.Add(audit.Record{
+	b.note(audit.Record{
 		Kind: audit.KindAccepted, Subject: "publication", Cause: "published",
 		Before: before, After: c.Stamp.String(), Version: p.Version,
 	})
 	for _, r := range audit.Changes(old, p) {
-		b.trail.Add(r)
+		b.note(r)
 	}
 }
 
@@ -84,7 +90,7 @@
 	}
 	b.log.Emit(id, event.Version(r.Stamp.Version), event.Err(r.Err))
 	b.meters.Publication.Changes.Add(1, "refused")
-	b.trail.Add(audit.Record{
+	b.note(audit.Record{
 		Kind: audit.KindRefused, Subject: "publication", Cause: r.Err.Error(),
 		After: r.Stamp.String(), Version: b.version(),
 	})
--- a/node/watch.go
+++ b/node/watch.go
@@ -69,7 +69,7 @@
 func (n *Agent) turned(id event.ID, before, after, cause string) {
 	name := n.agent.Name
 	n.log.Emit(id, event.Target(name), event.Version(n.version()))
-	n.trail.Add(audit.Record{
+	n.note(audit.Record{
 		Kind: audit.KindTarget, Subject: name, Cause: cause,
 		Before: before, After: after, Version: n.version(),
 	})
