standin call: each run names its requests anew

Cause: run as docs/operate/saturated.md says, after the demo had played the same chats, 37 of 992 requests were refused 409 "spent": their names were known with other content. The refusal is right; the tool reused names.

--- a/cmd/standin/call.go
+++ b/cmd/standin/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -71,7 +72,7 @@
 	}
 	v.plan.Seed = uint64(v.seed)
 	var r load.Report
-	p := load.Player{Entries: v.entries, Keys: keys, Profile: v.profile, Tries: v.tries, Timeout: v.timeout, Report: &r}
+	p := load.Player{Run: rand.Text()[:8] + "-", Entries: v.entries, Keys: keys, Profile: v.profile, Tries: v.tries, Timeout: v.timeout, Report: &r}
 	p.Play(context.Background(), v.plan.Record())
 	bad := v.act(keys[v.plan.Workspaces[0]])
 	v.print(r.Summary())
--- a/load/player.go
+++ b/load/player.go
@@ -24,6 +24,9 @@
 	Tries int
 	// Timeout of a request; 0 leaves it to the profile.
 	Timeout time.Duration
+	// Run goes before the names of requests. Two runs need two: a request whose
+	// name an agent still knows, with other content, is refused as spent.
+	Run string
 	// Report is where results go.
 	Report *Report
 
@@ -70,7 +73,7 @@
 	ask := fake.Request{
 		Profile: s.player.Profile,
 		Chat:    s.chat.Name,
-		ID:      fmt.Sprintf("%s-%d", s.chat.Name, n),
+		ID:      fmt.Sprintf("%s%s-%d", s.player.Run, s.chat.Name, n),
 		Hint:    s.hint,
 		Timeout: s.player.Timeout,
 		Body:    body,
