agent: other content under a ticket's name is answered "maybe"

Cause, found reading the path once more: a request with the ticket of another one that runs was told "not run". That is so for its own content, but a caller reads it of the action, and would book again. Also: a limit that nothing used is gone, and two counters of a walk that differed by one letter got names that tell them apart.

--- a/agent/link.go
+++ b/agent/link.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"time"
-
 	"google.golang.org/grpc"
 
 	"chestnutstep.example/chestnutstep"
@@ -10,10 +8,6 @@
 	"chestnutstep.example/chestnutstep/wire"
 )
 
-// movedWait is how long a refused link stays open for the entry's note of
-// where the request went instead.
-const movedWait = 5 * time.Second
-
 type stream = grpc.BidiStreamingServer[wire.Up, wire.Down]
 
 // link is one entry's stream to a job.
@@ -94,7 +88,8 @@
 	return l.relay(offset)
 }
 
-// sendRefusal refuses, then waits for a note of where the request went.
+// sendRefusal refuses, then waits for a note of where the request went. The
+// entry ends the stream when its own walk ends, so the wait needs no limit.
 func (a *Agent) sendRefusal(st stream, r *wire.Refuse) error {
 	if err := st.Send(&wire.Down{Kind: &wire.Down_Refuse{Refuse: r}}); err != nil {
 		return err
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -45,7 +45,7 @@
 	}
 	if j != nil {
 		if j.offer.Fingerprint != o.Fingerprint || j.offer.Chat != o.Chat {
-			return admission{refuse: refusal(chestnutstep.ReasonSpent, chestnutstep.RunNo)}, true
+			return admission{refuse: a.otherContent(j)}, true
 		}
 		if j.whole || !j.isWaitingFor(o) {
 			return a.follow(j, true), true
@@ -65,6 +65,15 @@
 	return admission{}, false
 }
 
+// otherContent refuses a request under a name that belongs to another one. It
+// has not run; but its ticket may have, for the other.
+func (a *Agent) otherContent(j *job) *wire.Refuse {
+	if j.once() {
+		return refusal(chestnutstep.ReasonSpent, chestnutstep.RunMaybe)
+	}
+	return refusal(chestnutstep.ReasonSpent, chestnutstep.RunNo)
+}
+
 // isWaitingFor says that the offer brings the body that the job lacks.
 func (j *job) isWaitingFor(o *wire.Offer) bool {
 	return j.state <= placed && int64(len(o.Small)) == o.Size
--- a/entry/attach.go
+++ b/entry/attach.go
@@ -32,14 +32,14 @@
 // Whether the first offer arrived is not known here and need not be: the ticket
 // makes the second one join it.
 func (k *walk) again(ctx context.Context, t *chestnutstep.Target) step {
-	k.repeats++
-	if k.repeats > attachMost {
+	k.reoffers++
+	if k.reoffers > attachMost {
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: chestnutstep.RunMaybe})
 	}
 	select {
 	case <-ctx.Done():
 		return k.outOfTime(ctx)
-	case <-time.After(attachPause << k.repeats):
+	case <-time.After(attachPause << k.reoffers):
 	}
 	return k.try(ctx, t, k.ask.deadline.Sub(k.entry.Clock()))
 }
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -34,8 +34,8 @@
 	denied   bool
 	attached int
 	silent   []string
-	// repeats counts the offers of a ticketed request that got no answer.
-	repeats int
+	// reoffers counts the offers of a ticketed request that got no answer.
+	reoffers int
 	// refused is the open link of the first target that refused, to be told
 	// where the request went.
 	refused *link
