--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -43,6 +43,7 @@
 	service *fake.Service
 	pool    *dial.Pool
 	agents  []*agent.Agent
+	targets []string
 	entries []*httptest.Server
 }
 
@@ -108,6 +109,7 @@
 func (p *path) addAgent(name, model string, target http.Handler) {
 	back := httptest.NewServer(target)
 	p.t.Cleanup(back.Close)
+	p.targets = append(p.targets, back.URL)
 	reuse, single := agent.Clients()
 	a := &agent.Agent{
 		Name: name, URL: back.URL, Incarnation: "1", View: p.current,
