agent: the target's life follows its chart

Cause: the chart of targets was drawn and checked, and the agent decided by four flags beside it. Two faults came out on the way: - limits were taken anew when the version changed. Where two operators publish different content under one version, the store replaces one by the other, and the agent kept the limits of the first; - an answer that began before the target's death, with the old boot id in it, looked like one more restart and made what runs now suspect. Change: every refusal for the target's state comes from the chart's state, which changes by its moves only; limits follow the view and not its version. The second fault is seen by reading only.

--- a/admin/status.go
+++ b/admin/status.go
@@ -59,6 +59,8 @@
 	Name  string `json:"name"`
 	Host  string `json:"host"`
 	Model string `json:"model"`
+	// Life is the state of the target's chart, as its agent has it.
+	Life string `json:"life,omitempty"`
 	// Load is nil where the process has not heard of the target.
 	Load *chestnutstep.Load `json:"load,omitempty"`
 	// Mean is the estimated mean load of the model's targets; agents only.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/chart"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -74,10 +75,14 @@
 	Notify func(Notice)
 
 	// mu guards the decisions and all jobs: they are short and never block.
-	mu      sync.Mutex
-	jobs    map[string]*job
-	moved   movedNotes
-	chats   chatCache
+	mu    sync.Mutex
+	jobs  map[string]*job
+	moved movedNotes
+	chats chatCache
+	// view is the publication that was applied last, version its version. Two
+	// operators may publish different content under one version; the view tells
+	// them apart.
+	view    *chestnutstep.View
 	version uint64
 	health  health
 	// leaving is this process's own stop, away that of its host.
@@ -90,6 +95,8 @@
 	sender  sender
 	events  cacheLog
 	out     bool
+	// life is the state of the target's chart; it changes only by turn.
+	life string
 }
 
 // Run watches the target and the clock until ctx ends. It must run before the
@@ -112,6 +119,7 @@
 		return
 	}
 	a.jobs = make(map[string]*job)
+	a.life = chart.Target.Start()
 	a.mover.wake = make(chan struct{}, 1)
 	if a.Clock == nil {
 		a.Clock = time.Now
@@ -182,11 +190,19 @@
 	}
 	if away := a.Leaving(); away != a.away {
 		a.away = away
+		a.turn(awayEvent(away))
 		a.Gate.Leave(now, away)
 		a.Notify(Notice{Kind: NoticeLeaving, Subject: a.Name, After: strconv.FormatBool(away)})
 	}
 }
 
+func awayEvent(away bool) string {
+	if away {
+		return eventLeave
+	}
+	return eventStay
+}
+
 // advance starts or drops what the gate decided on waiting work.
 func (a *Agent) advance(now time.Time) {
 	next := a.Gate.Next(now)
@@ -207,6 +223,7 @@
 func (a *Agent) Leave(ctx context.Context) error {
 	a.mu.Lock()
 	a.leaving = true
+	a.turn(eventLeave)
 	a.Gate.Leave(a.Clock(), true)
 	a.mu.Unlock()
 	a.Notify(Notice{Kind: NoticeLeaving, Subject: a.Name})
--- a/agent/call.go
+++ b/agent/call.go
@@ -141,7 +141,7 @@
 	if !j.own(rs) {
 		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonCrossed, run: chestnutstep.RunMaybe}
 	}
-	j.agent.health.seen(j.agent, rs.Header.Get(chestnutstep.HeaderBoot))
+	j.agent.health.seen(j, rs.Header.Get(chestnutstep.HeaderBoot))
 	h := head(rs)
 	j.seeHead(h)
 	j.log.SetHead(h)
--- a/agent/health.go
+++ b/agent/health.go
@@ -26,6 +26,8 @@
 type health struct {
 	boot string
 	down bool
+	// heard says that the target has answered since this agent's start.
+	heard bool
 	// cold is what the target last said of itself.
 	cold bool
 	// crashes counts deaths with requests running.
@@ -107,24 +109,33 @@
 	if !turned {
 		return
 	}
+	a.turn(eventChill)
 	a.chats.clear()
 	a.Gate.Chill(now)
 	a.Notify(Notice{Kind: NoticeCold, Subject: a.Name, Before: h.boot, After: h.boot})
 }
 
-// seen takes a boot id from an answer.
-func (h *health) seen(a *Agent, boot string) {
+// seen takes the boot id from a job's answer. One that began before the target's
+// last death is late: taken as news, its old id would look like one more
+// restart, and what runs now would be suspected of it.
+func (h *health) seen(j *job, boot string) {
 	if boot == "" {
 		return
 	}
+	a := j.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	h.alive(a.Clock(), a, boot)
+	if j.crashes == h.crashes {
+		h.alive(a.Clock(), a, boot)
+	}
 }
 
 func (h *health) alive(now time.Time, a *Agent, boot string) {
 	wasDown := h.down
-	h.down = false
+	h.down, h.heard = false, true
+	if a.life == lifeStarting || a.life == lifeDown {
+		a.turn(eventReady)
+	}
 	if wasDown {
 		a.Notify(Notice{Kind: NoticeUp, Subject: a.Name, After: boot})
 	}
@@ -133,6 +144,7 @@
 	}
 	if h.boot != "" && !wasDown {
 		// It restarted between two probes: what was running died with it.
+		a.turn(eventChill)
 		h.crashed(now, a)
 	}
 	before := h.boot
@@ -148,6 +160,7 @@
 		return
 	}
 	h.down = true
+	a.turn(eventLost)
 	a.Notify(Notice{Kind: NoticeDown, Subject: a.Name, Before: h.boot})
 	h.crashed(now, a)
 }
--- a/agent/job.go
+++ b/agent/job.go
@@ -226,6 +226,9 @@
 		a.chats.put(chat{j.offer.Workspace, j.offer.Chat}, now)
 	}
 	a.Gate.End(now, j.key, res.outcome)
+	if res.outcome == chestnutstep.Served {
+		a.earned(a.Gate.Load(now).Cold)
+	}
 	a.advance(now)
 	a.Notify(j.ended(res))
 }
--- a/agent/limits.go
+++ b/agent/limits.go
@@ -10,14 +10,17 @@
 // refresh puts the limits of a new publication in force.
 func (a *Agent) refresh(now time.Time) {
 	v := a.View()
-	if v == nil || v.Publication.Version == a.version {
+	if v == nil || v == a.view {
 		return
 	}
+	a.view = v
 	a.sender.warden.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
 	t := v.Targets[a.Name]
 	if t == nil {
 		// Operators removed the target: it takes no new work.
 		a.version = v.Publication.Version
+		a.out = true
+		a.turn(eventOut)
 		a.Gate.Limit(now, chestnutstep.Limits{Out: true})
 		return
 	}
@@ -26,11 +29,19 @@
 	a.Gate.Limit(now, limits(v, t))
 	if out := v.Out(t); out != a.out {
 		a.out = out
+		a.turn(outEvent(out))
 		a.mover.notify(out)
 	}
 	a.Notify(Notice{Kind: NoticeLimits, Subject: a.Name, Before: number(before), After: number(a.version)})
 }
 
+func outEvent(out bool) string {
+	if out {
+		return eventOut
+	}
+	return eventBack
+}
+
 func limits(v *chestnutstep.View, t *chestnutstep.Target) chestnutstep.Limits {
 	l := chestnutstep.Limits{Weight: t.Size(), Out: v.Out(t), Single: single(v, t.Model)}
 	if m := v.Models[t.Model]; m != nil {
@@ -61,7 +72,7 @@
 		return
 	}
 	t := v.Targets[a.Name]
-	if !a.out && !a.away && !a.leaving && !a.health.down {
+	if a.closed() == "" {
 		a.Sampler.Own(now, a.sample(now, t))
 	}
 	a.Gate.Measure(now, a.Sampler.Mean(now))
--- a/agent/mint.go
+++ b/agent/mint.go
@@ -34,18 +34,11 @@
 // mintRefusal keeps tickets from binding actions to a target that is about to
 // refuse them.
 func (a *Agent) mintRefusal() chestnutstep.Reason {
-	v := a.View()
-	switch {
-	case v == nil:
+	if a.View() == nil {
 		return chestnutstep.ReasonVersion
-	case v.Targets[a.Name] == nil || v.Out(v.Targets[a.Name]):
-		return chestnutstep.ReasonOut
-	case a.leaving || a.away:
-		return chestnutstep.ReasonLeaving
-	case a.health.down:
-		return chestnutstep.ReasonDown
 	}
-	return ""
+	a.refresh(a.Clock())
+	return a.closed()
 }
 
 // Drop writes a tombstone for a ticket that has not run, and says the truth.
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -93,14 +93,12 @@
 	a.refresh(now)
 	t := v.Targets[a.Name]
 	switch {
-	case t == nil || v.Out(t):
-		return refusal(chestnutstep.ReasonOut, chestnutstep.RunNo)
-	case t.Model != o.Model:
+	case t != nil && t.Model != o.Model:
 		return refusal(chestnutstep.ReasonModel, chestnutstep.RunNo)
-	case a.leaving || a.away:
-		return refusal(chestnutstep.ReasonLeaving, chestnutstep.RunNo)
-	case a.health.down:
+	case a.closed() == chestnutstep.ReasonDown:
 		return a.downRefusal()
+	case a.closed() != "":
+		return refusal(a.closed(), chestnutstep.RunNo)
 	case o.Remain <= 0:
 		return refusal(chestnutstep.ReasonTimeout, chestnutstep.RunNo)
 	case a.Jury.Judge(now, o.Fingerprint) == chestnutstep.Condemned:
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -395,3 +395,45 @@
 		})
 	})
 }
+
+// Two operators publish different content under one version: first the one in
+// which the failure domain is in service, then, as its hash is higher, the one
+// in which it is out. An agent that looks at the version alone goes on taking
+// work in a domain that is being switched off.
+func TestRivalPublicationOfSameVersion(t *testing.T) {
+	s := newScripted(t)
+	assert.Equal(t, string(s.agent.mintRefusal()), "")
+	v := s.pub.Version
+	s.pub.Domains = []chestnutstep.Domain{{Name: "a", Region: "r", Out: true}}
+	s.agent.tick()
+	assert.Equal(t, s.pub.Version, v)
+	adm := s.agent.admit(&wire.Offer{Id: "a", Workspace: "w", Model: "m", Remain: int64(time.Second), Idempotent: true})
+	assert.Equal(t, adm.refuse.GetReason(), string(chestnutstep.ReasonOut))
+	assert.Equal(t, s.agent.Life(), lifeOut)
+}
+
+// A target dies and restarts while operators have it out, and its host is listed
+// as leaving when they bring it back. Each word alone would let work in; the
+// chart keeps them in order.
+func TestLifeFollowsItsChart(t *testing.T) {
+	s := newScripted(t)
+	assert.Equal(t, s.agent.Life(), lifeCold)
+	away := false
+	s.agent.Leaving = func() bool { return away }
+	for _, c := range []struct {
+		do   func()
+		want string
+	}{
+		{func() { s.agent.earned(true) }, lifeWarming},
+		{func() { s.agent.earned(false) }, "warm"},
+		{func() { s.pub.Domains[0].Out = true; s.agent.tick() }, lifeOut},
+		{s.die, lifeOut},
+		{func() { s.pub.Domains[0].Out = false; s.agent.tick() }, lifeDown},
+		{func() { away = true; s.agent.tick() }, lifeLeaving},
+		{func() { s.target.down, s.target.boot = false, "boot-2"; s.agent.health.check(s.agent) }, lifeLeaving},
+		{func() { away = false; s.agent.tick() }, lifeCold},
+	} {
+		c.do()
+		assert.Equal(t, s.agent.Life(), c.want)
+	}
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -156,7 +156,7 @@
 	}
 	m := n.mean()
 	s.Domains = ownDomain(v, t, admin.Target{
-		Name: t.Name, Host: t.Host, Model: t.Model, Load: &load, Mean: &m,
+		Name: t.Name, Host: t.Host, Model: t.Model, Life: n.agent.Life(), Load: &load, Mean: &m,
 		Why: admin.Why(v, t, &load, true),
 	})
 	return s
