node: tests use ports that systems don't hand out, at an address of their own

Cause: in a run beside the matrix and the process tests, two of node's tests failed: a port that was free when chosen was taken by another process before it was used ("address already in use", and another process's 400). Change: a loopback address for each run and ports below the range from which systems hand out.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,12 +35,19 @@
 	return string(l.all)
 }
 
+// firstPort lies below the ports that systems hand out by themselves: one of
+// those may be given to another process between a test's choice and its use.
+const firstPort = 21000
+
+// ports counts the ports given out, at a loopback address of this process's own.
+var (
+	ports   atomic.Int32
+	ownHost = fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(63), rand.IntN(256), 1+rand.IntN(254))
+)
+
 // free returns an address that nothing listens at.
-func free(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+func free(*testing.T) string {
+	return fmt.Sprintf("%s:%d", ownHost, firstPort+ports.Add(1))
 }
 
 func agentSettings(t *testing.T, listen string) *config.Settings {
--- a/node/path_test.go
+++ b/node/path_test.go
@@ -69,7 +69,7 @@
 }
 
 func (f *small) issue(name string) fake.Files {
-	files, err := f.ca.Issue(f.dir, name, "127.0.0.1")
+	files, err := f.ca.Issue(f.dir, name, ownHost)
 	assert.NilError(f.t, err)
 	return files
 }
@@ -162,7 +162,7 @@
 	f := newSmall(t)
 	other, err := fake.NewAuthority()
 	assert.NilError(t, err)
-	stranger, err := other.Issue(t.TempDir(), "stranger", "127.0.0.1")
+	stranger, err := other.Issue(t.TempDir(), "stranger", ownHost)
 	assert.NilError(t, err)
 	// The stranger trusts the fleet's authority, so that only the agent's check
 	// of the stranger's own certificate is between them.
