--- a/node/path_test.go
+++ b/node/path_test.go
@@ -140,8 +140,16 @@
 // between entry and agent, the publication from the platform.
 func TestWholePathUnderTLS(t *testing.T) {
 	f := newSmall(t)
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: f.roots}}}
-	defer client.CloseIdleConnections()
+	f.ask()
+}
+
+// ask sends a request on a connection of its own and returns the serial number
+// of the certificate that the entry showed.
+func (f *small) ask() string {
+	t := f.t
+	client := &http.Client{Transport: &http.Transport{
+		TLSClientConfig: &tls.Config{RootCAs: f.roots}, DisableKeepAlives: true,
+	}}
 	rq, err := http.NewRequest(http.MethodPost, "https://"+f.callers+"/v1/chat", strings.NewReader(`{"prompt":8,"output":4}`))
 	assert.NilError(t, err)
 	rq.Header.Set("Authorization", "Bearer key")
@@ -153,6 +161,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, rs.StatusCode, http.StatusOK, "%s", body)
 	assert.Assert(t, strings.Contains(string(body), "event: done"), "%s", body)
+	return rs.TLS.PeerCertificates[0].SerialNumber.String()
+}
+
+// Certificates end, and operators write new ones over them. A process that kept
+// the old ones until its next start would refuse callers one night.
+func TestRotatedCertificatesAreUsedWithoutRestart(t *testing.T) {
+	f := newSmall(t)
+	old := f.ask()
+	f.issue("door")
+	f.issue(string(config.RoleEntry))
+	f.issue(string(config.RoleAgent))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.ask() == old {
+			return poll.Continue("the old certificate is still shown")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
 }
 
 // Somebody on the operators' network starts a process of their own and talks to
