entry: a refusal of its own never says "not run" of a ticket

Cause, found reading: a repeat of a running booking that lacked a header, or came with a key just withdrawn, was refused with "not run" by the entry, which can't know. Proof: TestEntryNeverSaysNotRunOfATicket, seen failing on the first of its four cases without the change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -163,11 +163,22 @@
 	e.serve(w, r)
 }
 
+// unread is the refusal of a request that could not be read. One with a ticket
+// may be a repeat of an action that runs: only the ticket's agent may say that
+// it has not.
+func unread(r *http.Request, err error) *ErrRefused {
+	ref := *refused(err)
+	if r.Header.Get(chestnutstep.HeaderTicket) != "" && ref.Run == chestnutstep.RunNo {
+		ref.Run = chestnutstep.RunMaybe
+	}
+	return &ref
+}
+
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	start := e.Clock()
 	a, err := e.read(w, r)
 	if err != nil {
-		e.refuse(w, err, Notice{})
+		e.refuse(w, unread(r, err), Notice{})
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), a.deadline)
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// A caller repeats a booking that runs, and the repeat lacks a header or comes
+// with a key that was just withdrawn. Told "not run", it would book again.
+func TestEntryNeverSaysNotRunOfATicket(t *testing.T) {
+	p := newPath(t)
+	for _, headers := range [][]string{
+		{"Authorization", "Bearer nobody", chestnutstep.HeaderProfile, "book"},
+		{chestnutstep.HeaderProfile, "x"},
+		{chestnutstep.HeaderProfile, "book", chestnutstep.HeaderTimeout, "soon"},
+		{chestnutstep.HeaderProfile, "book"},
+	} {
+		rs, body := p.ask(0, "/bookings", "{}", append(headers, chestnutstep.HeaderTicket, "t")...)
+		assert.Assert(t, rs.StatusCode >= 400, body)
+		assert.Equal(t, rs.Header.Get(chestnutstep.HeaderRun), "maybe", body)
+	}
+}
+
 // An engine hangs. The caller's own time limit ends the wait, and the answer
 // says that the request may have run.
 func TestTimeLimit(t *testing.T) {
