--- a/admin/page.go
+++ b/admin/page.go
@@ -80,10 +80,10 @@
 		mean = fmt.Sprintf("%.1f", t.Mean.Load)
 	}
 	p.printf("%s\t%s\t%s\t%d\t%d\t%d\t%.2f\t%s\t%s\t%s\n", t.Name, t.Host, t.Model,
-		t.Load.Running, t.Load.Waiting, t.Load.Cap, t.Load.Weight, mean, temper(t), dash(t.Why))
+		t.Load.Running, t.Load.Waiting, t.Load.Cap, t.Load.Weight, mean, warmth(t), dash(t.Why))
 }
 
-func temper(t Target) string {
+func warmth(t Target) string {
 	state := "warm"
 	if t.Load.Cold {
 		state = "cold"
--- a/gossip/plan.go
+++ b/gossip/plan.go
@@ -11,8 +11,8 @@
 
 const (
 	// watchersMax is how many processes watch the service when the budget
-	// allows. The chance that all of them sit on one side of a cut, or stop in
-	// one sitting, falls with each; beyond a dozen or so the gain is nothing,
+	// allows. The chance that all of them are on one side of a cut, or stop at
+	// one time, falls with each; beyond a dozen or so the gain is nothing,
 	// while each one costs a waiting call and a copy of every change. It does
 	// not grow with the fleet, as the service does not either.
 	watchersMax = 16
