entry: the next agents hear of crashing content before its caller does

Cause: the matrix's cell chat/offer/poison failed once in some ten whole runs ("ran 3 times, wanted 2 at most"): the caller's repeat, sent at once through the other entry, reached a target whose agent had not heard of the second crash yet. Ruled out: waiting for gossip, a second; and holding the answer back. Change: an entry that condemns content first sends the agents that rank for it an offer without time or body, which only carries the crashes and never runs. All entries rank alike, so the repeat meets agents that know.

--- a/entry/step.go
+++ b/entry/step.go
@@ -69,6 +69,7 @@
 		k.entry.accuse(k.ask.fingerprint, k.crashed)
 	}
 	if len(k.crashed) >= crashesMost {
+		k.warn()
 		ref.Reason = chestnutstep.ReasonCondemned
 	}
 	return k.decide(ref)
