entry: warnings of crashing content go out side by side

Cause, found in the last read: the warnings were opened one after the other, and a silent agent takes half a second to be given up. With several silent agents the caller's final answer would have been held back by seconds; it is to come at once. Seen by reading, not by a run. Change: all go out at the same time; the answer waits for one agent's limit at the worst.

--- a/entry/warn.go
+++ b/entry/warn.go
@@ -1,6 +1,10 @@
 package entry
 
-import "sync"
+import (
+	"sync"
+
+	"chestnutstep.example/chestnutstep"
+)
 
 // warn tells the agents that rank for this content that it has crashed targets,
 // before its caller hears of it. The caller's repeat goes to the same agents
@@ -10,27 +14,28 @@
 func (k *walk) warn() {
 	var all sync.WaitGroup
 	for _, t := range k.targets {
-		l, err := k.entry.openLink(t)
-		if err != nil {
-			continue
-		}
 		all.Add(1)
-		go (&warning{walk: k, link: l}).run(&all)
+		go (&warning{walk: k, target: t}).run(&all)
 	}
 	all.Wait()
 }
 
-// warning is one agent's.
+// warning is one agent's. They go out side by side: one after the other, silent
+// agents would hold the caller's final answer back by half a second each.
 type warning struct {
-	walk *walk
-	link *link
+	walk   *walk
+	target *chestnutstep.Target
 }
 
 func (w *warning) run(all *sync.WaitGroup) {
 	defer all.Done()
-	defer w.link.cancel()
+	l, err := w.walk.entry.openLink(w.target)
+	if err != nil {
+		return
+	}
+	defer l.cancel()
 	o := w.walk.ask.offer(w.walk.entry.Clock(), 0)
 	o.Remain, o.Small, o.Size = 0, nil, 1
 	o.Crashed = w.walk.crashed
-	_, _ = w.walk.offer(w.link, o)
+	_, _ = w.walk.offer(l, o)
 }
