node, board: entries that lost everything ask targets what they hold

Ruled out: evictions (0 requests put back). Change: an entry that starts while no peer has run for 5 s lists the engines' caches; a part is fetched only from a target that has read it; a target that is leaving may still give.

--- a/board/board.go
+++ b/board/board.go
@@ -39,7 +39,7 @@
 
 	mu      sync.Mutex
 	targets map[uint32]*state
-	holds   map[uint64]map[uint32]clock.Stamp
+	holds   map[uint64]map[uint32]hold
 	news    []news
 	cursor  []uint64
 	peers   map[netip.AddrPort]*peer
@@ -56,6 +56,17 @@
 	cold    coldBucket
 }
 
+// hold is a prompt part in a target's cache.
+type hold struct {
+	at clock.Stamp
+	// ready says that the target has read it: before that there is nothing to
+	// fetch, and whoever tries reads it a second time.
+	ready bool
+	// listed says that only the target itself named it: most of such parts belong
+	// to one request, and peers are not told until another asks for it.
+	listed bool
+}
+
 type peer struct {
 	heard clock.Stamp
 	loads []share.Load
@@ -80,7 +91,7 @@
 		return
 	}
 	b.targets = make(map[uint32]*state)
-	b.holds = make(map[uint64]map[uint32]clock.Stamp)
+	b.holds = make(map[uint64]map[uint32]hold)
 	b.peers = make(map[netip.AddrPort]*peer)
 	b.sums = make(map[uint32]share.Load)
 }
@@ -133,11 +144,10 @@
 			Running: float64(s.running + int(sum.Running)),
 			Reading: float64(s.reading + readingUnit*int(sum.Reading)),
 			Slots:   t.Slots,
-			Held:    b.held(now, key, need.Parts),
+			Held:    b.held(now, key, need.Parts, false),
 			Failing: s.health.failing(),
 			Far:     t.Domain != need.Domain,
 			Cold:    cold,
-			Donor:   !cold && !s.health.down(now),
 		})
 	}
 	return list
@@ -153,12 +163,13 @@
 }
 
 // held counts the tokens of the leading parts in a target's cache: a part is of
-// use only if all before it are there too.
-func (b *Board) held(now clock.Stamp, key uint32, parts []chestnutstep.Part) int {
+// use only if all before it are there too. With ready, parts that are still being
+// read don't count.
+func (b *Board) held(now clock.Stamp, key uint32, parts []chestnutstep.Part, ready bool) int {
 	n := 0
 	for _, p := range parts {
-		at, ok := b.holds[p.ID][key]
-		if !ok || now.Sub(at) > holdKeep {
+		h, ok := b.holds[p.ID][key]
+		if !ok || now.Sub(h.at) > holdKeep || ready && !h.ready {
 			return n
 		}
 		n += p.Tokens
@@ -166,12 +177,36 @@
 	return n
 }
 
+// Donor returns the target with the longest prefix to fetch from; of several the
+// least loaded, as fetches from one run one after the other. One that is leaving
+// may give while it still answers: what only it holds is lost otherwise.
+func (b *Board) Donor(now clock.Stamp, v *roster.View, service *chestnutstep.Service, parts []chestnutstep.Part) place.Donor {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin()
+	var best place.Donor
+	for _, t := range v.Services[service.Name] {
+		key := Key(&t.Instance)
+		s := b.state(key)
+		if s.health.down(now) || now < t.ColdUntil {
+			continue
+		}
+		held := b.held(now, key, parts, true)
+		load := float64(s.running + int(b.sums[key].Running))
+		if held > best.Held || held == best.Held && held > 0 && load < best.Running {
+			best = place.Donor{ID: t.ID, Address: t.Address, Held: held, Running: load}
+		}
+	}
+	return best
+}
+
 // Run is a request in progress at a target. End it once.
 type Run struct {
 	board   *Board
 	key     uint32
 	parts   []chestnutstep.Part
 	reading int
+	ready   bool
 }
 
 // Start counts a request at a target.
@@ -190,15 +225,20 @@
 	}
 	r.reading = max(r.reading-held, 0)
 	s.reading += r.reading
-	b.hold(now, key, parts)
+	b.hold(now, key, parts, false)
 	return r
 }
 
 // First says that the target has read the prompt.
-func (r *Run) First() {
+func (r *Run) First(now clock.Stamp) {
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
+	if r.ready {
+		return
+	}
+	r.ready = true
 	r.read()
+	r.board.hold(now, r.key, r.parts, true)
 }
 
 func (r *Run) read() {
@@ -214,52 +254,67 @@
 	s := r.board.state(r.key)
 	s.running--
 	s.health.take(now, o)
-	if o == Refused || o == Unreached {
+	if !r.ready {
 		r.board.drop(r.key, r.parts)
 	}
 }
 
 // hold notes that a target reads parts. The last part is the request's own: no
 // other request asks for it.
-func (b *Board) hold(now clock.Stamp, key uint32, parts []chestnutstep.Part) {
+func (b *Board) hold(now clock.Stamp, key uint32, parts []chestnutstep.Part, ready bool) {
 	if len(parts) == 0 {
 		return
 	}
 	for _, p := range parts[:len(parts)-1] {
-		if !b.learn(now, p.ID, key) {
-			continue
+		if b.learn(now, p.ID, key, ready) {
+			b.news = append(b.news, news{hold: share.Hold{Target: key, Part: p.ID, Ready: ready}})
 		}
-		b.news = append(b.news, news{hold: share.Hold{Target: key, Part: p.ID}})
 	}
 }
 
 // learn notes a part in a cache, and says whether that is new.
-func (b *Board) learn(now clock.Stamp, part uint64, key uint32) bool {
+func (b *Board) learn(now clock.Stamp, part uint64, key uint32, ready bool) bool {
 	m := b.holds[part]
 	if m == nil {
 		if len(b.holds) >= partsMost {
 			b.forgetOld(now)
 		}
-		m = make(map[uint32]clock.Stamp, 2)
+		m = make(map[uint32]hold, 2)
 		b.holds[part] = m
 	}
-	_, known := m[key]
-	m[key] = now
-	return !known
+	old, known := m[key]
+	m[key] = hold{at: now, ready: ready || old.ready}
+	return !known || ready && !old.ready || old.listed
 }
 
 // drop forgets parts that a target did not read after all.
 func (b *Board) drop(key uint32, parts []chestnutstep.Part) {
 	for _, p := range parts {
-		delete(b.holds[p.ID], key)
+		if m := b.holds[p.ID]; m != nil && !m[key].ready {
+			delete(m, key)
+		}
+	}
+}
+
+// Hold notes what a target itself says of its cache.
+func (b *Board) Hold(now clock.Stamp, t *chestnutstep.Instance, parts []chestnutstep.Part) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin()
+	for _, p := range parts {
+		if _, known := b.holds[p.ID][Key(t)]; known {
+			continue
+		}
+		b.learn(now, p.ID, Key(t), true)
+		b.holds[p.ID][Key(t)] = hold{at: now, ready: true, listed: true}
 	}
 }
 
 // forgetOld makes room.
 func (b *Board) forgetOld(now clock.Stamp) {
 	for part, m := range b.holds {
-		for key, at := range m {
-			if now.Sub(at) > holdKeep/4 {
+		for key, h := range m {
+			if now.Sub(h.at) > holdKeep/4 {
 				delete(m, key)
 			}
 		}
--- a/board/peers.go
+++ b/board/peers.go
@@ -64,9 +64,9 @@
 	for len(list) < n && len(b.cursor) > 0 {
 		part := b.cursor[len(b.cursor)-1]
 		b.cursor = b.cursor[:len(b.cursor)-1]
-		for key, at := range b.holds[part] {
-			if now.Sub(at) < holdKeep/2 {
-				list = append(list, share.Hold{Target: key, Part: part})
+		for key, h := range b.holds[part] {
+			if h.ready && !h.listed && now.Sub(h.at) < holdKeep/2 {
+				list = append(list, share.Hold{Target: key, Part: part, Ready: true})
 			}
 		}
 	}
@@ -95,8 +95,8 @@
 			delete(b.holds[h.Part], h.Target)
 			continue
 		}
-		if _, known := b.holds[h.Part][h.Target]; !known {
-			b.learn(now, h.Part, h.Target)
+		if old, known := b.holds[h.Part][h.Target]; !known || h.Ready && !old.ready {
+			b.learn(now, h.Part, h.Target, h.Ready)
 		}
 	}
 }
--- a/cmd/chestnutstep/serve.go
+++ b/cmd/chestnutstep/serve.go
@@ -44,6 +44,7 @@
 		Settings: s,
 		Source:   platform.NewStore(s.Store, link.Dial),
 		Wire:     platform.Wire{},
+		Caches:   platform.NewTargets(),
 		Reloader: &config.Reloader{Path: file, Parse: parse},
 	}
 	return serve(n.Run)
--- a/config/direct.go
+++ b/config/direct.go
@@ -30,6 +30,8 @@
 	Memory int64
 	Files  int
 	Bounds Bounds
+	// First says that the whole fleet starts for the first time.
+	First bool
 }
 
 // Bounds are the limits that operators set for the fleet.
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -80,6 +80,7 @@
 	SettingsInForce ID = 7021
 	SettingsRefused ID = 7022
 	LinesDropped    ID = 7023
+	CacheListed     ID = 7024
 )
 
 // requestLines bounds the lines a second of each event about single requests of
@@ -521,4 +522,10 @@
 		Cause:   "Whatever reads standard output has stopped or lags.",
 		Action:  "Look at the reader; counters in the metrics are complete.",
 	},
+	{
+		ID: CacheListed, Name: "cache_listed", Level: Info,
+		Meaning: "A target was asked what prompt parts it holds.",
+		Cause:   "The entry started, and no peer knew.",
+		Action:  "Nothing.",
+	},
 }
--- a/node/direct.go
+++ b/node/direct.go
@@ -54,6 +54,8 @@
 	Settings *config.Direct
 	Source   chestnutstep.Source
 	Wire     chestnutstep.Wire
+	// Caches asks targets what they hold; nil for never.
+	Caches chestnutstep.Caches
 	// Out receives the log; standard output if unset.
 	Out io.Writer
 	// Reloader brings changed settings; nil for none.
@@ -72,7 +74,10 @@
 	kicks    []chan struct{}
 	newest   atomic.Uint64
 	leaving  atomic.Bool
-	counted  counted
+	began    time.Time
+	// experienced says that a peer was heard that has run for long.
+	experienced atomic.Bool
+	counted     counted
 }
 
 // Run serves until ctx ends, then lets requests in progress come to their end.
@@ -107,7 +112,7 @@
 	if n.Settings.Metrics != "" {
 		start(work, n.serveMetrics)
 	}
-	start(work, n.loop, n.peers.Loop, n.watch(chestnutstep.TopicRouting), n.watch(chestnutstep.TopicInstances),
+	start(work, n.loop, n.learn, n.peers.Loop, n.watch(chestnutstep.TopicRouting), n.watch(chestnutstep.TopicInstances),
 		func(context.Context) { served <- srv.Serve(&relay.Listener{Listener: callers, Relay: n.relay}) },
 		func(context.Context) { served <- probes.Serve(ready) },
 	)
@@ -123,6 +128,7 @@
 	if n.Out == nil {
 		n.Out = os.Stdout
 	}
+	n.began = time.Now()
 	n.settings.Store(n.Settings)
 	var err error
 	if n.meters, err = meter.NewSet(); err != nil {
--- a/place/place.go
+++ b/place/place.go
@@ -64,8 +64,15 @@
 	Far bool
 	// Cold targets take a request only while they have allowance left.
 	Cold bool
-	// Donor says that others may fetch from it.
-	Donor bool
+}
+
+// Donor is a target to fetch cache from; the zero Donor is none.
+type Donor struct {
+	ID      string
+	Address string
+	// Held is the tokens of the request's leading parts that it can give.
+	Held    int
+	Running float64
 }
 
 // Ask is a request to be placed.
@@ -83,29 +90,24 @@
 // Choice is a target, and where it fetches from.
 type Choice struct {
 	Index int
-	// Fetch is the index of the target to fetch cache from, -1 for none.
-	Fetch int
+	// Fetch says that the missing prefix is worth fetching from the donor.
+	Fetch bool
 	// Cost is the expected milliseconds to the first byte, for logs.
 	Cost float64
 }
 
 // Pick returns the best candidate; false where there is none.
-func Pick(list []Candidate, ask Ask) (Choice, bool) {
-	best := Choice{Index: -1, Fetch: -1, Cost: math.Inf(1)}
+func Pick(list []Candidate, donor Donor, ask Ask) (Choice, bool) {
+	best := Choice{Index: -1, Cost: math.Inf(1)}
 	limit := ceiling(list)
-	donor := bestDonor(list)
 	for pass := 0; pass < 2 && best.Index < 0; pass++ {
 		for i := range list {
-			c := &list[i]
-			if pass == 0 && c.Running+1 > limit {
+			if pass == 0 && list[i].Running+1 > limit {
 				continue
 			}
-			cost, fetch := cost(c, ask, donor, list)
+			cost, fetch := cost(&list[i], donor, ask)
 			if cost < best.Cost {
-				best = Choice{Index: i, Cost: cost, Fetch: -1}
-				if fetch {
-					best.Fetch = donor
-				}
+				best = Choice{Index: i, Cost: cost, Fetch: fetch}
 			}
 		}
 	}
@@ -129,24 +131,8 @@
 	return max(Spread*sum/float64(n), sum/float64(n)+spreadSlack)
 }
 
-// bestDonor is the target with the longest prefix, the least loaded of several:
-// fetches from one target run one after the other.
-func bestDonor(list []Candidate) int {
-	best := -1
-	for i := range list {
-		c := &list[i]
-		if !c.Donor || c.Held < fetchLeast {
-			continue
-		}
-		if best < 0 || c.Held > list[best].Held || c.Held == list[best].Held && c.Running < list[best].Running {
-			best = i
-		}
-	}
-	return best
-}
-
 // cost is the expected time to the first byte, and whether fetching shortens it.
-func cost(c *Candidate, ask Ask, donor int, list []Candidate) (float64, bool) {
+func cost(c *Candidate, donor Donor, ask Ask) (float64, bool) {
 	ms := c.Running*Share + c.Reading/ReadRate + c.Failing*greyCost
 	if c.Slots > 0 && c.Running >= float64(c.Slots) {
 		ms += (c.Running - float64(c.Slots) + 1) * slotCost
@@ -157,16 +143,12 @@
 	if ask.Key != 0 {
 		ms += tieCost * unit(c.ID, ask.Key)
 	}
-	missing := ask.Tokens - c.Held
-	if donor < 0 || ask.Tokens == 0 {
-		return ms + float64(max(missing, 0))/ReadRate, false
-	}
-	gain := list[donor].Held - c.Held
-	if gain < fetchLeast {
-		return ms + float64(max(missing, 0))/ReadRate, false
+	missing := float64(max(ask.Tokens-c.Held, 0))
+	gain := donor.Held - c.Held
+	if donor.ID == c.ID || gain < fetchLeast {
+		return ms + missing/ReadRate, false
 	}
-	ms += float64(gain)/FetchRate + float64(max(missing-gain, 0))/ReadRate + fetchPrice
-	return ms, true
+	return ms + float64(gain)/FetchRate + (missing-float64(gain))/ReadRate + fetchPrice, true
 }
 
 const (
--- a/relay/run.go
+++ b/relay/run.go
@@ -62,15 +62,18 @@
 		need.Suspects = true
 		list = q.Board.Candidates(now, q.view, q.service, need)
 	}
-	picked, ok := place.Pick(list, q.want())
+	var donor place.Donor
+	if q.service.Engine {
+		donor = q.Board.Donor(now, q.view, q.service, q.ask.Parts)
+	}
+	picked, ok := place.Pick(list, donor, q.want())
 	if !ok {
 		return nil, choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonTarget, retryBusy}
 	}
-	c := choice{candidate: list[picked.Index], cost: picked.Cost, of: len(list)}
-	if picked.Fetch >= 0 {
-		c.fetch, c.held = list[picked.Fetch].Address, list[picked.Fetch].Held
+	c := choice{candidate: list[picked.Index], held: list[picked.Index].Held, cost: picked.Cost, of: len(list)}
+	if picked.Fetch {
+		c.fetch, c.held = donor.Address, donor.Held
 	}
-	c.held = max(c.held, c.candidate.Held)
 	return q.view.ByID[c.candidate.ID], c, nil
 }
 
@@ -141,7 +144,8 @@
 	run := q.Board.Start(now, t, q.service, q.ask.Parts, c.held)
 	q.log(event.RelaySent,
 		event.Str("target", t.ID), event.Str("service", q.service.Name), event.Int("try", int64(q.tally.Tries+1)),
-		event.Float("running", c.candidate.Running), event.Int("held", int64(c.held)), event.Float("cost", c.cost),
+		event.Float("running", c.candidate.Running), event.Int("own", int64(c.candidate.Held)), event.Int("held", int64(c.held)),
+		event.Int("shared", int64(q.want().Shared)), event.Float("cost", c.cost),
 		event.Int("of", int64(c.of)), event.Bool("cold", c.candidate.Cold), event.Str("fetch", c.fetch),
 		event.Uint("version", q.view.Routing.Version))
 	q.countTokens(c)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,6 +12,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
 )
 
@@ -40,7 +41,7 @@
 			a.Close(false)
 			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: q.cut(), Err: err}
 		}
-		run.First()
+		run.First(clock.Now())
 		if err := q.check(id); err != nil {
 			a.Close(false)
 			return err
--- a/share/report.go
+++ b/share/report.go
@@ -30,6 +30,8 @@
 	// Age of the proof that the version is current, in milliseconds; -1 for no
 	// proof.
 	Age int64
+	// Up is how long the sender has run, in seconds.
+	Up uint32
 	// Leaving says that the sender is stopping.
 	Leaving bool
 	// Peers are some other entries that the sender hears.
@@ -51,11 +53,13 @@
 	Reading uint16
 }
 
-// Hold says that a target has a part in its cache. Gone says that it lost it.
+// Hold says that a target has a part in its cache, or is reading it unless it is
+// Ready. Gone says that it lost it.
 type Hold struct {
 	_      struct{} `cbor:",toarray"`
 	Target uint32
 	Part   uint64
+	Ready  bool
 	Gone   bool
 }
 
