watch: two entries prove the configuration current, changes are gathered

Change: the first two entries by hash watch for a second, the rest for ten and take their proof from peers; an entry whose proof is 2.2 s old asks by itself; after a change a watch rests 300 ms.

--- a/board/cold.go
+++ b/board/cold.go
@@ -65,18 +65,28 @@
 }
 
 // sponsors says whether this entry is among the first k by hash.
-func (b *Board) sponsors(key uint32, k int) bool {
-	own := rank(b.Self, key)
+func (b *Board) sponsors(key uint32, k int) bool { return b.rank(key) < k }
+
+// rank is this entry's place among those that are heard, by hash.
+func (b *Board) rank(key uint32) int {
+	own := hash(b.Self, key)
 	before := 0
 	for p := range b.peers {
-		if rank(p, key) < own {
+		if hash(p, key) < own {
 			before++
 		}
 	}
-	return before < k
+	return before
+}
+
+// Rank is this entry's place among those that are heard.
+func (b *Board) Rank() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rank(0)
 }
 
-func rank(entry netip.AddrPort, key uint32) uint64 {
+func hash(entry netip.AddrPort, key uint32) uint64 {
 	a := entry.Addr().As16()
 	return xxhash.Sum64(binary.LittleEndian.AppendUint32(slices.Clone(a[:]), key))
 }
--- a/node/advice.go
+++ b/node/advice.go
@@ -9,6 +9,7 @@
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
+	"chestnutstep.example/chestnutstep/watch"
 )
 
 // holdsTold bounds the holds of one datagram.
@@ -42,10 +43,7 @@
 	case r.Version > own && r.Version > n.newest.Load():
 		n.newest.Store(r.Version)
 		n.log.Emit(event.PeerNewer, event.Uint("version", r.Version), event.Uint("own", own), event.Str("peer", r.From.String()))
-		select {
-		case n.kicks[0] <- struct{}{}:
-		default:
-		}
+		n.kickWatch(watch.KickFull)
 	}
 }
 
--- a/node/direct.go
+++ b/node/direct.go
@@ -71,10 +71,12 @@
 	relay    *relay.Relay
 	pool     *link.Pool
 	peers    *share.Peers
-	kicks    []chan struct{}
-	newest   atomic.Uint64
-	leaving  atomic.Bool
-	began    time.Time
+	kick     chan watch.Kick
+	// waitsLong says that the present watch of the configuration waits for long.
+	waitsLong atomic.Bool
+	newest    atomic.Uint64
+	leaving   atomic.Bool
+	began     time.Time
 	// experienced says that a peer was heard that has run for long.
 	experienced atomic.Bool
 	counted     counted
@@ -136,6 +138,7 @@
 	}
 	n.async = event.NewAsync(n.Out)
 	n.log = &event.Log{Out: n.async, Process: n.Settings.Name}
+	n.kick = make(chan watch.Kick, 1)
 	n.roster = &roster.Roster{}
 	n.pool = &link.Pool{}
 	n.crashes = &relay.Crashes{}
@@ -210,12 +213,31 @@
 }
 
 func (n *Direct) watch(topic chestnutstep.Topic) task {
-	kick := make(chan struct{}, 1)
-	n.kicks = append(n.kicks, kick)
-	w := &watch.Watcher{Source: n.Source, Topic: topic, Roster: n.roster, Notify: n, Kick: kick}
+	w := &watch.Watcher{Source: n.Source, Topic: topic, Roster: n.roster, Notify: n, Wait: watch.Long}
+	if topic == chestnutstep.TopicRouting {
+		w.Kick, w.Wait = n.kick, n.pace
+	}
 	return w.Run
 }
 
+// pace is how long the next watch of the configuration waits.
+func (n *Direct) pace() time.Duration {
+	d := watch.Pace(n.board.Rank(), n.proofAge())
+	n.waitsLong.Store(d >= watch.Long())
+	return d
+}
+
+// proofAge is the age of the proof that the configuration is current.
+func (n *Direct) proofAge() time.Duration { return clock.Now().Sub(n.roster.Proof()) }
+
+// kickWatch ends the present watch of the configuration.
+func (n *Direct) kickWatch(k watch.Kick) {
+	select {
+	case n.kick <- k:
+	default: // one is on its way
+	}
+}
+
 // loop looks after what needs no hurry.
 func (n *Direct) loop(ctx context.Context) {
 	tick := time.NewTicker(directTick)
@@ -230,6 +252,9 @@
 		if c := n.roster.Tick(clock.Now()); !c.Empty() {
 			n.Changed(chestnutstep.TopicInstances, c, clock.Now())
 		}
+		if watch.Stale(n.proofAge()) && n.waitsLong.Swap(false) {
+			n.kickWatch(watch.KickAgain)
+		}
 		n.count()
 	}
 }
@@ -259,7 +284,7 @@
 	n.counted = counted{dropped, opened, out, in, live}
 	m.Peers.Set(float64(live))
 	m.Open.Set(float64(n.relay.Open()))
-	m.Proof.Set(clock.Now().Sub(n.roster.Proof()).Seconds())
+	m.Proof.Set(n.proofAge().Seconds())
 	if v := n.roster.View(); v != nil {
 		m.Version.Set(float64(v.Routing.Version))
 		m.Targets.Set(float64(len(v.ByID)))
@@ -274,7 +299,7 @@
 	if n.roster.View() == nil {
 		return &ErrNotReady{Cause: "no configuration yet"}
 	}
-	age := clock.Now().Sub(n.roster.Proof())
+	age := n.proofAge()
 	if limit := n.bounds().Revoke; limit > 0 && age > time.Duration(unprovedReady*float64(limit)) {
 		return &ErrNotReady{Cause: "configuration not proved current"}
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -16,15 +16,15 @@
 )
 
 const (
-	// Wait is how long one watch waits for changes. Its return proves that the
-	// process is up to date as of its beginning; with a second, the proof is two
-	// seconds old at most, well inside the bounds on keys that were taken away.
-	Wait = time.Second
 	// pauseLeast and pauseMost bound the pause after a failure. The least lets a
 	// lost answer be asked for at once; the most keeps a fleet of 350 under
 	// 1,200 calls a second while the source refuses them.
 	pauseLeast = 30 * time.Millisecond
 	pauseMost  = 300 * time.Millisecond
+	// gather is how long a watch rests after changes: what changes together, such
+	// as targets that are replaced one by one, is then read by one call. Changes
+	// have to be in force within seconds.
+	gather = 300 * time.Millisecond
 )
 
 // Watcher follows one topic of a source. Set the fields before Run.
@@ -34,15 +34,31 @@
 	Roster *roster.Roster
 	// Notify hears of what changed, and of each loss and return of the source.
 	Notify Notify
-	// Kick asks for a full read now: a peer knows something newer.
-	Kick chan struct{}
+	// Wait is how long the next watch waits for changes.
+	Wait func() time.Duration
+	// Kick ends the present watch.
+	Kick chan Kick
 
 	revision uint64
 	pause    time.Duration
 	lost     bool
-	kicked   atomic.Bool
+	kicked   atomic.Int32
 }
 
+// Kick says why a watch ends early.
+type Kick int32
+
+// The reasons for a kick.
+const (
+	// KickNone is no kick.
+	KickNone Kick = iota
+	// KickAgain makes the next watch begin now: its return proves that the
+	// process is up to date.
+	KickAgain
+	// KickFull makes the process read all: a peer knows something newer.
+	KickFull
+)
+
 // Notify is what a watcher reports.
 type Notify interface {
 	Changed(topic chestnutstep.Topic, c roster.Change, asked clock.Stamp)
@@ -70,9 +86,12 @@
 	} else {
 		b, err = w.watch(ctx)
 	}
-	if w.kicked.Swap(false) {
+	switch Kick(w.kicked.Swap(int32(KickNone))) {
+	case KickFull:
 		w.revision = 0
 		return nil
+	case KickAgain:
+		return nil
 	}
 	if err != nil {
 		return err
@@ -92,9 +111,22 @@
 	if !c.Empty() {
 		w.Notify.Changed(w.Topic, c, asked)
 	}
+	if len(b.Facts) > 0 && !full {
+		rest(ctx, gather)
+	}
 	return nil
 }
 
+// rest waits, or until ctx ends.
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // watch waits for changes, and gives up when it is kicked.
 func (w *Watcher) watch(ctx context.Context) (chestnutstep.Batch, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -102,15 +134,15 @@
 	done := make(chan struct{})
 	defer close(done)
 	go w.loop(done, cancel)
-	return w.Source.Watch(ctx, w.Topic, w.revision, Wait)
+	return w.Source.Watch(ctx, w.Topic, w.revision, w.Wait())
 }
 
 // loop ends a watch that was kicked.
 func (w *Watcher) loop(done <-chan struct{}, cancel context.CancelFunc) {
 	select {
 	case <-done:
-	case <-w.Kick:
-		w.kicked.Store(true)
+	case k := <-w.Kick:
+		w.kicked.Store(int32(k))
 		cancel()
 	}
 }
@@ -127,10 +159,5 @@
 		w.Notify.Lost(w.Topic, err)
 	}
 	w.pause = min(max(2*w.pause, pauseLeast), pauseMost)
-	t := time.NewTimer(w.pause/2 + rand.N(w.pause))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	rest(ctx, w.pause/2+rand.N(w.pause))
 }
