--- a/board/board.go
+++ b/board/board.go
@@ -39,10 +39,11 @@
 
 	mu      sync.Mutex
 	targets map[uint32]*state
-	holds   map[uint64]map[uint32]hold
+	// holds is by the low half of a part's ID, and by target.
+	holds   map[uint32]map[uint32]hold
 	news    []news
 	gone    []goneNews
-	cursor  []uint64
+	cursor  []uint32
 	peers   map[netip.AddrPort]*peer
 	sums    map[uint32]share.Load
 	// most is the largest number of entries that was known at once.
@@ -92,7 +93,7 @@
 		return
 	}
 	b.targets = make(map[uint32]*state)
-	b.holds = make(map[uint64]map[uint32]hold)
+	b.holds = make(map[uint32]map[uint32]hold)
 	b.peers = make(map[netip.AddrPort]*peer)
 	b.sums = make(map[uint32]share.Load)
 }
@@ -169,7 +170,7 @@
 func (b *Board) held(now clock.Stamp, key uint32, parts []chestnutstep.Part, ready bool) int {
 	n := 0
 	for _, p := range parts {
-		h, ok := b.holds[p.ID][key]
+		h, ok := b.holds[uint32(p.ID)][key]
 		if !ok || now.Sub(h.at) > holdKeep || ready && !h.ready {
 			return n
 		}
@@ -270,14 +271,14 @@
 		return
 	}
 	for _, p := range parts[:len(parts)-1] {
-		if b.learn(now, p.ID, key, ready) {
-			b.news = append(b.news, news{hold: share.Hold{Target: key, Part: p.ID, Ready: ready}})
+		if b.learn(now, uint32(p.ID), key, ready) {
+			b.news = append(b.news, news{hold: share.Hold{Target: key, Part: uint32(p.ID), Ready: ready}})
 		}
 	}
 }
 
 // learn notes a part in a cache, and says whether that is new.
-func (b *Board) learn(now clock.Stamp, part uint64, key uint32, ready bool) bool {
+func (b *Board) learn(now clock.Stamp, part, key uint32, ready bool) bool {
 	m := b.holds[part]
 	if m == nil {
 		if len(b.holds) >= partsMost {
@@ -294,7 +295,7 @@
 // drop forgets parts that a target did not read after all.
 func (b *Board) drop(key uint32, parts []chestnutstep.Part) {
 	for _, p := range parts {
-		if m := b.holds[p.ID]; m != nil && !m[key].ready {
+		if m := b.holds[uint32(p.ID)]; m != nil && !m[key].ready {
 			delete(m, key)
 		}
 	}
@@ -306,12 +307,17 @@
 	defer b.mu.Unlock()
 	b.begin()
 	for _, p := range parts {
-		if _, known := b.holds[p.ID][Key(t)]; known {
-			continue
-		}
-		b.learn(now, p.ID, Key(t), true)
-		b.holds[p.ID][Key(t)] = hold{at: now, ready: true, listed: true}
+		b.list(now, Key(t), uint32(p.ID))
+	}
+}
+
+// list notes a part that a target named, unless more is known of it.
+func (b *Board) list(now clock.Stamp, key, part uint32) {
+	if _, known := b.holds[part][key]; known {
+		return
 	}
+	b.learn(now, part, key, true)
+	b.holds[part][key] = hold{at: now, ready: true, listed: true}
 }
 
 // forgetOld makes room.
--- a/board/cold.go
+++ b/board/cold.go
@@ -67,6 +67,14 @@
 // sponsors says whether this entry is among the first k by hash.
 func (b *Board) sponsors(key uint32, k int) bool { return b.rank(key) < k }
 
+// Sponsors says whether this entry is among the first k that look after a
+// target.
+func (b *Board) Sponsors(t *chestnutstep.Instance, k int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sponsors(Key(t), k)
+}
+
 // rank is this entry's place among those that are heard, by hash.
 func (b *Board) rank(key uint32) int {
 	own := hash(b.Self, key)
--- a/board/peers.go
+++ b/board/peers.go
@@ -113,6 +113,10 @@
 		b.peers[r.From] = p
 		b.most = max(b.most, len(b.peers)+1)
 	}
+	if len(r.Lists) > 0 {
+		b.takeLists(now, r.Lists)
+		return
+	}
 	b.add(p.loads, -1)
 	p.heard, p.loads = now, r.Loads
 	if r.Leaving {
@@ -135,6 +139,13 @@
 	}
 }
 
+// takeLists notes caches that a peer was told of.
+func (b *Board) takeLists(now clock.Stamp, lists []share.List) {
+	for _, l := range lists {
+		l.Each(func(part uint32) { b.list(now, l.Target, part) })
+	}
+}
+
 // add puts a peer's loads into the sums, or takes them out.
 func (b *Board) add(loads []share.Load, sign int) {
 	for _, l := range loads {
--- a/share/peers.go
+++ b/share/peers.go
@@ -108,6 +108,22 @@
 	p.round(clock.Now())
 }
 
+// Spread sends lists to the peers at once, a datagram for each: to some of them
+// where there are many. It is for the seconds after a loss of all entries, and
+// not counted in the pace.
+func (p *Peers) Spread(lists ...List) {
+	now := clock.Now()
+	for _, l := range lists {
+		r := &Report{From: p.Self, Run: p.Run, Lists: []List{l}, Age: -1}
+		for _, to := range p.choose(now, r) {
+			n := p.send(r, to)
+			p.mu.Lock()
+			p.out += int64(n)
+			p.mu.Unlock()
+		}
+	}
+}
+
 // Seed adds addresses of entries to ask.
 func (p *Peers) Seed(list []netip.AddrPort) {
 	p.mu.Lock()
--- a/share/report.go
+++ b/share/report.go
@@ -4,6 +4,7 @@
 package share
 
 import (
+	"encoding/binary"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,39 @@
 	Gone []uint32
 	// Crashes are contents that were running when a target died.
 	Crashes []Crash
+	// Lists are whole caches, as targets named them.
+	Lists []List
+}
+
+// List is what a target named of its cache: the low half of each part's ID, four
+// bytes each, little endian. Halves are mistaken for each other once in some
+// hundred listings of a fleet, which costs one prefix read again.
+type List struct {
+	_      struct{} `cbor:",toarray"`
+	Target uint32
+	Parts  []byte
+}
+
+// partBytes is the size of a part in a List.
+const partBytes = 4
+
+// listMost is how many parts fit a datagram.
+const listMost = 320
+
+// NewList packs parts; those beyond what fits a datagram are left out.
+func NewList(target uint32, parts []uint64) List {
+	l := List{Target: target}
+	for _, p := range parts[:min(len(parts), listMost)] {
+		l.Parts = binary.LittleEndian.AppendUint32(l.Parts, uint32(p))
+	}
+	return l
+}
+
+// Each calls f for each part.
+func (l List) Each(f func(part uint32)) {
+	for b := l.Parts; len(b) >= partBytes; b = b[partBytes:] {
+		f(binary.LittleEndian.Uint32(b))
+	}
 }
 
 // Load is what one entry has in progress at a target.
@@ -60,8 +94,9 @@
 type Hold struct {
 	_      struct{} `cbor:",toarray"`
 	Target uint32
-	Part   uint64
-	Ready  bool
+	// Part is the low half of the part's ID.
+	Part  uint32
+	Ready bool
 	Gone   bool
 }
 
