relay: its promises tested over loopback, by scripted targets

platform/stand plays the store and the targets with their known failures. Ties between targets are broken by the request's own hash, and the view lists targets in order: both so that a script has one outcome, the first so that idle targets share what comes.

--- a/place/place.go
+++ b/place/place.go
@@ -10,7 +10,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -77,14 +76,13 @@
 
 // Ask is a request to be placed.
 type Ask struct {
-	// Key of the prefix that the request shares with others; 0 for none.
+	// Key of the prefix that the request shares with others, or of the request
+	// itself where it shares none.
 	Key uint64
 	// Tokens of the prompt, 0 where the service has no cache.
 	Tokens int
 	// Shared is how many of them other requests share.
 	Shared int
-	// Wait is how long the request may wait for its first byte.
-	Wait time.Duration
 }
 
 // Choice is a target, and where it fetches from.
@@ -140,9 +138,7 @@
 	if c.Far {
 		ms += farCost
 	}
-	if ask.Key != 0 {
-		ms += tieCost * unit(c.ID, ask.Key)
-	}
+	ms += tieCost * unit(c.ID, ask.Key)
 	missing := float64(max(ask.Tokens-c.Held, 0))
 	gain := donor.Held - c.Held
 	if donor.ID == c.ID || gain < fetchLeast {
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,207 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/meter"
+	"chestnutstep.example/chestnutstep/platform"
+	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/relay"
+	"chestnutstep.example/chestnutstep/retry"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+const (
+	key      = "secret"
+	host     = "shop.example"
+	timeout  = 400 * time.Millisecond
+	revokeIn = 5 * time.Second
+)
+
+// rig is a relay before three targets.
+type rig struct {
+	targets []*stand.Target
+	order   *stand.Order
+	roster  *roster.Roster
+	relay   *relay.Relay
+	server  *httptest.Server
+	asked   int
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	g := &rig{order: &stand.Order{}, roster: &roster.Roster{}}
+	b := chestnutstep.Batch{Revision: 1}
+	for _, name := range []string{"i-a", "i-b", "i-c"} {
+		x := stand.NewTarget(name)
+		x.Order = g.order
+		t.Cleanup(x.Close)
+		g.targets = append(g.targets, x)
+		b.Facts = append(b.Facts, chestnutstep.Fact{
+			Kind: chestnutstep.FactInstance, Name: name, Revision: 1,
+			Instance: &chestnutstep.Instance{ID: name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8},
+		})
+	}
+	g.roster.Learn(clock.Now(), chestnutstep.TopicInstances, b, true)
+	g.publish(1, key)
+	g.roster.Prove(clock.Now())
+	bounds := config.Bounds{Revoke: revokeIn}
+	g.relay = &relay.Relay{
+		Domain: "d", Bounds: func() config.Bounds { return bounds },
+		Roster: g.roster, Board: &board.Board{}, Pool: &link.Pool{}, Wire: platform.Wire{},
+		Crashes: &relay.Crashes{}, Meters: &meter.Relay{}, Behind: func() bool { return false },
+		Budgets: &retry.Budgets{
+			Bounds:  func() retry.Bounds { return retry.Bounds{Share: 1, Slack: 100, Window: time.Second} },
+			Entries: func() int { return 1 },
+		},
+	}
+	g.server = httptest.NewServer(g.relay)
+	t.Cleanup(g.server.Close)
+	return g
+}
+
+// publish puts a version in force whose workspace has these keys.
+func (g *rig) publish(version uint64, keys ...string) {
+	c := &chestnutstep.Routing{
+		Version:    version,
+		Keyed:      true,
+		Services:   map[string]*chestnutstep.Service{"shop": {Name: "shop"}},
+		Workspaces: []*chestnutstep.Client{{Name: "ws", Keys: keys}},
+	}
+	for name, r := range map[string]chestnutstep.Route{
+		"safe":   {Kind: chestnutstep.Safe, Tries: 2},
+		"unsafe": {Kind: chestnutstep.Unsafe, Tries: 2},
+		"stream": {Kind: chestnutstep.Stream, Tries: 2},
+		"resume": {Kind: chestnutstep.Stream, Tries: 2, Resumable: true},
+	} {
+		r.Name, r.Host, r.Prefix, r.Timeout = name, host, "/"+name+"/", timeout
+		if r.Kind == chestnutstep.Stream {
+			r.Prefix = "/" + name + "/stream/"
+		}
+		r.Splits = []chestnutstep.Split{{Service: "shop", Weight: 1}}
+		c.Routes = append(c.Routes, r)
+	}
+	c.Index()
+	g.roster.Learn(clock.Now(), chestnutstep.TopicRouting, chestnutstep.Batch{Facts: []chestnutstep.Fact{{
+		Kind: chestnutstep.FactRouting, Revision: version, Routing: c,
+	}}}, false)
+}
+
+// ask sends one request on a connection of its own and says what came.
+func (g *rig) ask(t *testing.T, kind string, headers ...string) string {
+	t.Helper()
+	g.asked++
+	id := fmt.Sprintf("req-%d", g.asked)
+	path := "/" + kind + "/x"
+	if kind == "stream" || kind == "resume" {
+		path = "/" + kind + "/stream/x"
+	}
+	c, err := net.Dial("tcp", g.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	body := "the body of " + id
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: 3000\r\n%sContent-Length: %d\r\n\r\n%s",
+		path, host, id, key, strings.Join(headers, ""), len(body), body)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "no answer"
+	}
+	raw, err := io.ReadAll(resp.Body)
+	out := fmt.Sprint(resp.StatusCode)
+	if resp.Header.Get("Server-Signature") != "" {
+		out += " signed"
+	}
+	if resp.Header.Get("Retry-After") != "" {
+		out += " come-back"
+	}
+	switch {
+	case err != nil:
+		out += " cut"
+	case strings.HasSuffix(path, "/stream/x") && resp.StatusCode == http.StatusOK:
+		out += " ids" + ids(string(raw))
+	case string(raw) == "answer to "+id:
+		out += " whole"
+	}
+	return out
+}
+
+// ids lists the event ids of a stream.
+func ids(text string) string {
+	out := ""
+	for _, line := range strings.Split(text, "\n") {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			out += " " + id
+		}
+	}
+	return out
+}
+
+// count says how many requests arrived at targets and how many ran.
+func (g *rig) count() (arrived, ran int) {
+	for _, x := range g.targets {
+		arrived += x.Arrived()
+		ran += len(x.Runs())
+	}
+	return arrived, ran
+}
+
+// Targets refuse, fail, break off and answer wrongly, in an order that the script
+// gives. A caller whose slot is booked twice, or who is told "not run" of a booking
+// that stands, notices at the door; one who gets half an answer that looks whole
+// may never notice.
+func TestAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/answers", func(t *testing.T, d *datadriven.TestData) string {
+		g := newRig(t)
+		var kind, order string
+		d.ScanArgs(t, "kind", &kind)
+		if d.HasArg("order") {
+			d.ScanArgs(t, "order", &order)
+		}
+		var list []stand.Manner
+		for _, m := range strings.Split(order, "/") {
+			if m != "" {
+				list = append(list, stand.Manner(m))
+			}
+		}
+		g.order.Set(list...)
+		out := g.ask(t, kind)
+		arrived, ran := g.count()
+		return fmt.Sprintf("%s; arrived %d, ran %d\n", out, arrived, ran)
+	})
+}
+
+func newRoster() *roster.Roster { return &roster.Roster{} }
+
+// leave lets targets leave.
+func (g *rig) leave(names ...string) {
+	var b chestnutstep.Batch
+	for _, name := range names {
+		for _, x := range g.targets {
+			if x.Name != name {
+				continue
+			}
+			b.Facts = append(b.Facts, chestnutstep.Fact{
+				Kind: chestnutstep.FactInstance, Name: name, Revision: 9,
+				Instance: &chestnutstep.Instance{ID: name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8, Leaving: true},
+			})
+		}
+	}
+	g.roster.Learn(clock.Now(), chestnutstep.TopicInstances, b, false)
+}
--- a/relay/run.go
+++ b/relay/run.go
@@ -88,7 +88,7 @@
 
 // want says what the request asks of its place.
 func (q *request) want() place.Ask {
-	a := place.Ask{Wait: q.route.Objective}
+	a := place.Ask{Key: xxhash.Sum64String(q.ask.ID)}
 	for _, p := range q.ask.Parts {
 		a.Tokens += p.Tokens
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -305,7 +306,8 @@
 		ByID:     maps.Clone(r.targets),
 		Out:      maps.Clone(r.out),
 	}
-	for _, t := range r.targets {
+	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
+		t := r.targets[id]
 		v.Services[t.Service] = append(v.Services[t.Service], t)
 	}
 	r.view.Store(v)
