roster: facts played by scripts; targets that the list lost for a while are not cold

Cause: after an outage of the store targets come back to the list one by one, and an entry that had restarted took each for one that had just started: cold, so that the whole fleet carried 14 requests a second for each. Change: one that was born more than its cold start and 10 s ago is not cold.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -46,6 +46,9 @@
 
 // Roster takes facts. It is safe for concurrent use.
 type Roster struct {
+	// Wall is the time of day; time.Now if nil.
+	Wall func() time.Time
+
 	mu      sync.Mutex
 	view    atomic.Pointer[View]
 	known   map[entry]uint64
@@ -219,7 +222,7 @@
 	old := r.targets[in.ID]
 	t := &Target{Instance: *in, ColdUntil: now.Add(in.Cold)}
 	fresh := old == nil || old.Born != in.Born || old.Address != in.Address
-	if fresh && r.heard {
+	if fresh && r.heard && !r.aged(in) {
 		// One that appears while we watch has just started, whatever it says.
 		t.ColdUntil = max(t.ColdUntil, now.Add(r.coldStart(in.Service)))
 	}
@@ -237,6 +240,23 @@
 	}
 }
 
+// bornMargin is by how much the time of day may differ between hosts, jumps
+// included.
+const bornMargin = 10 * time.Second
+
+// aged says that an instance was born long before it appeared: it was there, and
+// the list has lost it for a while.
+func (r *Roster) aged(in *chestnutstep.Instance) bool {
+	if in.Born == 0 {
+		return false
+	}
+	wall := time.Now
+	if r.Wall != nil {
+		wall = r.Wall
+	}
+	return wall().Sub(time.UnixMilli(in.Born)) > r.coldStart(in.Service)+bornMargin
+}
+
 func (r *Roster) coldStart(service string) time.Duration {
 	if r.routing == nil || r.routing.Services[service] == nil {
 		return 0
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,134 @@
+package roster_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+// script plays facts on a roster.
+type script struct {
+	roster *roster.Roster
+	now    clock.Stamp
+}
+
+// Facts come late, twice, out of order and after the source was away. A caller
+// notices a version that goes back as a key that works again after it was taken
+// away; a list that is dropped with the source as refusals while all targets live.
+func TestFacts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{now: clock.Stamp(time.Hour)}
+		s.roster = &roster.Roster{Wall: func() time.Time { return time.Unix(0, int64(s.now)) }}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var after string
+			if d.HasArg("after") {
+				d.ScanArgs(t, "after", &after)
+				wait, err := time.ParseDuration(after)
+				if err != nil {
+					d.Fatalf(t, "after: %v", err)
+				}
+				s.now = s.now.Add(wait)
+			}
+			return s.play(t, d)
+		})
+	})
+}
+
+func (s *script) play(t *testing.T, d *datadriven.TestData) string {
+	topic := chestnutstep.TopicInstances
+	if d.HasArg("routing") {
+		topic = chestnutstep.TopicRouting
+	}
+	switch d.Cmd {
+	case "doubt":
+		s.roster.Doubt(topic)
+	case "tick":
+		s.roster.Tick(s.now)
+	case "read", "full":
+		s.roster.Learn(s.now, topic, batch(t, d), d.Cmd == "full")
+	default:
+		d.Fatalf(t, "unknown command %s", d.Cmd)
+	}
+	return s.view()
+}
+
+// batch reads lines such as "target a rev=3 leaving born=7 cold=2s",
+// "gone a rev=4", "version 3 rev=9", "out zone rev=2" and "back zone rev=3".
+func batch(t *testing.T, d *datadriven.TestData) chestnutstep.Batch {
+	var b chestnutstep.Batch
+	for _, line := range strings.Split(d.Input, "\n") {
+		w := strings.Fields(line)
+		if len(w) < 2 {
+			continue
+		}
+		f := chestnutstep.Fact{Name: w[1]}
+		in := &chestnutstep.Instance{ID: w[1], Service: "s", Address: w[1] + ":1", Domain: "d"}
+		for _, word := range w[2:] {
+			name, value, _ := strings.Cut(word, "=")
+			switch name {
+			case "rev":
+				_, _ = fmt.Sscan(value, &f.Revision)
+			case "leaving":
+				in.Leaving = true
+			case "born":
+				var seconds int64
+				_, _ = fmt.Sscan(value, &seconds)
+				in.Born = 1000 * seconds
+			case "cold":
+				in.Cold, _ = time.ParseDuration(value)
+			default:
+				d.Fatalf(t, "unknown word %s", word)
+			}
+		}
+		switch w[0] {
+		case "target", "gone":
+			f.Kind, f.Instance, f.Gone = chestnutstep.FactInstance, in, w[0] == "gone"
+		case "out", "back":
+			f.Kind, f.Gone = chestnutstep.FactOut, w[0] == "back"
+		case "version":
+			f.Kind, f.Name = chestnutstep.FactRouting, ""
+			f.Routing = &chestnutstep.Routing{Services: map[string]*chestnutstep.Service{
+				"s": {Name: "s", ColdStart: 3 * time.Second, ColdRate: 10},
+			}}
+			_, _ = fmt.Sscan(w[1], &f.Routing.Version)
+		}
+		b.Revision = max(b.Revision, f.Revision)
+		b.Facts = append(b.Facts, f)
+	}
+	return b
+}
+
+// view prints what is believed.
+func (s *script) view() string {
+	v := s.roster.View()
+	if v == nil {
+		return "nothing\n"
+	}
+	out := fmt.Sprintf("version %d:", v.Routing.Version)
+	for _, t := range v.Services["s"] {
+		out += " " + t.ID
+		if !v.Usable(t) {
+			out += "(not usable)"
+		}
+		if cold := t.ColdUntil.Sub(s.now); cold > 0 {
+			out += fmt.Sprintf("(cold %s)", cold)
+		}
+	}
+	var domains []string
+	for domain := range v.Out {
+		domains = append(domains, domain)
+	}
+	slices.Sort(domains)
+	if len(domains) > 0 {
+		out += " out: " + strings.Join(domains, " ")
+	}
+	return out + "\n"
+}
