--- a/cmd/chestnutstep/check.go
+++ b/cmd/chestnutstep/check.go
@@ -12,6 +12,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/platform"
 )
 
 // checkOptions are the arguments of the check subcommand.
@@ -19,20 +20,34 @@
 	file    string
 	against string
 	loads   []string
+	// settings, routing and deploy are files of the users' platform.
+	settings string
+	routing  string
+	deploy   string
 }
 
 // checkCommand returns the subcommand and what runs when it is used.
 func checkCommand() (*flaggy.Subcommand, func() error) {
 	o := &checkOptions{}
 	c := flaggy.NewSubcommand("check")
-	c.Description = "check a publication: all mistakes at once, or what a change would do"
-	c.AddPositionalValue(&o.file, "FILE", 1, true, "the publication, JSON with comments")
+	c.Description = "check a publication, or files of the platform: all mistakes at once, or what a change would do"
+	c.AddPositionalValue(&o.file, "FILE", 1, false, "the publication, JSON with comments")
+	c.String(&o.settings, "s", "settings", "a settings file of the platform")
+	c.String(&o.routing, "r", "routing", "a configuration of the platform's operator")
+	c.String(&o.deploy, "d", "deploy", "a deploy file of the platform")
 	c.String(&o.against, "a", "against", "the publication in force: says what the change would do")
 	c.StringSlice(&o.loads, "l", "load", "with --against: a target's load now, TARGET=NUMBER in requests for one unit of weight; may be repeated")
 	return c, func() error { return o.run(os.Stdout) }
 }
 
 func (o *checkOptions) run(w io.Writer) error {
+	done, err := o.runPlatform(w)
+	if err != nil || o.file == "" && done {
+		return err
+	}
+	if o.file == "" {
+		return errors.New("name a publication, or --settings, --routing or --deploy with a file")
+	}
 	p, err := readPublication(o.file)
 	if err != nil {
 		return err
@@ -56,6 +71,33 @@
 	return nil
 }
 
+// runPlatform checks the platform's files, and says whether there were any.
+func (o *checkOptions) runPlatform(w io.Writer) (bool, error) {
+	settings := func(file string, raw []byte) error {
+		_, err := platform.ParseSettings(file, raw)
+		return err
+	}
+	done := false
+	for _, one := range []struct {
+		file  string
+		check func(file string, raw []byte) error
+	}{{o.settings, settings}, {o.routing, platform.CheckConfig}, {o.deploy, platform.CheckDeploy}} {
+		if one.file == "" {
+			continue
+		}
+		raw, err := os.ReadFile(one.file)
+		if err != nil {
+			return true, errors.Wrap(err, "check")
+		}
+		if err := one.check(one.file, raw); err != nil {
+			return true, err
+		}
+		fmt.Fprintf(w, "%s is fine\n", one.file)
+		done = true
+	}
+	return done, nil
+}
+
 func readPublication(path string) (*chestnutstep.Publication, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
--- a/config/direct.go
+++ b/config/direct.go
@@ -32,6 +32,8 @@
 	Bounds Bounds
 	// First says that the whole fleet starts for the first time.
 	First bool
+	// Unknown are fields of the settings file that this version does not know.
+	Unknown []string
 }
 
 // Bounds are the limits that operators set for the fleet.
--- a/node/direct.go
+++ b/node/direct.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -100,7 +101,8 @@
 		return errors.Wrap(err, "ready")
 	}
 	n.log.Emit(event.ProcessStart, event.Str("role", string(config.RoleEntry)), event.Str("callers", n.Settings.Callers))
-	n.log.Emit(event.SettingsInForce, event.Dur("grace", n.Settings.Bounds.Grace), event.Dur("revoke", n.Settings.Bounds.Revoke))
+	n.log.Emit(event.SettingsInForce, event.Dur("grace", n.Settings.Bounds.Grace), event.Dur("revoke", n.Settings.Bounds.Revoke),
+		event.Str("unknown", strings.Join(n.Settings.Unknown, " ")))
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	srv := &http.Server{
