--- a/node/direct.go
+++ b/node/direct.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,10 @@
 	// graceShare is the part of the grace in which requests may come to their
 	// end; the rest is for the process to end by itself.
 	graceShare = 0.94
+	// gcPercent collects garbage when the heap has grown by this much of what is in
+	// use. An entry lives on little: with Go's own 100 it stood at 13.3 MB at its
+	// peak, with 40 at 10.7, for 0.3% of a core (a quiet day of five entries).
+	gcPercent = 40
 	// unprovedReady is the part of the bound on keys after which an entry that
 	// can't prove its configuration says that it is not ready: callers are then
 	// better served by another.
@@ -140,6 +145,7 @@
 		n.Out = os.Stdout
 	}
 	n.began = time.Now()
+	debug.SetGCPercent(gcPercent)
 	n.settings.Store(n.Settings)
 	var err error
 	if n.meters, err = meter.NewSet(); err != nil {
