relay: regions of routes and workspaces, limits of headers

Headers end after the time, and at the size, of the configuration in force. Tests: TestRegions, TestHeadersAreBounded, both failed before.

--- a/board/board.go
+++ b/board/board.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -113,6 +114,9 @@
 	Parts []chestnutstep.Part
 	// Domain of the entry.
 	Domain string
+	// Allowed says whether targets of a failure domain may have the request; nil
+	// for all.
+	Allowed func(domain string) bool
 	// Skip are targets that had the request already.
 	Skip []string
 	// Suspects may be used when nothing else is left.
@@ -127,7 +131,7 @@
 	b.expire(now)
 	list := make([]place.Candidate, 0, len(v.Services[service.Name]))
 	for _, t := range v.Services[service.Name] {
-		if !v.Usable(t) || contains(need.Skip, t.ID) {
+		if !v.Usable(t) || slices.Contains(need.Skip, t.ID) || need.Allowed != nil && !need.Allowed(t.Domain) {
 			continue
 		}
 		key := Key(&t.Instance)
@@ -155,15 +159,6 @@
 	return list
 }
 
-func contains(list []string, one string) bool {
-	for _, s := range list {
-		if s == one {
-			return true
-		}
-	}
-	return false
-}
-
 // held counts the tokens of the leading parts in a target's cache: a part is of
 // use only if all before it are there too. With ready, parts that are still being
 // read don't count.
--- a/config/direct.go
+++ b/config/direct.go
@@ -12,6 +12,8 @@
 	IP     string
 	Domain string
 	Region string
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
 	// Callers, Ready and Control are listening addresses; Control may be empty.
 	Callers string
 	Ready   string
--- a/node/direct.go
+++ b/node/direct.go
@@ -164,6 +164,7 @@
 	n.board = &board.Board{Self: self}
 	n.relay = &relay.Relay{
 		Domain:  n.Settings.Domain,
+		Regions: n.Settings.Regions,
 		Bounds:  n.bounds,
 		Roster:  n.roster,
 		Board:   n.board,
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -201,3 +201,26 @@
 	g.leave("i-a", "i-b", "i-c")
 	assert.Equal(t, g.ask(t, "safe"), "503 come-back")
 }
+
+// A workspace may only be served in its own region. Sent elsewhere, its customers'
+// data leave the country.
+func TestRegions(t *testing.T) {
+	g := newRig(t)
+	g.relay.Regions = map[string]string{"d": "north"}
+	g.roster.View().Routing.Workspaces[0].Regions = []string{"south"}
+	assert.Equal(t, g.ask(t, "safe"), "503 come-back")
+	g.roster.View().Routing.Workspaces[0].Regions = []string{"south", "north"}
+	assert.Equal(t, g.ask(t, "safe"), "200 signed whole")
+	g.roster.View().Routing.Route(host, "/safe/x").Regions = []string{"south"}
+	assert.Equal(t, g.ask(t, "safe"), "503 come-back")
+	_, ran := g.count()
+	assert.Equal(t, ran, 1)
+}
+
+// Headers beyond what operators allow are refused before anything is sent.
+func TestHeadersAreBounded(t *testing.T) {
+	g := newRig(t)
+	g.roster.View().Routing.Limits.HeaderBytes = 300
+	assert.Equal(t, g.ask(t, "safe", "X-Long: "+strings.Repeat("x", 300)+"\r\n"), "431")
+	assert.Equal(t, g.ask(t, "safe"), "200 signed whole")
+}
--- a/relay/idle.go
+++ b/relay/idle.go
@@ -37,14 +37,31 @@
 	relay *Relay
 }
 
-// SetReadDeadline replaces the deadline of an idle connection.
+// SetReadDeadline replaces the deadline of an idle connection, and that of headers.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if time.Until(t) > idleMark {
+	switch left := time.Until(t); {
+	case left > idleMark:
 		t = time.Now().Add(c.relay.idle())
+	case left > headerMark:
+		t = time.Now().Add(c.relay.headerTime(left))
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// headerMark tells the deadline of headers from those that net/http sets in the past
+// or at once, to end a read that is under way.
+const headerMark = time.Second
+
+// headerTime is how long headers may take: what the configuration says, or else what
+// the server had in mind.
+func (e *Relay) headerTime(usual time.Duration) time.Duration {
+	v := e.Roster.View()
+	if v == nil || v.Routing.Limits.HeaderTime <= 0 {
+		return usual
+	}
+	return v.Routing.Limits.HeaderTime
+}
+
 func (e *Relay) idle() time.Duration {
 	v := e.Roster.View()
 	if v == nil || v.Routing.Limits.Idle <= 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,6 +26,8 @@
 // Relay is the handler of callers' requests. Set the fields before use.
 type Relay struct {
 	Domain string
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
 	// Bounds in force; they may change while requests run.
 	Bounds  func() config.Bounds
 	Roster  *roster.Roster
@@ -129,6 +131,9 @@
 	if q.ask.ID == "" {
 		return &refusal{http.StatusBadRequest, chestnutstep.ReasonHeader, 0}
 	}
+	if most := c.Limits.HeaderBytes; most > 0 && headerBytes(q.r.Header) > most {
+		return &refusal{http.StatusRequestHeaderFieldsTooLarge, chestnutstep.ReasonLarge, 0}
+	}
 	q.deadline = q.began.Add(q.route.Timeout)
 	if q.ask.Limit > 0 && q.ask.Limit < q.route.Timeout {
 		q.deadline = q.began.Add(q.ask.Limit)
@@ -140,6 +145,17 @@
 	return q.readBody(c.Limits.BodyBytes)
 }
 
+// headerBytes is the size of headers on the wire.
+func headerBytes(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // unknown refuses a key or a route that the configuration does not hold, unless
 // a newer one may hold it.
 func (q *request) unknown(status int, reason chestnutstep.Reason) *refusal {
--- a/relay/run.go
+++ b/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,7 +57,7 @@
 	if q.Crashes.Condemned(now, q.mark) {
 		return nil, choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, retryCondemned}
 	}
-	need := board.Need{Parts: q.ask.Parts, Domain: q.Domain, Skip: q.skip}
+	need := board.Need{Parts: q.ask.Parts, Domain: q.Domain, Skip: q.skip, Allowed: q.allowed}
 	list := q.Board.Candidates(now, q.view, q.service, need)
 	if len(list) == 0 {
 		need.Suspects = true
@@ -77,6 +78,16 @@
 	return q.view.ByID[c.candidate.ID], c, nil
 }
 
+// allowed says whether targets of a failure domain may have the request: where route
+// and workspace both name regions, both bind.
+func (q *request) allowed(domain string) bool {
+	region := q.Regions[domain]
+	if len(q.route.Regions) > 0 && !slices.Contains(q.route.Regions, region) {
+		return false
+	}
+	return q.workspace == nil || len(q.workspace.Regions) == 0 || slices.Contains(q.workspace.Regions, region)
+}
+
 // choice is a candidate with what decided for it, for the log.
 type choice struct {
 	candidate place.Candidate
--- a/routing.go
+++ b/routing.go
@@ -76,6 +76,8 @@
 	Cached bool
 	// Splits are the services of the route, each with its weight.
 	Splits []Split
+	// Regions are the only ones whose targets may get its requests; empty for all.
+	Regions []string
 }
 
 // Split is a service with its share of a route's requests.
@@ -114,6 +116,8 @@
 	// Rank goes before the route's where HasRank is set.
 	Rank    int
 	HasRank bool
+	// Regions are the only ones whose targets may get its requests; empty for all.
+	Regions []string
 }
 
 // CallerLimits bound what a caller may send and how long it may stay idle.
@@ -145,7 +149,12 @@
 // Route finds the route of a request: the longest prefix among those of the
 // host, or nil.
 func (c *Routing) Route(host, path string) *Route {
-	for _, r := range c.hosts[host] {
+	routes, ok := c.hosts[host]
+	if !ok {
+		name, _, _ := strings.Cut(host, ":")
+		routes = c.hosts[strings.ToLower(name)]
+	}
+	for _, r := range routes {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
