relay: the one jury judges contents that crash targets; entries forget what is over

relay had a second memory of crashing contents beside package crash: it asks the jury now. A fleet that was made smaller gets its whole budget back, addresses at which nobody is are forgotten, and a peer's word on a newer version counts 3 s.

--- a/board/board.go
+++ b/board/board.go
@@ -47,8 +47,10 @@
 	cursor []uint32
 	peers  map[netip.AddrPort]*peer
 	sums   map[uint32]share.Load
-	// most is the largest number of entries that was known at once.
-	most int
+	// most is the largest number of entries that was known at once of late, and
+	// mostAt when there were that many.
+	most   int
+	mostAt clock.Stamp
 }
 
 // state is what is known of one target.
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -224,3 +224,15 @@
 	b.Start(start, v.ByID["t0"], engine, nil, 0).End(start.Add(20*time.Second), board.Canceled)
 	assert.Equal(t, b.Candidates(start.Add(20*time.Second), v, engine, board.Need{})[0].Failing, 0.0)
 }
+
+// A fleet is made smaller. For minutes the entries that fell silent may still send;
+// after that the rest share the whole budget.
+func TestSmallerFleet(t *testing.T) {
+	entries, v := fleet(24), view(1, 1)
+	b := entries[0]
+	assert.Equal(t, b.Entries(), 24)
+	b.Candidates(start.Add(time.Minute), v, engine, board.Need{})
+	assert.Equal(t, b.Entries(), 24)
+	b.Candidates(start.Add(10*time.Minute), v, engine, board.Need{})
+	assert.Assert(t, b.Entries() < 24)
+}
--- a/board/peers.go
+++ b/board/peers.go
@@ -1,6 +1,8 @@
 package board
 
 import (
+	"time"
+
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/share"
 )
@@ -118,7 +120,9 @@
 	if p == nil {
 		p = &peer{}
 		b.peers[r.From] = p
-		b.most = max(b.most, len(b.peers)+1)
+	}
+	if len(b.peers)+1 >= b.most {
+		b.most, b.mostAt = len(b.peers)+1, now
 	}
 	if len(r.Lists) > 0 {
 		b.takeLists(now, r.Lists)
@@ -167,8 +171,16 @@
 	}
 }
 
+// mostKeep is how long entries that fell silent still count in budgets: longer than
+// a cut lasts behind which they go on sending, and short enough that a fleet which
+// was made smaller gets its whole budget back.
+const mostKeep = 5 * time.Minute
+
 // expire forgets peers that were not heard for long.
 func (b *Board) expire(now clock.Stamp) {
+	if now.Sub(b.mostAt) > mostKeep {
+		b.most, b.mostAt = len(b.peers)+1, now
+	}
 	for from, p := range b.peers {
 		if now.Sub(p.heard) > peerKeep {
 			b.add(p.loads, -1)
--- a/node/advice.go
+++ b/node/advice.go
@@ -43,7 +43,7 @@
 // here is current saves this entry when it can't reach the source itself.
 func (n *Direct) Learn(now clock.Stamp, r *share.Report, asked clock.Stamp) {
 	n.board.Learn(now, r)
-	n.crashes.Learn(now, r.Crashes)
+	n.crashes.Learn(time.Now(), r.Crashes)
 	if time.Duration(r.Up)*time.Second >= longUp {
 		n.experienced.Store(true)
 	}
@@ -51,15 +51,25 @@
 	switch {
 	case r.Version == own && own != 0 && r.Age >= 0 && asked != 0:
 		n.roster.Prove(asked - clock.Stamp(r.Age*1e6))
-	case r.Version > own && r.Version > n.newest.Load():
+	case r.Version > own && r.Version == n.newest.Load():
+		n.newestAt.Store(int64(now))
+	case r.Version > own && (r.Version > n.newest.Load() || !n.behind()):
 		n.newest.Store(r.Version)
+		n.newestAt.Store(int64(now))
 		n.log.Emit(event.PeerNewer, event.Uint("version", r.Version), event.Uint("own", own), event.Str("peer", r.From.String()))
 		n.kickWatch(watch.KickFull)
 	}
 }
 
+// newestKeep is how long a peer's word on a newer version counts. A peer that really
+// knows it repeats it several times a second; a datagram that was damaged on its way
+// must not make this entry doubt its configuration for ever.
+const newestKeep = 3 * time.Second
+
 // behind says that a peer knows a newer configuration.
-func (n *Direct) behind() bool { return n.newest.Load() > n.roster.Version() }
+func (n *Direct) behind() bool {
+	return n.newest.Load() > n.roster.Version() && clock.Now().Sub(clock.Stamp(n.newestAt.Load())) < newestKeep
+}
 
 func (n *Direct) datagramFailed(err error) { n.log.Emit(event.DatagramFailed, event.Err(err)) }
 
--- a/node/direct.go
+++ b/node/direct.go
@@ -84,9 +84,11 @@
 	lost [2]atomic.Bool
 	// waitsLong says that the present watch of the configuration waits for long.
 	waitsLong atomic.Bool
-	newest    atomic.Uint64
-	leaving   atomic.Bool
-	began     time.Time
+	// newest is the newest version that a peer named, and newestAt when.
+	newest   atomic.Uint64
+	newestAt atomic.Int64
+	leaving  atomic.Bool
+	began    time.Time
 	// experienced says that a peer was heard that has run for long.
 	experienced atomic.Bool
 	counted     counted
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -1,80 +1,69 @@
 package relay
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
-	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/share"
 )
 
-const (
-	// crashMost is after how many broken runs at different targets a content is
-	// refused: two may be chance, a third target is not risked for it.
-	crashMost = 2
-	// crashKeep is how long a broken run counts.
-	crashKeep = 60 * time.Second
-	// contentsMost bounds the contents that are remembered.
-	contentsMost = 2048
-	// retryCondemned is when a refused content may come back.
-	retryCondemned = 10 * time.Second
-)
+// retryCondemned is when a refused content may come back.
+const retryCondemned = 10 * time.Second
 
-// Crashes remembers which contents were running when a target's connection
-// broke. A content that crashes each target which runs it, sent again and again
-// by its caller, would take a whole service down: it shows as targets that turn
-// cold one after the other. It is safe for concurrent use.
+// Crashes asks the jury about contents. Without agents nobody sees a target die: a
+// connection that breaks while a target runs a content counts as its crash. It is
+// safe for concurrent use.
 type Crashes struct {
-	mu    sync.Mutex
-	cases map[uint64]*content
-	news  []share.Crash
-}
-
-type content struct {
-	targets []uint32
-	seen    clock.Stamp
+	mu   sync.Mutex
+	jury crash.Jury
+	news []share.Crash
 }
 
 // Condemned says that the content broke too many targets.
-func (c *Crashes) Condemned(now clock.Stamp, mark uint64) bool {
+func (c *Crashes) Condemned(now time.Time, content uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x := c.cases[mark]
-	if x == nil {
-		return false
-	}
-	if now.Sub(x.seen) > crashKeep {
-		delete(c.cases, mark)
-		return false
-	}
-	return len(x.targets) >= crashMost
+	return c.jury.Judge(now, content) == chestnutstep.Condemned
 }
 
 // Served clears a content: it ran to its end.
-func (c *Crashes) Served(_ clock.Stamp, mark uint64) {
+func (c *Crashes) Served(now time.Time, content uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.cases, mark)
+	c.jury.End(now, content, true)
 }
 
 // Broke notes that a target's connection broke while it ran the content.
-func (c *Crashes) Broke(now clock.Stamp, mark uint64, target uint32) {
+func (c *Crashes) Broke(now time.Time, content uint64, target uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.add(now, mark, target) {
-		c.news = append(c.news, share.Crash{Target: target, Fingerprint: mark})
+	news := share.Crash{Target: target, Fingerprint: content}
+	c.jury.Learn(now, []chestnutstep.Suspicion{suspicion(now, news)})
+	if len(c.news) < newsMost {
+		c.news = append(c.news, news)
 	}
 }
 
+// newsMost bounds what waits to be told: a target that dies breaks as many
+// connections as it has requests.
+const newsMost = 256
+
 // Learn takes a peer's word.
-func (c *Crashes) Learn(now clock.Stamp, list []share.Crash) {
+func (c *Crashes) Learn(now time.Time, list []share.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range list {
-		c.add(now, x.Fingerprint, x.Target)
+		c.jury.Learn(now, []chestnutstep.Suspicion{suspicion(now, x)})
 	}
 }
 
+func suspicion(now time.Time, x share.Crash) chestnutstep.Suspicion {
+	return chestnutstep.Suspicion{Fingerprint: x.Fingerprint, Crashed: []string{fmt.Sprintf("%08x", x.Target)}, Seen: now}
+}
+
 // crashesTold bounds what one datagram tells.
 const crashesTold = 8
 
@@ -87,25 +76,3 @@
 	c.news = c.news[n:]
 	return list
 }
-
-func (c *Crashes) add(now clock.Stamp, mark uint64, target uint32) bool {
-	if c.cases == nil {
-		c.cases = make(map[uint64]*content)
-	}
-	x := c.cases[mark]
-	if x == nil {
-		if len(c.cases) >= contentsMost {
-			clear(c.cases)
-		}
-		x = &content{}
-		c.cases[mark] = x
-	}
-	x.seen = now
-	for _, t := range x.targets {
-		if t == target {
-			return false
-		}
-	}
-	x.targets = append(x.targets, target)
-	return true
-}
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -48,7 +49,7 @@
 		q.tally.Add(e.Run)
 	}
 	if e.Reason == chestnutstep.ReasonLink && !left {
-		q.Crashes.Broke(now, q.mark, board.Key(&t.Instance))
+		q.Crashes.Broke(time.Now(), q.content, board.Key(&t.Instance))
 	}
 	if e.Reason == chestnutstep.ReasonDown || e.Reason == chestnutstep.ReasonDead {
 		q.Pool.Drop(t.Address)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -64,7 +64,7 @@
 	service   *chestnutstep.Service
 	workspace *chestnutstep.Client
 	body      []byte
-	mark      uint64
+	content   uint64
 	began     time.Time
 	deadline  time.Time
 	tally     retry.Tally
@@ -223,7 +223,7 @@
 		return &refusal{http.StatusRequestEntityTooLarge, chestnutstep.ReasonLarge, 0}
 	}
 	q.body = b.Bytes()
-	q.mark = q.fingerprint()
+	q.content = q.fingerprint()
 	return nil
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -54,7 +54,7 @@
 	if q.workspace != nil && !q.current() {
 		return nil, choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonVersion, retryUnready}
 	}
-	if q.Crashes.Condemned(now, q.mark) {
+	if q.Crashes.Condemned(time.Now(), q.content) {
 		return nil, choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, retryCondemned}
 	}
 	need := board.Need{Parts: q.ask.Parts, Domain: q.Domain, Skip: q.skip, Allowed: q.allowed}
@@ -169,7 +169,7 @@
 	}
 	run.End(clock.Now(), board.Served)
 	q.tally.Add(chestnutstep.RunYes)
-	q.Crashes.Served(clock.Now(), q.mark)
+	q.Crashes.Served(time.Now(), q.content)
 	q.done(t)
 	return true, nil
 }
--- a/share/peers.go
+++ b/share/peers.go
@@ -74,6 +74,8 @@
 
 // peer is another entry.
 type peer struct {
+	// met is when its address was first named, heard when it last spoke.
+	met    clock.Stamp
 	heard  clock.Stamp
 	sent   clock.Stamp
 	run    uint32
@@ -196,7 +198,7 @@
 	}
 	x := p.peers[a]
 	if x == nil {
-		x = &peer{}
+		x = &peer{met: clock.Now()}
 		p.peers[a] = x
 	}
 	return x
@@ -244,7 +246,7 @@
 		switch {
 		case live && len(r.Peers) < tellPeers && p.number%tellEvery == 1:
 			r.Peers = append(r.Peers, a)
-		case x.heard != 0 && now.Sub(x.heard) > peerKeep && !p.seed(a):
+		case now.Sub(max(x.heard, x.met)) > peerKeep && !p.seed(a):
 			delete(p.peers, a)
 			continue
 		}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -178,3 +178,15 @@
 		})
 	}
 }
+
+// A peer names an address at which nobody is. It is not asked for ever.
+func TestAddressWithoutEntryIsForgotten(t *testing.T) {
+	k := &knower{learned: make(map[netip.AddrPort]*Report), asked: make(map[netip.AddrPort]clock.Stamp)}
+	self, nobody := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.9:7")
+	p := &Peers{Self: self, Run: 1, Knowledge: k}
+	p.begin()
+	p.take(clock.Now(), &Report{From: netip.MustParseAddrPort("10.0.0.2:7"), Run: 5, Number: 1, Peers: []netip.AddrPort{nobody}}, 10)
+	assert.Assert(t, p.peers[nobody] != nil)
+	p.choose(clock.Now().Add(2*peerKeep), &Report{})
+	assert.Assert(t, p.peers[nobody] == nil)
+}
