trial: entries without agents; board: caches are believed for half an hour

One emulator, two ways: trial plays the real board and place now, and standin lab prints a table of policies. Cause found by it: chats come back after minutes, and an entry forgot after two where their prefix lies.

--- a/board/board.go
+++ b/board/board.go
@@ -28,7 +28,7 @@
 	partsMost = 20000
 	// holdKeep is how long a part is believed to be in a cache without being
 	// read again.
-	holdKeep = 2 * time.Minute
+	holdKeep = 30 * time.Minute
 	// readingUnit is the tokens in one unit of share.Load.Reading.
 	readingUnit = 100
 )
--- a/board/peers.go
+++ b/board/peers.go
@@ -1,6 +1,8 @@
 package board
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"chestnutstep.example/chestnutstep/clock"
@@ -93,11 +95,7 @@
 // refresh adds holds that are known for longer.
 func (b *Board) refresh(now clock.Stamp, list []share.Hold, n int) []share.Hold {
 	if len(b.cursor) == 0 {
-		for part, m := range b.holds {
-			if len(m) > 0 {
-				b.cursor = append(b.cursor, part)
-			}
-		}
+		b.cursor = slices.Sorted(maps.Keys(b.holds))
 	}
 	for len(list) < n && len(b.cursor) > 0 {
 		part := b.cursor[len(b.cursor)-1]
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,7 +25,7 @@
 		callCommand(),
 		passCommand(),
 		loadCommand(),
-		scaleCommand(),
+		scaleCommand(), labCommand(),
 		demoCommand(),
 	}
 	for _, c := range commands {
--- a/trial/config.go
+++ b/trial/config.go
@@ -96,10 +96,15 @@
 	MeanError float64
 	// ImportFor is what an import takes instead of the prefill.
 	ImportFor time.Duration
+
+	// Entries, where there are any, place requests without agents, by what they
+	// tell each other each Talk; never if that is zero.
+	Entries int
+	Talk    time.Duration
 }
 
 func (c Config) newGate() chestnutstep.Gate {
-	if c.Policy.Line {
+	if c.Policy.Line || c.Entries > 0 {
 		return &line{}
 	}
 	return &gate.Gate{}
--- /dev/null
+++ b/trial/direct.go
@@ -0,0 +1,215 @@
+package trial
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/place"
+	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/share"
+)
+
+// direct plays entries that bring requests to targets without agents: the real
+// board and place, on the trial's clock. Targets queue by themselves.
+type direct struct {
+	trial   *trial
+	service *chestnutstep.Service
+	entries []*board.Board
+	addrs   []netip.AddrPort
+	view    *roster.View
+	// births count the starts of each target.
+	births map[string]int64
+}
+
+const (
+	// serviceName of the one service.
+	serviceName = "s"
+	// ownTokens is what each prompt has beyond the chat's prefix.
+	ownTokens = 200
+	// holdsTold is how many holds a datagram carries beside news.
+	holdsTold = 16
+	// directTries is how many targets are tried that are down.
+	directTries = 3
+	// heartbeat is how long entries take to hear of a restart.
+	heartbeat = time.Second
+)
+
+func newDirect(t *trial) *direct {
+	d := &direct{
+		trial:   t,
+		service: &chestnutstep.Service{Name: serviceName, Engine: true},
+		births:  make(map[string]int64),
+	}
+	for i := range t.cfg.Entries {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+		d.addrs = append(d.addrs, a)
+		d.entries = append(d.entries, &board.Board{Self: a})
+	}
+	d.look()
+	if t.cfg.Talk > 0 {
+		t.every(t.cfg.Talk, d.talk)
+	}
+	return d
+}
+
+// now is the trial's clock as boards read it; it begins above zero, which means
+// never there.
+func (d *direct) now() clock.Stamp { return clock.Stamp(time.Hour + d.trial.now) }
+
+// look takes the list of targets as it is.
+func (d *direct) look() {
+	v := &roster.View{Services: make(map[string][]*roster.Target), ByID: make(map[string]*roster.Target)}
+	for _, g := range d.trial.targets {
+		if g.away {
+			continue
+		}
+		x := &roster.Target{Instance: chestnutstep.Instance{
+			ID: g.self.Name, Service: serviceName, Slots: d.trial.cfg.Model.Slots, Born: d.births[g.self.Name],
+		}}
+		v.Services[serviceName] = append(v.Services[serviceName], x)
+		v.ByID[x.ID] = x
+	}
+	d.view = v
+	for _, b := range d.entries {
+		b.Keep(v)
+	}
+}
+
+// restarted says that a target started again; entries hear of it by its heartbeat.
+func (d *direct) restarted(g *target) {
+	d.births[g.self.Name]++
+	d.trial.after(heartbeat, d.look)
+}
+
+// talk is one round of datagrams.
+func (d *direct) talk() {
+	now := d.now()
+	for i, from := range d.entries {
+		r := &share.Report{From: d.addrs[i], Loads: from.Loads(), Holds: from.Holds(now, holdsTold)}
+		for j, to := range d.entries {
+			if j != i {
+				to.Learn(now, r)
+			}
+		}
+	}
+}
+
+// send places a request, and tries others where a target is down.
+func (d *direct) send(r *request) {
+	entry := d.entries[d.trial.rand.IntN(len(d.entries))]
+	var skip []string
+	for range directTries {
+		if d.try(entry, r, &skip) {
+			return
+		}
+	}
+	d.trial.retry(r, time.Second)
+}
+
+// try sends a request to one target; true means that it is there.
+func (d *direct) try(entry *board.Board, r *request, skip *[]string) bool {
+	now := d.now()
+	parts := d.parts(r)
+	list := entry.Candidates(now, d.view, d.service, board.Need{Parts: parts, Skip: *skip})
+	donor := entry.Donor(now, d.view, d.service, parts)
+	ask := place.Ask{Key: parts[0].ID, Tokens: parts[0].Tokens + parts[1].Tokens, Shared: parts[0].Tokens}
+	c, ok := place.Pick(list, donor, ask)
+	if !ok {
+		return false
+	}
+	picked := list[c.Index]
+	*skip = append(*skip, picked.ID)
+	held := picked.Held
+	r.source = nil
+	if c.Fetch {
+		held = donor.Held
+		r.source = d.trial.byName[donor.ID]
+	}
+	r.run = entry.Start(now, d.view.ByID[picked.ID], d.service, parts, held)
+	g := d.trial.byName[picked.ID]
+	if g.down {
+		r.run.End(now, board.Unreached)
+		r.run = nil
+		return false
+	}
+	r.work.Patience = d.trial.time().Add(r.limit)
+	return d.trial.offer(r, g, false, true)
+}
+
+// parts of a request's prompt: its chat's prefix, and what is its own.
+func (d *direct) parts(r *request) []chestnutstep.Part {
+	s := d.trial.cfg.Streams[r.stream]
+	tokens := int(s.Prefill.Seconds() * 1000 * place.ReadRate)
+	return []chestnutstep.Part{
+		{ID: xxhash.Sum64String(r.chat), Tokens: tokens},
+		{ID: xxhash.Sum64String(r.work.ID), Tokens: ownTokens},
+	}
+}
+
+// outcomes of the trial as boards know them.
+var outcomes = map[chestnutstep.Outcome]board.Outcome{
+	chestnutstep.Served:   board.Served,
+	chestnutstep.Failed:   board.Silent,
+	chestnutstep.Withdraw: board.Canceled,
+}
+
+// ended says how a request ended at its target.
+func (d *direct) ended(r *request, o chestnutstep.Outcome) {
+	if r.run == nil {
+		return
+	}
+	r.run.End(d.now(), outcomes[o])
+	r.run = nil
+}
+
+// began says that a target reads a request's prompt, which takes a while.
+func (d *direct) began(r *request, prefill time.Duration) {
+	run := r.run
+	if run == nil {
+		return
+	}
+	d.trial.after(prefill, func() {
+		if r.run == run {
+			run.First(d.now())
+		}
+	})
+}
+
+// DirectRows compare entries without agents on the recorded load: how many there
+// are, and how often they tell each other what they know.
+func DirectRows(seed uint64) []Row {
+	var rows []Row
+	add := func(name string, cfg Config) {
+		cfg.Seed = seed
+		rows = append(rows, Row{Name: name, Config: third(cfg)})
+	}
+	add("agents, multiple 1.25", Churn(1.25, All, false))
+	add("naive", Churn(1.25, Policy{Naive: true}, false))
+	for _, n := range []int{5, 24} {
+		for _, talk := range []time.Duration{400 * time.Millisecond, 4 * time.Second, 0} {
+			cfg := Churn(0, Policy{Import: true}, false)
+			cfg.Entries, cfg.Talk = n, talk
+			name := fmt.Sprintf("%d entries, told each %s", n, talk)
+			if talk == 0 {
+				name = fmt.Sprintf("%d entries, never told", n)
+			}
+			add(name, cfg)
+		}
+	}
+	return rows
+}
+
+// third is the recorded load and its fleet at a third of their size.
+func third(cfg Config) Config {
+	cfg.Targets = 30
+	cfg.Streams[0].Rate /= 3
+	cfg.Streams[0].Chats /= 3
+	cfg.Restart *= 3
+	return cfg
+}
--- a/trial/entry.go
+++ b/trial/entry.go
@@ -34,6 +34,10 @@
 	if r.over {
 		return
 	}
+	if t.direct != nil {
+		t.direct.send(r)
+		return
+	}
 	if t.cfg.Policy.Naive {
 		t.sendNaive(r)
 		return
--- a/trial/load.go
+++ b/trial/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
 )
 
 // request is one caller's request on its way.
@@ -35,6 +36,8 @@
 	pause time.Duration
 	over  bool
 	began bool
+	// run is the request as its entry counts it, without agents.
+	run *board.Run
 }
 
 // record draws the load. It depends on the seed and the streams alone, so that
--- a/trial/run.go
+++ b/trial/run.go
@@ -24,6 +24,7 @@
 	targets []*target
 	byName  map[string]*target
 	hints   map[string]string
+	direct  *direct
 	load    []*request
 
 	tallies []tally
@@ -75,6 +76,9 @@
 		t.addTarget(&p.Targets[i], i)
 	}
 	t.rebuild()
+	if t.cfg.Entries > 0 {
+		t.direct = newDirect(t)
+	}
 }
 
 func (t *trial) addTarget(self *chestnutstep.Target, i int) {
@@ -99,6 +103,9 @@
 func (t *trial) rebuild() {
 	t.table = &route.Table{View: t.view, Skip: func(x *chestnutstep.Target) bool { return t.byName[x.Name].away }}
 	t.table.Build()
+	if t.direct != nil {
+		t.direct.look()
+	}
 }
 
 func (t *trial) schedule() {
--- a/trial/target.go
+++ b/trial/target.go
@@ -59,7 +59,11 @@
 func (g *target) start(r *request) {
 	g.advance()
 	g.trial.started(g, r)
-	r.left = r.answer + g.prefill(r)
+	prefill := g.prefill(r)
+	r.left = r.answer + prefill
+	if g.trial.direct != nil {
+		g.trial.direct.began(r, prefill)
+	}
 	g.cache.use(r.chat)
 	g.running = append(g.running, r)
 	if g.fragile() && len(g.running) > 2*g.trial.cfg.Model.Cold {
@@ -155,6 +159,9 @@
 	}
 	delete(g.waiting, r.work.ID)
 	g.gate.End(g.trial.time(), r.work.ID, o)
+	if g.trial.direct != nil {
+		g.trial.direct.ended(r, o)
+	}
 	r.at = nil
 	g.replan()
 }
@@ -191,6 +198,9 @@
 	g.trial.after(g.trial.cfg.Down, func() {
 		g.down = false
 		g.started = g.trial.now
+		if g.trial.direct != nil {
+			g.trial.direct.restarted(g)
+		}
 		g.next()
 	})
 }
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -8,14 +8,7 @@
 )
 
 // small is the recorded load at a third of its size.
-func small(multiple float64, p Policy) Config {
-	cfg := Churn(multiple, p, false)
-	cfg.Targets = 30
-	cfg.Streams[0].Rate /= 3
-	cfg.Streams[0].Chats /= 3
-	cfg.Restart *= 3
-	return cfg
-}
+func small(multiple float64, p Policy) Config { return third(Churn(multiple, p, false)) }
 
 // Chats come back after their pauses, and targets restart now and then. The cap
 // sends a chat away from the target that knows it, and its user waits for the
@@ -73,3 +66,21 @@
 	b.ReportMetric(float64(r.After), "after")
 	b.ReportMetric(100*r.Back, "%back")
 }
+
+// Entries without agents place requests by what they tell each other. Told often, they
+// reuse more and fill targets more evenly than entries that each know only their own:
+// those find a prefix at the wrong target, and its user waits while it is read again.
+func TestEntriesThatTellReuseMore(t *testing.T) {
+	play := func(talk time.Duration) Result {
+		cfg := small(0, Policy{Import: true})
+		cfg.Entries, cfg.Talk = 24, talk
+		cfg.For, cfg.Warm = 6*time.Minute, 3*time.Minute
+		return Run(cfg)
+	}
+	often, never := play(400*time.Millisecond), play(0)
+	t.Logf("told: reuse %.3f, fetched %.3f, largest99 %.2f, in time %.4f", often.All.Reuse, often.All.Imported, often.Largest99, often.All.InTime)
+	t.Logf("never: reuse %.3f, fetched %.3f, largest99 %.2f, in time %.4f", never.All.Reuse, never.All.Imported, never.Largest99, never.All.InTime)
+	assert.Assert(t, often.All.Reuse+often.All.Imported > never.All.Reuse+never.All.Imported+0.1)
+	assert.Assert(t, often.All.InTime > 0.99, "in time %.4f", often.All.InTime)
+	assert.DeepEqual(t, often, play(400*time.Millisecond))
+}
