board, place: bounds on cold targets and on uneven load come from the settings

What other installations set differently stood as constants: how many entries may send to a cold target, and the multiple of the mean. Fields that nothing used are gone. Test: TestColdBoundsOfOperators.

--- a/board/board.go
+++ b/board/board.go
@@ -35,6 +35,9 @@
 
 // Board is safe for concurrent use. Set the fields before the first call.
 type Board struct {
+	// Cold bounds what all entries together may send to a cold target in a second:
+	// over times its rate, and slack more. Nil for the defaults.
+	Cold func() (over, slack float64)
 	// Self names this entry among Peers.
 	Self netip.AddrPort
 
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -236,3 +236,18 @@
 	b.Candidates(start.Add(10*time.Minute), v, engine, board.Need{})
 	assert.Assert(t, b.Entries() < 24)
 }
+
+// An installation allows little beyond a cold target's rate: fewer entries send there.
+func TestColdBoundsOfOperators(t *testing.T) {
+	entries, v := fleet(24), view(1, 0)
+	slow := *engine
+	slow.ColdRate = 4
+	sent := 0
+	for _, b := range entries {
+		b.Cold = func() (float64, float64) { return 1.2, 2 }
+		if len(b.Candidates(start, v, &slow, board.Need{})) > 0 {
+			sent++
+		}
+	}
+	assert.Assert(t, sent >= 1 && sent <= 3, "%d at one moment", sent)
+}
--- a/board/cold.go
+++ b/board/cold.go
@@ -22,6 +22,9 @@
 	// aloneGuess is the number of entries that is assumed before any peer was
 	// heard.
 	aloneGuess = 6
+	// overDefault and slackDefault stand in where operators set no bounds.
+	overDefault  = 1.5
+	slackDefault = 5.0
 )
 
 // coldBucket is this entry's allowance for one cold target: one request at once,
@@ -47,14 +50,25 @@
 // target's rate is divided over its sponsors: the first few entries by hash.
 func (b *Board) coldLeft(now clock.Stamp, key uint32, s *state, service *chestnutstep.Service) bool {
 	n := b.entries()
-	k := min(n, sponsorsMost)
-	if n > sponsorsMost && !b.sponsors(key, k) {
+	k := min(n, b.sponsorsFor(service.ColdRate))
+	if n > k && !b.sponsors(key, k) {
 		return false
 	}
 	s.cold.refill(now, coldShare*service.ColdRate/float64(k))
 	return s.cold.tokens >= 1
 }
 
+// sponsorsFor is how many entries may send to one cold target: each may send one
+// request at any moment beside the steady rate.
+func (b *Board) sponsorsFor(rate float64) int {
+	over, slack := overDefault, slackDefault
+	if b.Cold != nil {
+		over, slack = b.Cold()
+	}
+	room := int((over-coldShare)*rate + slack)
+	return min(max(room, 1), sponsorsMost)
+}
+
 // entries is how many entries there are. One that hears fewer than before may be
 // the one that is cut off: the others still send.
 func (b *Board) entries() int {
--- a/config/direct.go
+++ b/config/direct.go
@@ -25,12 +25,7 @@
 	// Seeds are Peer addresses of some other entries.
 	Seeds []string
 	// Store is the address of the platform's store.
-	Store string
-	// Reads is the calls a second that all processes may make there.
-	Reads float64
-	// Memory in bytes and Files in descriptors that the process may use.
-	Memory int64
-	Files  int
+	Store  string
 	Bounds Bounds
 	// First says that the whole fleet starts for the first time.
 	First bool
@@ -55,8 +50,6 @@
 	ColdSlack float64
 	// Cap is the multiple of the mean load that no target may carry.
 	Cap float64
-	// Contact is how long after a disturbance a process counts as back.
-	Contact time.Duration
 }
 
 // Check returns what is wrong with the settings. The names map gives the field
--- a/node/direct.go
+++ b/node/direct.go
@@ -163,7 +163,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peer address")
 	}
-	n.board = &board.Board{Self: self}
+	n.board = &board.Board{Self: self, Cold: n.coldBounds}
 	n.relay = &relay.Relay{
 		Domain:  n.Settings.Domain,
 		Regions: n.Settings.Regions,
@@ -204,6 +204,11 @@
 
 func (n *Direct) bounds() config.Bounds { return n.settings.Load().Bounds }
 
+func (n *Direct) coldBounds() (over, slack float64) {
+	b := n.bounds()
+	return b.ColdOver, b.ColdSlack
+}
+
 func (n *Direct) retryBounds() retry.Bounds {
 	b := n.bounds()
 	return retry.Bounds{Share: b.RetryShare, Slack: b.RetrySlack, Window: b.RetryWindow}
--- a/place/place.go
+++ b/place/place.go
@@ -28,10 +28,11 @@
 	// fetchLeast is the shortest missing prefix that is worth fetching: below
 	// that, the set-up takes as long as reading.
 	fetchLeast = 128
-	// Spread is the multiple of the mean load above which a target gets no
-	// request that another could take. Callers want all targets below 2; what
-	// peers do in the same moment adds the rest.
-	Spread = 1.5
+	// Spread is the part of the allowed multiple of the mean load above which a target
+	// gets no request that another could take: what peers do in the same moment adds
+	// the rest. SpreadDefault is the multiple where none is set.
+	Spread        = 0.75
+	SpreadDefault = 2.0
 	// spreadSlack lets a target take a few requests at a mean near zero.
 	spreadSlack = 2.0
 	// farCost is what another failure domain costs, in milliseconds: the way
@@ -83,6 +84,9 @@
 	Tokens int
 	// Shared is how many of them other requests share.
 	Shared int
+	// Cap is the multiple of the mean load that no target may carry; 0 where none
+	// is set.
+	Cap float64
 }
 
 // Choice is a target, and where it fetches from.
@@ -98,7 +102,7 @@
 // that hold some of the prefix and a few that the hash of the request names, then
 // among all below the ceiling, then among all.
 func Pick(list []Candidate, donor Donor, ask Ask) (Choice, bool) {
-	limit := ceiling(list)
+	limit := ceiling(list, ask.Cap)
 	few := named(list, ask.Key)
 	passes := []func(c *Candidate) bool{
 		func(c *Candidate) bool {
@@ -153,7 +157,11 @@
 
 // ceiling is the load that no target should exceed. Cold and failing targets
 // carry little by intention; counted, they would lower the mean.
-func ceiling(list []Candidate) float64 {
+func ceiling(list []Candidate, most float64) float64 {
+	if most <= 0 {
+		most = SpreadDefault
+	}
+	spread := max(Spread*most, 1)
 	sum, n := 0.0, 0
 	for i := range list {
 		if list[i].Cold {
@@ -165,7 +173,7 @@
 	if n == 0 {
 		return math.Inf(1)
 	}
-	return max(Spread*sum/float64(n), sum/float64(n)+spreadSlack)
+	return max(spread*sum/float64(n), sum/float64(n)+spreadSlack)
 }
 
 // cost is the expected time to the first byte, and whether fetching shortens it.
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -39,10 +39,8 @@
 	for _, x := range g.targets {
 		x.Behave(stand.Resets)
 	}
-	checks := 0
 	g.relay.Bounds = func() config.Bounds {
-		checks++
-		if checks > 2 {
+		if arrived, _ := g.count(); arrived > 0 {
 			return config.Bounds{Revoke: time.Nanosecond}
 		}
 		return config.Bounds{Revoke: time.Hour}
--- a/relay/run.go
+++ b/relay/run.go
@@ -99,7 +99,7 @@
 
 // want says what the request asks of its place.
 func (q *request) want() place.Ask {
-	a := place.Ask{Key: xxhash.Sum64String(q.ask.ID)}
+	a := place.Ask{Key: xxhash.Sum64String(q.ask.ID), Cap: q.Bounds().Cap}
 	for _, p := range q.ask.Parts {
 		a.Tokens += p.Tokens
 	}
--- a/routing.go
+++ b/routing.go
@@ -64,9 +64,6 @@
 	// Objective is the time to the answer, or a stream's first event, that
 	// callers want.
 	Objective time.Duration
-	// Pause is the longest pause between events that callers accept; 0 where
-	// none is set.
-	Pause time.Duration
 	// Rank orders routes by urgency: 0 is the most urgent.
 	Rank int
 	// Tries is the most targets that one request may reach.
@@ -94,10 +91,6 @@
 // Service is a group of like targets.
 type Service struct {
 	Name string
-	// Health is the path of the health check.
-	Health string
-	// Connections is the most that a target accepts, from all callers.
-	Connections int
 	// ColdStart is how long a target is cold after its start.
 	ColdStart time.Duration
 	// ColdRate is the requests a second that a cold target carries, from all
@@ -105,8 +98,6 @@
 	ColdRate float64
 	// Engine says that targets cache prompts and can fetch them.
 	Engine bool
-	// Memory is an engine's cache in tokens.
-	Memory int
 }
 
 // Client is a workspace with the keys of its callers.
