--- /dev/null
+++ b/board/holds.go
@@ -0,0 +1,130 @@
+package board
+
+import (
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/place"
+	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/share"
+)
+
+// hold is a prompt part in a target's cache.
+type hold struct {
+	at clock.Stamp
+	// ready says that the target has read it: before that there is nothing to
+	// fetch, and whoever tries reads it a second time.
+	ready bool
+	// listed says that only the target itself named it: most of such parts belong
+	// to one request, and peers are not told until another asks for it.
+	listed bool
+}
+
+// held counts the tokens of the leading parts in a target's cache: a part is of
+// use only if all before it are there too. With ready, parts that are still being
+// read don't count.
+func (b *Board) held(now clock.Stamp, key uint32, parts []chestnutstep.Part, ready bool) int {
+	n := 0
+	for _, p := range parts {
+		h, ok := b.holds[uint32(p.ID)][key]
+		if !ok || now.Sub(h.at) > holdKeep || ready && !h.ready {
+			return n
+		}
+		n += p.Tokens
+	}
+	return n
+}
+
+// Donor returns the target with the longest prefix to fetch from; of several the
+// least loaded, as fetches from one run one after the other. One that is leaving
+// may give while it still answers: what only it holds is lost otherwise.
+func (b *Board) Donor(now clock.Stamp, v *roster.View, service *chestnutstep.Service, parts []chestnutstep.Part) place.Donor {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin()
+	var best place.Donor
+	for _, t := range v.Services[service.Name] {
+		key, s := b.instance(&t.Instance)
+		if s.health.down(now) || now < t.ColdUntil {
+			continue
+		}
+		held := b.held(now, Key(&t.Instance), parts, true)
+		load := float64(s.running + int(b.sums[key].Running))
+		if held > best.Held || held == best.Held && held > 0 && load < best.Running {
+			best = place.Donor{ID: t.ID, Address: t.Address, Held: held, Running: load}
+		}
+	}
+	return best
+}
+
+// hold notes that a target reads parts. The last part is the request's own: no
+// other request asks for it.
+func (b *Board) hold(now clock.Stamp, key uint32, parts []chestnutstep.Part, ready bool) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, p := range parts[:len(parts)-1] {
+		if b.learn(now, uint32(p.ID), key, ready) {
+			b.news = append(b.news, news[share.Hold]{what: share.Hold{Target: key, Part: uint32(p.ID), Ready: ready}})
+		}
+	}
+}
+
+// learn notes a part in a cache, and says whether that is new.
+func (b *Board) learn(now clock.Stamp, part, key uint32, ready bool) bool {
+	m := b.holds[part]
+	if m == nil {
+		if len(b.holds) >= partsMost {
+			b.forgetOld(now)
+		}
+		m = make(map[uint32]hold, 2)
+		b.holds[part] = m
+	}
+	old, known := m[key]
+	m[key] = hold{at: now, ready: ready || old.ready}
+	return !known || ready && !old.ready || old.listed
+}
+
+// drop forgets parts that a target did not read after all.
+func (b *Board) drop(key uint32, parts []chestnutstep.Part) {
+	for _, p := range parts {
+		if m := b.holds[uint32(p.ID)]; m != nil && !m[key].ready {
+			delete(m, key)
+		}
+	}
+}
+
+// Hold notes what a target itself says of its cache.
+func (b *Board) Hold(now clock.Stamp, t *chestnutstep.Instance, parts []chestnutstep.Part) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.begin()
+	for _, p := range parts {
+		b.list(now, Key(t), uint32(p.ID))
+	}
+}
+
+// list notes a part that a target named, unless more is known of it.
+func (b *Board) list(now clock.Stamp, key, part uint32) {
+	if _, known := b.holds[part][key]; known {
+		return
+	}
+	b.learn(now, part, key, true)
+	b.holds[part][key] = hold{at: now, ready: true, listed: true}
+}
+
+// forgetOld makes room.
+func (b *Board) forgetOld(now clock.Stamp) {
+	for part, m := range b.holds {
+		for key, h := range m {
+			if now.Sub(h.at) > holdKeep/4 {
+				delete(m, key)
+			}
+		}
+		if len(m) == 0 {
+			delete(b.holds, part)
+		}
+	}
+	if len(b.holds) >= partsMost {
+		clear(b.holds)
+	}
+}
--- a/board/peers.go
+++ b/board/peers.go
@@ -19,16 +19,25 @@
 	newsMost = 40
 )
 
-// news is a hold that peers may not know yet.
-type news struct {
-	hold share.Hold
+// news is something that peers may not know yet.
+type news[T any] struct {
+	what T
 	told int
 }
 
-// goneNews is an instance that is gone, which peers may not know yet.
-type goneNews struct {
-	target uint32
-	told   int
+// tell returns at most n of the news, and what is left to be told again.
+func tell[T any](list []news[T], n int) (told []T, left []news[T]) {
+	left = list[:0]
+	for _, x := range list {
+		if len(told) < n {
+			told = append(told, x.what)
+			x.told++
+		}
+		if x.told < tellTimes {
+			left = append(left, x)
+		}
+	}
+	return told, left
 }
 
 // goneTold bounds the instances of one datagram.
@@ -40,17 +49,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []uint32
-	kept := b.gone[:0]
-	for _, g := range b.gone {
-		if len(list) < goneTold {
-			list = append(list, g.target)
-			g.told++
-		}
-		if g.told < tellTimes {
-			kept = append(kept, g)
-		}
-	}
-	b.gone = kept
+	list, b.gone = tell(b.gone, goneTold)
 	return list
 }
 
@@ -78,17 +77,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var list []share.Hold
-	kept := b.news[:0]
-	for _, x := range b.news {
-		if len(list) < newsMost {
-			list = append(list, x.hold)
-			x.told++
-		}
-		if x.told < tellTimes {
-			kept = append(kept, x)
-		}
-	}
-	b.news = kept
+	list, b.news = tell(b.news, newsMost)
 	return b.refresh(now, list, n)
 }
 
--- /dev/null
+++ b/node/count.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+
+	"chestnutstep.example/chestnutstep/admin"
+	"chestnutstep.example/chestnutstep/event"
+)
+
+// serveMetrics serves the metrics address until ctx ends.
+func (n *Direct) serveMetrics(ctx context.Context) {
+	srv := &admin.Server{Addr: n.Settings.Metrics, Log: n.log, Ready: n.ready, Metrics: n.meters.Handler()}
+	// A failure is logged there; requests don't need the address.
+	_ = srv.Run(ctx)
+}
+
+// counted is what was passed to the metrics already.
+type counted struct {
+	dropped, opened, out, in int64
+	peers                    int
+}
+
+// count passes on what is counted elsewhere.
+func (n *Direct) count() {
+	m, c := &n.meters.Relay, &n.counted
+	dropped, opened := n.async.Dropped(), n.pool.Opened()
+	out, in := n.peers.Bytes()
+	m.Dropped.Add(dropped - c.dropped)
+	m.Opened.Add(opened - c.opened)
+	m.Datagrams.Add(out-c.out, "out")
+	m.Datagrams.Add(in-c.in, "in")
+	if dropped > c.dropped {
+		n.log.Emit(event.LinesDropped, event.Int("lines", dropped-c.dropped))
+	}
+	live := n.peers.Live()
+	if live != c.peers {
+		n.log.Emit(event.PeersCounted, event.Int("peers", int64(live)), event.Int("before", int64(c.peers)))
+	}
+	n.counted = counted{dropped, opened, out, in, live}
+	m.Peers.Set(float64(live))
+	m.Open.Set(float64(n.relay.Open()))
+	m.Proof.Set(n.proofAge().Seconds())
+	if v := n.roster.View(); v != nil {
+		m.Version.Set(float64(v.Routing.Version))
+		m.Targets.Set(float64(len(v.ByID)))
+	}
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -17,7 +17,6 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/admin"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
@@ -224,13 +223,6 @@
 
 func (n *Direct) refuse(err error) { n.log.Emit(event.SettingsRefused, event.Err(err)) }
 
-// serveMetrics serves the metrics address until ctx ends.
-func (n *Direct) serveMetrics(ctx context.Context) {
-	srv := &admin.Server{Addr: n.Settings.Metrics, Log: n.log, Ready: n.ready, Metrics: n.meters.Handler()}
-	// A failure is logged there; requests don't need the address.
-	_ = srv.Run(ctx)
-}
-
 // drawRun draws the number of this life of the process.
 func drawRun() uint32 {
 	var b [4]byte
@@ -238,32 +230,6 @@
 	return binary.LittleEndian.Uint32(b[:])
 }
 
-func (n *Direct) watch(topic chestnutstep.Topic) task {
-	w := &watch.Watcher{Source: n.Source, Topic: topic, Roster: n.roster, Notify: n, Wait: watch.Long}
-	if topic == chestnutstep.TopicRouting {
-		w.Kick, w.Wait = n.kick, n.pace
-	}
-	return w.Run
-}
-
-// pace is how long the next watch of the configuration waits.
-func (n *Direct) pace() time.Duration {
-	d := watch.Pace(n.board.Rank(), n.proofAge(), n.bounds().Revoke)
-	n.waitsLong.Store(d >= watch.Long())
-	return d
-}
-
-// proofAge is the age of the proof that the configuration is current.
-func (n *Direct) proofAge() time.Duration { return clock.Now().Sub(n.roster.Proof()) }
-
-// kickWatch ends the present watch of the configuration.
-func (n *Direct) kickWatch(k watch.Kick) {
-	select {
-	case n.kick <- k:
-	default: // one is on its way
-	}
-}
-
 // loop looks after what needs no hurry.
 func (n *Direct) loop(ctx context.Context) {
 	tick := time.NewTicker(directTick)
@@ -285,38 +251,6 @@
 	}
 }
 
-// counted is what was passed to the metrics already.
-type counted struct {
-	dropped, opened, out, in int64
-	peers                    int
-}
-
-// count passes on what is counted elsewhere.
-func (n *Direct) count() {
-	m, c := &n.meters.Relay, &n.counted
-	dropped, opened := n.async.Dropped(), n.pool.Opened()
-	out, in := n.peers.Bytes()
-	m.Dropped.Add(dropped - c.dropped)
-	m.Opened.Add(opened - c.opened)
-	m.Datagrams.Add(out-c.out, "out")
-	m.Datagrams.Add(in-c.in, "in")
-	if dropped > c.dropped {
-		n.log.Emit(event.LinesDropped, event.Int("lines", dropped-c.dropped))
-	}
-	live := n.peers.Live()
-	if live != c.peers {
-		n.log.Emit(event.PeersCounted, event.Int("peers", int64(live)), event.Int("before", int64(c.peers)))
-	}
-	n.counted = counted{dropped, opened, out, in, live}
-	m.Peers.Set(float64(live))
-	m.Open.Set(float64(n.relay.Open()))
-	m.Proof.Set(n.proofAge().Seconds())
-	if v := n.roster.View(); v != nil {
-		m.Version.Set(float64(v.Routing.Version))
-		m.Targets.Set(float64(len(v.ByID)))
-	}
-}
-
 // ready says whether the balancer should send callers here.
 func (n *Direct) ready() error {
 	if n.leaving.Load() {
--- a/place/place.go
+++ b/place/place.go
@@ -30,9 +30,10 @@
 	fetchLeast = 128
 	// Spread is the part of the allowed multiple of the mean load above which a target
 	// gets no request that another could take: what peers do in the same moment adds
-	// the rest. SpreadDefault is the multiple where none is set.
-	Spread        = 0.75
-	SpreadDefault = 2.0
+	// the rest.
+	Spread = 0.75
+	// CapDefault is the multiple where none is set.
+	CapDefault = 2.0
 	// spreadSlack lets a target take a few requests at a mean near zero.
 	spreadSlack = 2.0
 	// farCost is what another failure domain costs, in milliseconds: the way
@@ -159,7 +160,7 @@
 // carry little by intention; counted, they would lower the mean.
 func ceiling(list []Candidate, most float64) float64 {
 	if most <= 0 {
-		most = SpreadDefault
+		most = CapDefault
 	}
 	spread := max(Spread*most, 1)
 	sum, n := 0.0, 0
