--- a/fake/engine.go
+++ b/fake/engine.go
@@ -281,6 +281,9 @@
 			began = true
 			s.head(w.Header())
 		}
+		if r.URL.Path != resumePath {
+			data = s.fault.upToClose(data, sent)
+		}
 		if len(data) > 0 {
 			if _, err := w.Write(data); err != nil {
 				e.leave(s, linger)
--- a/fake/fault.go
+++ b/fake/fault.go
@@ -79,6 +79,24 @@
 	return f.Poison != "" && bytes.Contains(body, []byte(f.Poison))
 }
 
+// upToClose is the part of the data that goes out before the connection is dropped.
+// On a busy machine an answer may be whole before any of it was sent: cut only between
+// two writes, it would arrive whole.
+func (f Fault) upToClose(data []byte, sent int) []byte {
+	if f.Close <= 0 {
+		return data
+	}
+	end := 0
+	for ; sent < f.Close; sent++ {
+		i := bytes.Index(data[end:], []byte(eventEnd))
+		if i < 0 {
+			return data
+		}
+		end += i + len(eventEnd)
+	}
+	return data[:end]
+}
+
 // closes says whether the connection is dropped after so many tokens.
 func (f Fault) closes(sent int) bool {
 	return f.Close > 0 && sent >= f.Close
--- a/node/advice.go
+++ b/node/advice.go
@@ -50,7 +50,7 @@
 	own := n.roster.Version()
 	switch {
 	case r.Version == own && own != 0 && r.Age >= 0 && asked != 0:
-		n.roster.Prove(asked - clock.Stamp(r.Age*1e6))
+		n.roster.Prove(asked.Add(-time.Duration(r.Age) * time.Millisecond))
 	case r.Version > own && r.Version == n.newest.Load():
 		n.newestAt.Store(int64(now))
 	case r.Version > own && (r.Version > n.newest.Load() || !n.behind()):
--- a/node/direct.go
+++ b/node/direct.go
@@ -106,11 +106,10 @@
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
-	n.log.Emit(event.ProcessStart, event.Str("role", string(config.RoleEntry)), event.Str("callers", n.Settings.Callers))
-	n.log.Emit(event.SettingsInForce, event.Dur("grace", n.Settings.Bounds.Grace), event.Dur("revoke", n.Settings.Bounds.Revoke),
-		event.Str("unknown", strings.Join(n.Settings.Unknown, " ")))
+	n.logStart()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	n.begin(work)
 	srv := &http.Server{
 		Handler:           n.relay,
 		ReadHeaderTimeout: directHeader,
@@ -119,6 +118,27 @@
 	}
 	probes := &http.Server{Handler: http.HandlerFunc(n.probe), ReadHeaderTimeout: directHeader}
 	served := make(chan error, 2)
+	start(work,
+		func(context.Context) { served <- srv.Serve(&relay.Listener{Listener: callers, Relay: n.relay}) },
+		func(context.Context) { served <- probes.Serve(ready) },
+	)
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+		return n.stop(srv)
+	}
+}
+
+func (n *Direct) logStart() {
+	n.log.Emit(event.ProcessStart, event.Str("role", string(config.RoleEntry)), event.Str("callers", n.Settings.Callers))
+	n.log.Emit(event.SettingsInForce, event.Dur("grace", n.Settings.Bounds.Grace), event.Dur("revoke", n.Settings.Bounds.Revoke),
+		event.Str("unknown", strings.Join(n.Settings.Unknown, " ")))
+}
+
+// begin starts what runs beside the servers.
+func (n *Direct) begin(work context.Context) {
+	start(work, n.loop, n.learn, n.peers.Loop, n.watch(chestnutstep.TopicRouting), n.watch(chestnutstep.TopicInstances))
 	if n.Reloader != nil {
 		n.Reloader.Changed, n.Reloader.Refused = n.reload, n.refuse
 		start(work, n.Reloader.Loop)
@@ -129,16 +149,6 @@
 	if n.Settings.Metrics != "" {
 		start(work, n.serveMetrics)
 	}
-	start(work, n.loop, n.learn, n.peers.Loop, n.watch(chestnutstep.TopicRouting), n.watch(chestnutstep.TopicInstances),
-		func(context.Context) { served <- srv.Serve(&relay.Listener{Listener: callers, Relay: n.relay}) },
-		func(context.Context) { served <- probes.Serve(ready) },
-	)
-	select {
-	case err := <-served:
-		return errors.Wrap(err, "serve")
-	case <-ctx.Done():
-		return n.stop(srv)
-	}
 }
 
 func (n *Direct) build() error {
