link: a request that is given up is reset, not closed

It had been sent 6 s before into a cut, given up after 0.7 s and answered by another server; the cut healed and delivered what the closed connection still held. Ruled out: what the entry knew (it had not chosen that server again). Change: connections whose request is given up are reset.

--- a/link/call.go
+++ b/link/call.go
@@ -75,7 +75,7 @@
 		return nil, ErrCall{Run: chestnutstep.RunNo, Reason: chestnutstep.ReasonDown, Err: err}
 	}
 	a := &Answer{pool: p, address: address, conn: c}
-	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	a.stop = context.AfterFunc(ctx, c.abandon)
 	sent := make(chan error, 1)
 	message := call.message()
 	if len(message) <= directWrite {
@@ -164,7 +164,7 @@
 	}
 	a.stop = nil
 	if !sound || !a.whole || !a.wrote || a.resp.Close || a.Unframed() || a.conn.br.Buffered() > 0 {
-		_ = a.conn.Close()
+		a.conn.abandon()
 		return
 	}
 	a.pool.put(a.address, a.conn, idleTime(a.Header))
@@ -176,7 +176,7 @@
 // abort closes the connection, which makes the target stop.
 func (a *Answer) abort() {
 	a.stop()
-	_ = a.conn.Close()
+	a.conn.abandon()
 }
 
 // idleTime is how long the target keeps an idle connection, less a margin; 0
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -137,3 +137,26 @@
 	_, err := send(ctx, p, x, "c", "b")
 	assert.Equal(t, reason(err), fmt.Sprint(chestnutstep.ReasonCanceled, " maybe"))
 }
+
+// The network is cut while a request is on its way, and the entry gives it up and asks
+// another target. When the cut heals, the first target must not get the request after
+// all: it may be leaving by then, and nobody waits for the answer. Only a reset tells
+// the network to drop what it still holds; a usual close lets it through.
+func TestRequestThatIsGivenUpIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	ended := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			_, err = io.Copy(io.Discard, c)
+		}
+		ended <- err
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = (&link.Pool{}).Do(ctx, l.Addr().String(), &link.Call{Method: "GET", URI: "/x", Header: http.Header{}})
+	assert.Equal(t, reason(err), "timeout maybe")
+	assert.ErrorContains(t, <-ended, "reset")
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -79,6 +79,16 @@
 	return d.DialContext(ctx, network, address)
 }
 
+// abandon resets a connection whose request is given up. Closed in the usual way, what
+// a cut network holds back would still be delivered when it heals: seconds later, at a
+// target that is leaving by then, a request that another target has long answered.
+func (c *Conn) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a connection that is closed already
+	}
+	_ = c.Close()
+}
+
 // get returns an idle connection that is still sound, or opens one. With fresh
 // it always opens one.
 func (p *Pool) get(ctx context.Context, address string, fresh bool) (*Conn, error) {
