--- a/link/link_test.go
+++ b/link/link_test.go
@@ -107,7 +107,8 @@
 func TestEarlyAnswer(t *testing.T) {
 	x, p := target(t), &link.Pool{}
 	x.Behave(stand.Fine, stand.Early)
-	_, err := send(context.Background(), p, x, "long", strings.Repeat("x", 4<<20))
+	// More than any connection holds, so that the answer comes before its end is sent.
+	_, err := send(context.Background(), p, x, "long", strings.Repeat("x", 64<<20))
 	if err != nil {
 		assert.Equal(t, reason(err), "link maybe")
 	}
