--- a/node/direct.go
+++ b/node/direct.go
@@ -266,9 +266,15 @@
 	if n.leaving.Load() {
 		return &ErrNotReady{Cause: "leaving"}
 	}
-	if n.roster.View() == nil {
+	v := n.roster.View()
+	if v == nil {
 		return &ErrNotReady{Cause: "no configuration yet"}
 	}
+	// Ready without the list, an entry would refuse its first callers for want of
+	// targets.
+	if !v.Listed {
+		return &ErrNotReady{Cause: "no list of targets yet"}
+	}
 	age := n.proofAge()
 	if limit := n.bounds().Revoke; limit > 0 && age > time.Duration(unprovedReady*float64(limit)) {
 		return &ErrNotReady{Cause: "configuration not proved current"}
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/node"
@@ -276,6 +277,43 @@
 	assert.Equal(t, status(d.ask("/book/1", "k", "a")), http.StatusOK)
 }
 
+// slowList is a source whose list of targets comes late.
+type slowList struct {
+	chestnutstep.Source
+	release chan struct{}
+}
+
+func (s *slowList) List(ctx context.Context, topic chestnutstep.Topic) (chestnutstep.Batch, error) {
+	if topic == chestnutstep.TopicInstances {
+		<-s.release
+	}
+	return s.Source.List(ctx, topic)
+}
+
+// An entry knows its configuration and not yet its targets. Sent callers by then, it
+// would refuse them while all targets are well.
+func TestDirectIsNotReadyWithoutTargets(t *testing.T) {
+	store, x := stand.NewStore(), newTarget(t, "i-a")
+	publish(store, 1, []string{"k"}, x)
+	door := store.Open()
+	t.Cleanup(door.Close)
+	source := platform.NewStore(door.Address(), link.Dial)
+	slow := &slowList{Source: source, release: make(chan struct{})}
+	d := &direct{settings: directSettings(t, door.Address()), door: door, out: &pausable{}}
+	n := &node.Direct{Settings: d.settings, Source: slow, Wire: platform.Wire{}, Out: d.out}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() { _ = n.Run(ctx) }()
+	waitFor(t, func() bool { return strings.Contains(d.out.text(), "routing_in_force") }, "the configuration is in force")
+	for range 10 {
+		assert.Equal(t, d.ready(), http.StatusServiceUnavailable)
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(slow.release)
+	waitFor(t, func() bool { return d.ready() == http.StatusOK }, "the entry is ready")
+	assert.Equal(t, status(d.ask("/book/1", "k", "a")), http.StatusOK)
+}
+
 // Operators read the metrics of an entry.
 func TestDirectMetrics(t *testing.T) {
 	store, x := stand.NewStore(), newTarget(t, "i-a")
--- a/roster/copy.go
+++ b/roster/copy.go
@@ -55,7 +55,9 @@
 		r.retire(now, chestnutstep.TopicRouting, seen, in.Routing, &c)
 		r.retire(now, chestnutstep.TopicInstances, seen, in.Instances, &c)
 	}
-	r.publish(c)
+	first := in.Instances > 0 && !r.heard
+	r.heard = r.heard || first
+	r.publish(c, first)
 	return c
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -33,6 +33,8 @@
 // View is what is believed at one moment. It is never changed.
 type View struct {
 	Routing *chestnutstep.Routing
+	// Listed says that the list of targets was read: before that, none is known.
+	Listed bool
 	// Targets of each service, leaving or not.
 	Services map[string][]*Target
 	// ByID has the same targets by name.
@@ -155,10 +157,9 @@
 	}
 	r.expire(now, &c)
 	r.revision[topic] = max(r.revision[topic], b.Revision)
-	if topic == chestnutstep.TopicInstances {
-		r.heard = true
-	}
-	r.publish(c)
+	first := topic == chestnutstep.TopicInstances && !r.heard
+	r.heard = r.heard || first
+	r.publish(c, first)
 	return c
 }
 
@@ -169,7 +170,7 @@
 	r.begin()
 	var c Change
 	r.expire(now, &c)
-	r.publish(c)
+	r.publish(c, false)
 	return c
 }
 
@@ -319,12 +320,14 @@
 	}
 }
 
-func (r *Roster) publish(c Change) {
-	if r.routing == nil || c.Empty() && r.view.Load() != nil {
+// publish makes a view of what is believed, if anything changed or always.
+func (r *Roster) publish(c Change, always bool) {
+	if r.routing == nil || !always && c.Empty() && r.view.Load() != nil {
 		return
 	}
 	v := &View{
 		Routing:  r.routing,
+		Listed:   r.heard,
 		Services: make(map[string][]*Target),
 		ByID:     maps.Clone(r.targets),
 		Out:      maps.Clone(r.out),
