event: a line after the log's close is lost, not a panic

Cause: read, not seen: Close closed the channel that lines go through, and waits for a slow reader up to the end of the grace; any line written meanwhile, by a watch or a datagram, ended the process with a panic. TestLineAfterClose failed before (send on closed channel).

--- a/event/async.go
+++ b/event/async.go
@@ -16,13 +16,14 @@
 type Async struct {
 	out     io.Writer
 	lines   chan []byte
+	quit    chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
 }
 
 // NewAsync returns a writer in front of another. Close it at the end.
 func NewAsync(out io.Writer) *Async {
-	a := &Async{out: out, lines: make(chan []byte, asyncLines), done: make(chan struct{})}
+	a := &Async{out: out, lines: make(chan []byte, asyncLines), quit: make(chan struct{}), done: make(chan struct{})}
 	go a.loop()
 	return a
 }
@@ -44,30 +45,52 @@
 // batchMost bounds the bytes of one write.
 const batchMost = 32 << 10
 
-// loop writes lines, as many at once as wait: each write costs a system call.
+// loop writes lines until Close, and then what still waits.
 func (a *Async) loop() {
 	defer close(a.done)
-	var batch []byte
-	for line := range a.lines {
-		batch = append(batch[:0], line...)
-		for more := true; more && len(batch) < batchMost; {
-			select {
-			case next, ok := <-a.lines:
-				more = ok
-				batch = append(batch, next...)
-			default:
-				more = false
-			}
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(line)
+		case <-a.quit:
+			a.drain()
+			return
 		}
-		if _, err := a.out.Write(batch); err != nil {
-			a.dropped.Add(1) // standard output is gone: there is nowhere to say so
+	}
+}
+
+// drain writes what waits.
+func (a *Async) drain() {
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(line)
+		default:
+			return
+		}
+	}
+}
+
+// write writes a line and those that wait behind it: each write costs a system call.
+func (a *Async) write(batch []byte) {
+	for len(batch) < batchMost {
+		select {
+		case next := <-a.lines:
+			batch = append(batch, next...)
+			continue
+		default:
 		}
+		break
+	}
+	if _, err := a.out.Write(batch); err != nil {
+		a.dropped.Add(1) // standard output is gone: there is nowhere to say so
 	}
 }
 
-// Close writes what waits, unless the reader has stopped.
+// Close writes what waits, unless the reader has stopped. Lines that come later are
+// lost: whatever still runs while a process ends must not fail for its log.
 func (a *Async) Close(stopped <-chan struct{}) {
-	close(a.lines)
+	close(a.quit)
 	select {
 	case <-a.done:
 	case <-stopped:
--- a/event/async_test.go
+++ b/event/async_test.go
@@ -46,6 +46,18 @@
 	assert.Equal(t, lines+a.Dropped(), int64(10*asyncLines+1), "each line is written or counted")
 }
 
+// A process ends while its log's reader stands still, and something in it writes one
+// more line. A log that fails then turns a planned stop into a crash.
+func TestLineAfterClose(t *testing.T) {
+	r := &reader{}
+	a := NewAsync(r)
+	a.Close(nil)
+	for range 2 * asyncLines {
+		_, err := a.Write([]byte("late\n"))
+		assert.NilError(t, err)
+	}
+}
+
 // Lines come out whole and in order.
 func TestAsyncKeepsOrder(t *testing.T) {
 	r := &reader{}
