stand, soak: the test aids leave platform/; fields that nothing used are gone

platform/ holds the adapter alone now. Gone: the load and cold time that targets put on answers, a connection's forced opening, holds taken back, a request's wish computed three times for one send. No decision changed; tests of the packages pass under the race detector.

--- a/ask.go
+++ b/ask.go
@@ -52,12 +52,6 @@
 	NotRun bool
 	// Moved says that another instance has the address.
 	Moved bool
-	// Cold is how long the target stays cold.
-	Cold time.Duration
-	// Running, Waiting and Slots are its load; all 0 where it does not say.
-	Running int
-	Waiting int
-	Slots   int
 }
 
 // Wire translates headers. It decides nothing.
--- a/board/peers.go
+++ b/board/peers.go
@@ -127,10 +127,6 @@
 		}
 	}
 	for _, h := range r.Holds {
-		if h.Gone {
-			delete(b.holds[h.Part], h.Target)
-			continue
-		}
 		if old, known := b.holds[h.Part][h.Target]; !known || h.Ready && !old.ready {
 			b.learn(now, h.Part, h.Target, h.Ready)
 		}
--- a/link/call.go
+++ b/link/call.go
@@ -25,10 +25,6 @@
 	// Body is whole: what is sent again must be the same bytes.
 	Body    []byte
 	HasBody bool
-	// ID is what the answer must repeat.
-	ID string
-	// Fresh asks for a new connection, for requests that can't be repeated.
-	Fresh bool
 }
 
 // Answer is a target's answer whose body is still to be read. Close it.
@@ -70,7 +66,7 @@
 // Do sends a request and reads the head of the answer. The connection is closed
 // when ctx ends: the target stops work on the request. The error is ErrCall.
 func (p *Pool) Do(ctx context.Context, address string, call *Call) (*Answer, error) {
-	c, err := p.get(ctx, address, call.Fresh)
+	c, err := p.get(ctx, address)
 	if err != nil {
 		return nil, ErrCall{Run: chestnutstep.RunNo, Reason: chestnutstep.ReasonDown, Err: err}
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -15,7 +15,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/link"
-	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // send makes one call and reads the answer to its end.
--- a/link/pool.go
+++ b/link/pool.go
@@ -89,14 +89,9 @@
 	_ = c.Close()
 }
 
-// get returns an idle connection that is still sound, or opens one. With fresh
-// it always opens one.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*Conn, error) {
-	for !fresh {
-		c := p.take(address)
-		if c == nil {
-			break
-		}
+// get returns an idle connection that is still sound, or opens one.
+func (p *Pool) get(ctx context.Context, address string) (*Conn, error) {
+	for c := p.take(address); c != nil; c = p.take(address) {
 		if time.Now().Before(c.until) && quiet(c.Conn) {
 			c.Reused = true
 			return c, nil
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -22,7 +22,7 @@
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/node"
 	"chestnutstep.example/chestnutstep/platform"
-	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // direct is an entry without agents in this process.
--- a/place/place.go
+++ b/place/place.go
@@ -83,8 +83,6 @@
 	Key uint64
 	// Tokens of the prompt, 0 where the service has no cache.
 	Tokens int
-	// Shared is how many of them other requests share.
-	Shared int
 	// Cap is the multiple of the mean load that no target may carry; 0 where none
 	// is set.
 	Cap float64
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -59,7 +59,7 @@
 
 func ours(p *play, key uint64) place.Choice {
 	list, donor := p.candidates(key)
-	c, _ := place.Pick(list, donor, place.Ask{Key: key, Tokens: prefix + own, Shared: prefix})
+	c, _ := place.Pick(list, donor, place.Ask{Key: key, Tokens: prefix + own})
 	return c
 }
 
@@ -209,7 +209,7 @@
 	list[7].Running = 4
 	crowd := 0
 	for i := range uint64(24) {
-		c, ok := place.Pick(list, place.Donor{}, place.Ask{Key: i * 104729, Tokens: prefix + own, Shared: prefix})
+		c, ok := place.Pick(list, place.Donor{}, place.Ask{Key: i * 104729, Tokens: prefix + own})
 		assert.Assert(t, ok)
 		if c.Index == 7 {
 			crowd++
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -15,7 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"chestnutstep.example/chestnutstep/config"
-	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // An entry is cut off from the source, or its host was suspended, while a key is
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -33,9 +33,8 @@
 	return nil
 }
 
-// failed takes note of a try without a usable answer. Done says that the caller
-// can get no other.
-func (q *request) failed(run *board.Run, t *roster.Target, err error) bool {
+// failed takes note of a try without a usable answer.
+func (q *request) failed(run *board.Run, t *roster.Target, err error) {
 	now := clock.Now()
 	var e link.ErrCall
 	if !errors.As(err, &e) {
@@ -58,7 +57,6 @@
 	q.log(event.RelayFailed,
 		event.Str("target", t.ID), event.Str("reason", string(e.Reason)), event.Str("run", string(e.Run)),
 		event.Bool("reused", e.Reused), event.Int("last", q.stream.last), event.Err(e.Err))
-	return false
 }
 
 // outcome is what a failure says of the target's health.
--- a/relay/log.go
+++ b/relay/log.go
@@ -15,6 +15,16 @@
 	q.Log.Emit(id, append([]event.Field{event.Str("request", q.ask.ID)}, fields...)...)
 }
 
+// logSend logs a send, with what decided for its target.
+func (q *request) logSend(t *roster.Target, c choice) {
+	q.log(event.RelaySent,
+		event.Str("target", t.ID), event.Str("service", q.service.Name), event.Int("try", int64(q.tally.Tries+1)),
+		event.Float("running", c.candidate.Running), event.Int("own", int64(c.candidate.Held)), event.Int("held", int64(c.held)),
+		event.Int("shared", int64(c.shared)), event.Uint("prefix", c.want.Key), event.Float("cost", c.cost),
+		event.Int("of", int64(c.of)), event.Bool("cold", c.candidate.Cold), event.Str("fetch", c.fetch),
+		event.Uint("version", q.view.Routing.Version))
+}
+
 // kind names the kind of the request's route in metrics.
 func (q *request) kind() string {
 	if q.route == nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,10 +21,10 @@
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/platform"
-	"chestnutstep.example/chestnutstep/platform/stand"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 const (
--- a/relay/run.go
+++ b/relay/run.go
@@ -67,11 +67,15 @@
 	if q.service.Engine {
 		donor = q.Board.Donor(now, q.view, q.service, q.ask.Parts)
 	}
-	picked, ok := place.Pick(list, donor, q.want())
+	want, shared := q.want()
+	picked, ok := place.Pick(list, donor, want)
 	if !ok {
 		return nil, choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonTarget, retryBusy}
 	}
-	c := choice{candidate: list[picked.Index], held: list[picked.Index].Held, cost: picked.Cost, of: len(list)}
+	c := choice{
+		candidate: list[picked.Index], held: list[picked.Index].Held, want: want, shared: shared,
+		cost: picked.Cost, of: len(list),
+	}
 	if picked.Fetch {
 		c.fetch, c.held = donor.Address, donor.Held
 	}
@@ -91,23 +95,27 @@
 // choice is a candidate with what decided for it, for the log.
 type choice struct {
 	candidate place.Candidate
-	fetch     string
-	held      int
-	cost      float64
-	of        int
+	want      place.Ask
+	// shared is the tokens of the prompt that other requests share.
+	shared int
+	fetch  string
+	held   int
+	cost   float64
+	of     int
 }
 
-// want says what the request asks of its place.
-func (q *request) want() place.Ask {
-	a := place.Ask{Key: xxhash.Sum64String(q.ask.ID), Cap: q.Bounds().Cap}
+// want says what the request asks of its place, and how many tokens of its prompt
+// other requests share.
+func (q *request) want() (a place.Ask, shared int) {
+	a = place.Ask{Key: xxhash.Sum64String(q.ask.ID), Cap: q.Bounds().Cap}
 	for _, p := range q.ask.Parts {
 		a.Tokens += p.Tokens
 	}
 	if n := len(q.ask.Parts); n > 1 {
 		a.Key = q.ask.Parts[n-2].ID
-		a.Shared = a.Tokens - q.ask.Parts[n-1].Tokens
+		shared = a.Tokens - q.ask.Parts[n-1].Tokens
 	}
-	return a
+	return a, shared
 }
 
 // again says whether another target may be tried, and takes it from the budget.
@@ -141,23 +149,20 @@
 		q.Budgets.Earn(time.Now(), q.service.Name)
 	}
 	run := q.Board.Start(now, t, q.service, q.ask.Parts, c.held)
-	q.log(event.RelaySent,
-		event.Str("target", t.ID), event.Str("service", q.service.Name), event.Int("try", int64(q.tally.Tries+1)),
-		event.Float("running", c.candidate.Running), event.Int("own", int64(c.candidate.Held)), event.Int("held", int64(c.held)),
-		event.Int("shared", int64(q.want().Shared)), event.Uint("prefix", q.want().Key), event.Float("cost", c.cost),
-		event.Int("of", int64(c.of)), event.Bool("cold", c.candidate.Cold), event.Str("fetch", c.fetch),
-		event.Uint("version", q.view.Routing.Version))
+	q.logSend(t, c)
 	q.countTokens(c)
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
 	answer, err := q.Pool.Do(ctx, t.Address, q.call(t, c))
 	if err != nil {
-		return q.failed(run, t, err), err
+		q.failed(run, t, err)
+		return false, err
 	}
 	told := q.Wire.Told(answer.Status, answer.Header)
 	if err := q.judge(answer, told); err != nil {
 		answer.Close(false)
-		return q.failed(run, t, err), err
+		q.failed(run, t, err)
+		return false, err
 	}
 	if q.route.Kind == chestnutstep.Stream && answer.Status == http.StatusOK {
 		err = q.forward(run, answer)
@@ -165,7 +170,8 @@
 		err = q.collect(answer)
 	}
 	if err != nil {
-		return q.failed(run, t, err), err
+		q.failed(run, t, err)
+		return false, err
 	}
 	run.End(clock.Now(), board.Served)
 	q.tally.Add(chestnutstep.RunYes)
@@ -176,13 +182,12 @@
 
 // countTokens counts where the prompt is expected to come from.
 func (q *request) countTokens(c choice) {
-	all := q.want().Tokens
-	if all == 0 {
+	if c.want.Tokens == 0 {
 		return
 	}
 	q.Meters.Tokens.Add(int64(c.candidate.Held), "held")
 	q.Meters.Tokens.Add(int64(c.held-c.candidate.Held), "fetched")
-	q.Meters.Tokens.Add(int64(max(all-c.held, 0)), "read")
+	q.Meters.Tokens.Add(int64(max(c.want.Tokens-c.held, 0)), "read")
 }
 
 // call builds the message for a target.
@@ -218,7 +223,6 @@
 		Header:  h,
 		Body:    q.body,
 		HasBody: q.r.ContentLength != 0,
-		ID:      q.ask.ID,
 	}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,9 +25,8 @@
 	chestnutstep.Instance
 	// ColdUntil is when it is warm.
 	ColdUntil clock.Stamp
-	// missing says since when the source no longer lists it.
-	missing   bool
-	missingAt clock.Stamp
+	// missing says that the source no longer lists it.
+	missing bool
 }
 
 // View is what is believed at one moment. It is never changed.
@@ -303,7 +302,7 @@
 		return
 	}
 	kept := *t
-	kept.missing, kept.missingAt = true, now
+	kept.missing = true
 	r.targets[id] = &kept
 }
 
--- a/share/report.go
+++ b/share/report.go
@@ -93,14 +93,13 @@
 }
 
 // Hold says that a target has a part in its cache, or is reading it unless it is
-// Ready. Gone says that it lost it.
+// Ready.
 type Hold struct {
 	_      struct{} `cbor:",toarray"`
 	Target uint32
 	// Part is the low half of the part's ID.
 	Part  uint32
 	Ready bool
-	Gone  bool
 }
 
 // Crash says that content was running at a target when it died.
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -18,7 +18,7 @@
 
 	"chestnutstep.example/chestnutstep/pipe"
 	"chestnutstep.example/chestnutstep/platform"
-	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // entry is a process of the program, with a door of the store to itself, and a
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"chestnutstep.example/chestnutstep/pipe"
-	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // fault is something that happens from outside, and what undoes it.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // refusals promise that the request has not run and never will.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep/pipe"
-	"chestnutstep.example/chestnutstep/platform/stand"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 const (
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,7 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"chestnutstep.example/chestnutstep/platform/soak"
+	"chestnutstep.example/chestnutstep/soak"
 )
 
 var (
@@ -28,7 +28,7 @@
 // on all the while, and afterwards each request is compared with what ran.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "chestnutstep")
-	out, err := exec.Command("go", "build", "-o", program, "../../cmd/chestnutstep").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/chestnutstep").CombinedOutput()
 	assert.NilError(t, err, string(out))
 	list := kept(t)
 	for s := *first; s < *first+*seeds; s++ {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -13,8 +13,8 @@
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/platform"
-	"chestnutstep.example/chestnutstep/platform/stand"
 	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/stand"
 	"chestnutstep.example/chestnutstep/watch"
 )
 
