node: tests of entries without agents take addresses that nobody else takes

Seen: TestDirectLearnsFromItsPeer failed once in 30 runs, and 5 times in 160 runs of four processes beside each other: "the entry is ready" never came. Cause, from what Run returned: "listen udp: address already in use". The address was found free by TCP, closed, and used for UDP a moment later. Ports that systems hand out by themselves were given to others meanwhile. Ruled out: the new learning; no failure without that error or a like one. Change: the addresses of the other tests here, on a host of the process's own and below those ports.

--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -52,20 +52,11 @@
 	return p.got.String()
 }
 
-// freeAddr returns an address that nobody listens on.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func directSettings(t *testing.T, store string, seeds ...string) *config.Direct {
 	t.Helper()
 	return &config.Direct{
-		Name: "entry", IP: "127.0.0.1", Domain: "z", Callers: freeAddr(t), Ready: freeAddr(t), Control: freeAddr(t),
-		Peer: freeAddr(t), Metrics: freeAddr(t), Seeds: seeds, Store: store, First: true,
+		Name: "entry", IP: node.OwnHost, Domain: "z", Callers: node.FreeAddr(t), Ready: node.FreeAddr(t), Control: node.FreeAddr(t),
+		Peer: node.FreeAddr(t), Metrics: node.FreeAddr(t), Seeds: seeds, Store: store, First: true,
 		Bounds: config.Bounds{
 			Grace: 6 * time.Second, Revoke: 2 * time.Second,
 			RetryShare: 0.2, RetrySlack: 50, RetryWindow: 10 * time.Second, ColdOver: 1.5, ColdSlack: 5, Cap: 2,
