relay, place: a long prefix waits at an entry that has just started

Cause: in the 100 to 200 ms until an entry knows what targets hold, after all entries lost power, callers' prefixes were sent anywhere and read anew, and all who came behind waited for that reading.

Change: such a request waits for the word of the caches, never longer than reading its prefix would take, 250 ms after the first view at most.

--- a/node/direct.go
+++ b/node/direct.go
@@ -88,7 +88,9 @@
 	newestAt atomic.Int64
 	leaving  atomic.Bool
 	// knows says that this entry has learned what targets hold.
-	knows   atomic.Bool
+	knows atomic.Bool
+	// settled is closed once it does, or is late with it.
+	settled chan struct{}
 	counted counted
 }
 
@@ -163,6 +165,7 @@
 	n.async = event.NewAsync(n.Out)
 	n.log = &event.Log{Out: n.async, Process: n.Settings.Name}
 	n.kick = make(chan watch.Kick, 1)
+	n.settled = make(chan struct{})
 	n.roster = &roster.Roster{}
 	n.pool = &link.Pool{}
 	n.crashes = &relay.Crashes{}
@@ -183,6 +186,7 @@
 		Log:     n.log,
 		Meters:  &n.meters.Relay,
 		Behind:  n.behind,
+		Settled: n.settled,
 		Budgets: &retry.Budgets{Bounds: n.retryBounds, Entries: n.board.Entries},
 	}
 	conn, err := net.ListenPacket("udp", n.Settings.Peer)
--- a/node/learn.go
+++ b/node/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"chestnutstep.example/chestnutstep"
@@ -26,6 +27,9 @@
 	// learnFor is how long after the first view targets are asked that join: twice
 	// what it takes them to come back to the list after the source was away.
 	learnFor = 4 * time.Second
+	// settleMost is how long after the first view requests may still wait for what
+	// targets hold: a target that does not answer must not hold up all callers.
+	settleMost = 250 * time.Millisecond
 	// learners is how many targets are asked at a time.
 	learners = 4
 )
@@ -36,6 +40,8 @@
 // all entries were lost, a third of all tokens read again were due to it.
 func (n *Direct) learn(ctx context.Context) {
 	began := time.Now()
+	settle := sync.OnceFunc(func() { close(n.settled) })
+	defer settle()
 	if n.Caches == nil || n.Settings.First {
 		n.known(began)
 		return
@@ -45,11 +51,13 @@
 			return
 		}
 	}
+	late := time.AfterFunc(settleMost, settle)
+	defer late.Stop()
 	if n.learnFromPeer(ctx, began) {
 		n.known(began)
 		return
 	}
-	n.learnFromTargets(ctx, began)
+	n.learnFromTargets(ctx, began, settle)
 }
 
 // known notes that this entry knows what targets hold.
@@ -79,7 +87,7 @@
 
 // learnFromTargets asks the targets, together with the other entries. Where the
 // source was away as well, targets come back to its list one by one.
-func (n *Direct) learnFromTargets(ctx context.Context, began time.Time) {
+func (n *Direct) learnFromTargets(ctx context.Context, began time.Time, settle func()) {
 	queue := make(chan *roster.Target)
 	defer close(queue)
 	for range learners {
@@ -95,6 +103,7 @@
 		}
 		if len(n.unlisted()) == 0 {
 			n.known(began)
+			settle()
 		}
 		if !sleep(ctx, learnTick) {
 			return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,9 @@
 	Meters  *meter.Relay
 	// Behind says that a peer knows a newer configuration than this entry.
 	Behind func() bool
+	// Settled is closed once the entry knows what targets hold, or won't learn it
+	// soon. With nil nobody waits for it.
+	Settled <-chan struct{}
 
 	leaving atomic.Bool
 	open    atomic.Int64
@@ -91,6 +94,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	q.await()
 	q.run()
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -44,6 +44,22 @@
 	}
 }
 
+// await lets a request wait at an entry that has just started, until it is known
+// what targets hold, and no longer than its prefix is worth.
+func (q *request) await() {
+	if q.Settled == nil || !q.service.Engine {
+		return
+	}
+	_, shared := q.want()
+	t := time.NewTimer(place.Patience(shared))
+	defer t.Stop()
+	select {
+	case <-q.Settled:
+	case <-t.C:
+	case <-q.ctx.Done():
+	}
+}
+
 // next chooses the target for the next try.
 func (q *request) next() (*roster.Target, choice, *refusal) {
 	now := clock.Now()
