link, relay: idle connections stay within what a target takes from all entries

Ruled out: too few connections for the work itself (300 requests a second of 50 ms).

Change: the published number is read, half of it divided by the entries is what one keeps idle; from 100 entries on at 200 connections nothing is kept there.

--- a/link/call.go
+++ b/link/call.go
@@ -25,6 +25,8 @@
 	// Body is whole: what is sent again must be the same bytes.
 	Body    []byte
 	HasBody bool
+	// Keep is how many idle connections to the target are kept, this one's included.
+	Keep int
 }
 
 // Answer is a target's answer whose body is still to be read. Close it.
@@ -38,6 +40,7 @@
 	pool    *Pool
 	address string
 	conn    *Conn
+	keep    int
 	stop    func() bool
 	resp    *http.Response
 	whole   bool
@@ -70,7 +73,7 @@
 	if err != nil {
 		return nil, ErrCall{Run: chestnutstep.RunNo, Reason: chestnutstep.ReasonDown, Err: err}
 	}
-	a := &Answer{pool: p, address: address, conn: c}
+	a := &Answer{pool: p, address: address, conn: c, keep: call.Keep}
 	a.stop = context.AfterFunc(ctx, c.abandon)
 	sent := make(chan error, 1)
 	message := call.message()
@@ -163,7 +166,7 @@
 		a.conn.abandon()
 		return
 	}
-	a.pool.put(a.address, a.conn, idleTime(a.Header))
+	a.pool.put(a.address, a.conn, idleTime(a.Header), a.keep)
 }
 
 // Unframed says that only the end of the connection ends the body.
--- /dev/null
+++ b/link/keep_test.go
@@ -0,0 +1,38 @@
+package link
+
+import (
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Many entries stand before few targets, and each keeps connections that it does not
+// use. Together they take all that a target accepts, and callers' requests are reset
+// on connections beyond that. In a fleet of any size half is left for requests.
+func TestIdleConnectionsOverAllEntries(t *testing.T) {
+	for _, connections := range []int{0, 96, 110, 200, 370} {
+		for _, entries := range []int{0, 1, 5, 24, 350} {
+			kept := Keep(connections, entries) * entries
+			assert.Assert(t, connections == 0 || kept <= connections/2, "%d kept of %d by %d entries", kept, connections, entries)
+		}
+	}
+	assert.Equal(t, Keep(110, 5), 11)
+	assert.Equal(t, Keep(200, 350), 0)
+	assert.Equal(t, Keep(0, 350), idleMost)
+}
+
+// A connection beyond what is kept is closed at once.
+func TestPoolKeepsNoMore(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	target := l.Addr().String()
+	p := &Pool{}
+	for range 2 {
+		raw, err := Dial(t.Context(), "tcp", target)
+		assert.NilError(t, err)
+		p.put(target, &Conn{Conn: raw}, 0, 1)
+	}
+	assert.Equal(t, len(p.idle[target]), 1)
+}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -23,7 +23,7 @@
 	h := http.Header{}
 	h.Set("Attempt-Id", id)
 	h.Set("Expect-Instance", x.Name)
-	a, err := p.Do(ctx, x.Address(), &link.Call{Method: "POST", URI: "/x", Host: "h", Header: h, Body: []byte(body), HasBody: true})
+	a, err := p.Do(ctx, x.Address(), &link.Call{Method: "POST", URI: "/x", Host: "h", Header: h, Body: []byte(body), HasBody: true, Keep: 8})
 	if err != nil {
 		return "", err
 	}
--- a/link/pool.go
+++ b/link/pool.go
@@ -36,8 +36,6 @@
 	idleMargin = time.Second
 	// readBuffer holds a stream's events, and most answers of services.
 	readBuffer = 2 << 10
-	// idleMost bounds the idle connections to one address.
-	idleMost = 32
 )
 
 // Conn is a connection to a target.
@@ -120,8 +118,8 @@
 	return c
 }
 
-// put keeps a connection for the next request.
-func (p *Pool) put(address string, c *Conn, idle time.Duration) {
+// put keeps a connection for the next request, unless most are kept already.
+func (p *Pool) put(address string, c *Conn, idle time.Duration, most int) {
 	if idle <= 0 {
 		idle = idleDefault
 	}
@@ -131,7 +129,7 @@
 	if p.idle == nil {
 		p.idle = make(map[string][]*Conn)
 	}
-	if len(p.idle[address]) >= idleMost {
+	if len(p.idle[address]) >= most {
 		_ = c.Close()
 		return
 	}
--- a/relay/run.go
+++ b/relay/run.go
@@ -239,6 +239,7 @@
 		Header:  h,
 		Body:    q.body,
 		HasBody: q.r.ContentLength != 0,
+		Keep:    link.Keep(q.service.Connections, q.Board.Entries()),
 	}
 }
 
--- a/routing.go
+++ b/routing.go
@@ -96,6 +96,9 @@
 	// ColdRate is the requests a second that a cold target carries, from all
 	// entries together; 0 where cold targets need no care.
 	ColdRate float64
+	// Connections is how many a target accepts from all entries together; 0 where
+	// that is not said.
+	Connections int
 	// Engine says that targets cache prompts and can fetch them.
 	Engine bool
 }
