board, retry: bounds over the fleet hold among hundreds of entries

Sponsors of cold targets differed from entry to entry, and budgets were divided by too few. The test at 350 let all talk each 500 ms. Each entry also began with one repeat: 350 of them, where 126 are allowed. Ruled out: discovery; after 3 s an entry knew 215 of 299 peers.

Change: loads count for 1.5 s as before; a peer counts as a member for three of its own usual gaps, 30 s after one datagram. Parts of a repeat are saved up.

In small fleets nothing changes: gaps there are 50 to 500 ms.

--- a/board/board.go
+++ b/board/board.go
@@ -19,10 +19,6 @@
 )
 
 const (
-	// peerKeep is how long a peer's loads count: longer than the longest pause
-	// between its datagrams, and short enough that those of a dead peer don't
-	// keep targets looking busy.
-	peerKeep = 1500 * time.Millisecond
 	// partsMost bounds the prompt parts that are remembered, in about 100 bytes
 	// each. What a target has not read for long it has dropped anyway.
 	partsMost = 20000
@@ -68,11 +64,6 @@
 	cold    coldBucket
 }
 
-type peer struct {
-	heard clock.Stamp
-	loads []share.Load
-}
-
 // loadKey names a target in datagrams about what is in progress there. A restart
 // keeps it: requests that were sent just before it was noticed still count. With a key
 // of its own for each start, a target that had restarted looked idle while it had 17
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -89,20 +89,79 @@
 					}
 				}
 			}
-			most := 0
-			for i := range sent {
-				k := i
-				for k < len(sent) && sent[k].Sub(sent[i]) < time.Second {
-					k++
-				}
-				most = max(most, k-i)
-			}
+			most := busiestSecond(sent)
 			assert.Assert(t, most <= 26, "%d in a second", most)
 			assert.Assert(t, len(sent) > 5, "only %d in three seconds: a cold target is never warmed", len(sent))
 		})
 	}
 }
 
+// manyEntries is the planned size, and manyGap how often an entry hears from each of
+// that many others within the bytes that it may spend.
+const (
+	manyEntries = 350
+	manyGap     = 12 * time.Second
+	manyRounds  = int(manyGap / (500 * time.Millisecond))
+)
+
+// mumble lets each entry tell a few others, as many entries do: each pair talks once
+// in manyGap.
+func mumble(list []*board.Board, now clock.Stamp, round int) {
+	for i, from := range list {
+		r := &share.Report{From: addr(i), Loads: from.Loads()}
+		for j := (i*7 + round) % manyRounds; j < len(list); j += manyRounds {
+			if i != j {
+				list[j].Learn(now, r)
+			}
+		}
+	}
+}
+
+// A fleet of the planned size, in which entries hear from each other rarely. One that
+// takes the few it heard of late for all would use a part of the budget of cold
+// targets, and of repeats, that is eight times too large; each target that restarts
+// falls over at once.
+func TestManyEntriesKeepColdBounds(t *testing.T) {
+	entries, v := make([]*board.Board, manyEntries), view(1, 0)
+	for i := range entries {
+		entries[i] = &board.Board{Self: addr(i)}
+	}
+	round := 0
+	for now := start.Add(-2 * manyGap); now < start; now = now.Add(500 * time.Millisecond) {
+		mumble(entries, now, round)
+		round++
+	}
+	var sent []clock.Stamp
+	for now := start; now < start.Add(3*time.Second); now = now.Add(25 * time.Millisecond) {
+		if now.Sub(start)%(500*time.Millisecond) == 0 {
+			mumble(entries, now, round)
+			round++
+		}
+		for _, b := range entries {
+			if len(b.Candidates(now, v, engine, board.Need{})) > 0 {
+				b.Start(now, v.ByID["t0"], engine, nil, 0).End(now, board.Served)
+				sent = append(sent, now)
+			}
+		}
+	}
+	assert.Equal(t, entries[0].Entries(), manyEntries)
+	assert.Assert(t, busiestSecond(sent) <= 26, "%d in a second", busiestSecond(sent))
+	assert.Assert(t, len(sent) > 5, "only %d in three seconds: a cold target is never warmed", len(sent))
+}
+
+// busiestSecond is the most of what was sent within a second.
+func busiestSecond(sent []clock.Stamp) int {
+	most := 0
+	for i := range sent {
+		k := i
+		for k < len(sent) && sent[k].Sub(sent[i]) < time.Second {
+			k++
+		}
+		most = max(most, k-i)
+	}
+	return most
+}
+
 // An entry that hears nobody does not know how many others send.
 func TestColdTargetAlone(t *testing.T) {
 	b, v := &board.Board{Self: addr(1)}, view(1, 0)
--- a/board/peers.go
+++ b/board/peers.go
@@ -19,6 +19,47 @@
 	newsMost = 40
 )
 
+const (
+	// loadKeep is how long a peer's loads count: longer than the longest pause
+	// between datagrams of a few dozen entries, and short enough that those of a
+	// dead peer don't keep targets looking busy.
+	loadKeep = 1500 * time.Millisecond
+	// firstKeep is how long a peer that spoke once counts as a member: 350 entries
+	// hear from each other every 12 s at most.
+	firstKeep = 30 * time.Second
+	// gapsKept is how many of its usual gaps a member may be silent.
+	gapsKept = 3
+	// gapFade is the part by which a long gap is forgotten at each datagram.
+	gapFade = 0.25
+)
+
+// peer is another entry. Its loads are worth something only while they are fresh; as
+// one of the fleet, among whom budgets are divided, it counts for as long as its
+// silence is usual. 300 entries hear about 120 others within loadKeep: taken for the
+// whole fleet, each would use a part that is more than twice too large.
+type peer struct {
+	heard clock.Stamp
+	// gap is the longest time of late between two of its datagrams; 0 after one.
+	gap   time.Duration
+	loads []share.Load
+}
+
+// hear notes a datagram.
+func (p *peer) hear(now clock.Stamp) {
+	if p.heard != 0 {
+		p.gap = max(now.Sub(p.heard), p.gap-time.Duration(gapFade*float64(p.gap)))
+	}
+	p.heard = now
+}
+
+// keep is how long a silent peer counts as a member.
+func (p *peer) keep() time.Duration {
+	if p.gap == 0 {
+		return firstKeep
+	}
+	return max(gapsKept*p.gap, loadKeep)
+}
+
 // news is something that peers may not know yet.
 type news[T any] struct {
 	what T
@@ -116,7 +157,8 @@
 		return
 	}
 	b.add(p.loads, -1)
-	p.heard, p.loads = now, r.Loads
+	p.hear(now)
+	p.loads = r.Loads
 	if r.Leaving {
 		p.loads = nil
 	}
@@ -160,19 +202,30 @@
 // was made smaller gets its whole budget back.
 const mostKeep = 5 * time.Minute
 
-// expire forgets peers that were not heard for long.
+// expire forgets loads and peers that were not heard for long.
 func (b *Board) expire(now clock.Stamp) {
 	if now.Sub(b.mostAt) > mostKeep {
 		b.most, b.mostAt = len(b.peers)+1, now
 	}
 	for from, p := range b.peers {
-		if now.Sub(p.heard) > peerKeep {
+		silent := now.Sub(p.heard)
+		if silent > loadKeep {
 			b.add(p.loads, -1)
+			p.loads = nil
+		}
+		if silent > p.keep() {
 			delete(b.peers, from)
 		}
 	}
 }
 
+// Peers is how many other entries there are, as far as is known.
+func (b *Board) Peers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.peers)
+}
+
 // Entries is how many entries share the fleet's budgets.
 func (b *Board) Entries() int {
 	b.mu.Lock()
--- a/node/count.go
+++ b/node/count.go
@@ -32,7 +32,7 @@
 	if dropped > c.dropped {
 		n.log.Emit(event.LinesDropped, event.Int("lines", dropped-c.dropped))
 	}
-	live := n.peers.Live()
+	live := n.board.Peers()
 	if live != c.peers {
 		n.log.Emit(event.PeersCounted, event.Int("peers", int64(live)), event.Int("before", int64(c.peers)))
 	}
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -45,9 +45,11 @@
 	bounds := b.Bounds()
 	a.Share = budgetSafe * bounds.Share
 	part := budgetSafe * bounds.Slack / float64(max(b.Entries(), 1))
-	// Half at once, half over the window: no window gets more than the whole.
+	// Half at once, half over the window: no window gets more than the whole. Among
+	// many entries a part is less than one repeat: it is saved up, as one given to
+	// each at its start would make more repeats than the whole fleet may.
 	a.Bank = max(part/2, 1)
-	a.Begin = a.Bank
+	a.Begin = part / 2
 	a.Floor = part / 2 / max(bounds.Window, time.Second).Seconds()
 	return a
 }
--- a/retry/budgets_test.go
+++ b/retry/budgets_test.go
@@ -56,6 +56,25 @@
 	}
 }
 
+// A fleet of the planned size starts anew while a service fails: each entry's first
+// request fails, and each repeats it. What every entry may do once, 350 do at once,
+// and what is left of the service gets twice its load.
+func TestBudgetsOfManyEntriesThatJustStarted(t *testing.T) {
+	const entries = 350
+	now, repeats := time.Unix(0, 0), 0
+	for range entries {
+		b := &retry.Budgets{
+			Bounds:  func() retry.Bounds { return fleetBounds },
+			Entries: func() int { return entries },
+		}
+		b.Earn(now, "s")
+		if b.Spend(now, "s") {
+			repeats++
+		}
+	}
+	assert.Assert(t, float64(repeats) <= 0.2*entries+56, "%d repeats", repeats)
+}
+
 // However the tries of a request end: what is not idempotent is never sent again once
 // it may have run, no more targets than the route allows may run it, and "not run" is
 // said only when no try may have run. A caller who is told "not run" books again.
--- a/share/peers.go
+++ b/share/peers.go
@@ -146,19 +146,6 @@
 	}
 }
 
-// Live is how many peers were heard of late.
-func (p *Peers) Live() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, x := range p.peers {
-		if x.live(clock.Now()) {
-			n++
-		}
-	}
-	return n
-}
-
 // Newest returns the control address of a live peer with the newest configuration;
 // of several any one. False says that there is none.
 func (p *Peers) Newest() (netip.AddrPort, bool) {
