--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -81,7 +81,10 @@
 	if a.Bank <= 0 {
 		a.Bank = DefaultBank
 	}
-	a.saved = max(a.Begin, 1)
+	a.saved = a.Begin
+	if a.Begin == 0 {
+		a.saved = 1
+	}
 }
 
 func (a *Allowance) add(n float64) {
