standin lab: plots over time, and a failure domain that leaves and returns

Cause: the emulator printed one row a policy; what callers get while a domain moves could not be seen, and without agents not be played at all.

--- a/cmd/standin/lab.go
+++ b/cmd/standin/lab.go
@@ -16,6 +16,8 @@
 type lab struct {
 	seed    uint64
 	minutes int
+	domain  bool
+	plot    string
 	out     io.Writer
 }
 
@@ -24,21 +26,41 @@
 	c.Description = "plays one load against policies, on a clock of its own, and prints what callers got"
 	l := &lab{seed: 1, minutes: 6, out: os.Stdout}
 	c.UInt64(&l.seed, "s", "seed", "of the load")
-	c.Int(&l.minutes, "m", "minutes", "of the load, the first half to warm up")
+	c.Int(&l.minutes, "m", "minutes", "of the load, the first half to warm up; with --domain it is always 10")
+	c.Bool(&l.domain, "d", "domain", "take a failure domain out and bring it back")
+	c.String(&l.plot, "p", "plot", "file to draw reuse, wait and evenness over time into, as SVG")
 	return command{c, l.run}
 }
 
+// rows are the policies to be played.
+func (l *lab) rows() []trial.Row {
+	if l.domain {
+		return trial.DirectDomainRows(l.seed)
+	}
+	rows := trial.DirectRows(l.seed)
+	for i := range rows {
+		rows[i].Config.For = time.Duration(l.minutes) * time.Minute
+		rows[i].Config.Warm = rows[i].Config.For / 2
+	}
+	return rows
+}
+
 // run prints a row for each policy.
 func (l *lab) run() error {
 	w := tabwriter.NewWriter(l.out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "policy\tin time\treuse\tfetched\tlargest/mean\tin 99 of 100 s\twait 95%\tcrashes")
-	for _, row := range trial.DirectRows(l.seed) {
-		cfg := row.Config
-		cfg.For = time.Duration(l.minutes) * time.Minute
-		cfg.Warm = cfg.For / 2
-		r := trial.Run(cfg)
+	var lines []plotLine
+	for _, row := range l.rows() {
+		r := trial.Run(row.Config)
 		fmt.Fprintf(w, "%s\t%.2f%%\t%.1f%%\t%.1f%%\t%.2f\t%.2f\t%s\t%d\n", row.Name,
 			100*r.All.InTime, 100*r.All.Reuse, 100*r.All.Imported, r.Largest, r.Largest99, r.All.Wait95.Round(time.Millisecond), r.Crashes)
+		lines = append(lines, plotLine{row.Name, r.Series})
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if l.plot == "" {
+		return nil
 	}
-	return w.Flush()
+	return drawPlots(l.plot, lines)
 }
--- a/trial/config.go
+++ b/trial/config.go
@@ -131,6 +131,24 @@
 	Back float64
 	// After counts starts in the domain that was taken out, two seconds on.
 	After int
+	// Series is what callers got from one span to the next, the warming up included.
+	Series []Span
+}
+
+// spanLength is the time that one Span covers: long enough for a hundred starts at a
+// third of the recorded load.
+const spanLength = 10 * time.Second
+
+// Span is what callers got in a span of time.
+type Span struct {
+	// Begin is when the span began, from the beginning of the load.
+	Begin time.Duration
+	// Reuse and Imported are shares of the starts of returning chats.
+	Reuse, Imported float64
+	// Wait is the mean from request to start.
+	Wait time.Duration
+	// Largest is the highest load of a target against the mean, at the span's worst.
+	Largest float64
 }
 
 // Share is what the callers of a stream got.
--- a/trial/direct.go
+++ b/trial/direct.go
@@ -64,13 +64,16 @@
 
 // look takes the list of targets as it is.
 func (d *direct) look() {
-	v := &roster.View{Services: make(map[string][]*roster.Target), ByID: make(map[string]*roster.Target)}
+	v := &roster.View{
+		Services: make(map[string][]*roster.Target), ByID: make(map[string]*roster.Target), Out: make(map[string]bool),
+	}
 	for _, g := range d.trial.targets {
+		domain := fmt.Sprint("d", g.domain)
 		if g.away {
-			continue
+			v.Out[domain] = true
 		}
 		x := &roster.Target{Instance: chestnutstep.Instance{
-			ID: g.self.Name, Service: serviceName, Slots: d.trial.cfg.Model.Slots, Born: d.births[g.self.Name],
+			ID: g.self.Name, Service: serviceName, Domain: domain, Slots: d.trial.cfg.Model.Slots, Born: d.births[g.self.Name],
 		}}
 		v.Services[serviceName] = append(v.Services[serviceName], x)
 		v.ByID[x.ID] = x
@@ -213,3 +216,25 @@
 	cfg.Restart *= 3
 	return cfg
 }
+
+// DirectDomainRows compare what callers get while a third of the fleet is taken out for
+// a minute and a half and comes back with nothing cached. They count from a minute
+// before it leaves.
+func DirectDomainRows(seed uint64) []Row {
+	var rows []Row
+	add := func(name string, cfg Config) {
+		cfg.Seed = seed
+		cfg = third(cfg)
+		cfg.Leave, cfg.Return = 6*time.Minute, 7*time.Minute+30*time.Second
+		cfg.Warm, cfg.For = 5*time.Minute, 10*time.Minute
+		rows = append(rows, Row{Name: name, Config: cfg})
+	}
+	add("agents, multiple 1.25", Churn(1.25, All, true))
+	add("naive", Churn(1.25, Policy{Naive: true}, true))
+	for _, n := range []int{5, 24} {
+		cfg := Churn(0, Policy{Import: true}, true)
+		cfg.Entries, cfg.Talk = n, 400*time.Millisecond
+		add(fmt.Sprintf("%d entries, told each %s", n, cfg.Talk), cfg)
+	}
+	return rows
+}
--- a/trial/entry.go
+++ b/trial/entry.go
@@ -208,7 +208,9 @@
 	if g.domain == 0 && t.cfg.Leave > 0 && t.now > t.cfg.Leave+t.cfg.Lag && t.now < t.cfg.Return {
 		t.late++
 	}
-	t.tally(r).started(t.now-r.came, !r.first && !r.began, g.cache.has(r.chat), t.imports(g, r))
+	wait, returned, found, imported := t.now-r.came, !r.first && !r.began, g.cache.has(r.chat), t.imports(g, r)
+	t.tally(r).started(wait, returned, found, imported)
+	t.period().started(wait, returned, found, imported)
 	r.began = true
 	if r.home != nil {
 		r.home.moved[r.chat] = g
--- a/trial/result.go
+++ b/trial/result.go
@@ -76,6 +76,35 @@
 	return s
 }
 
+// period is a Span that is still counted.
+type period struct {
+	tally
+	largest float64
+}
+
+// period returns the one of this moment.
+func (t *trial) period() *period {
+	n := int(t.now / spanLength)
+	for len(t.periods) <= n {
+		t.periods = append(t.periods, &period{})
+	}
+	return t.periods[n]
+}
+
+// series lists the spans of the load.
+func (t *trial) series() []Span {
+	var list []Span
+	for i, s := range t.periods {
+		begin := time.Duration(i) * spanLength
+		if begin >= t.cfg.For {
+			break
+		}
+		share := s.share("", spanLength)
+		list = append(list, Span{Begin: begin, Reuse: share.Reuse, Imported: share.Imported, Wait: share.WaitMean, Largest: s.largest})
+	}
+	return list
+}
+
 func (t *trial) result() Result {
 	r := Result{OverCap: t.overCap, OverRule: t.rule, OverTrue: ratio(t.over, t.starts), Crashes: t.crashes, Back: ratio(t.lastZero, t.last), After: t.late}
 	var all tally
@@ -84,6 +113,7 @@
 		r.Streams = append(r.Streams, t.tallies[i].share(s.Workspace, t.cfg.For-t.cfg.Warm))
 	}
 	r.All = all.share("all", t.cfg.For-t.cfg.Warm)
+	r.Series = t.series()
 	r.Offers = float64(t.offers) / float64(max(1, all.requests))
 	slices.Sort(t.ratios)
 	if len(t.ratios) > 0 {
--- a/trial/run.go
+++ b/trial/run.go
@@ -29,6 +29,7 @@
 
 	tallies []tally
 	ratios  []float64
+	periods []*period
 	offers  int
 	overCap int
 	over    int
@@ -157,7 +158,7 @@
 
 // look notes how uneven the loads are.
 func (t *trial) look() {
-	if t.now < t.cfg.Warm || t.now > t.cfg.For {
+	if t.now > t.cfg.For {
 		return
 	}
 	sum, n, most, zero := 0, 0, 0, 0
@@ -176,8 +177,14 @@
 		t.last += sum
 		t.lastZero += zero
 	}
-	if sum > 0 {
-		t.ratios = append(t.ratios, float64(most)*float64(n)/float64(sum))
+	if sum == 0 {
+		return
+	}
+	ratio := float64(most) * float64(n) / float64(sum)
+	s := t.period()
+	s.largest = max(s.largest, ratio)
+	if t.now >= t.cfg.Warm {
+		t.ratios = append(t.ratios, ratio)
 	}
 }
 
@@ -217,6 +224,9 @@
 				g.cache.clear()
 				g.started = t.now
 				g.gate.Chill(t.time())
+				if t.direct != nil {
+					t.direct.births[g.self.Name]++
+				}
 			}
 			g.gate.Leave(t.time(), false)
 		}
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -84,3 +84,19 @@
 	assert.Assert(t, often.All.InTime > 0.99, "in time %.4f", often.All.InTime)
 	assert.DeepEqual(t, often, play(400*time.Millisecond))
 }
+
+// Operators take a third of the fleet out for a while, and it comes back with nothing
+// cached. Callers whose chats lived there should find their prefix elsewhere, where
+// it was fetched in time, and nobody should be sent into the domain that is out.
+func TestDomainLeavesAndReturnsWithoutAgents(t *testing.T) {
+	rows := DirectDomainRows(1)
+	naive, entries := Run(rows[1].Config), Run(rows[3].Config)
+	t.Logf("reuse %.3f, fetched %.3f, in time %.4f", entries.All.Reuse, entries.All.Imported, entries.All.InTime)
+	assert.Assert(t, entries.All.InTime > 0.99, "in time %.4f", entries.All.InTime)
+	assert.Assert(t, entries.All.Reuse+entries.All.Imported > naive.All.Reuse+0.7)
+	assert.Equal(t, entries.After, 0)
+	assert.Equal(t, len(entries.Series), int(rows[3].Config.For/spanLength))
+	for _, s := range entries.Series[1:] {
+		assert.Assert(t, s.Reuse+s.Imported > 0.7, "%.2f at %s", s.Reuse+s.Imported, s.Begin)
+	}
+}
