--- a/share/peers.go
+++ b/share/peers.go
@@ -1,29 +1,15 @@
 package share
 
 import (
-	"context"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"chestnutstep.example/chestnutstep/clock"
 )
 
 const (
-	// fast is the pause between two rounds of datagrams while they cost little:
-	// most requests take longer, so that few are unknown to the peers.
-	fast = 50 * time.Millisecond
-	// slow bounds the pause: a peer that was silent for much longer counts as
-	// gone.
-	slow = 500 * time.Millisecond
-	// rate is the bytes a second that an entry sends. A node may spend 26 KB/s on
-	// control; 2 KB/s are left for packet headers and the source.
-	rate = 20000.0
-	// overhead is the bytes of the headers of a UDP packet.
-	overhead = 28
 	// fanout bounds the peers of one round; beyond it each round picks others.
 	// fanoutLeast of them are told whatever the bytes.
 	fanout      = 32
@@ -88,54 +74,6 @@
 	knows   bool
 }
 
-// Loop sends rounds of datagrams until ctx ends.
-func (p *Peers) Loop(ctx context.Context) {
-	p.begin()
-	go p.loop(ctx)
-	pause := Pace(p.round(clock.Now()))
-	for {
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			_ = p.Conn.Close()
-			return
-		case <-t.C:
-		}
-		pause = Pace(p.round(clock.Now()))
-	}
-}
-
-// Pace is the pause after a round that sent this many bytes.
-func Pace(bytes int) time.Duration {
-	pause := time.Duration(float64(bytes) / rate * float64(time.Second))
-	return min(max(pause, fast), slow)
-}
-
-// Leave tells the peers that this entry stops.
-func (p *Peers) Leave() {
-	p.mu.Lock()
-	p.leaving = true
-	p.mu.Unlock()
-	p.round(clock.Now())
-}
-
-// Spread sends lists to the peers at once, a datagram for each: to some of them
-// where there are many. It is for the seconds after a loss of all entries, and
-// not counted in the pace.
-func (p *Peers) Spread(lists ...List) {
-	now := clock.Now()
-	for _, l := range lists {
-		r := &Report{From: p.Self, Run: p.Run, Lists: []List{l}, Age: -1}
-		for _, to := range p.choose(now, r) {
-			n := p.send(r, to)
-			p.mu.Lock()
-			p.out += int64(n)
-			p.mu.Unlock()
-		}
-	}
-}
-
 // Seed adds addresses of entries to ask.
 func (p *Peers) Seed(list []netip.AddrPort) {
 	p.mu.Lock()
@@ -178,13 +116,6 @@
 	return netip.AddrPort{}, false
 }
 
-// Bytes is what was sent and received.
-func (p *Peers) Bytes() (out, in int64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.out, p.in
-}
-
 func (p *Peers) begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -209,38 +140,6 @@
 
 func (x *peer) live(now clock.Stamp) bool { return x.heard != 0 && now.Sub(x.heard) <= liveFor }
 
-// round sends one datagram to each peer, or to some of many, and returns the
-// bytes.
-func (p *Peers) round(now clock.Stamp) int {
-	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
-	p.Knowledge.Tell(now, r)
-	targets := p.choose(now, r)
-	sum := 0
-	for _, to := range targets {
-		sum += p.tell(now, r, to)
-	}
-	p.mu.Lock()
-	p.out += int64(sum)
-	p.mu.Unlock()
-	return sum
-}
-
-// tell sends a report to one peer, with the echo of that peer's clock, and returns
-// the bytes.
-func (p *Peers) tell(now clock.Stamp, r *Report, to netip.AddrPort) int {
-	p.mu.Lock()
-	x := p.peers[to]
-	if x == nil {
-		p.mu.Unlock()
-		return 0
-	}
-	x.sent = now
-	r.Echo, r.EchoRun = x.echo, x.run
-	p.mu.Unlock()
-	r.Sent = int64(clock.Now()) / int64(time.Millisecond)
-	return p.send(r, to)
-}
-
 // choose numbers the report, and picks who gets it. Map order is random, which
 // is what a sample of many needs.
 func (p *Peers) choose(now clock.Stamp, r *Report) []netip.AddrPort {
@@ -282,95 +181,6 @@
 	return false
 }
 
-// send writes one datagram; holds that don't fit are left out.
-func (p *Peers) send(r *Report, to netip.AddrPort) int {
-	b, err := encode(r)
-	for err == nil && len(b) > datagramMost && len(r.Holds) > 0 {
-		r.Holds = r.Holds[:len(r.Holds)/2]
-		b, err = encode(r)
-	}
-	if err != nil {
-		p.Failed(err)
-		return 0
-	}
-	if _, err := p.Conn.WriteTo(b, net.UDPAddrFromAddrPort(to)); err != nil {
-		p.Failed(errors.Wrapf(err, "send to %s", to))
-		return 0
-	}
-	p.mu.Lock()
-	p.size = len(b)
-	p.mu.Unlock()
-	return len(b) + overhead
-}
-
-// loop reads datagrams until the socket is closed.
-func (p *Peers) loop(ctx context.Context) {
-	buf := make([]byte, 1<<16)
-	for {
-		n, _, err := p.Conn.ReadFrom(buf)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			p.Failed(err)
-			time.Sleep(fast)
-			continue
-		}
-		r, err := decode(buf[:n])
-		if err != nil {
-			p.Failed(err)
-			continue
-		}
-		p.take(clock.Now(), r, n)
-	}
-}
-
-// take passes a report on unless a later one of the same run came first.
-func (p *Peers) take(now clock.Stamp, r *Report, n int) {
-	p.mu.Lock()
-	p.in += int64(n + overhead)
-	x := p.meet(r.From)
-	if x == nil || x.run == r.Run && r.Number <= x.number {
-		p.mu.Unlock()
-		return
-	}
-	started := x.run != r.Run
-	x.run, x.number, x.heard, x.echo = r.Run, r.Number, now, r.Sent
-	if len(r.Lists) == 0 {
-		x.control, x.version, x.leaving, x.knows = r.Control, r.Version, r.Leaving, r.Knows
-	}
-	for _, a := range r.Peers {
-		p.meet(a)
-	}
-	p.mu.Unlock()
-	var asked clock.Stamp
-	echo := clock.Stamp(r.Echo) * clock.Stamp(time.Millisecond)
-	if echo > 0 && r.EchoRun == p.Run && echo <= now {
-		asked = echo
-	}
-	p.Knowledge.Learn(now, r, asked)
-	if started {
-		p.greet(now, r.From)
-	}
-}
-
-// greet answers an entry that was not heard before, or has restarted. In a large
-// fleet it would otherwise wait for its turn, up to half a second, before it knows
-// whom to ask for what it lost; each peer greets each life of it once.
-func (p *Peers) greet(now clock.Stamp, to netip.AddrPort) {
-	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
-	p.Knowledge.Tell(now, r)
-	p.mu.Lock()
-	p.number++
-	r.Number, r.Leaving = p.number, p.leaving
-	r.Peers = p.some(now, to)
-	p.mu.Unlock()
-	n := p.tell(now, r, to)
-	p.mu.Lock()
-	p.out += int64(n)
-	p.mu.Unlock()
-}
-
 // some lists live peers but for one; the caller holds the lock.
 func (p *Peers) some(now clock.Stamp, but netip.AddrPort) []netip.AddrPort {
 	var list []netip.AddrPort
