--- a/event/catalog.go
+++ b/event/catalog.go
@@ -498,7 +498,7 @@
 	},
 	{
 		ID: PeersCounted, Name: "peers_counted", Level: Info,
-		Meaning: "The number of entries that are heard has changed.",
+		Meaning: "The number of other entries that this one counts to the fleet has changed.",
 		Cause:   "Entries started, stopped or were cut off.",
 		Action:  "Nothing.",
 	},
--- a/meter/set.go
+++ b/meter/set.go
@@ -76,7 +76,7 @@
 	Tries     Counter   // sends to targets, by service and how they ended
 	Denied    Counter   // repeats that the retry budget did not allow
 	Tokens    Counter   // prompt tokens, by whether a cache was expected to hold them
-	Peers     Gauge     // entries that are heard
+	Peers     Gauge     // other entries of the fleet
 	Proof     Gauge     // age of the proof that the configuration is current
 	Version   Gauge     // version of the configuration in force
 	Targets   Gauge     // targets known
@@ -153,7 +153,7 @@
 		{&s.Relay.Tries, entry{"relay_tries_total", kindCounter, "requests", []string{labelService, labelResult}, "Sends to targets by service: ok, or the reason of the failure."}},
 		{&s.Relay.Denied, entry{"relay_retries_denied_total", kindCounter, "requests", []string{labelService}, "Repeats that the service's retry budget did not allow."}},
 		{&s.Relay.Tokens, entry{"relay_prompt_tokens_total", kindCounter, "tokens", []string{labelResult}, "Prompt tokens sent: held by the target, fetched from another, or to be read."}},
-		{&s.Relay.Peers, entry{"relay_peers", kindGauge, "entries", nil, "Other entries that are heard."}},
+		{&s.Relay.Peers, entry{"relay_peers", kindGauge, "entries", nil, "Other entries of the fleet, as far as this one knows."}},
 		{&s.Relay.Proof, entry{"relay_proof_age_seconds", kindGauge, "seconds", nil, "Age of the proof that the configuration in force is current."}},
 		{&s.Relay.Version, entry{"relay_version", kindGauge, "version", nil, "Version of the configuration in force; 0 for none."}},
 		{&s.Relay.Targets, entry{"relay_targets", kindGauge, "targets", nil, "Targets that are known."}},
