watch: an entry that the source lets in again notices at once

Ruled out: a late or lost event (the others took the removal 2 ms after it).

Change: while the source is lost a watch waits 50 ms.

TestReturnOfTheSourceIsNoticedAtOnce asked to wait 10 s before.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -25,6 +25,11 @@
 	// as targets that are replaced one by one, is then read by one call. Changes
 	// have to be in force within seconds.
 	gather = 300 * time.Millisecond
+	// lostWait is how long a watch waits after the source was lost. What is missing
+	// counts as gone two seconds after its return, and a watch that waits long hears
+	// of the return with the next change only: a target that was removed three
+	// seconds after the return still got requests, 2.08 s after it had left.
+	lostWait = 50 * time.Millisecond
 )
 
 // Watcher follows one topic of a source. Set the fields before Run.
@@ -134,7 +139,11 @@
 	done := make(chan struct{})
 	defer close(done)
 	go w.loop(done, cancel)
-	return w.Source.Watch(ctx, w.Topic, w.revision, w.Wait())
+	wait := w.Wait()
+	if w.lost {
+		wait = min(wait, lostWait)
+	}
+	return w.Source.Watch(ctx, w.Topic, w.revision, wait)
 }
 
 // loop ends a watch that was kicked.
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -200,3 +200,44 @@
 		assert.Assert(t, 2*watch.Short(b) < 3*b/4, "a proof two waits old must count, at a bound of %s", b)
 	}
 }
+
+// moody is a source whose first watch fails, and that notes how long each is to wait.
+type moody struct {
+	waits chan time.Duration
+	calls int
+}
+
+func (s *moody) List(context.Context, chestnutstep.Topic) (chestnutstep.Batch, error) {
+	return chestnutstep.Batch{Revision: 1}, nil
+}
+
+func (s *moody) Watch(_ context.Context, _ chestnutstep.Topic, _ uint64, wait time.Duration) (chestnutstep.Batch, error) {
+	s.waits <- wait
+	s.calls++
+	if s.calls == 1 {
+		return chestnutstep.Batch{}, chestnutstep.ErrSource{Status: 503}
+	}
+	return chestnutstep.Batch{Revision: 1}, nil
+}
+
+// The store turns an entry away for a while, and nothing changes as it lets it in
+// again. A watch that waits long would learn of the return seconds later, with the
+// first change: a target that is removed then is taken for one that lapsed meanwhile,
+// and callers are sent there for two seconds more.
+func TestReturnOfTheSourceIsNoticedAtOnce(t *testing.T) {
+	const long = 10 * time.Second
+	s := &moody{waits: make(chan time.Duration)}
+	f := &follower{roster: &roster.Roster{}}
+	w := &watch.Watcher{
+		Source: s, Topic: chestnutstep.TopicInstances, Roster: f.roster, Notify: f, Wait: func() time.Duration { return long },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.Run(ctx)
+	assert.Equal(t, <-s.waits, long)
+	assert.Assert(t, <-s.waits <= 100*time.Millisecond)
+	assert.Equal(t, <-s.waits, long)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	assert.Equal(t, f.regained, 1)
+}
