relay: callers' connections are bounded, the longest idle makes room

Cause: while one workspace sent fifty times its usual, an entry held 4,883 descriptors; accept failed with "too many open files" (its log from 13.2 s on) and net/http waited up to a second between tries. Ruled out: the processor (0.03 of a core), the targets (1.2 times the mean at most).

Change: half of the descriptors, and no more than a quarter of the memory, serve callers' connections; from half of that on the one that was idle for longest makes room for a new one, and beyond it accept waits. Settings and what the system allows are read at the start and checked.

--- a/config/direct.go
+++ b/config/direct.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"net"
 	"time"
 )
@@ -27,6 +28,10 @@
 	// Store is the address of the platform's store.
 	Store  string
 	Bounds Bounds
+	// Files is how many descriptors the process may have, and Memory how many bytes; 0
+	// for as many as the system allows.
+	Files  int
+	Memory int64
 	// First says that the whole fleet starts for the first time.
 	First bool
 	// Unknown are fields of the settings file that this version does not know.
@@ -52,6 +57,26 @@
 	Cap float64
 }
 
+// filesLeast is the fewest descriptors with which an entry can serve: its listeners, the
+// source, and some connections to callers and targets.
+const filesLeast = 64
+
+// CallersMost is how many connections of callers an entry holds: half of its descriptors,
+// as the other half serves targets, and no more than a quarter of its memory carries.
+func (s *Direct) CallersMost(files int) int {
+	if s.Files > 0 {
+		files = min(files, s.Files)
+	}
+	most := files / 2
+	if s.Memory > 0 {
+		most = min(most, int(s.Memory/4/callerBytes))
+	}
+	return most
+}
+
+// callerBytes is the memory of a caller's connection with its request and answer.
+const callerBytes = 48 << 10
+
 // Check returns what is wrong with the settings. The names map gives the field
 // of the file that each setting came from.
 func (s *Direct) Check(file string, names map[string]string) []Problem {
@@ -70,6 +95,12 @@
 			add(name, "must be an address, IP and port")
 		}
 	}
+	if s.Files < 0 || s.Files > 0 && s.Files < filesLeast {
+		add("files", fmt.Sprintf("must be 0 or at least %d", filesLeast))
+	}
+	if s.Memory < 0 {
+		add("memory", "must not be below 0")
+	}
 	if s.Bounds.Grace <= 0 {
 		add("grace", "must be above 0")
 	}
--- a/node/direct.go
+++ b/node/direct.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
@@ -76,6 +78,7 @@
 	board    *board.Board
 	crashes  *relay.Crashes
 	relay    *relay.Relay
+	callers  *relay.Listener
 	pool     *link.Pool
 	peers    *share.Peers
 	kick     chan watch.Kick
@@ -107,6 +110,7 @@
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
+	n.callers = &relay.Listener{Listener: callers, Relay: n.relay, Most: n.Settings.CallersMost(filesMost())}
 	n.logStart()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -120,7 +124,7 @@
 	probes := &http.Server{Handler: http.HandlerFunc(n.probe), ReadHeaderTimeout: directHeader}
 	served := make(chan error, 2)
 	start(work,
-		func(context.Context) { served <- srv.Serve(&relay.Listener{Listener: callers, Relay: n.relay}) },
+		func(context.Context) { served <- srv.Serve(n.callers) },
 		func(context.Context) { served <- probes.Serve(ready) },
 	)
 	select {
@@ -134,9 +138,21 @@
 func (n *Direct) logStart() {
 	n.log.Emit(event.ProcessStart, event.Str("role", string(config.RoleEntry)), event.Str("callers", n.Settings.Callers))
 	n.log.Emit(event.SettingsInForce, event.Dur("grace", n.Settings.Bounds.Grace), event.Dur("revoke", n.Settings.Bounds.Revoke),
-		event.Str("unknown", strings.Join(n.Settings.Unknown, " ")))
+		event.Int("callers", int64(n.callers.Most)), event.Str("unknown", strings.Join(n.Settings.Unknown, " ")))
 }
 
+// filesMost is how many descriptors the system allows this process.
+func filesMost() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return filesGuess
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
+// filesGuess stands in where the system doesn't say how many descriptors it allows.
+const filesGuess = 1024
+
 // begin starts what runs beside the servers.
 func (n *Direct) begin(work context.Context) {
 	start(work, n.loop, n.learn, n.peers.Loop, n.watch(chestnutstep.TopicRouting), n.watch(chestnutstep.TopicInstances))
--- a/relay/idle.go
+++ b/relay/idle.go
@@ -1,9 +1,6 @@
 package relay
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
 // IdleTimeout is what the server of callers has to be set to. It stands for the
 // idle time of the configuration in force, which may change while connections
@@ -16,38 +13,6 @@
 // idleFirst is the idle time before a configuration is known.
 const idleFirst = 15 * time.Second
 
-// Listener gives callers' connections the idle time in force.
-type Listener struct {
-	net.Listener
-	Relay *Relay
-}
-
-// Accept returns the next connection.
-func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &callerConn{Conn: c, relay: l.Relay}, nil
-}
-
-// callerConn is a caller's connection.
-type callerConn struct {
-	net.Conn
-	relay *Relay
-}
-
-// SetReadDeadline replaces the deadline of an idle connection, and that of headers.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	switch left := time.Until(t); {
-	case left > idleMark:
-		t = time.Now().Add(c.relay.idle())
-	case left > headerMark:
-		t = time.Now().Add(c.relay.headerTime(left))
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
 // headerMark tells the deadline of headers from those that net/http sets in the past
 // or at once, to end a read that is under way.
 const headerMark = time.Second
--- /dev/null
+++ b/relay/listen.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"time"
+)
+
+// Listener takes callers' connections, gives them the idle time in force, and bounds how
+// many are held. Set the fields before use.
+//
+// The load it answers: many callers at once, each on a connection of its own that it
+// keeps open behind its request. Held without bound, they take all descriptors of the
+// process: it can neither accept callers nor reach targets, and requests that wait to be
+// accepted are taken up seconds later, when their callers have left. One notices "too
+// many open files", and requests sent on for callers that are gone.
+type Listener struct {
+	net.Listener
+	Relay *Relay
+	// Most connections are held, and from half as many on the one that was idle for
+	// longest makes place for a new one; 0 for no bound.
+	Most int
+
+	mu   sync.Mutex
+	room *sync.Cond
+	open int
+	// idle are connections without a request, the longest idle first.
+	idle   list.List
+	closed bool
+}
+
+// Accept returns the next connection, once there is room for it.
+func (l *Listener) Accept() (net.Conn, error) {
+	l.wait()
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	l.open++
+	crowded := l.Most > 0 && 2*l.open > l.Most
+	oldest := l.idle.Front()
+	l.mu.Unlock()
+	if crowded && oldest != nil {
+		_ = oldest.Value.(*callerConn).Close()
+	}
+	return &callerConn{Conn: c, listener: l}, nil
+}
+
+// Close ends Accept also while it waits for room.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	if l.room != nil {
+		l.room.Broadcast()
+	}
+	l.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// wait returns once there is room for one more connection.
+func (l *Listener) wait() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.room == nil {
+		l.room = sync.NewCond(&l.mu)
+	}
+	for l.Most > 0 && l.open >= l.Most && !l.closed {
+		l.room.Wait()
+	}
+}
+
+// Open is how many connections are held.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// callerConn is a caller's connection.
+type callerConn struct {
+	net.Conn
+	listener *Listener
+	once     sync.Once
+	// place in the listener's list while the connection is idle.
+	place *list.Element
+}
+
+// SetReadDeadline replaces the deadline of an idle connection, and that of headers.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	relay := c.listener.Relay
+	switch left := time.Until(t); {
+	case left > idleMark:
+		t = time.Now().Add(relay.idle())
+		c.rest()
+	case left > headerMark:
+		t = time.Now().Add(relay.headerTime(left))
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read reads from the caller, whose connection is idle no more.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.wake()
+	}
+	return n, err
+}
+
+// Close closes the connection and makes room for another.
+func (c *callerConn) Close() error {
+	c.once.Do(func() {
+		c.wake()
+		l := c.listener
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.open--
+		if l.room != nil {
+			l.room.Signal()
+		}
+	})
+	return c.Conn.Close()
+}
+
+// rest notes that the connection has no request.
+func (c *callerConn) rest() {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.place == nil {
+		c.place = l.idle.PushBack(c)
+	}
+}
+
+// wake notes that it has one again.
+func (c *callerConn) wake() {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.place != nil {
+		l.idle.Remove(c.place)
+		c.place = nil
+	}
+}
--- /dev/null
+++ b/relay/listen_test.go
@@ -0,0 +1,111 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chestnutstep.example/chestnutstep/relay"
+	"chestnutstep.example/chestnutstep/stand"
+)
+
+// caller is a connection that is kept open behind its requests.
+type caller struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return &caller{c, bufio.NewReader(c)}
+}
+
+func (c *caller) send(id string) {
+	fmt.Fprintf(c, "POST /safe/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n", host, id, key)
+}
+
+// status reads an answer; 0 says that the connection was closed.
+func (c *caller) status() int {
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var b [1 << 12]byte
+	for err == nil {
+		_, err = resp.Body.Read(b[:])
+	}
+	return resp.StatusCode
+}
+
+// listen serves the rig's relay with a bound on connections.
+func listen(t *testing.T, g *rig, most int) *relay.Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &relay.Listener{Listener: inner, Relay: g.relay, Most: most}
+	srv := &http.Server{Handler: g.relay, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(l) }()
+	t.Cleanup(func() {
+		_ = srv.Close()
+		<-done
+	})
+	return l
+}
+
+// Many callers come, each on a connection that it keeps. Without a bound the entry runs
+// out of descriptors: it can neither accept callers nor reach targets. The connections
+// that were idle for longest are closed, and whoever asks is answered.
+func TestIdleCallersMakeRoom(t *testing.T) {
+	g := newRig(t)
+	l := listen(t, g, 8)
+	var kept []*caller
+	for i := range 40 {
+		c := dial(t, l.Addr().String())
+		c.send(fmt.Sprint("idle-", i))
+		assert.Equal(t, c.status(), http.StatusOK)
+		kept = append(kept, c)
+		assert.Assert(t, l.Open() <= 8, "%d connections are held", l.Open())
+	}
+	newest := kept[len(kept)-1]
+	newest.send("again")
+	assert.Equal(t, newest.status(), http.StatusOK, "the newest was closed")
+	kept[0].send("late")
+	assert.Equal(t, kept[0].status(), 0, "the oldest is still open")
+}
+
+// As many requests are in progress as connections may be held. None of them is cut to
+// make room: the next caller is accepted when the first of them has ended.
+func TestCallersInProgressAreNotCut(t *testing.T) {
+	g := newRig(t)
+	for _, x := range g.targets {
+		x.Behave(stand.Slow)
+	}
+	l := listen(t, g, 2)
+	first, second := dial(t, l.Addr().String()), dial(t, l.Addr().String())
+	first.send("first")
+	second.send("second")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if arrived, _ := g.count(); arrived == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("not both arrived")
+	})
+	third := dial(t, l.Addr().String())
+	third.send("third")
+	assert.Equal(t, first.status(), http.StatusOK)
+	assert.Equal(t, second.status(), http.StatusOK)
+	_ = first.Close()
+	assert.Equal(t, third.status(), http.StatusOK)
+}
