place: a handful of requests stays with its prefix

Change: the ceiling is 1.5 times the mean and two more (the users allow 2 times and three), a request in progress is priced 1.5 ms, a fetch 60 ms.

--- a/place/place.go
+++ b/place/place.go
@@ -21,7 +21,7 @@
 	ReadRate = 60.0
 	// Share is what each request in progress adds to the time of the next one,
 	// in milliseconds: a token takes longer for everyone in the batch.
-	Share = 4.0
+	Share = 1.5
 	// FetchRate is how many tokens of cache an engine takes over from another in
 	// a millisecond, its own set-up included at usual prompt lengths.
 	FetchRate = 600.0
@@ -34,7 +34,9 @@
 	Spread = 0.75
 	// CapDefault is the multiple where none is set.
 	CapDefault = 2.0
-	// spreadSlack lets a target take a few requests at a mean near zero.
+	// spreadSlack lets a target take a few requests more. Where it has a handful, one or
+	// two above a multiple of the mean are chance, and sending them away from their
+	// prefix moves it to one target after the other.
 	spreadSlack = 2.0
 	// farCost is what another failure domain costs, in milliseconds: the way
 	// there and back for each of the request and the answer.
@@ -217,7 +219,7 @@
 	if n == 0 {
 		return math.Inf(1)
 	}
-	return max(spread*sum/float64(n), sum/float64(n)+spreadSlack)
+	return spread*sum/float64(n) + spreadSlack
 }
 
 // cost is the expected time to the first byte, and whether fetching shortens it.
@@ -245,7 +247,7 @@
 	// fetchPrice stands for what a fetch costs beside time: both links, and the
 	// memory at the taker. It keeps a request with its prefix unless the load
 	// there is higher by several requests.
-	fetchPrice = 15.0
+	fetchPrice = 60.0
 )
 
 // unit is a number from 0 to 1 that is fixed for a target and key.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -6,10 +6,14 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"chestnutstep.example/chestnutstep/place"
+	"chestnutstep.example/chestnutstep/script"
 )
 
+func TestMain(m *testing.M) { script.Main(m, 100) }
+
 // play is a small fleet of engines on whole steps of time: each request occupies its
 // target for a while, and reading a prompt delays all that run beside it.
 type play struct {
@@ -238,3 +242,40 @@
 	}
 	assert.Assert(t, crowd <= 5, "%d of 24", crowd)
 }
+
+// Targets have five requests each, and the one that holds a prefix has nine: chance, not a
+// crowd. Sent to another, the request has its prefix moved there, and so has the next one:
+// links and memory are spent on chats that would have been served as soon where they were.
+func TestHandfulStaysWithItsPrefix(t *testing.T) {
+	var list []place.Candidate
+	for i := range 9 {
+		list = append(list, place.Candidate{ID: fmt.Sprint("t", i), Running: 5, Slots: 64})
+	}
+	list[4].Running, list[4].Held = 9, prefix
+	donor := place.Donor{ID: "t4", Held: prefix}
+	c, ok := place.Pick(list, donor, place.Ask{Key: 1, Tokens: prefix + own, Shared: prefix})
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Index, 4)
+	assert.Assert(t, !c.Fetch)
+}
+
+// However popular a prefix is, no target gets a request that puts it over twice the mean
+// and three, while another could take it: its other callers would wait for one chat.
+func TestPopularPrefixKeepsTheMultiple(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []place.Candidate
+		sum := 0.0
+		for i := range rapid.IntRange(2, 30).Draw(t, "targets") {
+			n := float64(rapid.IntRange(0, 70).Draw(t, "running"))
+			list = append(list, place.Candidate{ID: fmt.Sprint("t", i), Running: n, Slots: 64})
+			sum += n
+		}
+		holder := rapid.IntRange(0, len(list)-1).Draw(t, "holder")
+		list[holder].Held = prefix
+		donor := place.Donor{ID: list[holder].ID, Held: prefix}
+		c, ok := place.Pick(list, donor, place.Ask{Key: 3, Tokens: prefix + own, Shared: prefix, Cap: 2})
+		assert.Assert(t, ok)
+		most := 2*sum/float64(len(list)) + 3
+		assert.Assert(t, list[c.Index].Running+1 <= most, "%.0f in progress, %.1f allowed", list[c.Index].Running, most)
+	})
+}
