board: a failure domain that falls silent is left alone as one

Change: where two or more targets of a domain don't answer within 1.5 s and none of it answers, the whole domain is left alone, but for one request at a time that finds out whether it is back. A connection that is refused or breaks is no silence: the way there works.

--- a/board/board.go
+++ b/board/board.go
@@ -49,6 +49,8 @@
 	sums   map[uint32]share.Load
 	// services is what requests to each service hold, of this entry.
 	services map[string]*usage
+	// domains is what is known of the ways to failure domains.
+	domains map[string]*domain
 	// listed are the caches that a target or a peer has listed whole.
 	listed map[uint32]bool
 	// most is the largest number of entries that was known at once of late, and
@@ -99,6 +101,7 @@
 	b.peers = make(map[netip.AddrPort]*peer)
 	b.sums = make(map[uint32]share.Load)
 	b.services = make(map[string]*usage)
+	b.domains = make(map[string]*domain)
 	b.listed = make(map[uint32]bool)
 }
 
@@ -151,7 +154,7 @@
 			continue
 		}
 		key, s := b.instance(&t.Instance)
-		if s.health.down(now) && !need.Suspects {
+		if !need.Suspects && (s.health.down(now) || b.domains[t.Domain].away(now)) {
 			continue
 		}
 		cold := service.ColdRate > 0 && now < t.ColdUntil
@@ -185,6 +188,7 @@
 	parts   []chestnutstep.Part
 	reading int
 	ready   bool
+	domain  string
 	usage   *usage
 	who     Who
 	began   clock.Stamp
@@ -212,10 +216,11 @@
 	if service.ColdRate > 0 && now < t.ColdUntil {
 		s.cold.take()
 	}
-	r := &Run{board: b, key: key, cache: Key(&t.Instance), parts: parts, usage: b.usage(service.Name), who: who, began: now}
+	r := &Run{board: b, key: key, cache: Key(&t.Instance), parts: parts, domain: t.Domain, usage: b.usage(service.Name), who: who, began: now}
 	r.before = float64(s.running + int(b.sums[key].Running))
 	r.slots = t.Slots
 	r.least = b.leastPlaces(now, t.Slots, service.Engine)
+	b.domains[t.Domain].start(now)
 	r.usage.fair.Start(who.Urgency, who.Workspace)
 	for _, p := range parts {
 		r.reading += p.Tokens
@@ -236,6 +241,7 @@
 	r.ready = true
 	r.read()
 	r.observe(now)
+	r.board.domainOf(r.domain).answered()
 	r.board.hold(now, r.cache, r.parts, true)
 }
 
@@ -253,6 +259,7 @@
 	s.running--
 	s.health.take(now, o)
 	r.leave(now, o)
+	r.board.reach(now, r.domain, r.key, o)
 	if o == Replaced {
 		r.board.gone = append(r.board.gone, news[uint32]{what: r.key})
 	}
--- /dev/null
+++ b/board/domain.go
@@ -0,0 +1,89 @@
+package board
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep/clock"
+)
+
+const (
+	// silentLeast is how many targets of a failure domain fall silent before it counts as
+	// silent itself: one may have died alone.
+	silentLeast = 2
+	// silentWithin is the time within which they do: as long as two tries in a row take
+	// to find out.
+	silentWithin = 1500 * time.Millisecond
+	// trial is how long the one request that finds out whether a domain is back may take,
+	// until the next one is sent: a connection that can't be opened is given up sooner.
+	trial = 500 * time.Millisecond
+)
+
+// domain is what is known of the way to a failure domain.
+//
+// The fault it answers: a domain is cut off or without power, and its targets answer
+// nothing. Found out one by one, each costs a request the time in which a connection is
+// given up, again and again for as long as the domain is away: callers wait 400 ms for
+// each of a dozen targets. Where several fall silent and none answers, the others are
+// left alone too, but for one request at a time.
+type domain struct {
+	// silent gives when each target fell silent, since the last answer of any.
+	silent map[uint32]clock.Stamp
+	until  clock.Stamp
+	pause  time.Duration
+	// trying says that a request is on its way that finds out whether it is back.
+	trying bool
+}
+
+// away says that the domain gets no requests now.
+func (d *domain) away(now clock.Stamp) bool { return d != nil && now < d.until }
+
+// fell notes that a target did not answer.
+func (d *domain) fell(now clock.Stamp, key uint32) {
+	for k, at := range d.silent {
+		if now.Sub(at) > silentWithin {
+			delete(d.silent, k)
+		}
+	}
+	d.silent[key] = now
+	if d.pause == 0 && len(d.silent) < silentLeast || d.pause > 0 && !d.trying {
+		return
+	}
+	d.trying = false
+	d.pause = min(max(2*d.pause, downLeast), downMost)
+	d.until = now.Add(d.pause)
+}
+
+// answered notes that a target answered, whatever it said.
+func (d *domain) answered() {
+	clear(d.silent)
+	d.until, d.pause, d.trying = 0, 0, false
+}
+
+// start notes a request to the domain: while it is not known to be back, no other
+// follows for a while.
+func (d *domain) start(now clock.Stamp) {
+	if d != nil && d.pause > 0 {
+		d.until, d.trying = max(d.until, now.Add(trial)), true
+	}
+}
+
+// domainOf returns what is known of a failure domain.
+func (b *Board) domainOf(name string) *domain {
+	d := b.domains[name]
+	if d == nil {
+		d = &domain{silent: make(map[uint32]clock.Stamp)}
+		b.domains[name] = d
+	}
+	return d
+}
+
+// reach notes what the end of a request says of the way to a domain.
+func (b *Board) reach(now clock.Stamp, name string, key uint32, o Outcome) {
+	switch o {
+	case Unreached:
+		b.domainOf(name).fell(now, key)
+	case Served, Failed, Refused, Replaced, Closed:
+		b.domainOf(name).answered()
+	case Silent, Canceled: // a connection that broke says nothing of the way there
+	}
+}
--- a/board/health.go
+++ b/board/health.go
@@ -17,8 +17,10 @@
 	Failed
 	// Refused says that the target is full.
 	Refused
-	// Unreached says that no connection could be opened.
+	// Unreached says that no connection could be opened: nothing answered.
 	Unreached
+	// Closed says that none could be opened, as the host said itself.
+	Closed
 	// Replaced says that another instance has the address.
 	Replaced
 	// Silent says that the connection broke before any answer.
@@ -71,7 +73,7 @@
 	case Silent:
 		h.share += 2 * weigh * (1 - h.share)
 		h.rest(now)
-	case Unreached:
+	case Unreached, Closed:
 		h.rest(now)
 	case Replaced:
 		h.until = now.Add(replacedFor)
--- a/board/usage.go
+++ b/board/usage.go
@@ -128,6 +128,6 @@
 		r.usage.pace.Measure(now.Sub(r.began), 1)
 	case Refused:
 		r.board.state(r.key).limit.Late(now, r.before, r.slots, r.least)
-	case Unreached, Replaced, Silent:
+	case Unreached, Closed, Replaced, Silent:
 	}
 }
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -66,8 +67,10 @@
 		return board.Canceled
 	case e.Reason == chestnutstep.ReasonFull:
 		return board.Refused
-	case e.Reason == chestnutstep.ReasonDown:
+	case e.Reason == chestnutstep.ReasonDown && timedOut(e.Err):
 		return board.Unreached
+	case e.Reason == chestnutstep.ReasonDown:
+		return board.Closed
 	case e.Reason == chestnutstep.ReasonDead:
 		return board.Replaced
 	case e.Reason == chestnutstep.ReasonLink && !e.Reused:
@@ -77,6 +80,12 @@
 	}
 }
 
+// timedOut says that nothing answered in time.
+func timedOut(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // verdict is the final answer after the last try failed.
 func (q *request) verdict(err error) refusal {
 	if q.tally.NotRun() {
