--- a/board/usage.go
+++ b/board/usage.go
@@ -91,6 +91,8 @@
 	// yields to others.
 	Taken float64
 	Yield admit.Yield
+	// Kept is the part of the places that is kept for requests within their share.
+	Kept float64
 }
 
 // Admit says whether a request may take a place at one of the candidates, while others
@@ -100,7 +102,9 @@
 	defer b.mu.Unlock()
 	b.begin()
 	r := Room{Taken: place.Taken(list), Reason: chestnutstep.ReasonFull}
-	r.Free, r.Yield = b.usage(service).fair.Ask(now, who.Urgency, who.Workspace, r.Taken)
+	fair := &b.usage(service).fair
+	r.Free, r.Yield = fair.Ask(now, who.Urgency, who.Workspace, r.Taken)
+	r.Kept = fair.Reserve(now)
 	if r.Taken < 1 {
 		r.Reason = chestnutstep.ReasonShare
 	}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -85,6 +85,8 @@
 	CopyFailed      ID = 7026
 	CachesTaken     ID = 7027
 	CachesKnown     ID = 7028
+	CallersMany     ID = 7029
+	CallersFew      ID = 7030
 )
 
 // requestLines bounds the lines a second of each event about single requests of
@@ -439,8 +441,8 @@
 	{
 		ID: RelayRefused, Name: "relay_refused", Level: Info, Often: true, Lines: requestLines,
 		Meaning: "The entry refused a request: it did not run.",
-		Cause:   "See reason; proof is the age of the proof that the configuration is current.",
-		Action:  "For target see 7012, for version see 7014.",
+		Cause:   "See reason; proof is the age of the proof that the configuration is current. For full and share, taken is the part of the service's places that was taken, kept what is kept for requests within their share, yield whether the rank (1), the workspace (2) or both (3) were over theirs.",
+		Action:  "For target see 7012, for version see 7014, for full and share docs/operate/saturated.md.",
 	},
 	{
 		ID: RelayBroken, Name: "relay_broken", Level: Warn, Often: true, Lines: requestLines,
@@ -556,4 +558,16 @@
 		Cause:   "The entry started.",
 		Action:  "Nothing, unless the wait was long: see 7024 and 7027 before it.",
 	},
+	{
+		ID: CallersMany, Name: "callers_many", Level: Warn,
+		Meaning: "The entry holds so many connections of callers that idle ones are closed to make room.",
+		Cause:   "Many callers at once; most is the bound by descriptors and memory.",
+		Action:  "See docs/operate/saturated.md; where it lasts, add entries.",
+	},
+	{
+		ID: CallersFew, Name: "callers_few", Level: Info,
+		Meaning: "Connections of callers are few enough again.",
+		Cause:   "The callers of 7029 are gone.",
+		Action:  "Nothing.",
+	},
 }
--- a/meter/set.go
+++ b/meter/set.go
@@ -83,6 +83,10 @@
 	Datagrams Counter   // bytes of datagrams between entries
 	Opened    Counter   // connections to targets that were opened
 	Dropped   Counter   // lines of the log that were dropped
+	Refused   Counter   // requests that found no place, by workspace and reason
+	Taken     Gauge     // part of a service's places that was taken at the last request
+	Kept      Gauge     // part of them that is kept for requests within their share
+	Callers   Gauge     // connections of callers
 }
 
 // Workspaces is what a report of fairness between workspaces is made of, summed
@@ -160,6 +164,10 @@
 		{&s.Relay.Datagrams, entry{"relay_datagram_bytes_total", kindCounter, "bytes", []string{labelWay}, "Bytes of datagrams between entries: in and out."}},
 		{&s.Relay.Opened, entry{"relay_connections_total", kindCounter, "connections", nil, "Connections to targets that were opened."}},
 		{&s.Relay.Dropped, entry{"relay_log_dropped_total", kindCounter, "lines", nil, "Lines of the log that were dropped, as their reader was too slow."}},
+		{&s.Relay.Refused, entry{"relay_refused_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests that found no place at a target: full, or share where only those within their share got one."}},
+		{&s.Relay.Taken, entry{"relay_places_taken", kindGauge, "share", []string{labelService}, "Part of the places of a service's targets that was taken when a request last asked for one; 1 and more for all."}},
+		{&s.Relay.Kept, entry{"relay_places_kept", kindGauge, "share", []string{labelService}, "Part of the places of a service's targets that is kept for requests within their share."}},
+		{&s.Relay.Callers, entry{"relay_callers", kindGauge, "connections", nil, "Connections of callers that are held."}},
 		{&s.Workspaces.Requests, entry{"workspace_requests_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests of a workspace: ok, refused, broken or canceled."}},
 		{&s.Workspaces.Tokens, entry{"workspace_tokens_total", kindCounter, "tokens", []string{labelWorkspace}, "Estimated work that the target did for a workspace."}},
 		{&s.Workspaces.Wait, entry{"workspace_wait_seconds", kindHistogram, "seconds", []string{labelWorkspace}, "Time that a workspace's requests waited before they ran."}},
--- a/node/count.go
+++ b/node/count.go
@@ -18,6 +18,7 @@
 type counted struct {
 	dropped, opened, out, in int64
 	peers                    int
+	crowded                  bool
 }
 
 // count passes on what is counted elsewhere.
@@ -36,7 +37,12 @@
 	if live != c.peers {
 		n.log.Emit(event.PeersCounted, event.Int("peers", int64(live)), event.Int("before", int64(c.peers)))
 	}
-	n.counted = counted{dropped, opened, out, in, live}
+	open, crowded := n.callers.Open()
+	if crowded != c.crowded {
+		n.logCallers(open, crowded)
+	}
+	n.counted = counted{dropped, opened, out, in, live, crowded}
+	m.Callers.Set(float64(open))
 	m.Peers.Set(float64(live))
 	m.Open.Set(float64(n.relay.Open()))
 	m.Proof.Set(n.proofAge().Seconds())
@@ -45,3 +51,12 @@
 		m.Targets.Set(float64(len(v.ByID)))
 	}
 }
+
+// logCallers says that callers' connections have become many, or few again.
+func (n *Direct) logCallers(open int, crowded bool) {
+	id := event.CallersFew
+	if crowded {
+		id = event.CallersMany
+	}
+	n.log.Emit(id, event.Int("open", int64(open)), event.Int("most", int64(n.callers.Most)))
+}
--- a/relay/listen.go
+++ b/relay/listen.go
@@ -39,7 +39,7 @@
 	}
 	l.mu.Lock()
 	l.open++
-	crowded := l.Most > 0 && 2*l.open > l.Most
+	crowded := l.crowded()
 	oldest := l.idle.Front()
 	l.mu.Unlock()
 	if crowded && oldest != nil {
@@ -71,11 +71,15 @@
 	}
 }
 
-// Open is how many connections are held.
-func (l *Listener) Open() int {
+// crowded says that idle connections make room for new ones.
+func (l *Listener) crowded() bool { return l.Most > 0 && 2*l.open > l.Most }
+
+// Open is how many connections are held, and whether they are so many that idle ones make
+// room for new ones.
+func (l *Listener) Open() (n int, crowded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.open
+	return l.open, l.crowded()
 }
 
 // callerConn is a caller's connection.
--- a/relay/listen_test.go
+++ b/relay/listen_test.go
@@ -76,7 +76,8 @@
 		c.send(fmt.Sprint("idle-", i))
 		assert.Equal(t, c.status(), http.StatusOK)
 		kept = append(kept, c)
-		assert.Assert(t, l.Open() <= 8, "%d connections are held", l.Open())
+		open, _ := l.Open()
+		assert.Assert(t, open <= 8, "%d connections are held", open)
 	}
 	newest := kept[len(kept)-1]
 	newest.send("again")
--- a/relay/log.go
+++ b/relay/log.go
@@ -59,6 +59,10 @@
 		event.Int("tries", int64(q.tally.Tries)), event.Dur("took", time.Since(q.began)),
 		event.Dur("proof", clock.Now().Sub(q.Roster.Proof())),
 	}
+	if q.room != nil {
+		fields = append(fields, event.Str("workspace", q.who().Workspace), event.Float("taken", q.room.Taken),
+			event.Float("kept", q.room.Kept), event.Int("yield", int64(q.room.Yield)), event.Dur("after", f.after))
+	}
 	if q.route != nil {
 		fields = append(fields, event.Str("route", q.route.Name))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,8 @@
 	failure *whole
 	// stream is what the caller has of a stream already.
 	stream stream
+	// room is what was known of the targets' places when none was left; nil before.
+	room *board.Room
 }
 
 // ServeHTTP answers one request of a caller.
--- a/relay/run.go
+++ b/relay/run.go
@@ -107,9 +107,13 @@
 // which it may find one.
 func (q *request) place(now clock.Stamp, list []place.Candidate) *refusal {
 	room := q.Board.Admit(now, q.service.Name, list, q.who())
+	q.Meters.Taken.Set(room.Taken, q.service.Name)
+	q.Meters.Kept.Set(room.Kept, q.service.Name)
 	if room.Free {
 		return nil
 	}
+	q.room = &room
+	q.Meters.Refused.Add(1, q.who().Workspace, string(room.Reason))
 	return &refusal{http.StatusServiceUnavailable, room.Reason, admit.Back(q.ask.ID, q.route.Objective)}
 }
 
