--- a/link/pool.go
+++ b/link/pool.go
@@ -90,7 +90,7 @@
 // get returns an idle connection that is still sound, or opens one.
 func (p *Pool) get(ctx context.Context, address string) (*Conn, error) {
 	for c := p.take(address); c != nil; c = p.take(address) {
-		if time.Now().Before(c.until) && quiet(c.Conn) {
+		if time.Now().Before(c.until) && Quiet(c.Conn) {
 			c.Reused = true
 			return c, nil
 		}
@@ -175,10 +175,10 @@
 	return p.opened
 }
 
-// quiet says that nothing waits to be read and the peer has not closed. Bytes
+// Quiet says that nothing waits to be read and the peer has not closed. Bytes
 // that come while no request is open belong to none: a late second answer would
 // be taken for the next request's.
-func quiet(c net.Conn) bool {
+func Quiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return false
@@ -189,10 +189,10 @@
 	}
 	var one [1]byte
 	sound := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, doesn't wait for whoever reads from the connection.
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		sound = err == unix.EAGAIN
-		return true
 	})
 	return err == nil && sound
 }
--- a/node/direct.go
+++ b/node/direct.go
@@ -102,7 +102,7 @@
 	if err := n.build(); err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", n.Settings.Callers)
+	callers, err := callersListen.Listen(ctx, "tcp", n.Settings.Callers)
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
@@ -141,6 +141,11 @@
 		event.Int("callers", int64(n.callers.Most)), event.Str("unknown", strings.Join(n.Settings.Unknown, " ")))
 }
 
+// callersListen takes callers' connections without keep-alive probes: each is bounded by
+// its request's time limit or by the idle time, and under a surge, with a connection for
+// each request, setting the probes up costs as much as reading the request.
+var callersListen = net.ListenConfig{KeepAlive: -1}
+
 // filesMost is how many descriptors the system allows this process.
 func filesMost() int {
 	var limit unix.Rlimit
--- /dev/null
+++ b/relay/bench_test.go
@@ -0,0 +1,120 @@
+package relay_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/meter"
+	"chestnutstep.example/chestnutstep/platform"
+	"chestnutstep.example/chestnutstep/relay"
+	"chestnutstep.example/chestnutstep/retry"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+// benchTargets is how many engines a service has that is full.
+const benchTargets = 49
+
+// fullRelay is a relay whose targets have no place left.
+func fullRelay(b *testing.B) *relay.Relay {
+	ros := &roster.Roster{}
+	list := chestnutstep.Batch{Revision: 1}
+	for i := range benchTargets {
+		name := fmt.Sprint("i-", i)
+		list.Facts = append(list.Facts, chestnutstep.Fact{
+			Kind: chestnutstep.FactInstance, Name: name, Revision: 1,
+			Instance: &chestnutstep.Instance{ID: name, Service: "llm", Address: "127.0.0.1:1", Domain: "d", Slots: 8},
+		})
+	}
+	ros.Learn(clock.Now(), chestnutstep.TopicInstances, list, true)
+	c := &chestnutstep.Routing{
+		Version: 1, Keyed: true, Services: map[string]*chestnutstep.Service{"llm": {Name: "llm", Engine: true}},
+		Workspaces: []*chestnutstep.Client{{Name: "ws", Keys: []string{key}}},
+		Routes: []chestnutstep.Route{{
+			Name: "plan", Host: host, Prefix: "/plan/", Kind: chestnutstep.Stream, Timeout: 12 * time.Second,
+			Objective: 500 * time.Millisecond, Tries: 1, Splits: []chestnutstep.Split{{Service: "llm", Weight: 1}},
+		}},
+	}
+	c.Index()
+	ros.Learn(clock.Now(), chestnutstep.TopicRouting, chestnutstep.Batch{Facts: []chestnutstep.Fact{{
+		Kind: chestnutstep.FactRouting, Revision: 1, Routing: c,
+	}}}, false)
+	ros.Prove(clock.Now())
+	bounds := config.Bounds{Revoke: time.Hour}
+	set, err := meter.NewSet()
+	assert.NilError(b, err)
+	x := &relay.Relay{
+		Domain: "d", Bounds: func() config.Bounds { return bounds },
+		Roster: ros, Board: &board.Board{}, Pool: &link.Pool{}, Wire: platform.Wire{},
+		Crashes: &relay.Crashes{}, Meters: &set.Relay, Behind: func() bool { return false },
+		Log:     &event.Log{Out: io.Discard},
+		Budgets: &retry.Budgets{Bounds: func() retry.Bounds { return retry.Bounds{} }, Entries: func() int { return 1 }},
+	}
+	now := clock.Now()
+	v, service := ros.View(), c.Services["llm"]
+	who := board.Who{Workspace: "ws", Objective: time.Second}
+	for _, t := range v.Services["llm"] {
+		x.Board.Start(now.Add(-time.Second), t, service, nil, 0, who).End(now, board.Served)
+		for range 3 * t.Slots {
+			x.Board.Start(now, t, service, nil, 0, who)
+		}
+	}
+	return x
+}
+
+// BenchmarkRefusal refuses a request for which none of 49 targets has a place: under a
+// surge most of an entry's processor goes there.
+func BenchmarkRefusal(b *testing.B) {
+	x := fullRelay(b)
+	body := strings.Repeat("x", 12<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		r := httptest.NewRequest(http.MethodPost, "/plan/x", strings.NewReader(body))
+		r.Host = host
+		r.Header.Set("Attempt-Id", "a")
+		r.Header.Set("Credential", key)
+		r.Header.Set("Deadline-Ms", "12000")
+		r.Header.Set("Prefix-Hash", "5c1e07a2:800,91bd3f06:9410,e4402b7d:1250")
+		w := httptest.NewRecorder()
+		x.ServeHTTP(w, r)
+		if w.Code != http.StatusServiceUnavailable {
+			b.Fatal(w.Code)
+		}
+	}
+}
+
+// BenchmarkRefusalConnection refuses callers that each come on a connection of their own.
+func BenchmarkRefusalConnection(b *testing.B) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(b, err)
+	x := fullRelay(b)
+	srv := &http.Server{Handler: x, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = srv.Serve(&relay.Listener{Listener: inner, Relay: x, Most: 512}) }()
+	defer srv.Close()
+	message := "POST /plan/x HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: a\r\nCredential: " + key +
+		"\r\nDeadline-Ms: 12000\r\nPrefix-Hash: 5c1e07a2:800,91bd3f06:9410,e4402b7d:1250\r\nContent-Length: 12288\r\n\r\n" + strings.Repeat("x", 12<<10)
+	answer := make([]byte, 1<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(b, err)
+		_, err = io.WriteString(c, message)
+		assert.NilError(b, err)
+		_, err = c.Read(answer)
+		assert.NilError(b, err)
+		assert.NilError(b, c.Close())
+	}
+}
--- a/relay/listen.go
+++ b/relay/listen.go
@@ -2,9 +2,12 @@
 
 import (
 	"container/list"
+	"io"
 	"net"
 	"sync"
 	"time"
+
+	"chestnutstep.example/chestnutstep/link"
 )
 
 // Listener takes callers' connections, gives them the idle time in force, and bounds how
@@ -37,15 +40,41 @@
 	if err != nil {
 		return nil, err
 	}
+	l.add()
+	return &callerConn{Conn: c, listener: l}, nil
+}
+
+// evictTries is how many of the longest idle connections are looked at for one that no
+// request waits on: on a busy host a request may have come that nobody has read yet.
+const evictTries = 8
+
+// add counts a new connection, and closes an idle one if there are many.
+func (l *Listener) add() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.open++
-	crowded := l.crowded()
-	oldest := l.idle.Front()
-	l.mu.Unlock()
-	if crowded && oldest != nil {
-		_ = oldest.Value.(*callerConn).Close()
+	if l.crowded() {
+		l.evict()
+	}
+}
+
+// evict closes a connection that was idle for long. A request that has come on it would be
+// lost: one that is chosen passes nothing on any more, and one on which bytes wait is left
+// alone.
+func (l *Listener) evict() {
+	e := l.idle.Front()
+	for range evictTries {
+		if e == nil {
+			return
+		}
+		c := e.Value.(*callerConn)
+		if !c.evicted && link.Quiet(c.Conn) {
+			c.evicted = true
+			go c.Close()
+			return
+		}
+		e = e.Next()
 	}
-	return &callerConn{Conn: c, listener: l}, nil
 }
 
 // Close ends Accept also while it waits for room.
@@ -59,14 +88,19 @@
 	return l.Listener.Close()
 }
 
-// wait returns once there is room for one more connection.
+// full says that no more connections are held.
+func (l *Listener) full() bool { return l.Most > 0 && l.open >= l.Most }
+
+// wait returns once there is room for one more connection: one has ended, or has become
+// idle and can be closed.
 func (l *Listener) wait() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.room == nil {
 		l.room = sync.NewCond(&l.mu)
 	}
-	for l.Most > 0 && l.open >= l.Most && !l.closed {
+	for l.full() && !l.closed {
+		l.evict()
 		l.room.Wait()
 	}
 }
@@ -89,6 +123,8 @@
 	once     sync.Once
 	// place in the listener's list while the connection is idle.
 	place *list.Element
+	// evicted says that it is closed to make room for another.
+	evicted bool
 }
 
 // SetReadDeadline replaces the deadline of an idle connection, and that of headers.
@@ -104,11 +140,12 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Read reads from the caller, whose connection is idle no more.
+// Read reads from the caller, whose connection is idle no more. What comes after it had to
+// make room is not read: the caller sees it closed before its request was taken.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.wake()
+	if n > 0 && !c.wake() {
+		return 0, io.EOF
 	}
 	return n, err
 }
@@ -136,10 +173,13 @@
 	if c.place == nil {
 		c.place = l.idle.PushBack(c)
 	}
+	if l.full() && l.room != nil {
+		l.room.Signal()
+	}
 }
 
-// wake notes that it has one again.
-func (c *callerConn) wake() {
+// wake notes that it has one again; false says that it had to make room.
+func (c *callerConn) wake() bool {
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -147,4 +187,5 @@
 		l.idle.Remove(c.place)
 		c.place = nil
 	}
+	return !c.evicted
 }
--- a/relay/listen_test.go
+++ b/relay/listen_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/stand"
 )
@@ -110,3 +111,70 @@
 	_ = first.Close()
 	assert.Equal(t, third.status(), http.StatusOK)
 }
+
+// On a busy host a caller's next request has come on a connection that still counts as
+// idle: nobody has read it yet. Closed to make room for another caller, it would lose a
+// booking, or worse, cut one that has just been passed on. Another idle one goes.
+func TestRequestThatCameIsNotEvicted(t *testing.T) {
+	g := newRig(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &relay.Listener{Listener: inner, Relay: g.relay, Most: 4}
+	defer l.Close()
+	var callers, conns []net.Conn
+	for i := range 4 {
+		caller, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		defer caller.Close()
+		if i == 2 { // two are idle now, and a request comes on the one that was idle for longest
+			fmt.Fprint(callers[0], "POST")
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if link.Quiet(conns[0]) {
+					return poll.Continue("not there yet")
+				}
+				return poll.Success()
+			})
+		}
+		conn, err := l.Accept()
+		assert.NilError(t, err)
+		defer conn.Close()
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(relay.IdleTimeout)))
+		callers, conns = append(callers, caller), append(conns, conn)
+	}
+	var b [8]byte
+	n, err := conns[0].Read(b[:])
+	assert.NilError(t, err)
+	assert.Equal(t, string(b[:n]), "POST")
+	assert.NilError(t, callers[1].SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = callers[1].Read(b[:])
+	assert.Assert(t, err != nil, "the other idle one is still open")
+}
+
+// All connections that may be held have a request, and their callers keep them open when
+// they have their answers. The next caller must not wait until the idle time is over: an
+// entry that says it is ready would take nobody for seconds after a surge.
+func TestFullListenerTakesCallersAgain(t *testing.T) {
+	g := newRig(t)
+	for _, x := range g.targets {
+		x.Behave(stand.Slow)
+	}
+	l := listen(t, g, 4)
+	var busy []*caller
+	for i := range 4 {
+		c := dial(t, l.Addr().String())
+		c.send(fmt.Sprint("busy-", i))
+		busy = append(busy, c)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if arrived, _ := g.count(); arrived == 4 {
+			return poll.Success()
+		}
+		return poll.Continue("not all arrived")
+	})
+	next := dial(t, l.Addr().String())
+	next.send("next")
+	for _, c := range busy {
+		assert.Equal(t, c.status(), http.StatusOK)
+	}
+	assert.Equal(t, next.status(), http.StatusOK)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,7 +5,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -217,21 +216,28 @@
 	if q.r.ContentLength > most {
 		return &refusal{http.StatusRequestEntityTooLarge, chestnutstep.ReasonLarge, 0}
 	}
-	var b bytes.Buffer
-	if q.r.ContentLength > 0 {
-		b.Grow(int(q.r.ContentLength))
-	}
-	n, err := b.ReadFrom(io.LimitReader(q.r.Body, most+1))
+	body, err := readAll(q.r, most)
 	if err != nil {
 		return &refusal{http.StatusBadRequest, chestnutstep.ReasonShort, 0}
 	}
-	if n > most {
+	if int64(len(body)) > most {
 		return &refusal{http.StatusRequestEntityTooLarge, chestnutstep.ReasonLarge, 0}
 	}
-	q.body = b.Bytes()
+	q.body = body
 	q.content = q.fingerprint()
 	return nil
 }
 
+// readAll reads a body; one whose length is not said up to a byte beyond most. Where the
+// length is said, as it mostly is, nothing is copied on the way.
+func readAll(r *http.Request, most int64) ([]byte, error) {
+	if r.ContentLength < 0 {
+		return io.ReadAll(io.LimitReader(r.Body, most+1))
+	}
+	body := make([]byte, r.ContentLength)
+	_, err := io.ReadFull(r.Body, body)
+	return body, err
+}
+
 // bodyMost bounds a body in bytes where the configuration does not.
 const bodyMost = 4 << 20
