--- a/config/direct.go
+++ b/config/direct.go
@@ -44,6 +44,9 @@
 	Grace time.Duration
 	// Revoke is when a key that was taken away must be dead everywhere.
 	Revoke time.Duration
+	// Within is the time in which a change must be in force everywhere; 0 where none is
+	// set.
+	Within time.Duration
 	// RetryShare of a service's requests, and RetrySlack more, may be repeats
 	// within RetryWindow, over all entries.
 	RetryShare  float64
--- a/node/pace.go
+++ b/node/pace.go
@@ -9,7 +9,7 @@
 )
 
 func (n *Direct) watch(topic chestnutstep.Topic) task {
-	w := &watch.Watcher{Source: n.Source, Topic: topic, Roster: n.roster, Notify: n, Wait: watch.Long}
+	w := &watch.Watcher{Source: n.Source, Topic: topic, Roster: n.roster, Notify: n, Wait: watch.Long, Rest: n.gather}
 	if topic == chestnutstep.TopicRouting {
 		w.Kick, w.Wait = n.kick, n.pace
 	}
@@ -23,6 +23,11 @@
 	return d
 }
 
+// gather is how long watches rest after changes.
+func (n *Direct) gather() time.Duration {
+	return watch.Gather(n.board.Entries(), n.bounds().Within)
+}
+
 // proofAge is the age of the proof that the configuration is current.
 func (n *Direct) proofAge() time.Duration { return clock.Now().Sub(n.roster.Proof()) }
 
--- a/watch/pace.go
+++ b/watch/pace.go
@@ -20,6 +20,15 @@
 	// stalePart of the bound is the age of a proof at which an entry stops relying
 	// on others: what is left is enough to ask by itself.
 	stalePart = 0.44
+	// gatherLeast and gatherEach are how long a watch rests after changes, at the least and
+	// for each entry: what changes together, such as targets that are replaced one by one,
+	// is then read by one call.
+	gatherLeast = 300 * time.Millisecond
+	gatherEach  = 30 * time.Millisecond
+	// gatherPart bounds the rest by a part of the time in which a change must be in
+	// force, and gatherMost where no such time is set.
+	gatherPart = 0.25
+	gatherMost = 500 * time.Millisecond
 	// boundDefault stands in where no bound is set.
 	boundDefault = 5 * time.Second
 )
@@ -34,6 +43,18 @@
 	return long
 }
 
+// Gather is how long a watch rests after changes. Each change costs a call by every entry,
+// so that a fleet of many makes more calls for the same changes than the source may
+// serve: the more entries there are, the longer each rests, within the time in which a
+// change must be in force.
+func Gather(entries int, within time.Duration) time.Duration {
+	most := gatherMost
+	if within > 0 {
+		most = part(within, gatherPart)
+	}
+	return min(max(time.Duration(entries)*gatherEach, gatherLeast), max(most, gatherLeast))
+}
+
 // Short is the waiting time of a watch that proves.
 func Short(bound time.Duration) time.Duration {
 	if bound <= 0 {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -21,10 +21,6 @@
 	// 1,200 calls a second while the source refuses them.
 	pauseLeast = 30 * time.Millisecond
 	pauseMost  = 300 * time.Millisecond
-	// gather is how long a watch rests after changes: what changes together, such
-	// as targets that are replaced one by one, is then read by one call. Changes
-	// have to be in force within seconds.
-	gather = 300 * time.Millisecond
 	// lostWait is how long a watch waits after the source was lost. What is missing
 	// counts as gone two seconds after its return, and a watch that waits long hears
 	// of the return with the next change only: a target that was removed three
@@ -41,6 +37,8 @@
 	Notify Notify
 	// Wait is how long the next watch waits for changes.
 	Wait func() time.Duration
+	// Rest is how long a watch rests after changes; nil for Gather of one entry.
+	Rest func() time.Duration
 	// Kick ends the present watch.
 	Kick chan Kick
 
@@ -117,11 +115,19 @@
 		w.Notify.Changed(w.Topic, c, asked)
 	}
 	if len(b.Facts) > 0 && !full {
-		rest(ctx, gather)
+		rest(ctx, w.rest())
 	}
 	return nil
 }
 
+// rest is how long to rest after changes.
+func (w *Watcher) rest() time.Duration {
+	if w.Rest == nil {
+		return Gather(1, 0)
+	}
+	return w.Rest()
+}
+
 // rest waits, or until ctx ends.
 func rest(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -201,6 +201,22 @@
 	}
 }
 
+// A rollout replaces targets one after the other, and each change costs a call by every
+// entry: a fleet of hundreds would ask the source for thousands of calls a second, and be
+// refused. Each rests longer the more there are, and a change is in force in time all the
+// same.
+func TestGather(t *testing.T) {
+	const within = 2 * time.Second
+	for _, n := range []int{1, 4, 27, 350} {
+		rest := watch.Gather(n, within)
+		assert.Assert(t, rest <= within/4, "%d entries rest %s", n, rest)
+		calls := float64(n) / rest.Seconds()
+		assert.Assert(t, calls <= 700, "%d entries make %.0f calls a second", n, calls)
+	}
+	assert.Assert(t, watch.Gather(350, within) > watch.Gather(4, within))
+	assert.Assert(t, watch.Gather(1, time.Millisecond) >= 300*time.Millisecond, "a call for each change")
+}
+
 // moody is a source whose first watch fails, and that notes how long each is to wait.
 type moody struct {
 	waits chan time.Duration
