board: what peers may have sent takes at most half of a target

Cause, on reading, then a test: an entry takes its peers to send as much as it does in the 50 ms before they tell of it. Before 26 peers one request closed a target of six slots, and four in a row a whole idle service.

--- a/board/board.go
+++ b/board/board.go
@@ -162,12 +162,13 @@
 			continue
 		}
 		sum := b.sums[key]
+		limit := s.limit.At(now, t.Slots, hold, patience)
 		list = append(list, place.Candidate{
 			ID:      t.ID,
 			Address: t.Address,
 			Running: float64(s.running + int(sum.Running)),
-			Limit:   s.limit.At(now, t.Slots, hold, patience),
-			Unheard: b.unheard(now, s),
+			Limit:   limit,
+			Unheard: b.unheard(now, s, limit),
 			Reading: float64(s.reading + readingUnit*int(sum.Reading)),
 			Slots:   t.Slots,
 			Held:    b.held(now, Key(&t.Instance), need.Parts, false),
--- a/board/usage.go
+++ b/board/usage.go
@@ -24,6 +24,9 @@
 	paceSmooth = 0.01
 	// recent is how old what peers told of their requests is by and large.
 	recent = 50 * time.Millisecond
+	// unheardMost is the part of a target's limit that requests of peers may take that
+	// they have not told of.
+	unheardMost = 0.5
 )
 
 // usage is what this entry's requests to one service hold.
@@ -64,10 +67,12 @@
 }
 
 // unheard are the requests that peers have sent to a target since they told of theirs,
-// taken to be as many as this entry's. Without them all entries give the same free place
-// away, each to a request of its own.
-func (b *Board) unheard(now clock.Stamp, s *state) float64 {
-	return s.sent.at(now) * float64(len(b.peers))
+// taken to be as many as this entry has sent, and at most a part of what it may have.
+// Without it all entries see the same free place and give it away, each to a request of its
+// own. Without the bound one request of this entry would close a target before hundreds of
+// peers, however idle it is.
+func (b *Board) unheard(now clock.Stamp, s *state, limit float64) float64 {
+	return min(s.sent.at(now)*float64(len(b.peers)), unheardMost*limit)
 }
 
 // burst counts what was sent of late.
