--- a/cmd/standin/lab.go
+++ b/cmd/standin/lab.go
@@ -17,6 +17,7 @@
 	seed    uint64
 	minutes int
 	domain  bool
+	surge   bool
 	plot    string
 	out     io.Writer
 }
@@ -28,6 +29,7 @@
 	c.UInt64(&l.seed, "s", "seed", "of the load")
 	c.Int(&l.minutes, "m", "minutes", "of the load, the first half to warm up; with --domain it is always 10")
 	c.Bool(&l.domain, "d", "domain", "take a failure domain out and bring it back")
+	c.Bool(&l.surge, "u", "surge", "play loads from half to three times of what targets carry; the plot shows goodput")
 	c.String(&l.plot, "p", "plot", "file to draw reuse, wait and evenness over time into, as SVG")
 	return command{c, l.run}
 }
@@ -47,6 +49,9 @@
 
 // run prints a row for each policy.
 func (l *lab) run() error {
+	if l.surge {
+		return l.runSurge()
+	}
 	w := tabwriter.NewWriter(l.out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "policy\tin time\treuse\tfetched\tlargest/mean\tin 99 of 100 s\twait 95%\tcrashes")
 	var lines []plotLine
@@ -64,3 +69,22 @@
 	}
 	return drawPlots(l.plot, lines)
 }
+
+// runSurge prints a row for each load, where entries refuse and where they take all.
+func (l *lab) runSurge() error {
+	w := tabwriter.NewWriter(l.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "offered\tin time a second\tin time\trefused\tfirst byte 95%\ttaking all: in time a second\tin time\tfirst byte 95%")
+	rows := trial.SurgeRows(l.seed)
+	for _, r := range rows {
+		fmt.Fprintf(w, "%.2f\t%.0f\t%.1f%%\t%.1f%%\t%s\t%.0f\t%.1f%%\t%s\n", r.Offered,
+			r.Refusing.Goodput, 100*r.Refusing.InTime, 100*r.Refusing.Refused, r.Refusing.First95.Round(time.Millisecond),
+			r.Taking.Goodput, 100*r.Taking.InTime, r.Taking.First95.Round(time.Millisecond))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if l.plot == "" {
+		return nil
+	}
+	return drawSurge(l.plot, rows)
+}
--- a/cmd/standin/plot.go
+++ b/cmd/standin/plot.go
@@ -36,15 +36,56 @@
 	{"largest load against the mean", func(s trial.Span) float64 { return s.Largest }},
 }
 
-// drawPlots writes all charts into one SVG file.
+// drawPlots draws what policies gave over time.
 func drawPlots(file string, lines []plotLine) error {
-	canvas := vgsvg.New(plotWidth, plotHeight*vg.Length(len(charts)))
-	tiles := draw.Tiles{Rows: len(charts), Cols: 1}
-	for i, c := range charts {
-		p, err := chart(c.title, lines, c.value)
+	var plots []*plot.Plot
+	for _, c := range charts {
+		var curves []curve
+		for _, l := range lines {
+			points := make(plotter.XYs, len(l.series))
+			for k, s := range l.series {
+				points[k] = plotter.XY{X: s.Begin.Minutes(), Y: c.value(s)}
+			}
+			curves = append(curves, curve{l.name, points})
+		}
+		p, err := chart(c.title, "minutes", curves)
+		if err != nil {
+			return err
+		}
+		plots = append(plots, p)
+	}
+	return write(file, plots)
+}
+
+// drawSurge draws goodput and the time to the first byte against the offered load.
+func drawSurge(file string, rows []trial.SurgeRow) error {
+	var plots []*plot.Plot
+	for _, c := range []struct {
+		title string
+		value func(r trial.SurgeResult) float64
+	}{
+		{"requests in time a second", func(r trial.SurgeResult) float64 { return r.Goodput }},
+		{"time to the first byte of 95 in 100, seconds", func(r trial.SurgeResult) float64 { return r.First95.Seconds() }},
+	} {
+		refusing, taking := make(plotter.XYs, len(rows)), make(plotter.XYs, len(rows))
+		for i, r := range rows {
+			refusing[i] = plotter.XY{X: r.Offered, Y: c.value(r.Refusing)}
+			taking[i] = plotter.XY{X: r.Offered, Y: c.value(r.Taking)}
+		}
+		p, err := chart(c.title, "offered load against what targets carry", []curve{{"refusing", refusing}, {"taking all", taking}})
 		if err != nil {
-			return errors.Wrapf(err, "plot %q", c.title)
+			return err
 		}
+		plots = append(plots, p)
+	}
+	return write(file, plots)
+}
+
+// write puts charts into one SVG file, one below the other.
+func write(file string, plots []*plot.Plot) error {
+	canvas := vgsvg.New(plotWidth, plotHeight*vg.Length(len(plots)))
+	tiles := draw.Tiles{Rows: len(plots), Cols: 1}
+	for i, p := range plots {
 		p.Draw(tiles.At(draw.New(canvas), 0, i))
 	}
 	f, err := os.Create(file)
@@ -58,25 +99,27 @@
 	return errors.Wrap(f.Close(), "plot")
 }
 
-// chart draws a value of all policies over the minutes of the load.
-func chart(title string, lines []plotLine, value func(s trial.Span) float64) (*plot.Plot, error) {
+// curve is one line of a chart.
+type curve struct {
+	name   string
+	points plotter.XYs
+}
+
+// chart draws curves over one axis.
+func chart(title, over string, curves []curve) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = title
-	p.X.Label.Text = "minutes"
+	p.X.Label.Text = over
 	p.Legend.Top = true
-	for i, l := range lines {
-		points := make(plotter.XYs, len(l.series))
-		for k, s := range l.series {
-			points[k] = plotter.XY{X: s.Begin.Minutes(), Y: value(s)}
-		}
-		line, err := plotter.NewLine(points)
+	for i, c := range curves {
+		line, err := plotter.NewLine(c.points)
 		if err != nil {
-			return nil, err
+			return nil, errors.Wrapf(err, "plot %q", title)
 		}
 		line.Color = plotutil.Color(i)
 		line.Dashes = plotutil.Dashes(i / len(plotutil.SoftColors))
 		p.Add(line)
-		p.Legend.Add(l.name, line)
+		p.Legend.Add(c.name, line)
 	}
 	return p, nil
 }
--- a/cmd/standin/plot_test.go
+++ b/cmd/standin/plot_test.go
@@ -25,3 +25,17 @@
 	assert.Equal(t, strings.Count(string(raw), "another"), len(charts))
 	assert.Assert(t, drawPlots(filepath.Join(t.TempDir(), "no", "such"), nil) != nil)
 }
+
+// Whoever asks what a full fleet does wants goodput against load, with and without refusals.
+func TestDrawSurge(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "surge.svg")
+	rows := []trial.SurgeRow{
+		{Offered: 1, Refusing: trial.SurgeResult{Goodput: 300}, Taking: trial.SurgeResult{Goodput: 250}},
+		{Offered: 2, Refusing: trial.SurgeResult{Goodput: 310}, Taking: trial.SurgeResult{Goodput: 150}},
+	}
+	assert.NilError(t, drawSurge(file, rows))
+	raw, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(raw), "taking all"), 2)
+	assert.Equal(t, strings.Count(string(raw), "requests in time a second"), 1)
+}
--- a/trial/surge.go
+++ b/trial/surge.go
@@ -129,6 +129,32 @@
 	return r
 }
 
+// SurgeRow is one load of a comparison.
+type SurgeRow struct {
+	Offered float64
+	// Refusing is what callers get where entries refuse what can't begin in time, and
+	// Taking where they send on all they get.
+	Refusing, Taking SurgeResult
+}
+
+// offeredLoads are those of the comparison, against what the targets carry.
+var offeredLoads = []float64{0.5, 0.75, 1, 1.25, 1.5, 2, 2.5, 3}
+
+// SurgeRows plays loads from half to three times of what the targets carry.
+func SurgeRows(seed uint64) []SurgeRow {
+	var rows []SurgeRow
+	for _, offered := range offeredLoads {
+		cfg := Surge{
+			Seed: seed, Entries: 4, Targets: 9, Slots: 64, Offered: offered,
+			Talk: 50 * time.Millisecond, Warm: 5 * time.Second, For: time.Minute,
+		}
+		taking := PlaySurge(cfg)
+		cfg.Admit = true
+		rows = append(rows, SurgeRow{offered, PlaySurge(cfg), taking})
+	}
+	return rows
+}
+
 // PlaySurge plays a load beyond what targets carry.
 func PlaySurge(cfg Surge) SurgeResult {
 	s := &surge{
