--- a/admit/limit.go
+++ b/admit/limit.go
@@ -56,11 +56,16 @@
 
 // Reach is how many requests a target may have so that the last of them begins within
 // its patience: one behind the slots waits for as many to end as stand before it. With
-// nothing measured, or no slots published, there is no bound.
+// nothing measured they are taken to hold their slots as long as one may wait: a surge that
+// meets an entry which has just started would else meet no bound at all. Where no slots are
+// published there is none.
 func Reach(slots int, hold, patience time.Duration) float64 {
-	if slots <= 0 || hold <= 0 {
+	if slots <= 0 {
 		return unbounded
 	}
+	if hold <= 0 {
+		hold = max(patience, 1)
+	}
 	return float64(slots) * (1 + patience.Seconds()/hold.Seconds())
 }
 
