--- a/admit/cold.go
+++ b/admit/cold.go
@@ -13,8 +13,8 @@
 	// Start is what a target in cold start can carry; below 1 it is read as 1.
 	Start int
 	// Warm is how many whole answers a target needs before it carries more than
-	// Start; growing sooner pushed engines over in a run of the demo. Below
-	// Start it is read as Start.
+	// Start; growing sooner pushes engines over. Below Start it is read
+	// as Start.
 	Warm int
 	// Slots is what a warm target can run; reaching it is being warm.
 	Slots int
--- a/board/board.go
+++ b/board/board.go
@@ -74,8 +74,8 @@
 
 // loadKey names a target in datagrams about what is in progress there. A restart
 // keeps it: requests that were sent just before it was noticed still count. With a key
-// of its own for each start, a target that had restarted looked idle while it had 17
-// requests, and got more than twice the mean (standin lab, 24 entries).
+// of its own for each start, a target that had restarted would look idle while it is at
+// work, and get more than its multiple of the mean.
 func loadKey(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
 // Key names an instance in datagrams about its cache. A restart is another instance,
--- a/board/health.go
+++ b/board/health.go
@@ -36,8 +36,8 @@
 	downMost  = 2 * time.Second
 	// replacedFor is how long an instance whose address another one answers is
 	// left alone: until the list of targets no longer names it, which takes a few
-	// heartbeats. In a play with restarting targets, 250 requests in 4 s were sent
-	// there again and again, and 140 of them refused.
+	// heartbeats. Without it requests are sent there again and
+	// again, out of their few tries.
 	replacedFor = 10 * time.Second
 	// weigh is the weight of the newest answer in the share of failures: about
 	// the last dozen answers count.
--- a/board/peers.go
+++ b/board/peers.go
@@ -13,9 +13,8 @@
 	// tellTimes is how often news is told: datagrams are lost now and then, and
 	// what is lost twice comes with the rest.
 	tellTimes = 2
-	// newsMost bounds the news of one datagram. In a play of 24 entries with 8,
-	// news waited for seconds, and 1,517 thousand tokens were read again in place
-	// of 433 thousand.
+	// newsMost bounds the news of one datagram. With a handful of them
+	// news waits for seconds among dozens of entries, and prompts are read again.
 	newsMost = 40
 )
 
--- a/link/keep.go
+++ b/link/keep.go
@@ -15,7 +15,7 @@
 // The load it answers: 300 entries before a service of three targets, which take 200
 // connections each. With one idle connection of each entry a target is over its
 // number, and resets what comes beyond: callers' bookings fail while it is hardly at
-// work. In a play of that fleet three targets reset 595 connections in 33 s. With
+// work. With
 // nothing kept each request opens its own, which costs it a round trip.
 func Keep(connections, entries int) int {
 	if connections <= 0 {
--- a/mean/mean.go
+++ b/mean/mean.go
@@ -2,7 +2,7 @@
 // that agents pass on to each other.
 //
 // The cap of every target is a multiple of this mean, so an error in it becomes
-// unevenness: at 10% error the most loaded target of a trial stood 10% higher.
+// unevenness of the same size.
 // Knowing all 2,700 targets would cost each agent more than a hundred kilobytes
 // a second. Instead each agent swaps a few samples a second with one other,
 // its own first, and relays some that it heard of: a sample then travels on
--- a/node/direct.go
+++ b/node/direct.go
@@ -46,8 +46,8 @@
 	// end; the rest is for the process to end by itself.
 	graceShare = 0.94
 	// gcPercent collects garbage when the heap has grown by this much of what is in
-	// use. An entry lives on little: with Go's own 100 it stood at 13.3 MB at its
-	// peak, with 40 at 10.7, for 0.3% of a core (a quiet day of five entries).
+	// use. An entry lives on little, and less garbage beside it costs hardly any
+	// processor while callers are few.
 	gcPercent = 40
 	// gcCrowded is the same while callers are many: the collector would take a third of the
 	// processor then, and requests wait for it.
--- a/node/learn.go
+++ b/node/learn.go
@@ -36,8 +36,7 @@
 
 // learn finds out what targets hold, once after a start: from a peer that knows, or
 // else from the targets. An entry that knows nothing sends each prefix to a target
-// that has to read it again, which delays everybody's tokens there. In days on which
-// all entries were lost, a third of all tokens read again were due to it.
+// that has to read it again, which delays everybody's tokens there.
 func (n *Direct) learn(ctx context.Context) {
 	began := time.Now()
 	settle := sync.OnceFunc(func() { close(n.settled) })
@@ -95,13 +94,14 @@
 	}
 	asked := make(map[string]bool)
 	for end := time.Now().Add(learnFor); time.Now().Before(end); {
-		for _, t := range n.unlisted() {
+		list := n.unlisted()
+		for _, t := range list {
 			if !asked[t.ID] && n.board.Sponsors(&t.Instance, askers) {
 				asked[t.ID] = true
 				queue <- t
 			}
 		}
-		if len(n.unlisted()) == 0 {
+		if len(list) == 0 {
 			n.known(began)
 			settle()
 		}
--- a/place/place.go
+++ b/place/place.go
@@ -156,8 +156,7 @@
 
 // holdsLeast is the part of a shared prefix that makes a target a holder of it. Many
 // prompts begin with the same instructions: with any part of a prefix enough, all
-// entries that knew no loads sent to the first targets that had read those, 186 of
-// 1,455 requests to targets with over 5 in progress (300 entries, 3,000 targets).
+// entries that know no loads would send to the first targets that have read those.
 const holdsLeast = 0.5
 
 // holds says whether a target holds enough of the request's prefix to be chosen for it.
@@ -183,7 +182,7 @@
 // choices is how many targets the hash of a request names. Entries know of each
 // other's requests some hundred milliseconds late, and all the same: had each of them
 // the choice among all targets, all would send to the one that was least loaded when
-// they last heard, 12 requests in 0.4 s in a play of 24 entries. Among a few, by a hash
+// they last heard. Among a few, by a hash
 // that differs from prefix to prefix, what one of them takes too much the others don't.
 const choices = 3
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -173,8 +173,8 @@
 // keySafe is the part of the bound on keys up to which the configuration counts as
 // current. The bound runs from when a caller sent its request, which is before it is
 // checked here, and a proof is never later than it says: the rest is for clocks that
-// don't run alike. With 0.75, entries refused keys 1.7 s after the source fell
-// silent, in place of 2.7 s.
+// don't run alike. Each part less refuses keys sooner
+// after the source has fallen silent.
 const keySafe = 0.94
 
 // current says whether the configuration is surely new enough to decide on keys.
--- a/watch/pace.go
+++ b/watch/pace.go
@@ -14,8 +14,7 @@
 	long = 10 * time.Second
 	// provers is how many entries watch with the short time: two, as one may be
 	// cut off from the source. All others take their word. Each entry by itself
-	// would make a call a second: at 24 entries the calls cost a tenth of all
-	// that the fleet earned on a quiet day (5,003 calls in 48 s).
+	// would make a call a second, which a large fleet can't afford.
 	provers = 2
 	// stalePart of the bound is the age of a proof at which an entry stops relying
 	// on others: what is left is enough to ask by itself.
