--- a/cmd/chestnutstep/serve.go
+++ b/cmd/chestnutstep/serve.go
@@ -36,6 +36,10 @@
 // direct runs an entry on the platform whose settings file is named.
 func direct(file, metrics string) error {
 	parse := func(path string) (*config.Direct, error) { return directSettings(path, metrics) }
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
 	s, err := parse(file)
 	if err != nil {
 		return err
@@ -47,7 +51,7 @@
 		Facts:    store,
 		Wire:     platform.Wire{},
 		Caches:   platform.NewTargets(),
-		Reloader: &config.Reloader{Path: file, Parse: parse},
+		Reloader: &config.Reloader{Path: file, Parse: parse, Read: raw},
 	}
 	return serve(n.Run)
 }
--- a/config/reload.go
+++ b/config/reload.go
@@ -24,6 +24,11 @@
 	Refused func(err error)
 	// Every is reloadEvery when 0.
 	Every time.Duration
+	// Read is what the settings in force were read from, before they were parsed. A file
+	// that changes between that and the first look would else never be noticed: the
+	// process would keep settings that nobody sees any more. Nil takes what the file holds
+	// when Loop begins.
+	Read []byte
 
 	last []byte
 }
@@ -38,7 +43,10 @@
 	}
 	tick := time.NewTicker(r.Every)
 	defer tick.Stop()
-	r.last, _ = os.ReadFile(r.Path) // a failure shows at the next look
+	r.last = r.Read
+	if r.last == nil {
+		r.last, _ = os.ReadFile(r.Path) // a failure shows at the next look
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -250,7 +250,7 @@
 	file := filepath.Join(t.TempDir(), "settings")
 	assert.NilError(t, os.WriteFile(file, []byte("first"), 0o600))
 	d.run(t, &config.Reloader{
-		Path: file, Every: 20 * time.Millisecond,
+		Path: file, Every: 20 * time.Millisecond, Read: []byte("first"),
 		Parse: func(path string) (*config.Direct, error) {
 			raw, err := os.ReadFile(path)
 			if err != nil || string(raw) == "broken" {
