admit, place: no objective, no bound; a cold target that is full is no place

Found by reading. Cause: with no objective a request's patience is nothing, so that a service without one was held to its bare slots and refused beyond them though its targets queue; and any cold target with an allowance counted as a free place, also one that turned cold with all its slots taken: every caller was let through to full targets then.

--- a/admit/limit.go
+++ b/admit/limit.go
@@ -31,7 +31,8 @@
 // falls as the load rises. One notices first bytes that come after their objective at
 // targets whose places are all taken. What a target runs at once is published, but
 // memory, a slow host or work that is heavier than usual may let it run less: the
-// limit falls while first bytes are late, and rises while they are not. The zero value has no limit.
+// limit falls while first bytes are late, and rises while they are not. The zero value
+// has no limit.
 type Limit struct {
 	most float64
 	cut  clock.Stamp
@@ -58,13 +59,13 @@
 // its patience: one behind the slots waits for as many to end as stand before it. With
 // nothing measured they are taken to hold their slots as long as one may wait: a surge that
 // meets an entry which has just started would else meet no bound at all. Where no slots are
-// published there is none.
+// published, or no objective says how long one may wait, the target's own queue decides.
 func Reach(slots int, hold, patience time.Duration) float64 {
-	if slots <= 0 {
+	if slots <= 0 || patience <= 0 {
 		return unbounded
 	}
 	if hold <= 0 {
-		hold = max(patience, 1)
+		hold = patience
 	}
 	return float64(slots) * (1 + patience.Seconds()/hold.Seconds())
 }
--- a/place/place.go
+++ b/place/place.go
@@ -78,26 +78,23 @@
 func (c *Candidate) free() bool { return c.Limit <= 0 || c.Running+c.Unheard < c.Limit }
 
 // Taken is the part of all places at the targets that is taken, 1 and more where none
-// of them has one left. Cold targets count only by having one.
+// of them has one left. Of cold targets, which carry little by intention, one that may
+// get a request now is a place for it.
 func Taken(list []Candidate) float64 {
-	running, places, free := 0.0, 0.0, false
+	running, places, free := 0.0, 0.0, len(list) == 0
 	for i := range list {
 		c := &list[i]
-		if c.Limit <= 0 || c.Cold {
+		if c.Limit <= 0 || c.Cold && c.free() {
 			return 0
 		}
 		running += c.Running + c.Unheard
 		places += c.Limit
 		free = free || c.free()
 	}
-	if places <= 0 {
-		return 0
-	}
-	taken := running / places
 	if !free {
-		return max(taken, 1)
+		return max(running/places, 1)
 	}
-	return taken
+	return running / max(places, 1)
 }
 
 // Donor is a target to fetch cache from; the zero Donor is none.
@@ -182,8 +179,8 @@
 // choices is how many targets the hash of a request names. Entries know of each
 // other's requests some hundred milliseconds late, and all the same: had each of them
 // the choice among all targets, all would send to the one that was least loaded when
-// they last heard. Among a few, by a hash
-// that differs from prefix to prefix, what one of them takes too much the others don't.
+// they last heard. Among a few, by a hash that differs from prefix to prefix, what one of
+// them takes too much the others don't.
 const choices = 3
 
 // named is the hash from which on a target is among the choices.
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -279,3 +279,13 @@
 		assert.Assert(t, list[c.Index].Running+1 <= most, "%.0f in progress, %.1f allowed", list[c.Index].Running, most)
 	})
 }
+
+// A target turns cold while all its slots are taken, and the others are full as well. It
+// may get a request now and then, but has no place for one: taken for free, it would let
+// every caller through to targets that can't begin in time.
+func TestColdTargetThatIsFullIsNoPlace(t *testing.T) {
+	list := []place.Candidate{{ID: "a", Running: 70, Limit: 70}, {ID: "cold", Running: 70, Limit: 70, Cold: true}}
+	assert.Assert(t, place.Taken(list) >= 1, "%.2f", place.Taken(list))
+	list[1].Running = 2
+	assert.Equal(t, place.Taken(list), 0.0, "a cold target that may get one is a place")
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -91,6 +91,7 @@
 		"resume": {Kind: chestnutstep.Stream, Tries: 2, Resumable: true},
 	} {
 		r.Name, r.Host, r.Prefix, r.Timeout = name, host, "/"+name+"/", timeout
+		r.Objective = timeout / 2
 		if r.Kind == chestnutstep.Stream {
 			r.Prefix = "/" + name + "/stream/"
 		}
