--- a/event/catalog.go
+++ b/event/catalog.go
@@ -81,8 +81,7 @@
 	SettingsRefused ID = 7022
 	LinesDropped    ID = 7023
 	CacheListed     ID = 7024
-	CopyTaken       ID = 7025
-	CopyFailed      ID = 7026
+	FeedParent      ID = 7025
 	CachesTaken     ID = 7027
 	CachesKnown     ID = 7028
 	CallersMany     ID = 7029
@@ -535,16 +534,10 @@
 		Action:  "Nothing.",
 	},
 	{
-		ID: CopyTaken, Name: "copy_taken", Level: Info,
-		Meaning: "The entry took configuration and targets from a peer; age is that of the peer's proof.",
-		Cause:   "The platform's store does not answer this entry, or a peer knows a newer version.",
-		Action:  "See 7014.",
-	},
-	{
-		ID: CopyFailed, Name: "copy_failed", Level: Warn,
-		Meaning: "A peer gave no copy of its configuration.",
-		Cause:   "The peer ended, or the network between the entries is cut.",
-		Action:  "Look at the network of the host.",
+		ID: FeedParent, Name: "feed_parent", Level: Info,
+		Meaning: "The entry takes published facts from another peer from now on, or, where none is named, from the source itself.",
+		Cause:   "Another entry became a reader, or the peer before did not answer, or had facts that were too old: see err.",
+		Action:  "Nothing. When it repeats every few seconds, look at the named peers' way to the source.",
 	},
 	{
 		ID: CachesTaken, Name: "caches_taken", Level: Info,
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,366 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/feed"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/platform"
+	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/script"
+	"chestnutstep.example/chestnutstep/stand"
+	"chestnutstep.example/chestnutstep/watch"
+)
+
+func TestMain(m *testing.M) { script.Main(m, 200) }
+
+// bound is the time in which a change has to be in force.
+const bound = 2 * time.Second
+
+// fleet is entries that read one store, each through a door of its own.
+type fleet struct {
+	store   *stand.Store
+	entries []*entry
+}
+
+// entry is what an entry of a fleet needs to read facts.
+type entry struct {
+	id     netip.AddrPort
+	door   *stand.Door
+	roster *roster.Roster
+	server *httptest.Server
+
+	mu     sync.Mutex
+	silent bool
+	lost   int
+}
+
+func (e *entry) member() feed.Member {
+	return feed.Member{ID: e.id, Feed: netip.MustParseAddrPort(strings.TrimPrefix(e.server.URL, "http://"))}
+}
+
+// ServeHTTP serves the entry's facts, or nothing while it is silent.
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	silent := e.silent
+	e.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		return
+	}
+	(&feed.Server{Roster: e.roster}).ServeHTTP(w, r)
+}
+
+func (e *entry) Changed(roster.Change, clock.Stamp) {}
+
+func (e *entry) Lost(error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost++
+}
+
+func (e *entry) Regained() {}
+
+func (e *entry) losses() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lost
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{store: stand.NewStore()}
+	f.publish(1)
+	for i := range n {
+		e := &entry{
+			id:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000),
+			door: f.store.Open(), roster: &roster.Roster{},
+		}
+		e.server = httptest.NewServer(e)
+		t.Cleanup(e.server.Close)
+		t.Cleanup(e.door.Close)
+		f.entries = append(f.entries, e)
+	}
+	for _, e := range f.entries {
+		f.start(t, e)
+	}
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.Version() == 1 }, "each entry has read the facts")
+	}
+	return f
+}
+
+func (f *fleet) start(t *testing.T, e *entry) {
+	t.Helper()
+	store := platform.NewStore(e.door.Address(), link.Dial)
+	pace := feed.NewPace(bound)
+	source := &feed.Source{
+		Source: store, Decoder: store, Dial: link.Dial, Self: e.id,
+		Members:  func() []feed.Member { return f.others(e) },
+		Pace:     func() feed.Pace { return pace },
+		Empty:    func() bool { return e.roster.View() == nil },
+		OnParent: func(netip.AddrPort, error) {},
+	}
+	w := &watch.Watcher{
+		Source: source, Roster: e.roster, Notify: e,
+		Wait: func() time.Duration { return pace.Wait }, Rest: func() time.Duration { return pace.Rest },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go w.Run(ctx)
+}
+
+func (f *fleet) others(e *entry) []feed.Member {
+	var list []feed.Member
+	for _, x := range f.entries {
+		if x != e {
+			list = append(list, x.member())
+		}
+	}
+	return list
+}
+
+func (f *fleet) publish(version int) {
+	f.store.Put("op/config", map[string]any{"version": version, "services": []any{map[string]any{"name": "s"}}})
+}
+
+func (f *fleet) target(id, state string) {
+	f.store.Put("servers/"+id, map[string]any{"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 4, "state": state})
+}
+
+// readers are the entries that read the store.
+func (f *fleet) readers() []*entry {
+	var list []*entry
+	for _, e := range f.entries {
+		if feed.Choose(e.id, f.others(e)).Reader {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (f *fleet) calls() int {
+	n := 0
+	for _, e := range f.entries {
+		n += e.door.Calls()
+	}
+	return n
+}
+
+func until(t *testing.T, ok func() bool, what string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// TestChangeCostsCallsOfReadersOnly guards against a change that costs a call of the store by
+// every entry of the fleet.
+func TestChangeCostsCallsOfReadersOnly(t *testing.T) {
+	const entries, changes = 24, 8
+	f := newFleet(t, entries)
+	assert.Equal(t, len(f.readers()), 2)
+	before, began := f.calls(), time.Now()
+	for i := range changes {
+		f.target(fmt.Sprint("i-", i), "ready")
+		f.publish(2 + i)
+		for _, e := range f.entries {
+			until(t, func() bool { return e.roster.Version() == uint64(2+i) }, "the change is in force")
+		}
+	}
+	for _, e := range f.entries {
+		until(t, func() bool { return len(e.roster.View().ByID) == changes }, "all targets are known")
+		assert.Equal(t, e.losses(), 0)
+	}
+	pace := feed.NewPace(bound)
+	perReader := 2*changes + int(time.Since(began)/pace.Wait) + 2
+	calls := f.calls() - before
+	assert.Assert(t, calls <= 2*perReader, "%d calls in %s", calls, time.Since(began))
+}
+
+// TestFollowersOutliveReaders guards against followers that rely on readers which are
+// silent, ended, or cut off from the store without noticing it: a target that leaves then
+// goes on getting requests.
+func TestFollowersOutliveReaders(t *testing.T) {
+	for name, fail := range map[string]func(e *entry){
+		"silent": func(e *entry) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.silent = true
+			e.server.CloseClientConnections()
+		},
+		"ended":   func(e *entry) { e.server.CloseClientConnections(); _ = e.server.Listener.Close() },
+		"cut off": func(e *entry) { e.door.Set(stand.Silent) },
+		"refused": func(e *entry) { e.door.Set(stand.Busy) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 12)
+			f.target("i-a", "ready")
+			for _, e := range f.entries {
+				until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
+			}
+			readers := f.readers()
+			for _, e := range readers {
+				fail(e)
+			}
+			f.target("i-a", "draining")
+			began := time.Now()
+			for _, e := range f.entries {
+				if name == "cut off" && isOneOf(e, readers) {
+					continue
+				}
+				until(t, func() bool { return e.roster.View().ByID["i-a"].Leaving }, "the target's leaving is known")
+			}
+			t.Logf("known after %s", time.Since(began))
+		})
+	}
+}
+
+func isOneOf(e *entry, list []*entry) bool {
+	for _, x := range list {
+		if x == e {
+			return true
+		}
+	}
+	return false
+}
+
+// TestProofIsNeverNewerThanTheStoresAnswer guards against entries that take each other's
+// word in a circle: with the store silent for all, proofs must age, or a key that was taken
+// away lives on.
+func TestProofIsNeverNewerThanTheStoresAnswer(t *testing.T) {
+	f := newFleet(t, 8)
+	for _, e := range f.entries {
+		e.door.Set(stand.Silent)
+	}
+	cut := clock.Now()
+	f.publish(2)
+	time.Sleep(bound)
+	for _, e := range f.entries {
+		assert.Assert(t, e.roster.Proof() <= cut, "proved %s after the store fell silent", e.roster.Proof().Sub(cut))
+		assert.Equal(t, e.roster.Version(), uint64(1))
+	}
+	for _, e := range f.entries {
+		e.door.Set(stand.None)
+	}
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.Version() == 2 }, "the newer version is in force")
+	}
+}
+
+// TestStoreForgetsItsHistory guards against followers that miss what was removed while the
+// readers could not follow the history.
+func TestStoreForgetsItsHistory(t *testing.T) {
+	f := newFleet(t, 8)
+	for _, id := range []string{"i-a", "i-b"} {
+		f.target(id, "ready")
+	}
+	for _, e := range f.entries {
+		until(t, func() bool { return len(e.roster.View().ByID) == 2 }, "the targets are known")
+		e.door.Set(stand.Reset)
+	}
+	f.store.Remove("servers/i-a")
+	f.publish(2)
+	f.store.Forget()
+	for _, e := range f.entries {
+		e.door.Set(stand.None)
+	}
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.Version() == 2 }, "the newer version is in force")
+		until(t, func() bool {
+			e.roster.Tick(clock.Now())
+			return e.roster.View().ByID["i-a"] == nil
+		}, "the removed target is gone")
+		assert.Assert(t, e.roster.View().ByID["i-b"] != nil)
+	}
+}
+
+// TestSomeAreTurnedAway guards against entries that go without facts while the store turns
+// them away and serves others.
+func TestSomeAreTurnedAway(t *testing.T) {
+	f := newFleet(t, 12)
+	readers := f.readers()
+	readers[0].door.Set(stand.Many)
+	for _, e := range f.entries[:6] {
+		if e != readers[1] {
+			e.door.Set(stand.Many)
+		}
+	}
+	before := readers[0].door.Calls()
+	began := time.Now()
+	for i := range 4 {
+		f.publish(2 + i)
+		for _, e := range f.entries {
+			until(t, func() bool { return e.roster.Version() == uint64(2+i) }, "the change is in force")
+		}
+		time.Sleep(bound / 4)
+	}
+	calls := readers[0].door.Calls() - before
+	assert.Assert(t, calls <= 3+2*int(time.Since(began)/time.Second), "%d calls of an entry that is turned away", calls)
+}
+
+// TestChoose plays fleets of all sizes: all entries choose the same readers, followers are
+// spread over them, and an entry that knows fewer members chooses more readers, not fewer.
+func TestChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 180).Draw(t, "entries")
+		all := make([]feed.Member, n)
+		for i := range all {
+			all[i].ID = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7000)
+		}
+		readers, followers := 0, make(map[netip.AddrPort]int)
+		for i, m := range all {
+			others := append(append([]feed.Member(nil), all[:i]...), all[i+1:]...)
+			c := feed.Choose(m.ID, others)
+			if c.Reader {
+				readers++
+				few := feed.Choose(m.ID, others[:len(others)/2])
+				assert.Assert(t, few.Reader || n > 25, "a reader that knows half of the others reads")
+				continue
+			}
+			followers[c.Parents[0].ID]++
+		}
+		assert.Equal(t, readers, min(n, feed.Readers(n)))
+		for id, k := range followers {
+			assert.Assert(t, k <= 3*n/readers+3, "%d follow %s", k, id)
+		}
+	})
+}
+
+// TestPace guards against times that leave no room for a reader's failure within the bound,
+// and against calls that grow with the fleet.
+func TestPace(t *testing.T) {
+	for _, within := range []time.Duration{0, time.Second, 2 * time.Second, 4 * time.Second, 15 * time.Second} {
+		p := feed.NewPace(within)
+		b := within
+		if b == 0 {
+			b = 2 * time.Second
+		}
+		usual := p.Rest + p.Wait + p.Poll
+		assert.Assert(t, usual < p.Fresh || b < 2*time.Second, "facts are %s old without any failure, at a bound of %s", usual, b)
+		assert.Assert(t, p.Fresh+p.Poll/2+p.Slack <= b, "a reader's failure is noticed after %s", p.Fresh+p.Poll/2+p.Slack)
+	}
+	calls := func(entries int) float64 {
+		return float64(feed.Readers(entries)) / feed.NewPace(bound).Wait.Seconds()
+	}
+	assert.Assert(t, calls(24) < 5, "%f calls a second", calls(24))
+	assert.Assert(t, calls(350) < 40, "%f calls a second", calls(350))
+	rollout := float64(feed.Readers(350)) / feed.NewPace(bound).Rest.Seconds()
+	assert.Assert(t, rollout < 100, "%f calls a second while targets are replaced", rollout)
+}
--- /dev/null
+++ b/feed/source.go
@@ -0,0 +1,237 @@
+package feed
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+)
+
+const (
+	// avoidFor is how long a peer is not asked that failed, and avoidStale one whose facts
+	// were too old.
+	avoidFor   = 3 * time.Second
+	avoidStale = time.Second
+	// parentsTried bounds the readers that are asked before the source is.
+	parentsTried = 2
+	// sourceAfter is how long an entry that others can keep up to date leaves the source
+	// alone after a failure: all entries together would keep a source busy that is down.
+	sourceAfter = time.Second
+	// listLimit bounds the fetching of all facts.
+	listLimit = 2 * time.Second
+	// pageMost bounds an answer in bytes: the largest configuration and the list of
+	// thousands of targets, with room.
+	pageMost = 8 << 20
+	// idleTime is how long a connection to a reader is kept between two calls.
+	idleTime = 5 * time.Second
+)
+
+// Source reads facts from a reader or from the source of all; it implements
+// chestnutstep.Source. Set the fields before the first call.
+type Source struct {
+	Source  chestnutstep.Source
+	Decoder chestnutstep.Decoder
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	// Self is this entry's ID, and Members the other entries.
+	Self    netip.AddrPort
+	Members func() []Member
+	// Pace in force.
+	Pace func() Pace
+	// Empty reports whether this entry holds no facts at all: old ones are better.
+	Empty func() bool
+	// OnParent is called when the entry follows another reader, or none: then parent is
+	// not valid. Err is what was wrong with the one before.
+	OnParent func(parent netip.AddrPort, err error)
+
+	once   sync.Once
+	client *http.Client
+	// avoided gives until when a peer is not asked.
+	avoided map[netip.AddrPort]clock.Stamp
+	// sourceAt is when the source may be asked again.
+	sourceAt clock.Stamp
+	parent   netip.AddrPort
+	failure  error
+}
+
+var _ chestnutstep.Source = (*Source)(nil)
+
+// List reads all facts.
+func (s *Source) List(ctx context.Context) (chestnutstep.Batch, error) {
+	return s.read(ctx, 0, listLimit, s.Source.List)
+}
+
+// Watch waits until there are changes after a revision, or the time is over.
+func (s *Source) Watch(ctx context.Context, after uint64, wait time.Duration) (chestnutstep.Batch, error) {
+	return s.read(ctx, after, min(wait, s.Pace().Poll), func(ctx context.Context) (chestnutstep.Batch, error) {
+		return s.Source.Watch(ctx, after, wait)
+	})
+}
+
+// call reads from the source itself.
+type call func(context.Context) (chestnutstep.Batch, error)
+
+// read asks the source first or the readers first, and the others if that fails. An answer
+// that says that the history is gone is final.
+func (s *Source) read(ctx context.Context, after uint64, wait time.Duration, source call) (chestnutstep.Batch, error) {
+	s.once.Do(s.begin)
+	now := clock.Now()
+	c := Choose(s.Self, s.members(now))
+	if (c.Reader || s.Empty()) && now >= s.sourceAt {
+		b, err := s.readSource(ctx, source)
+		if err == nil || isGap(err) || ctx.Err() != nil {
+			return b, err
+		}
+		b, followed := s.follow(ctx, c.Parents, after, wait)
+		if followed != nil && !isGap(followed) {
+			return b, err
+		}
+		s.sourceAt = clock.Now().Add(sourceAfter)
+		return b, followed
+	}
+	b, err := s.follow(ctx, c.Parents, after, wait)
+	if err == nil || isGap(err) || ctx.Err() != nil {
+		return b, err
+	}
+	if clock.Now() < s.sourceAt {
+		return b, chestnutstep.ErrSource{Err: err}
+	}
+	b, err = s.readSource(ctx, source)
+	if err != nil {
+		s.sourceAt = clock.Now().Add(sourceAfter)
+	}
+	return b, err
+}
+
+func (s *Source) begin() {
+	s.avoided = make(map[netip.AddrPort]clock.Stamp)
+	s.client = &http.Client{Transport: &http.Transport{
+		DialContext: s.Dial, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleTime,
+	}}
+}
+
+// members are the other entries but for those that are avoided.
+func (s *Source) members(now clock.Stamp) []Member {
+	var list []Member
+	for _, m := range s.Members() {
+		if now >= s.avoided[m.ID] {
+			list = append(list, m)
+		}
+	}
+	for id, until := range s.avoided {
+		if now >= until {
+			delete(s.avoided, id)
+		}
+	}
+	return list
+}
+
+// readSource asks the source itself.
+func (s *Source) readSource(ctx context.Context, source call) (chestnutstep.Batch, error) {
+	b, err := source(ctx)
+	if err == nil {
+		s.setParent(netip.AddrPort{})
+	}
+	return b, err
+}
+
+// follow asks the first few readers. The error is that of the last one.
+func (s *Source) follow(ctx context.Context, parents []Member, after uint64, wait time.Duration) (b chestnutstep.Batch, err error) {
+	err = errors.New("no reader is known")
+	for _, m := range parents[:min(parentsTried, len(parents))] {
+		b, err = s.ask(ctx, m, after, wait)
+		if err == nil || isGap(err) {
+			s.setParent(m.ID)
+			return b, err
+		}
+		if ctx.Err() != nil {
+			return b, err
+		}
+		s.failure = errors.Wrapf(err, "reader %s", m.ID)
+		s.avoid(m, err)
+	}
+	return b, err
+}
+
+func (s *Source) avoid(m Member, err error) {
+	d := avoidFor
+	var stale ErrStale
+	if errors.As(err, &stale) {
+		d = avoidStale
+	}
+	s.avoided[m.ID] = clock.Now().Add(d)
+}
+
+// ErrStale is the error of facts that are too old to rely on.
+type ErrStale struct{ Age time.Duration }
+
+// Error states the age.
+func (err ErrStale) Error() string { return "facts are " + err.Age.String() + " old" }
+
+// ask reads from one reader. Facts that are too old are an error.
+func (s *Source) ask(ctx context.Context, m Member, after uint64, wait time.Duration) (chestnutstep.Batch, error) {
+	pace := s.Pace()
+	ctx, cancel := context.WithTimeout(ctx, wait+pace.Slack)
+	defer cancel()
+	asked := clock.Now()
+	p, err := s.get(ctx, m, url.Values{
+		"after": {strconv.FormatUint(after, 10)},
+		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"fresh": {strconv.FormatInt(pace.Fresh.Milliseconds(), 10)},
+	})
+	if err != nil {
+		return chestnutstep.Batch{}, err
+	}
+	b := p.batch(s.Decoder)
+	if age := clock.Now().Sub(asked) + b.Age; age > pace.Fresh && !(after == 0 && s.Empty()) {
+		return b, ErrStale{age}
+	}
+	return b, nil
+}
+
+func (s *Source) get(ctx context.Context, m Member, query url.Values) (*page, error) {
+	u := url.URL{Scheme: "http", Host: m.Feed.String(), Path: Path, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, pageMost))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, chestnutstep.ErrSource{Status: resp.StatusCode, Gap: resp.StatusCode == http.StatusGone}
+	}
+	p := &page{}
+	return p, errors.Wrap(cbor.Unmarshal(raw, p), "decode")
+}
+
+// setParent notes whom the entry follows.
+func (s *Source) setParent(id netip.AddrPort) {
+	if id == s.parent {
+		return
+	}
+	s.parent = id
+	s.OnParent(id, s.failure)
+	s.failure = nil
+}
+
+func isGap(err error) bool {
+	var e chestnutstep.ErrSource
+	return errors.As(err, &e) && e.Gap
+}
--- a/node/advice.go
+++ b/node/advice.go
@@ -4,12 +4,10 @@
 	"strings"
 	"time"
 
-	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
-	"chestnutstep.example/chestnutstep/watch"
 )
 
 const (
@@ -55,7 +53,7 @@
 		n.newest.Store(r.Version)
 		n.newestAt.Store(int64(now))
 		n.log.Emit(event.PeerNewer, event.Uint("version", r.Version), event.Uint("own", own), event.Str("peer", r.From.String()))
-		n.kickWatch(watch.KickFull)
+		n.wakeWatch()
 	}
 }
 
@@ -72,31 +70,28 @@
 func (n *Direct) datagramFailed(err error) { n.log.Emit(event.DatagramFailed, event.Err(err)) }
 
 // Changed logs what a read of the source changed.
-func (n *Direct) Changed(topic chestnutstep.Topic, c roster.Change, asked clock.Stamp) {
+func (n *Direct) Changed(c roster.Change, asked clock.Stamp) {
 	if c.Version != 0 {
 		n.log.Emit(event.RoutingInForce, event.Uint("version", c.Version), event.Dur("asked", clock.Now().Sub(asked)))
 	}
-	if len(c.Out)+len(c.Back) > 0 && topic == chestnutstep.TopicRouting {
-		n.log.Emit(event.DomainsChanged, event.Str("out", strings.Join(c.Out, " ")), event.Str("back", strings.Join(c.Back, " ")))
+	if len(c.Out)+len(c.In) > 0 {
+		n.log.Emit(event.DomainsChanged, event.Str("out", strings.Join(c.Out, " ")), event.Str("back", strings.Join(c.In, " ")))
 	}
-	if topic == chestnutstep.TopicInstances {
-		n.log.Emit(event.TargetsChanged,
-			event.Str("joined", strings.Join(c.Joined, " ")), event.Str("left", strings.Join(c.Left, " ")),
-			event.Str("leaving", strings.Join(c.Leaving, " ")), event.Str("back", strings.Join(c.Back, " ")))
-		if v := n.roster.View(); v != nil {
-			n.board.Keep(v)
-		}
+	if len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Back) == 0 {
+		return
+	}
+	n.log.Emit(event.TargetsChanged,
+		event.Str("joined", strings.Join(c.Joined, " ")), event.Str("left", strings.Join(c.Left, " ")),
+		event.Str("leaving", strings.Join(c.Leaving, " ")), event.Str("back", strings.Join(c.Back, " ")))
+	if v := n.roster.View(); v != nil {
+		n.board.Keep(v)
 	}
 }
 
 // Lost logs that the source does not answer.
-func (n *Direct) Lost(topic chestnutstep.Topic, err error) {
-	n.lost[topic].Store(true)
-	n.log.Emit(event.SourceLost, event.Str("topic", topic.String()), event.Err(err), event.Dur("proof", clock.Now().Sub(n.roster.Proof())))
+func (n *Direct) Lost(err error) {
+	n.log.Emit(event.SourceLost, event.Err(err), event.Dur("proof", n.proofAge()))
 }
 
 // Regained logs that the source answers again.
-func (n *Direct) Regained(topic chestnutstep.Topic) {
-	n.lost[topic].Store(false)
-	n.log.Emit(event.SourceRegained, event.Str("topic", topic.String()))
-}
+func (n *Direct) Regained() { n.log.Emit(event.SourceRegained) }
--- a/node/direct.go
+++ b/node/direct.go
@@ -27,7 +27,6 @@
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
-	"chestnutstep.example/chestnutstep/watch"
 )
 
 const (
@@ -79,11 +78,8 @@
 	callers  *relay.Listener
 	pool     *link.Pool
 	peers    *share.Peers
-	kick     chan watch.Kick
-	// lost says, by topic, that the source does not answer.
-	lost [2]atomic.Bool
-	// waitsLong says that the present watch of the configuration waits for long.
-	waitsLong atomic.Bool
+	// wake ends the present watch.
+	wake chan struct{}
 	// newest is the newest version that a peer named, and newestAt when.
 	newest   atomic.Uint64
 	newestAt atomic.Int64
@@ -141,13 +137,13 @@
 
 // begin starts what runs beside the servers.
 func (n *Direct) begin(work context.Context) {
-	start(work, n.loop, n.learn, n.peers.Loop, n.watch(chestnutstep.TopicRouting), n.watch(chestnutstep.TopicInstances))
+	start(work, n.loop, n.learn, n.peers.Loop, n.watcher().Run)
 	if n.Reloader != nil {
 		n.Reloader.Changed, n.Reloader.Refused = n.reload, n.refuse
 		start(work, n.Reloader.Loop)
 	}
 	if n.Settings.Control != "" && n.Facts != nil {
-		start(work, n.serveCopies, (&copier{node: n}).loop)
+		start(work, n.serveControl)
 	}
 	if n.Settings.Metrics != "" {
 		start(work, n.serveMetrics)
@@ -166,7 +162,7 @@
 	}
 	n.async = event.NewAsync(n.Out)
 	n.log = &event.Log{Out: n.async, Process: n.Settings.Name}
-	n.kick = make(chan watch.Kick, 1)
+	n.wake = make(chan struct{}, 1)
 	n.settled = make(chan struct{})
 	n.roster = &roster.Roster{}
 	n.pool = &link.Pool{}
@@ -256,10 +252,7 @@
 		}
 		n.pool.Sweep(time.Now())
 		if c := n.roster.Tick(clock.Now()); !c.Empty() {
-			n.Changed(chestnutstep.TopicInstances, c, clock.Now())
-		}
-		if watch.Stale(n.proofAge(), n.bounds().Revoke) && n.waitsLong.Swap(false) {
-			n.kickWatch(watch.KickAgain)
+			n.Changed(c, clock.Now())
 		}
 		n.count()
 	}
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -268,34 +268,34 @@
 	assert.Equal(t, status(d.ask("/book/1", "k", "a")), http.StatusOK)
 }
 
-// slowList is a source whose list of targets comes late.
+// slowList is a source whose list comes late.
 type slowList struct {
 	chestnutstep.Source
+	asked   chan struct{}
 	release chan struct{}
 }
 
-func (s *slowList) List(ctx context.Context, topic chestnutstep.Topic) (chestnutstep.Batch, error) {
-	if topic == chestnutstep.TopicInstances {
-		<-s.release
-	}
-	return s.Source.List(ctx, topic)
+func (s *slowList) List(ctx context.Context) (chestnutstep.Batch, error) {
+	close(s.asked)
+	<-s.release
+	return s.Source.List(ctx)
 }
 
-// An entry knows its configuration and not yet its targets. Sent callers by then, it
-// would refuse them while all targets are well.
+// TestDirectIsNotReadyWithoutTargets guards against an entry that takes callers before it
+// has read the list of targets, and refuses them while all targets are well.
 func TestDirectIsNotReadyWithoutTargets(t *testing.T) {
 	store, x := stand.NewStore(), newTarget(t, "i-a")
 	publish(store, 1, []string{"k"}, x)
 	door := store.Open()
 	t.Cleanup(door.Close)
 	source := platform.NewStore(door.Address(), link.Dial)
-	slow := &slowList{Source: source, release: make(chan struct{})}
+	slow := &slowList{Source: source, asked: make(chan struct{}), release: make(chan struct{})}
 	d := &direct{settings: directSettings(t, door.Address()), door: door, out: &pausable{}}
 	n := &node.Direct{Settings: d.settings, Source: slow, Wire: platform.Wire{}, Out: d.out}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go func() { _ = n.Run(ctx) }()
-	waitFor(t, func() bool { return strings.Contains(d.out.text(), "routing_in_force") }, "the configuration is in force")
+	<-slow.asked
 	for range 10 {
 		assert.Equal(t, d.ready(), http.StatusServiceUnavailable)
 		time.Sleep(10 * time.Millisecond)
--- /dev/null
+++ b/node/feed.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/feed"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/share"
+	"chestnutstep.example/chestnutstep/watch"
+)
+
+// watcher follows the source, through peers where there are any.
+func (n *Direct) watcher() *watch.Watcher {
+	return &watch.Watcher{
+		Source: n.source(),
+		Roster: n.roster,
+		Notify: n,
+		Wait:   func() time.Duration { return n.pace().Wait },
+		Rest:   func() time.Duration { return n.pace().Rest },
+		Wake:   n.wake,
+	}
+}
+
+func (n *Direct) source() chestnutstep.Source {
+	if n.Facts == nil {
+		return n.Source
+	}
+	return &feed.Source{
+		Source:   n.Source,
+		Decoder:  n.Facts,
+		Dial:     link.Dial,
+		Self:     n.peers.Self,
+		Members:  n.members,
+		Pace:     n.pace,
+		Empty:    func() bool { return n.roster.View() == nil },
+		OnParent: n.logParent,
+	}
+}
+
+// pace derives the times of reading from the bounds on changes and on keys.
+func (n *Direct) pace() feed.Pace {
+	b := n.bounds()
+	bound := b.Within
+	if bound <= 0 || b.Revoke > 0 && b.Revoke < bound {
+		bound = b.Revoke
+	}
+	return feed.NewPace(bound)
+}
+
+// members are the other entries that serve their facts.
+func (n *Direct) members() []feed.Member {
+	var list []feed.Member
+	for _, m := range n.peers.Members(clock.Now()) {
+		list = append(list, feed.Member{ID: m.Addr, Feed: m.Control})
+	}
+	return list
+}
+
+func (n *Direct) logParent(parent netip.AddrPort, err error) {
+	name := ""
+	if parent.IsValid() {
+		name = parent.String()
+	}
+	n.log.Emit(event.FeedParent, event.Str("peer", name), event.Err(err), event.Dur("proof", n.proofAge()))
+}
+
+// proofAge is the age of the proof that the configuration is current.
+func (n *Direct) proofAge() time.Duration { return clock.Now().Sub(n.roster.Proof()) }
+
+// wakeWatch ends the present watch.
+func (n *Direct) wakeWatch() {
+	select {
+	case n.wake <- struct{}{}:
+	default: // one is on its way
+	}
+}
+
+// serveControl answers peers until ctx ends.
+func (n *Direct) serveControl(ctx context.Context) {
+	l, err := net.Listen("tcp", n.Settings.Control)
+	if err != nil {
+		n.log.Emit(event.AdminFailed, event.Str("addr", n.Settings.Control), event.Err(err))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle(feed.Path, &feed.Server{Roster: n.roster})
+	mux.Handle(share.CachesPath, &share.Caches{Lists: func() []share.List { return n.board.Lists(clock.Now()) }})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: directHeader, IdleTimeout: directHeader}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); ctx.Err() == nil {
+		n.log.Emit(event.AdminFailed, event.Str("addr", n.Settings.Control), event.Err(err))
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -59,7 +59,7 @@
 			Instance: &chestnutstep.Instance{ID: name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8},
 		})
 	}
-	g.roster.Learn(clock.Now(), chestnutstep.TopicInstances, b, true)
+	g.roster.Learn(clock.Now(), b, true)
 	g.publish(1, key)
 	g.roster.Prove(clock.Now())
 	bounds := config.Bounds{Revoke: revokeIn}
@@ -117,7 +117,7 @@
 		c.Routes = append(c.Routes, r)
 	}
 	c.Index()
-	g.roster.Learn(clock.Now(), chestnutstep.TopicRouting, chestnutstep.Batch{Facts: []chestnutstep.Fact{{
+	g.roster.Learn(clock.Now(), chestnutstep.Batch{Facts: []chestnutstep.Fact{{
 		Kind: chestnutstep.FactRouting, Revision: version, Routing: c,
 	}}}, false)
 }
@@ -222,5 +222,5 @@
 			})
 		}
 	}
-	g.roster.Learn(clock.Now(), chestnutstep.TopicInstances, b, false)
+	g.roster.Learn(clock.Now(), b, false)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -56,12 +56,15 @@
 	known map[entry]uint64
 	// held are the entries as they were published, for peers.
 	held map[entry]chestnutstep.Fact
-	// revision up to which each topic was read.
-	revision map[chestnutstep.Topic]uint64
+	// revision up to which facts were read, and floor that of the last full read: of what
+	// was removed before it nothing is known.
+	revision uint64
+	floor    uint64
+	changed  chan struct{}
 	targets  map[string]*Target
 	out      map[string]bool
 	routing  *chestnutstep.Routing
-	doubt    map[chestnutstep.Topic]bool
+	doubt    bool
 	settled  clock.Stamp
 	proof    atomic.Int64
 	heard    bool
@@ -79,13 +82,16 @@
 	Joined  []string
 	Left    []string
 	Leaving []string
-	Out     []string
-	Back    []string
+	// Back are targets that can be used again.
+	Back []string
+	// Out and In are failure domains that were taken out of service and back.
+	Out []string
+	In  []string
 }
 
 // Empty says that nothing changed.
 func (c Change) Empty() bool {
-	return c.Version == 0 && len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Out)+len(c.Back) == 0
+	return c.Version == 0 && len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Back)+len(c.Out)+len(c.In) == 0
 }
 
 // View returns what is believed now; nil before the configuration is known.
@@ -113,12 +119,11 @@
 	return 0
 }
 
-// Doubt says that the source of a topic does not answer.
-func (r *Roster) Doubt(topic chestnutstep.Topic) {
+// Doubt records that the source does not answer.
+func (r *Roster) Doubt() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.begin()
-	r.doubt[topic] = true
+	r.doubt = true
 }
 
 func (r *Roster) begin() {
@@ -127,24 +132,22 @@
 	}
 	r.known = make(map[entry]uint64)
 	r.held = make(map[entry]chestnutstep.Fact)
-	r.revision = make(map[chestnutstep.Topic]uint64)
+	r.changed = make(chan struct{})
 	r.targets = make(map[string]*Target)
 	r.out = make(map[string]bool)
-	r.doubt = make(map[chestnutstep.Topic]bool)
 }
 
 // Learn takes the facts of one read that was asked at a moment. With full they
 // are all that there are: what is not among them is gone.
-func (r *Roster) Learn(now clock.Stamp, topic chestnutstep.Topic, b chestnutstep.Batch, full bool) Change {
+func (r *Roster) Learn(now clock.Stamp, b chestnutstep.Batch, full bool) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin()
-	if r.doubt[topic] {
-		r.doubt[topic] = false
-		if topic == chestnutstep.TopicInstances {
-			r.settled = now.Add(settle)
-		}
+	if r.doubt {
+		r.doubt = false
+		r.settled = now.Add(settle)
 	}
+	r.settled = max(r.settled, now.Add(b.Settle))
 	var c Change
 	seen := make(map[entry]bool, len(b.Facts))
 	for _, f := range b.Facts {
@@ -152,11 +155,16 @@
 		r.take(now, f, &c)
 	}
 	if full {
-		r.retire(now, topic, seen, b.Revision, &c)
+		r.retire(now, seen, b.Revision, &c)
+		r.floor = b.Revision
 	}
 	r.expire(now, &c)
-	r.revision[topic] = max(r.revision[topic], b.Revision)
-	first := topic == chestnutstep.TopicInstances && !r.heard
+	if b.Revision > r.revision {
+		r.revision = b.Revision
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+	first := full && !r.heard
 	r.heard = r.heard || first
 	r.publish(c, first)
 	return c
@@ -216,7 +224,7 @@
 		return
 	}
 	delete(r.out, domain)
-	c.Back = append(c.Back, domain)
+	c.In = append(c.In, domain)
 }
 
 func (r *Roster) takeInstance(now clock.Stamp, in *chestnutstep.Instance, c *Change) {
@@ -270,15 +278,12 @@
 }
 
 // retire removes what a full read no longer lists.
-func (r *Roster) retire(now clock.Stamp, topic chestnutstep.Topic, seen map[entry]bool, revision uint64, c *Change) {
-	if topic == chestnutstep.TopicInstances {
-		for id := range r.targets {
-			key := entry{chestnutstep.FactInstance, id}
-			if !seen[key] && r.known[key] <= revision {
-				r.miss(now, id, c)
-			}
+func (r *Roster) retire(now clock.Stamp, seen map[entry]bool, revision uint64, c *Change) {
+	for id := range r.targets {
+		key := entry{chestnutstep.FactInstance, id}
+		if !seen[key] && r.known[key] <= revision {
+			r.miss(now, id, c)
 		}
-		return
 	}
 	for domain := range r.out {
 		key := entry{chestnutstep.FactOut, domain}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -43,17 +43,13 @@
 }
 
 func (s *script) play(t *testing.T, d *datadriven.TestData) string {
-	topic := chestnutstep.TopicInstances
-	if d.HasArg("routing") {
-		topic = chestnutstep.TopicRouting
-	}
 	switch d.Cmd {
 	case "doubt":
-		s.roster.Doubt(topic)
+		s.roster.Doubt()
 	case "tick":
 		s.roster.Tick(s.now)
 	case "read", "full":
-		s.roster.Learn(s.now, topic, batch(t, d), d.Cmd == "full")
+		s.roster.Learn(s.now, batch(t, d), d.Cmd == "full")
 	default:
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
--- a/share/peers.go
+++ b/share/peers.go
@@ -23,6 +23,9 @@
 	peerKeep = 2 * time.Minute
 	// liveFor is how long after its last datagram a peer counts as heard.
 	liveFor = 1500 * time.Millisecond
+	// memberFor is how long after its last datagram a peer counts as a member: datagrams of
+	// one peer come seconds apart in a large fleet.
+	memberFor = 10 * time.Second
 	// quietEvery is how often a peer that is not heard gets a datagram.
 	quietEvery = 500 * time.Millisecond
 )
@@ -84,21 +87,24 @@
 	}
 }
 
-// Newest returns the control address of a live peer with the newest configuration;
-// of several any one. False says that there is none.
-func (p *Peers) Newest() (netip.AddrPort, bool) {
+// Member is another entry that serves its peers.
+type Member struct {
+	// Addr is the address of its datagrams, Control that of its calls.
+	Addr, Control netip.AddrPort
+}
+
+// Members returns the peers from which a datagram came of late and that are not stopping.
+func (p *Peers) Members(now clock.Stamp) []Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := clock.Now()
-	var best netip.AddrPort
-	version, found := uint64(0), false
+	var list []Member
 	for a, x := range p.peers {
-		if !x.live(now) || x.leaving || x.control == 0 || x.version == 0 || found && x.version <= version {
+		if x.heard == 0 || now.Sub(x.heard) > memberFor || x.leaving || x.control == 0 {
 			continue
 		}
-		best, version, found = netip.AddrPortFrom(a.Addr(), x.control), x.version, true
+		list = append(list, Member{Addr: a, Control: netip.AddrPortFrom(a.Addr(), x.control)})
 	}
-	return best, found
+	return list
 }
 
 // Knowing returns the control address of a live peer that knows what targets hold;
--- a/source.go
+++ b/source.go
@@ -6,25 +6,6 @@
 	"time"
 )
 
-// Topic is a group of facts that are read and watched together.
-type Topic uint8
-
-// The topics.
-const (
-	// TopicRouting is the configuration and the failure domains out of service.
-	TopicRouting Topic = iota
-	// TopicInstances is the list of running targets.
-	TopicInstances
-)
-
-// String is the topic's name in logs.
-func (t Topic) String() string {
-	if t == TopicInstances {
-		return "instances"
-	}
-	return "routing"
-}
-
 // FactKind says which field of a Fact holds.
 type FactKind uint8
 
@@ -56,15 +37,21 @@
 	// Revision is where a watch has to go on to miss nothing.
 	Revision uint64
 	Facts    []Fact
+	// Age is by how much the answer may be older than the beginning of the call; 0 for
+	// an answer of the source itself.
+	Age time.Duration
+	// Settle is for how much longer instances that are missing may still come back, after
+	// the source was lost.
+	Settle time.Duration
 }
 
 // Source is where facts are published. Nothing is ever written there.
 type Source interface {
-	// List reads all facts of a topic. The error is ErrSource.
-	List(ctx context.Context, topic Topic) (Batch, error)
+	// List reads all facts. The error is ErrSource.
+	List(ctx context.Context) (Batch, error)
 	// Watch waits until there are changes after a revision, or the time is
 	// over. The error is ErrSource.
-	Watch(ctx context.Context, topic Topic, after uint64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
 // ErrSource says that a source did not answer as it should.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -28,48 +28,34 @@
 	lostWait = 50 * time.Millisecond
 )
 
-// Watcher follows one topic of a source. Set the fields before Run.
+// Watcher follows a source. Set the fields before Run.
 type Watcher struct {
 	Source chestnutstep.Source
-	Topic  chestnutstep.Topic
 	Roster *roster.Roster
 	// Notify hears of what changed, and of each loss and return of the source.
 	Notify Notify
 	// Wait is how long the next watch waits for changes.
 	Wait func() time.Duration
-	// Rest is how long a watch rests after changes; nil for Gather of one entry.
+	// Rest is how long to rest after changes, so that what changes together is read by one
+	// call.
 	Rest func() time.Duration
-	// Kick ends the present watch.
-	Kick chan Kick
+	// Wake ends the present watch, so that the next one begins; nil for never.
+	Wake chan struct{}
 
 	revision uint64
 	pause    time.Duration
 	lost     bool
-	kicked   atomic.Int32
+	woken    atomic.Bool
 }
 
-// Kick says why a watch ends early.
-type Kick int32
-
-// The reasons for a kick.
-const (
-	// KickNone is no kick.
-	KickNone Kick = iota
-	// KickAgain makes the next watch begin now: its return proves that the
-	// process is up to date.
-	KickAgain
-	// KickFull makes the process read all: a peer knows something newer.
-	KickFull
-)
-
 // Notify is what a watcher reports.
 type Notify interface {
-	Changed(topic chestnutstep.Topic, c roster.Change, asked clock.Stamp)
-	Lost(topic chestnutstep.Topic, err error)
-	Regained(topic chestnutstep.Topic)
+	Changed(c roster.Change, asked clock.Stamp)
+	Lost(err error)
+	Regained()
 }
 
-// Run follows the topic until ctx ends.
+// Run follows the source until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
@@ -85,15 +71,11 @@
 	var b chestnutstep.Batch
 	var err error
 	if full {
-		b, err = w.Source.List(ctx, w.Topic)
+		b, err = w.Source.List(ctx)
 	} else {
 		b, err = w.watch(ctx)
 	}
-	switch Kick(w.kicked.Swap(int32(KickNone))) {
-	case KickFull:
-		w.revision = 0
-		return nil
-	case KickAgain:
+	if w.woken.Swap(false) {
 		return nil
 	}
 	if err != nil {
@@ -102,32 +84,22 @@
 	w.pause = 0
 	if w.lost {
 		w.lost = false
-		w.Notify.Regained(w.Topic)
+		w.Notify.Regained()
 	}
 	if b.Revision > w.revision || full {
 		w.revision = b.Revision
 	}
-	c := w.Roster.Learn(clock.Now(), w.Topic, b, full)
-	if w.Topic == chestnutstep.TopicRouting {
-		w.Roster.Prove(asked)
-	}
+	c := w.Roster.Learn(clock.Now(), b, full)
+	w.Roster.Prove(asked.Add(-b.Age))
 	if !c.Empty() {
-		w.Notify.Changed(w.Topic, c, asked)
+		w.Notify.Changed(c, asked)
 	}
 	if len(b.Facts) > 0 && !full {
-		rest(ctx, w.rest())
+		rest(ctx, w.Rest())
 	}
 	return nil
 }
 
-// rest is how long to rest after changes.
-func (w *Watcher) rest() time.Duration {
-	if w.Rest == nil {
-		return Gather(1, 0)
-	}
-	return w.Rest()
-}
-
 // rest waits, or until ctx ends.
 func rest(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -138,10 +110,14 @@
 	}
 }
 
-// watch waits for changes, and gives up when it is kicked.
+// watch waits for changes, and gives up when it is woken.
 func (w *Watcher) watch(ctx context.Context) (chestnutstep.Batch, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	select {
+	case <-w.Wake: // this watch begins later than that
+	default:
+	}
 	done := make(chan struct{})
 	defer close(done)
 	go w.loop(done, cancel)
@@ -149,29 +125,29 @@
 	if w.lost {
 		wait = min(wait, lostWait)
 	}
-	return w.Source.Watch(ctx, w.Topic, w.revision, wait)
+	return w.Source.Watch(ctx, w.revision, wait)
 }
 
-// loop ends a watch that was kicked.
+// loop ends a watch that is woken.
 func (w *Watcher) loop(done <-chan struct{}, cancel context.CancelFunc) {
 	select {
 	case <-done:
-	case k := <-w.Kick:
-		w.kicked.Store(int32(k))
+	case <-w.Wake:
+		w.woken.Store(true)
 		cancel()
 	}
 }
 
 // failed pauses, a little longer after each failure in a row.
 func (w *Watcher) failed(ctx context.Context, err error) {
-	w.Roster.Doubt(w.Topic)
+	w.Roster.Doubt()
 	var e chestnutstep.ErrSource
 	if errors.As(err, &e) && e.Gap {
 		w.revision = 0
 	}
 	if !w.lost {
 		w.lost = true
-		w.Notify.Lost(w.Topic, err)
+		w.Notify.Lost(err)
 	}
 	w.pause = min(max(2*w.pause, pauseLeast), pauseMost)
 	rest(ctx, w.pause/2+rand.N(w.pause))
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -18,43 +18,41 @@
 	"chestnutstep.example/chestnutstep/watch"
 )
 
-// follower is a watcher of each topic over one door of the stand-in store.
+// follower is a watcher over one door of the stand-in store.
 type follower struct {
 	store  *stand.Store
 	door   *stand.Door
 	roster *roster.Roster
-	kick   chan watch.Kick
+	wake   chan struct{}
+	wait   time.Duration
 
 	mu             sync.Mutex
 	lost, regained int
 }
 
-func follow(t *testing.T, store *stand.Store) *follower {
+func follow(t *testing.T, store *stand.Store, wait time.Duration) *follower {
 	t.Helper()
-	f := &follower{store: store, door: store.Open(), roster: &roster.Roster{}, kick: make(chan watch.Kick, 1)}
+	f := &follower{store: store, door: store.Open(), roster: &roster.Roster{}, wake: make(chan struct{}, 1), wait: wait}
 	t.Cleanup(f.door.Close)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	source := platform.NewStore(f.door.Address(), link.Dial)
-	for _, topic := range []chestnutstep.Topic{chestnutstep.TopicRouting, chestnutstep.TopicInstances} {
-		w := &watch.Watcher{Source: source, Topic: topic, Roster: f.roster, Notify: f, Wait: func() time.Duration { return time.Second }}
-		if topic == chestnutstep.TopicRouting {
-			w.Kick = f.kick
-		}
-		go w.Run(ctx)
-	}
+	w := &watch.Watcher{Source: source, Roster: f.roster, Notify: f, Wait: func() time.Duration { return f.wait }, Rest: rest, Wake: f.wake}
+	go w.Run(ctx)
 	return f
 }
 
-func (f *follower) Changed(chestnutstep.Topic, roster.Change, clock.Stamp) {}
+func rest() time.Duration { return 300 * time.Millisecond }
 
-func (f *follower) Lost(chestnutstep.Topic, error) {
+func (f *follower) Changed(roster.Change, clock.Stamp) {}
+
+func (f *follower) Lost(error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lost++
 }
 
-func (f *follower) Regained(chestnutstep.Topic) {
+func (f *follower) Regained() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.regained++
@@ -97,13 +95,18 @@
 }
 
 func start(t *testing.T) *follower {
+	t.Helper()
+	return startWaiting(t, time.Second)
+}
+
+func startWaiting(t *testing.T, wait time.Duration) *follower {
 	t.Helper()
 	store := stand.NewStore()
 	store.Put("op/config", config(3))
 	for _, id := range []string{"a", "b", "c", "d", "e"} {
 		store.Put("servers/"+id, server("ready"))
 	}
-	f := follow(t, store)
+	f := follow(t, store, wait)
 	until(t, f.has("a", "b", "c", "d", "e"), "all pages are read")
 	until(t, f.version(3), "the configuration is read")
 	return f
@@ -135,7 +138,7 @@
 func TestHistoryIsGone(t *testing.T) {
 	f := start(t)
 	f.door.Set(stand.Busy)
-	until(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.lost == 2 }, "both watches are lost")
+	until(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.lost == 1 }, "the watch is lost")
 	f.store.Put("op/config", config(9))
 	f.store.Remove("servers/c")
 	f.store.Put("servers/a", server("draining"))
@@ -145,7 +148,7 @@
 	until(t, f.has("a", "b", "d", "e"), "what is still missing after the return is gone")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assert.Equal(t, f.regained, 2)
+	assert.Equal(t, f.regained, 1)
 }
 
 // The store turns one host away in each of its ways and serves another. The host
@@ -154,7 +157,7 @@
 	for _, trouble := range []stand.Trouble{stand.Busy, stand.Many, stand.Reset, stand.Silent, stand.Lost} {
 		t.Run(string(trouble), func(t *testing.T) {
 			f := start(t)
-			other := follow(t, f.store)
+			other := follow(t, f.store, time.Second)
 			until(t, other.version(3), "the other is served")
 			f.door.Set(trouble)
 			before := f.door.Calls()
@@ -170,51 +173,19 @@
 	}
 }
 
-// A peer knows a newer version than the watch has shown: the entry reads all.
-func TestKick(t *testing.T) {
-	f := start(t)
+// TestWake guards against a long watch that keeps the proof of the facts old: woken, the
+// entry begins the next watch at once, whose return proves them current.
+func TestWake(t *testing.T) {
+	f := startWaiting(t, time.Hour)
 	before := f.door.Calls()
-	f.kick <- watch.KickFull
-	until(t, func() bool { return f.door.Calls() >= before+2 }, "it reads all and watches again")
+	f.wake <- struct{}{}
+	until(t, func() bool { return f.door.Calls() > before }, "it watches again")
 	at := clock.Now()
-	f.kick <- watch.KickAgain
-	until(t, func() bool { return f.roster.Proof() >= at }, "it proves itself current")
-}
-
-// All entries would ask once a second to prove the configuration current: at 24 of
-// them the calls cost a tenth of all that the fleet earned. Two ask for all, and
-// whoever hears no proof asks by itself.
-func TestPace(t *testing.T) {
-	const bound = 5 * time.Second
-	calls := func(entries int) float64 {
-		sum := 0.0
-		for rank := range entries {
-			sum += 1 / watch.Pace(rank, time.Second, bound).Seconds()
-		}
-		return sum
-	}
-	assert.Assert(t, calls(24) < 5, "%f calls a second", calls(24))
-	assert.Assert(t, calls(350) < 40, "%f calls a second", calls(350))
-	assert.Equal(t, watch.Pace(20, 3*time.Second, bound), time.Second)
-	for _, b := range []time.Duration{time.Second, 2 * time.Second, bound, time.Minute} {
-		assert.Assert(t, 2*watch.Short(b) < 3*b/4, "a proof two waits old must count, at a bound of %s", b)
-	}
-}
-
-// A rollout replaces targets one after the other, and each change costs a call by every
-// entry: a fleet of hundreds would ask the source for thousands of calls a second, and be
-// refused. Each rests longer the more there are, and a change is in force in time all the
-// same.
-func TestGather(t *testing.T) {
-	const within = 2 * time.Second
-	for _, n := range []int{1, 4, 27, 350} {
-		rest := watch.Gather(n, within)
-		assert.Assert(t, rest <= within/4, "%d entries rest %s", n, rest)
-		calls := float64(n) / rest.Seconds()
-		assert.Assert(t, calls <= 700, "%d entries make %.0f calls a second", n, calls)
-	}
-	assert.Assert(t, watch.Gather(350, within) > watch.Gather(4, within))
-	assert.Assert(t, watch.Gather(1, time.Millisecond) >= 300*time.Millisecond, "a call for each change")
+	f.store.Put("op/config", config(4))
+	until(t, f.version(4), "the newer version is in force")
+	f.store.Put("op/config", config(5))
+	until(t, f.version(5), "the newer version is in force")
+	assert.Assert(t, f.roster.Proof() >= at)
 }
 
 // moody is a source whose first watch fails, and that notes how long each is to wait.
@@ -223,11 +194,11 @@
 	calls int
 }
 
-func (s *moody) List(context.Context, chestnutstep.Topic) (chestnutstep.Batch, error) {
+func (s *moody) List(context.Context) (chestnutstep.Batch, error) {
 	return chestnutstep.Batch{Revision: 1}, nil
 }
 
-func (s *moody) Watch(_ context.Context, _ chestnutstep.Topic, _ uint64, wait time.Duration) (chestnutstep.Batch, error) {
+func (s *moody) Watch(_ context.Context, _ uint64, wait time.Duration) (chestnutstep.Batch, error) {
 	s.waits <- wait
 	s.calls++
 	if s.calls == 1 {
@@ -245,7 +216,7 @@
 	s := &moody{waits: make(chan time.Duration)}
 	f := &follower{roster: &roster.Roster{}}
 	w := &watch.Watcher{
-		Source: s, Topic: chestnutstep.TopicInstances, Roster: f.roster, Notify: f, Wait: func() time.Duration { return long },
+		Source: s, Roster: f.roster, Notify: f, Wait: func() time.Duration { return long }, Rest: rest,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
