share, board, relay: news reaches every peer of a fleet of any size

Cause: a round of datagrams went to as many peers as the rate allows, at random, and each piece of news was told in two rounds: at 103 entries 26 peers learned where a prefix is cached, or that a content crashes targets. The others read the prefix again at a target of their own.

Change: news is kept in a log with numbers; each peer is told what it lacks, in turn, the one that was not told for longest first, until the echo of our clock in its datagrams confirms it. Rounds are of 8 peers, so that loads are fresher. The refresh of older entries is gone: a peer that starts fetches all lists at once.

--- a/board/board.go
+++ b/board/board.go
@@ -42,9 +42,8 @@
 	targets map[uint32]*state
 	// holds is by the low half of a part's ID, and by target.
 	holds  map[uint32]map[uint32]hold
-	news   []news[share.Hold]
-	gone   []news[uint32]
-	cursor []uint32
+	news   []share.Hold
+	gone   []uint32
 	peers  map[netip.AddrPort]*peer
 	sums   map[uint32]share.Load
 	// services is what requests to each service hold, of this entry.
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -51,7 +51,7 @@
 // talk lets each entry tell all others.
 func talk(list []*board.Board, now clock.Stamp) {
 	for i, from := range list {
-		r := &share.Report{From: addr(i), Loads: from.Loads(), Holds: from.Holds(now, 24), Gone: from.Gone()}
+		r := &share.Report{From: addr(i), Loads: from.Loads(), Holds: from.Holds(), Gone: from.Gone()}
 		for j, to := range list {
 			if i != j {
 				to.Learn(now, r)
@@ -239,10 +239,10 @@
 func TestListedHoldsAreToldWhenAsked(t *testing.T) {
 	b, v := &board.Board{Self: addr(1)}, view(1, 1)
 	b.Hold(start, &v.ByID["t0"].Instance, parts(1, 2, 3))
-	assert.Equal(t, len(b.Holds(start, 24)), 0)
+	assert.Equal(t, len(b.Holds()), 0)
 	assert.Equal(t, b.Donor(start, v, engine, parts(1, 2)).Held, 2000)
 	b.Start(start, v.ByID["t0"], engine, parts(1, 9), 0, board.Who{})
-	told := b.Holds(start, 24)
+	told := b.Holds()
 	assert.Assert(t, len(told) > 0)
 	for _, h := range told {
 		assert.Equal(t, h.Part, uint32(1))
--- a/board/holds.go
+++ b/board/holds.go
@@ -64,7 +64,7 @@
 	}
 	for _, p := range parts[:len(parts)-1] {
 		if b.learn(now, uint32(p.ID), key, ready) {
-			b.news = append(b.news, news[share.Hold]{what: share.Hold{Target: key, Part: uint32(p.ID), Ready: ready}})
+			b.news = append(b.news, share.Hold{Target: key, Part: uint32(p.ID), Ready: ready})
 		}
 	}
 }
--- a/board/peers.go
+++ b/board/peers.go
@@ -1,23 +1,12 @@
 package board
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/share"
 )
 
-const (
-	// tellTimes is how often news is told: datagrams are lost now and then, and
-	// what is lost twice comes with the rest.
-	tellTimes = 2
-	// newsMost bounds the news of one datagram. With a handful of them
-	// news waits for seconds among dozens of entries, and prompts are read again.
-	newsMost = 40
-)
-
 const (
 	// loadKeep is how long a peer's loads count: longer than the longest pause
 	// between datagrams of a few dozen entries, and short enough that those of a
@@ -59,37 +48,14 @@
 	return max(gapsKept*p.gap, loadKeep)
 }
 
-// news is something that peers may not know yet.
-type news[T any] struct {
-	what T
-	told int
-}
-
-// tell returns at most n of the news, and what is left to be told again.
-func tell[T any](list []news[T], n int) (told []T, left []news[T]) {
-	left = list[:0]
-	for _, x := range list {
-		if len(told) < n {
-			told = append(told, x.what)
-			x.told++
-		}
-		if x.told < tellTimes {
-			left = append(left, x)
-		}
-	}
-	return told, left
-}
-
-// goneTold bounds the instances of one datagram.
-const goneTold = 16
-
-// Gone lists instances whose address another one answers. Each entry would
-// otherwise find out by a request of its own, out of the fleet's retry budget.
+// Gone returns the instances that were found since the last call to have lost their address
+// to another one. Each entry would otherwise find out by a request of its own, out of the
+// fleet's retry budget.
 func (b *Board) Gone() []uint32 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []uint32
-	list, b.gone = tell(b.gone, goneTold)
+	list := b.gone
+	b.gone = nil
 	return list
 }
 
@@ -136,30 +102,13 @@
 	}
 }
 
-// Holds returns holds to tell: news, or else n of all that is known, in turn, so
-// that an entry that just started learns the rest.
-func (b *Board) Holds(now clock.Stamp, n int) []share.Hold {
+// Holds returns what this entry's requests have changed in targets' caches since the last
+// call.
+func (b *Board) Holds() []share.Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var list []share.Hold
-	list, b.news = tell(b.news, newsMost)
-	return b.refresh(now, list, n)
-}
-
-// refresh adds holds that are known for longer.
-func (b *Board) refresh(now clock.Stamp, list []share.Hold, n int) []share.Hold {
-	if len(b.cursor) == 0 {
-		b.cursor = slices.Sorted(maps.Keys(b.holds))
-	}
-	for len(list) < n && len(b.cursor) > 0 {
-		part := b.cursor[len(b.cursor)-1]
-		b.cursor = b.cursor[:len(b.cursor)-1]
-		for key, h := range b.holds[part] {
-			if h.ready && !h.listed && now.Sub(h.at) < holdKeep/2 {
-				list = append(list, share.Hold{Target: key, Part: part, Ready: true})
-			}
-		}
-	}
+	list := b.news
+	b.news = nil
 	return list
 }
 
--- a/board/run.go
+++ b/board/run.go
@@ -89,7 +89,7 @@
 	r.leave(now, o)
 	r.board.reach(now, r.domain, r.key, o)
 	if o == Replaced {
-		r.board.gone = append(r.board.gone, news[uint32]{what: r.key})
+		r.board.gone = append(r.board.gone, r.key)
 	}
 	if !r.ready {
 		r.board.drop(r.cache, r.parts)
--- a/node/advice.go
+++ b/node/advice.go
@@ -10,15 +10,6 @@
 	"chestnutstep.example/chestnutstep/share"
 )
 
-const (
-	// holdsTold bounds the holds of one datagram while there are few peers, and
-	// holdsMany while there are many: each datagram then goes to more of them.
-	holdsTold = 16
-	holdsMany = 8
-	// manyPeers is from where on there are many.
-	manyPeers = 9
-)
-
 // Tell fills a report to the peers.
 func (n *Direct) Tell(now clock.Stamp, r *share.Report) {
 	r.Version = n.roster.Version()
@@ -29,13 +20,11 @@
 	}
 	r.Loads = n.board.Loads()
 	r.Kept = n.board.Kept(now)
-	holds := holdsTold
-	if n.board.Entries() >= manyPeers {
-		holds = holdsMany
-	}
-	r.Holds = n.board.Holds(now, holds)
-	r.Gone = n.board.Gone()
-	r.Crashes = n.crashes.Tell()
+}
+
+// News returns what has happened since the last call, for all peers.
+func (n *Direct) News() share.News {
+	return share.News{Holds: n.board.Holds(), Gone: n.board.Gone(), Crashes: n.crashes.News()}
 }
 
 // Learn takes a peer's report. One that proves that the configuration in force
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -64,15 +64,11 @@
 	return chestnutstep.Suspicion{Fingerprint: x.Fingerprint, Crashed: []string{fmt.Sprintf("%08x", x.Target)}, Seen: now}
 }
 
-// crashesTold bounds what one datagram tells.
-const crashesTold = 8
-
-// Tell returns news for the peers.
-func (c *Crashes) Tell() []share.Crash {
+// News returns the crashes since the last call.
+func (c *Crashes) News() []share.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := min(len(c.news), crashesTold)
-	list := c.news[:n:n]
-	c.news = c.news[n:]
+	list := c.news
+	c.news = nil
 	return list
 }
--- a/share/peers.go
+++ b/share/peers.go
@@ -1,8 +1,10 @@
 package share
 
 import (
+	"cmp"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,9 +12,9 @@
 )
 
 const (
-	// fanout bounds the peers of one round; beyond it each round picks others.
-	// fanoutLeast of them are told whatever the bytes.
-	fanout      = 32
+	// fanout bounds the peers of one round; beyond it each round picks those that were not
+	// told for longest. fanoutLeast of them are told whatever the bytes.
+	fanout      = 8
 	fanoutLeast = 4
 	// tellPeers bounds the addresses of one datagram, and tellEvery says in which
 	// rounds they are told: who is there changes slowly.
@@ -34,6 +36,8 @@
 type Knowledge interface {
 	// Tell fills a report but for what Peers itself knows.
 	Tell(now clock.Stamp, r *Report)
+	// News returns what happened since the last call.
+	News() News
 	// Learn takes a peer's report. Asked is a moment of this process's clock
 	// before which the peer can't have made it; 0 where that is not known.
 	Learn(now clock.Stamp, r *Report, asked clock.Stamp)
@@ -54,6 +58,7 @@
 
 	mu     sync.Mutex
 	peers  map[netip.AddrPort]*peer
+	news   newsLog
 	number uint32
 	// size is that of the last datagram.
 	size    int
@@ -72,9 +77,9 @@
 	// echo is the peer's Sent of its last report.
 	echo    int64
 	control uint16
-	version uint64
 	leaving bool
 	knows   bool
+	news    cursor
 }
 
 // Seed adds addresses of entries to ask.
@@ -139,22 +144,32 @@
 	x := p.peers[a]
 	if x == nil {
 		x = &peer{met: clock.Now()}
+		p.forget(x)
 		p.peers[a] = x
 	}
 	return x
 }
 
+// forget makes a peer one that has none of the news but for the latest. The caller holds
+// the lock.
+func (p *Peers) forget(x *peer) {
+	end := p.news.end()
+	x.news = cursor{has: end - min(end, newsFirst)}
+}
+
 func (x *peer) live(now clock.Stamp) bool { return x.heard != 0 && now.Sub(x.heard) <= liveFor }
 
-// choose numbers the report, and picks who gets it. Map order is random, which
-// is what a sample of many needs.
+// choose numbers the report, and picks who gets it: those that were not told for longest.
 func (p *Peers) choose(now clock.Stamp, r *Report) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.number++
 	r.Number, r.Leaving = p.number, p.leaving
-	most := p.most()
-	var to []netip.AddrPort
+	type candidate struct {
+		addr netip.AddrPort
+		sent clock.Stamp
+	}
+	var due []candidate
 	for a, x := range p.peers {
 		live := x.live(now)
 		switch {
@@ -164,10 +179,15 @@
 			delete(p.peers, a)
 			continue
 		}
-		if len(to) < most && (live || now.Sub(x.sent) >= quietEvery) {
-			to = append(to, a)
+		if live || now.Sub(x.sent) >= quietEvery {
+			due = append(due, candidate{a, x.sent})
 		}
 	}
+	slices.SortFunc(due, func(a, b candidate) int { return cmp.Compare(a.sent, b.sent) })
+	to := make([]netip.AddrPort, 0, fanout)
+	for _, c := range due[:min(len(due), p.most())] {
+		to = append(to, c.addr)
+	}
 	return to
 }
 
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -20,7 +20,7 @@
 type knower struct {
 	mu      sync.Mutex
 	loads   []Load
-	holds   []Hold
+	news    News
 	learned map[netip.AddrPort]*Report
 	asked   map[netip.AddrPort]clock.Stamp
 	lists   int
@@ -29,7 +29,15 @@
 func (k *knower) Tell(_ clock.Stamp, r *Report) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	r.Loads, r.Holds, r.Age = k.loads, k.holds, 5
+	r.Loads, r.Age = k.loads, 5
+}
+
+func (k *knower) News() News {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := k.news
+	k.news = News{}
+	return n
 }
 
 func (k *knower) Learn(_ clock.Stamp, r *Report, asked clock.Stamp) {
--- a/share/talk.go
+++ b/share/talk.go
@@ -65,10 +65,7 @@
 	for _, l := range lists {
 		r := &Report{From: p.Self, Run: p.Run, Lists: []List{l}, Age: -1}
 		for _, to := range p.choose(now, r) {
-			n := p.send(r, to)
-			p.mu.Lock()
-			p.out += int64(n)
-			p.mu.Unlock()
+			p.sendLists(r, to)
 		}
 	}
 }
@@ -85,6 +82,7 @@
 func (p *Peers) round(now clock.Stamp) int {
 	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
 	p.Knowledge.Tell(now, r)
+	p.addNews()
 	targets := p.choose(now, r)
 	sum := 0
 	for _, to := range targets {
@@ -107,18 +105,47 @@
 	}
 	x.sent = now
 	r.Echo, r.EchoRun = x.echo, x.run
-	p.mu.Unlock()
 	r.Sent = int64(clock.Now()) / int64(time.Millisecond)
-	return p.send(r, to)
+	b, next, err := p.fit(r, x.news.has)
+	if err == nil {
+		x.news.sent(r.Sent, next)
+		p.size = len(b)
+	}
+	p.mu.Unlock()
+	return p.send(b, err, to)
 }
 
-// send writes one datagram; holds that don't fit are left out.
-func (p *Peers) send(r *Report, to netip.AddrPort) int {
-	b, err := encode(r)
-	for err == nil && len(b) > datagramMost && len(r.Holds) > 0 {
-		r.Holds = r.Holds[:len(r.Holds)/2]
+// fit encodes a report with as much of the news as a datagram holds, and returns the number
+// of the first event that it doesn't hold. The caller holds the lock.
+func (p *Peers) fit(r *Report, from uint64) (b []byte, next uint64, err error) {
+	for most := newsTold; ; most /= 2 {
+		next = p.news.fill(r, from, most)
 		b, err = encode(r)
+		if err != nil || len(b) <= datagramMost || most == 0 {
+			return b, next, err
+		}
 	}
+}
+
+// addNews takes up what happened since the last round.
+func (p *Peers) addNews() {
+	n := p.Knowledge.News()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.news.add(n)
+}
+
+// sendLists sends a report that has nothing but lists.
+func (p *Peers) sendLists(r *Report, to netip.AddrPort) {
+	b, err := encode(r)
+	n := p.send(b, err, to)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.out += int64(n)
+}
+
+// send writes one datagram that was encoded, and returns its bytes with headers.
+func (p *Peers) send(b []byte, err error, to netip.AddrPort) int {
 	if err != nil {
 		p.Failed(err)
 		return 0
@@ -127,9 +154,6 @@
 		p.Failed(errors.Wrapf(err, "send to %s", to))
 		return 0
 	}
-	p.mu.Lock()
-	p.size = len(b)
-	p.mu.Unlock()
 	return len(b) + overhead
 }
 
@@ -165,9 +189,15 @@
 		return
 	}
 	started := x.run != r.Run
-	x.run, x.number, x.heard, x.echo = r.Run, r.Number, now, r.Sent
+	if started {
+		p.forget(x)
+	}
+	x.run, x.number, x.heard = r.Run, r.Number, now
 	if len(r.Lists) == 0 {
-		x.control, x.version, x.leaving, x.knows = r.Control, r.Version, r.Leaving, r.Knows
+		x.echo, x.control, x.leaving, x.knows = r.Sent, r.Control, r.Leaving, r.Knows
+	}
+	if r.EchoRun == p.Run {
+		x.news.confirm(r.Echo)
 	}
 	for _, a := range r.Peers {
 		p.meet(a)
@@ -190,6 +220,7 @@
 func (p *Peers) greet(now clock.Stamp, to netip.AddrPort) {
 	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
 	p.Knowledge.Tell(now, r)
+	p.addNews()
 	p.mu.Lock()
 	p.number++
 	r.Number, r.Leaving = p.number, p.leaving
--- a/trial/direct.go
+++ b/trial/direct.go
@@ -32,8 +32,6 @@
 	serviceName = "s"
 	// ownTokens is what each prompt has beyond the chat's prefix.
 	ownTokens = 200
-	// holdsTold is how many holds a datagram carries beside news.
-	holdsTold = 16
 	// directTries is how many targets are tried that are down.
 	directTries = 3
 	// heartbeat is how long entries take to hear of a restart.
@@ -94,7 +92,7 @@
 func (d *direct) talk() {
 	now := d.now()
 	for i, from := range d.entries {
-		r := &share.Report{From: d.addrs[i], Loads: from.Loads(), Holds: from.Holds(now, holdsTold)}
+		r := &share.Report{From: d.addrs[i], Loads: from.Loads(), Holds: from.Holds()}
 		for j, to := range d.entries {
 			if j != i {
 				to.Learn(now, r)
