admit, relay, node, link: an entry that is full refuses unread, and sends nothing for callers who left

Change: the wait of runnable work (the runtime's scheduling latencies), of a timer and of the accept queue (since when it was never empty) is observed every 50 ms; while it is above 10 ms, a growing part of the requests is refused by their first bytes, the surplus of large workspaces first, with a constant answer, on connections that are never built. A listener without room refuses after 100 ms. Before each send the caller's socket is looked at.

--- a/ask.go
+++ b/ask.go
@@ -60,4 +60,6 @@
 	Prepare(h http.Header, s Send)
 	Told(status int, h http.Header) Told
 	SetRetry(h http.Header, after time.Duration)
+	// Peek reads who asks for what from the first bytes of a request, as far as they hold it.
+	Peek(head []byte) (id, key string)
 }
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -86,6 +86,9 @@
 	CachesKnown     ID = 7028
 	CallersMany     ID = 7029
 	CallersFew      ID = 7030
+	RelayShed       ID = 7031
+	EntryFull       ID = 7032
+	EntryFree       ID = 7033
 )
 
 // requestLines bounds the lines a second of each event about single requests of
@@ -563,4 +566,22 @@
 		Cause:   "The callers of 7029 are gone.",
 		Action:  "Nothing.",
 	},
+	{
+		ID: RelayShed, Name: "relay_shed", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "A request was refused before it was read; it did not run. Only a few of those that are refused are named: 7032 counts them all.",
+		Cause:   "The entry gets more requests than its processor parses, most of them from this workspace.",
+		Action:  "See 7032.",
+	},
+	{
+		ID: EntryFull, Name: "entry_full", Level: Warn,
+		Meaning: "Work waits for the entry's processor: delay is the usual wait, part the share of new requests that is refused unread, refused their number since the last line.",
+		Cause:   "A surge of callers, or a host that gives the process less of its processor.",
+		Action:  "Add hosts. The workspaces that send most are named by 7031 and by chestnutstep_relay_refused_total.",
+	},
+	{
+		ID: EntryFree, Name: "entry_free", Level: Info,
+		Meaning: "The entry's processor has time for all requests again.",
+		Cause:   "The surge is over.",
+		Action:  "Nothing.",
+	},
 }
--- a/link/keep_test.go
+++ b/link/keep_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // Many entries stand before few targets, and each keeps connections that it does not
@@ -36,3 +37,32 @@
 	}
 	assert.Equal(t, len(p.idle[target]), 1)
 }
+
+// TestClosed guards against requests that are sent on for callers who have left.
+func TestClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	c, err := l.Accept()
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.Assert(t, !Closed(c))
+	_, err = peer.Write([]byte("x"))
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return success(!Quiet(c)) })
+	assert.Assert(t, !Closed(c), "bytes wait")
+	_, err = c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.Assert(t, !Closed(c))
+	assert.NilError(t, peer.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return success(Closed(c)) })
+}
+
+func success(ok bool) poll.Result {
+	if ok {
+		return poll.Success()
+	}
+	return poll.Continue("not yet")
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -175,24 +176,38 @@
 	return p.opened
 }
 
-// Quiet says that nothing waits to be read and the peer has not closed. Bytes
+// Quiet reports that nothing waits to be read and the peer has not closed. Bytes
 // that come while no request is open belong to none: a late second answer would
 // be taken for the next request's.
 func Quiet(c net.Conn) bool {
+	_, err := peek(c)
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// Closed reports that the peer has closed the connection. Unlike a read it neither waits nor
+// takes bytes, and it is true as soon as the close has reached the host.
+func Closed(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
+}
+
+// errNoSocket is the error of a connection that is no socket.
+var errNoSocket = errors.New("no socket")
+
+// peek looks at the first byte that waits, if any.
+func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, errNoSocket
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
 	var one [1]byte
-	sound := false
 	// Control, unlike Read, doesn't wait for whoever reads from the connection.
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		sound = err == unix.EAGAIN
+	controlled := raw.Control(func(fd uintptr) {
+		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && sound
+	return n, errors.CombineErrors(controlled, err)
 }
--- /dev/null
+++ b/node/delays.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"runtime/metrics"
+	"time"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/event"
+)
+
+const (
+	// delaysEvery is how often the wait for the processor is looked at.
+	delaysEvery = 50 * time.Millisecond
+	// fullLogged is the least time between two lines on an entry that is full.
+	fullLogged = time.Second
+	// latencies is the runtime's histogram of the time for which goroutines were ready to
+	// run before they ran.
+	latencies = "/sched/latencies:seconds"
+)
+
+// delays watches how long work waits for the processor, and lets requests be refused while
+// that is too long.
+type delays struct {
+	node   *Direct
+	sample [1]metrics.Sample
+	before []uint64
+	// full says that the last line said so, logged when that was, and refused counts since.
+	full    bool
+	logged  time.Time
+	refused int
+}
+
+func (d *delays) loop(ctx context.Context) {
+	d.sample[0].Name = latencies
+	d.median()
+	for due := time.Now().Add(delaysEvery); sleep(ctx, delaysEvery); due = time.Now().Add(delaysEvery) {
+		// The runtime sees the wait behind other work of this process, a late timer the
+		// wait for the host, and the listener the wait of connections.
+		delay := max(d.median(), time.Since(due), d.node.callers.Backlog())
+		refused, part := d.node.shed.Observe(clock.Now(), delay)
+		d.refused += refused
+		d.log(time.Now(), delay, part)
+	}
+}
+
+func (d *delays) log(now time.Time, delay time.Duration, part float64) {
+	if part == 0 {
+		if d.full {
+			d.full = false
+			d.node.log.Emit(event.EntryFree, event.Int("refused", int64(d.refused)))
+			d.refused = 0
+		}
+		return
+	}
+	if d.full && now.Sub(d.logged) < fullLogged {
+		return
+	}
+	d.full, d.logged = true, now
+	d.node.log.Emit(event.EntryFull, event.Dur("delay", delay), event.Float("part", part), event.Int("refused", int64(d.refused)),
+		event.Int("requests", d.node.relay.Open()), event.Dur("backlog", d.node.callers.Backlog()))
+	d.refused = 0
+}
+
+// median is the usual wait since the last call; 0 where nothing ran.
+func (d *delays) median() time.Duration {
+	metrics.Read(d.sample[:])
+	if d.sample[0].Value.Kind() != metrics.KindFloat64Histogram {
+		return 0
+	}
+	h := d.sample[0].Value.Float64Histogram()
+	if len(d.before) != len(h.Counts) {
+		d.before = make([]uint64, len(h.Counts))
+	}
+	var sum uint64
+	for i, n := range h.Counts {
+		sum += n - d.before[i]
+	}
+	at, seen := 0, uint64(0)
+	for i, n := range h.Counts {
+		seen += n - d.before[i]
+		if seen > sum/2 {
+			at = i
+			break
+		}
+	}
+	copy(d.before, h.Counts)
+	if at == 0 {
+		return 0 // nothing ran, or it did not wait: the first bucket has no lower bound
+	}
+	return time.Duration(h.Buckets[at] * float64(time.Second))
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -76,6 +76,7 @@
 	crashes  *relay.Crashes
 	relay    *relay.Relay
 	callers  *relay.Listener
+	shed     *relay.Shedder
 	pool     *link.Pool
 	peers    *share.Peers
 	// wake ends the present watch.
@@ -104,13 +105,14 @@
 	if err != nil {
 		return errors.Wrap(err, "ready")
 	}
-	n.callers = &relay.Listener{Listener: callers, Relay: n.relay, Most: n.Settings.CallersMost(filesMost())}
+	n.callers = &relay.Listener{Listener: callers, Relay: n.relay, Most: n.Settings.CallersMost(filesMost()), Shed: n.shed}
 	n.logStart()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	n.begin(work)
 	srv := &http.Server{
 		Handler:           n.relay,
+		ConnContext:       relay.ConnContext,
 		ReadHeaderTimeout: directHeader,
 		IdleTimeout:       relay.IdleTimeout,
 		MaxHeaderBytes:    directHeaderBytes,
@@ -137,7 +139,7 @@
 
 // begin starts what runs beside the servers.
 func (n *Direct) begin(work context.Context) {
-	start(work, n.loop, n.learn, n.peers.Loop, n.watcher().Run)
+	start(work, n.loop, n.learn, n.peers.Loop, n.watcher().Run, (&delays{node: n}).loop)
 	if n.Reloader != nil {
 		n.Reloader.Changed, n.Reloader.Refused = n.reload, n.refuse
 		start(work, n.Reloader.Loop)
@@ -187,6 +189,7 @@
 		Settled: n.settled,
 		Budgets: &retry.Budgets{Bounds: n.retryBounds, Entries: n.board.Entries},
 	}
+	n.shed = &relay.Shedder{Relay: n.relay}
 	conn, err := net.ListenPacket("udp", n.Settings.Peer)
 	if err != nil {
 		return errors.Wrap(err, "peer")
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -18,6 +18,14 @@
 // next chooses the target for the next try.
 func (q *request) next() (*roster.Target, choice, *refusal) {
 	now := clock.Now()
+	if q.left() || q.callerClosed() {
+		q.gone = true
+		return nil, choice{}, &refusal{0, chestnutstep.ReasonCanceled, 0}
+	}
+	if q.ctx.Err() != nil {
+		f := q.verdict(q.ctx.Err())
+		return nil, choice{}, &f
+	}
 	// What is believed may have changed while an earlier try ran.
 	if v := q.Roster.View(); v != nil {
 		q.view = v
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -41,7 +41,7 @@
 	if !errors.As(err, &e) {
 		e = link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonLink, Err: err}
 	}
-	left := q.r.Context().Err() != nil
+	left := q.left()
 	run.End(now, outcome(e, left))
 	if e.Reason == chestnutstep.ReasonDown {
 		q.tally.Unreached++
@@ -109,7 +109,7 @@
 // end gives the caller the final answer that the tries allow.
 func (q *request) end(f refusal) {
 	switch {
-	case q.r.Context().Err() != nil:
+	case q.left():
 		q.Meters.Requests.Add(1, q.kind(), string(chestnutstep.ReasonCanceled))
 		q.log(event.RelayCanceled, event.Int("tries", int64(q.tally.Tries)))
 	case q.stream.begun:
--- a/relay/listen.go
+++ b/relay/listen.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"bytes"
 	"container/list"
 	"io"
 	"net"
 	"sync"
 	"time"
 
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
 )
 
@@ -24,28 +26,95 @@
 	// Most connections are held, and from half as many on the one that was idle for
 	// longest makes place for a new one; 0 for no bound.
 	Most int
+	// Shed refuses requests unread while the processor is full; nil for never.
+	Shed *Shedder
+
+	queue acceptQueue
+	// head is what was read of the connection at hand.
+	head [headMost]byte
 
 	mu   sync.Mutex
 	room *sync.Cond
 	open int
+	// fullSince is since when there has been no room; 0 while there is.
+	fullSince clock.Stamp
 	// idle are connections without a request, the longest idle first.
 	idle   list.List
 	closed bool
 }
 
-// Accept returns the next connection, once there is room for it.
+// Accept returns the next connection, once there is room for it. While requests are refused
+// unread, it goes on past the connections of those.
 func (l *Listener) Accept() (net.Conn, error) {
-	l.wait()
-	c, err := l.Listener.Accept()
+	for {
+		room := l.wait()
+		if l.Shed != nil && (!room || l.Shed.active()) {
+			c, waits := l.sift(room)
+			if c != nil {
+				return c, nil
+			}
+			if waits {
+				continue
+			}
+		}
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.queue.accepted(clock.Now(), connWaits(l.Listener))
+		if room {
+			return l.hold(c, nil), nil
+		}
+		_ = c.Close() // nothing of the request was read: the caller may repeat it
+	}
+}
+
+// sift accepts a connection that waits, and refuses its request or returns it. It reports
+// whether one waited. Nothing is built for a request that is refused.
+func (l *Listener) sift(room bool) (c net.Conn, waits bool) {
+	fd, ok := acceptNow(l.Listener)
+	l.queue.accepted(clock.Now(), ok)
+	if !ok {
+		return nil, false
+	}
+	head := l.head[:readNow(fd, l.head[:])]
+	answer := l.answer(head, room)
+	if answer != nil || !room {
+		rejectNow(fd, answer, len(head) == len(l.head))
+		return nil, true
+	}
+	conn, err := connOf(fd)
 	if err != nil {
-		return nil, err
+		return nil, true
+	}
+	return l.hold(conn, bytes.Clone(head)), true
+}
+
+// answer is that to a request that is refused by its first bytes, nil for one that is not.
+// One whose headers are not all there is not refused unless there is no room for it.
+func (l *Listener) answer(head []byte, room bool) []byte {
+	switch {
+	case l.Shed == nil:
+		return nil
+	case !room && len(head) > 0:
+		return l.Shed.refuseFull()
+	case !bytes.Contains(head, []byte("\r\n\r\n")):
+		return nil
 	}
+	return l.Shed.refuse(head)
+}
+
+// hold counts a connection, some bytes of which may have been read already.
+func (l *Listener) hold(c net.Conn, ahead []byte) *callerConn {
 	if idle := l.add(); idle != nil {
 		_ = idle.Close() // it is closed either way
 	}
-	return &callerConn{Conn: c, listener: l}, nil
+	return &callerConn{Conn: c, listener: l, ahead: ahead, fresh: len(ahead) == 0}
 }
 
+// Backlog is for how long connections have been waiting to be accepted without a break.
+func (l *Listener) Backlog() time.Duration { return l.queue.standing(clock.Now()) }
+
 // evictTries is how many of the longest idle connections are looked at for one that no
 // request waits on: on a busy host a request may have come that nobody has read yet.
 const evictTries = 8
@@ -94,17 +163,25 @@
 // full says that no more connections are held.
 func (l *Listener) full() bool { return l.Most > 0 && l.open >= l.Most }
 
+// fullWait is how long callers wait for room before they are refused.
+const fullWait = 100 * time.Millisecond
+
 // wait returns once there is room for one more connection: one has ended, or has become
-// idle and can be closed.
-func (l *Listener) wait() {
-	for idle := l.await(); idle != nil; idle = l.await() {
+// idle and can be closed. It reports false where callers have waited for too long, and are
+// refused.
+func (l *Listener) wait() bool {
+	for {
+		idle, room := l.await()
+		if idle == nil {
+			return room
+		}
 		_ = idle.Close() // it is closed either way
 	}
 }
 
-// await waits for room, and returns an idle connection that has to be closed for it; nil
-// once there is room.
-func (l *Listener) await() *callerConn {
+// await waits for room, and returns an idle connection that has to be closed for it; none
+// once there is room, or there was none for too long.
+func (l *Listener) await() (idle *callerConn, room bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.room == nil {
@@ -112,11 +189,27 @@
 	}
 	for l.full() && !l.closed {
 		if idle := l.evict(); idle != nil {
-			return idle
+			return idle, true
+		}
+		if l.overdue(clock.Now()) {
+			return nil, false
 		}
 		l.room.Wait()
 	}
-	return nil
+	l.fullSince = 0
+	return nil, true
+}
+
+// overdue reports that there has been no room for too long. The caller holds the lock.
+func (l *Listener) overdue(now clock.Stamp) bool {
+	if l.Shed == nil {
+		return false
+	}
+	if l.fullSince == 0 {
+		l.fullSince = now
+		time.AfterFunc(fullWait, l.room.Broadcast)
+	}
+	return now.Sub(l.fullSince) >= fullWait
 }
 
 // crowded says that idle connections make room for new ones.
@@ -139,6 +232,16 @@
 	place *list.Element
 	// evicted says that it is closed to make room for another.
 	evicted bool
+	// ahead are bytes that were read already, and fresh says that the next bytes begin a
+	// request that may be refused unread.
+	ahead []byte
+	fresh bool
+}
+
+// reject answers a request that is not read.
+func (c *callerConn) reject(answer []byte) {
+	drain(c.Conn)
+	_, _ = c.Conn.Write(answer) // the caller may have left
 }
 
 // SetReadDeadline replaces the deadline of an idle connection, and that of headers.
@@ -157,10 +260,24 @@
 // Read reads from the caller, whose connection is idle no more. What comes after it had to
 // make room is not read: the caller sees it closed before its request was taken.
 func (c *callerConn) Read(b []byte) (int, error) {
+	if len(c.ahead) > 0 {
+		n := copy(b, c.ahead)
+		c.ahead = c.ahead[n:]
+		return n, nil
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 && !c.wake() {
 		return 0, io.EOF
 	}
+	fresh := c.fresh && n > 0
+	c.fresh = c.fresh && n == 0
+	if !fresh {
+		return n, err
+	}
+	if answer := c.listener.answer(b[:n], true); answer != nil {
+		c.reject(answer)
+		return 0, io.EOF
+	}
 	return n, err
 }
 
@@ -184,6 +301,7 @@
 	l := c.listener
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	c.fresh = true
 	if c.place == nil {
 		c.place = l.idle.PushBack(c)
 	}
--- a/relay/listen_test.go
+++ b/relay/listen_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/stand"
@@ -55,7 +56,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := &relay.Listener{Listener: inner, Relay: g.relay, Most: most}
-	srv := &http.Server{Handler: g.relay, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{Handler: g.relay, ConnContext: relay.ConnContext, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(l) }()
 	t.Cleanup(func() {
@@ -168,3 +169,35 @@
 	}
 	assert.Equal(t, next.status(), http.StatusOK)
 }
+
+// TestRequestOfCallerWhoLeftIsNotSent guards against work at targets for callers who left
+// while their request waited for the entry's processor.
+func TestRequestOfCallerWhoLeftIsNotSent(t *testing.T) {
+	g := newRig(t)
+	l := listen(t, g, 8)
+	held, release := make(chan struct{}, 1), make(chan struct{})
+	bounds := g.relay.Bounds
+	g.relay.Bounds = func() config.Bounds {
+		select {
+		case held <- struct{}{}:
+		default:
+		}
+		<-release
+		return bounds()
+	}
+	c := dial(t, l.Addr().String())
+	// The server looks for the caller's close only once the body is read.
+	fmt.Fprintf(c, "POST /safe/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: left\r\nCredential: %s\r\nContent-Length: 4\r\n\r\nbody", host, key)
+	<-held
+	assert.NilError(t, c.Close())
+	time.Sleep(20 * time.Millisecond) // the close is on its way
+	close(release)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.relay.Open() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("the request is open")
+	})
+	arrived, _ := g.count()
+	assert.Equal(t, arrived, 0)
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -76,6 +76,8 @@
 	failure *whole
 	// stream is what the caller has of a stream already.
 	stream stream
+	// gone reports that the caller was found to have closed its connection.
+	gone bool
 	// room is what was known of the targets' places when none was left; nil before.
 	room *board.Room
 }
--- /dev/null
+++ b/relay/shed_test.go
@@ -0,0 +1,148 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/relay"
+)
+
+// shedding serves the rig's relay behind a listener that may refuse requests unread.
+func shedding(t *testing.T, g *rig, most int) *relay.Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &relay.Listener{Listener: inner, Relay: g.relay, Most: most, Shed: &relay.Shedder{Relay: g.relay}}
+	srv := &http.Server{Handler: g.relay, ConnContext: relay.ConnContext, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(l) }()
+	t.Cleanup(func() {
+		_ = srv.Close()
+		<-done
+	})
+	return l
+}
+
+// full makes the listener believe that work waits for long.
+func full(l *relay.Listener) {
+	for range 40 {
+		l.Shed.Observe(clock.Now(), time.Second)
+	}
+}
+
+// surge sends requests each on a connection of its own, and counts the answers by status.
+func surge(t *testing.T, l *relay.Listener, n int, message string) map[int]int {
+	t.Helper()
+	got := make(map[int]int)
+	for range n {
+		c, err := net.Dial("tcp", l.Addr().String())
+		assert.NilError(t, err)
+		assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err = io.WriteString(c, message)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			got[0]++
+			continue
+		}
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Assert(t, after > 0 && after <= 4, "%f", after)
+			assert.Assert(t, resp.Close)
+		}
+		got[resp.StatusCode]++
+		_ = c.Close()
+	}
+	return got
+}
+
+// TestFullEntryRefusesUnread guards against a processor that is spent on requests which
+// come too late for their callers: the surplus gets a refusal that is true, at once.
+func TestFullEntryRefusesUnread(t *testing.T) {
+	g := newRig(t)
+	l := shedding(t, g, 64)
+	message := "POST /unsafe/x HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: a\r\nCredential: " + key + "\r\nContent-Length: 4\r\n\r\nbody"
+	assert.Equal(t, surge(t, l, 5, message)[http.StatusOK], 5)
+	before, _ := g.count()
+	full(l)
+	got := surge(t, l, 100, message)
+	arrived, _ := g.count()
+	assert.Assert(t, got[http.StatusServiceUnavailable] >= 90, "%v", got)
+	assert.Equal(t, got[http.StatusOK], arrived-before, "each request that was not refused arrived, and no other")
+	refused, _ := l.Shed.Observe(clock.Now(), 0)
+	assert.Equal(t, refused, got[http.StatusServiceUnavailable])
+	for range 100 {
+		l.Shed.Observe(clock.Now(), 0)
+	}
+	assert.Equal(t, surge(t, l, 5, message)[http.StatusOK], 5)
+}
+
+// TestOtherWorkspacesPassAFullEntry guards against small workspaces that are refused for the
+// surge of a large one.
+func TestOtherWorkspacesPassAFullEntry(t *testing.T) {
+	g := newRig(t)
+	l := shedding(t, g, 64)
+	format := "POST /safe/x HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: a\r\nCredential: %s\r\nContent-Length: 0\r\n\r\n"
+	surge(t, l, 200, fmt.Sprintf(format, "unknown")) // counted as one workspace
+	for range 8 {
+		l.Shed.Observe(clock.Now(), 20*time.Millisecond)
+	}
+	got := surge(t, l, 20, fmt.Sprintf(format, "unknown"))
+	assert.Assert(t, got[http.StatusServiceUnavailable] > 0, "%v", got)
+	got = surge(t, l, 5, fmt.Sprintf(format, key))
+	assert.Equal(t, got[http.StatusOK], 5, "%v", got)
+}
+
+// TestKeptConnectionsAreRefusedToo guards against a surge on connections that callers keep:
+// their requests are never accepted anew.
+func TestKeptConnectionsAreRefusedToo(t *testing.T) {
+	g := newRig(t)
+	l := shedding(t, g, 64)
+	c := dial(t, l.Addr().String())
+	c.send("first")
+	assert.Equal(t, c.status(), http.StatusOK)
+	full(l)
+	refused := 0
+	for i := range 20 {
+		c.send(fmt.Sprint("next-", i))
+		if c.status() != http.StatusOK {
+			refused++
+			c = dial(t, l.Addr().String())
+		}
+	}
+	assert.Assert(t, refused >= 15, "%d", refused)
+}
+
+// TestNoRoomRefusesAtOnce guards against callers that wait to be accepted until their time is
+// over, while all connections that an entry holds have requests in progress.
+func TestNoRoomRefusesAtOnce(t *testing.T) {
+	g := newRig(t)
+	for _, x := range g.targets {
+		x.Events, x.Pause = 100_000, time.Millisecond
+	}
+	l := shedding(t, g, 2)
+	for _, id := range []string{"first", "second"} {
+		c := dial(t, l.Addr().String())
+		fmt.Fprintf(c, "POST /stream/stream/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nContent-Length: 0\r\n\r\n", host, id, key)
+	}
+	g.waitArrived(t, 2)
+	for _, id := range []string{"third", "fourth", "fifth"} {
+		c := dial(t, l.Addr().String())
+		c.send(id)
+		status := c.status()
+		// One whose bytes have not come yet is closed unread.
+		assert.Assert(t, status == http.StatusServiceUnavailable || status == 0, "%s: %d", id, status)
+	}
+	arrived, _ := g.count()
+	assert.Equal(t, arrived, 2)
+}
