place, trial, deploy: a new prefix goes to the first target by hash

Hypothesis: entries that need a prefix which none of them knows to be held choose among three targets by loads and distance, each its own; the same one for all would read it once.

--- a/place/place.go
+++ b/place/place.go
@@ -130,12 +130,16 @@
 }
 
 // Pick returns the best candidate; false where there is none. It looks among targets
-// that hold some of the prefix and a few that the hash of the request names, then
-// among all below the ceiling, then among all.
+// that hold some of the prefix and the one that the hash of the request names first, then
+// among a few that it names, then among all below the ceiling, then among all. Entries that
+// need a new prefix at the same moment so send it to the same target, where it is read once.
 func Pick(list []Candidate, donor Donor, ask Ask) (Choice, bool) {
 	limit := ceiling(list, ask.Cap)
-	few := named(list, ask.Key)
+	first, few := named(list, ask.Key)
 	passes := []func(c *Candidate) bool{
+		func(c *Candidate) bool {
+			return ask.Shared >= fetchLeast && c.free() && c.Running+1 <= limit && (holds(c, ask) || unit(c.ID, ask.Key) >= first)
+		},
 		func(c *Candidate) bool {
 			return c.free() && c.Running+1 <= limit && (holds(c, ask) || unit(c.ID, ask.Key) >= few)
 		},
@@ -183,8 +187,9 @@
 // them takes too much the others don't.
 const choices = 3
 
-// named is the hash from which on a target is among the choices.
-func named(list []Candidate, key uint64) float64 {
+// named is the hash of the target that is named first, and that from which on a target is
+// among the choices.
+func named(list []Candidate, key uint64) (first, last float64) {
 	var top [choices]float64
 	for i := range list {
 		u := unit(list[i].ID, key)
@@ -194,7 +199,7 @@
 			}
 		}
 	}
-	return top[choices-1]
+	return top[0], top[choices-1]
 }
 
 // ceiling is the load that no target should exceed. Cold and failing targets
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -175,6 +175,25 @@
 	assert.Assert(t, p.read <= 2*prefix, "%d", p.read)
 }
 
+// TestNewPrefixGoesToOneTarget guards against entries that need a new prefix at the same
+// moment and, as each knows other loads, have it read by a target each.
+func TestNewPrefixGoesToOneTarget(t *testing.T) {
+	ask := place.Ask{Key: 77, Tokens: 9000, Shared: 8000}
+	got := make(map[string]bool)
+	for entry := range 20 {
+		var list []place.Candidate
+		for i := range 30 {
+			list = append(list, place.Candidate{
+				ID: fmt.Sprint("t", i), Running: float64((entry*7 + i*3) % 4), Slots: 64, Far: (entry+i)%3 > 0,
+			})
+		}
+		c, ok := place.Pick(list, place.Donor{}, ask)
+		assert.Assert(t, ok)
+		got[list[c.Index].ID] = true
+	}
+	assert.Equal(t, len(got), 1, "%v", got)
+}
+
 // All targets are far over their slots: a request still goes to the least loaded one
 // rather than to none, as targets queue by urgency.
 func TestSaturation(t *testing.T) {
