--- a/ask.go
+++ b/ask.go
@@ -42,8 +42,8 @@
 	Last    int64
 }
 
-// Told is what a target's headers say.
-type Told struct {
+// ServerHeaders is what a target's headers say.
+type ServerHeaders struct {
 	// ID of the request that the answer belongs to.
 	ID string
 	// Signed says that the target itself made the answer.
@@ -58,7 +58,7 @@
 type Wire interface {
 	Ask(h http.Header) Ask
 	Prepare(h http.Header, s Send)
-	Told(status int, h http.Header) Told
+	ServerHeaders(status int, h http.Header) ServerHeaders
 	SetRetry(h http.Header, after time.Duration)
 	// Peek reads who asks for what from the first bytes of a request, as far as they hold it.
 	Peek(head []byte) (id, key string)
--- a/board/board.go
+++ b/board/board.go
@@ -41,11 +41,11 @@
 	mu      sync.Mutex
 	targets map[uint32]*state
 	// holds is by the low half of a part's ID, and by target.
-	holds  map[uint32]map[uint32]hold
-	news   []share.Hold
-	gone   []uint32
-	peers  map[netip.AddrPort]*peer
-	sums   map[uint32]share.Load
+	holds map[uint32]map[uint32]hold
+	news  []share.Hold
+	gone  []uint32
+	peers map[netip.AddrPort]*peer
+	sums  map[uint32]share.Load
 	// services is what requests to each service hold, of this entry.
 	services map[string]*usage
 	// domains is what is known of the ways to failure domains.
@@ -153,7 +153,7 @@
 			continue
 		}
 		key, s := b.instance(&t.Instance)
-		if !need.Suspects && (s.health.down(now) || b.domains[t.Domain].away(now)) {
+		if !need.Suspects && (s.health.down(now) || b.domains[t.Domain].isUnreachable(now)) {
 			continue
 		}
 		cold := service.ColdRate > 0 && now < t.ColdUntil
@@ -163,17 +163,17 @@
 		sum := b.sums[key]
 		limit := s.limit.At(now, t.Slots, hold, patience)
 		list = append(list, place.Candidate{
-			ID:      t.ID,
-			Address: t.Address,
-			Running: float64(s.running + int(sum.Running)),
-			Limit:   limit,
-			Unheard: b.unheard(now, s, limit),
-			Reading: float64(s.reading + readingUnit*int(sum.Reading)),
-			Slots:   t.Slots,
-			Held:    b.held(now, Key(&t.Instance), need.Parts, false),
-			Failing: s.health.failing(),
-			Far:     t.Domain != need.Domain,
-			Cold:    cold,
+			ID:         t.ID,
+			Address:    t.Address,
+			Running:    float64(s.running + int(sum.Running)),
+			Limit:      limit,
+			Unreported: b.unreported(now, s, limit),
+			Reading:    float64(s.reading + readingUnit*int(sum.Reading)),
+			Slots:      t.Slots,
+			Held:       b.held(now, Key(&t.Instance), need.Parts, false),
+			Failing:    s.health.failing(),
+			Far:        t.Domain != need.Domain,
+			Cold:       cold,
 		})
 	}
 	return list
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -54,7 +54,7 @@
 		r := &share.Report{From: addr(i), Loads: from.Loads(), Holds: from.Holds(), Gone: from.Gone()}
 		for j, to := range list {
 			if i != j {
-				to.Learn(now, r)
+				to.MergeReport(now, r)
 			}
 		}
 	}
@@ -111,7 +111,7 @@
 		r := &share.Report{From: addr(i), Loads: from.Loads()}
 		for j := (i*7 + round) % manyRounds; j < len(list); j += manyRounds {
 			if i != j {
-				list[j].Learn(now, r)
+				list[j].MergeReport(now, r)
 			}
 		}
 	}
--- a/board/cold.go
+++ b/board/cold.go
@@ -12,16 +12,14 @@
 )
 
 const (
-	// sponsorsMost is how many entries send to one cold target. Each may send a
+	// assignedMost is how many entries send to one cold target. Each may send a
 	// request at any moment, so that all entries of a large fleet together would
 	// exceed any rate.
-	sponsorsMost = 6
+	assignedMost = 6
 	// coldShare is the part of a cold target's rate that is used: what is on the
 	// way when a target turns cold takes the rest.
 	coldShare = 0.9
-	// aloneGuess is the number of entries that is assumed before any peer was
-	// heard.
-	aloneGuess = 6
+	defaultFleetSize = 6 // used until the first peer report arrives
 	// overDefault and slackDefault stand in where operators set no bounds.
 	overDefault  = 1.5
 	slackDefault = 5.0
@@ -47,49 +45,49 @@
 func (c *coldBucket) take() { c.tokens-- }
 
 // coldLeft says whether this entry may send a request to a cold target now. The
-// target's rate is divided over its sponsors: the first few entries by hash.
+// target's rate is divided over its assigned entries: the first few by hash.
 func (b *Board) coldLeft(now clock.Stamp, key uint32, s *state, service *chestnutstep.Service) bool {
 	n := b.entries()
-	k := min(n, b.sponsorsFor(service.ColdRate))
-	if n > k && !b.sponsors(key, k) {
+	k := min(n, b.assignedFor(service.ColdRate))
+	if n > k && !b.isAssigned(key, k) {
 		return false
 	}
 	s.cold.refill(now, coldShare*service.ColdRate/float64(k))
 	return s.cold.tokens >= 1
 }
 
-// sponsorsFor is how many entries may send to one cold target: each may send one
+// assignedFor is how many entries may send to one cold target: each may send one
 // request at any moment beside the steady rate.
-func (b *Board) sponsorsFor(rate float64) int {
+func (b *Board) assignedFor(rate float64) int {
 	over, slack := overDefault, slackDefault
 	if b.Cold != nil {
 		over, slack = b.Cold()
 	}
 	room := int((over-coldShare)*rate + slack)
-	return min(max(room, 1), sponsorsMost)
+	return min(max(room, 1), assignedMost)
 }
 
-// entries is how many entries there are. One that hears fewer than before may be
+// entries is how many entries there are. One that knows of fewer than before may be
 // the one that is cut off: the others still send.
 func (b *Board) entries() int {
 	if len(b.peers) == 0 {
-		return max(b.most, aloneGuess)
+		return max(b.most, defaultFleetSize)
 	}
 	return max(b.most, len(b.peers)+1)
 }
 
-// sponsors says whether this entry is among the first k by hash.
-func (b *Board) sponsors(key uint32, k int) bool { return b.rank(key) < k }
+// isAssigned says whether this entry is among the first k by hash.
+func (b *Board) isAssigned(key uint32, k int) bool { return b.rank(key) < k }
 
-// Sponsors says whether this entry is among the first k that look after a
+// IsAssigned says whether this entry is among the first k that look after a
 // target.
-func (b *Board) Sponsors(t *chestnutstep.Instance, k int) bool {
+func (b *Board) IsAssigned(t *chestnutstep.Instance, k int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.sponsors(loadKey(t.ID), k)
+	return b.isAssigned(loadKey(t.ID), k)
 }
 
-// rank is this entry's place among those that are heard, by hash.
+// rank is this entry's place among the known ones, by hash.
 func (b *Board) rank(key uint32) int {
 	own := hash(b.Self, key)
 	before := 0
@@ -101,7 +99,7 @@
 	return before
 }
 
-// Rank is this entry's place among those that are heard.
+// Rank is this entry's place among the known ones.
 func (b *Board) Rank() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/board/domain.go
+++ b/board/domain.go
@@ -34,11 +34,11 @@
 	probing bool
 }
 
-// away says that the domain gets no requests now.
-func (d *domain) away(now clock.Stamp) bool { return d != nil && now < d.until }
+// isUnreachable says that the domain gets no requests now.
+func (d *domain) isUnreachable(now clock.Stamp) bool { return d != nil && now < d.until }
 
-// fell notes that a target did not answer.
-func (d *domain) fell(now clock.Stamp, key uint32) {
+// recordTimeout notes that a target did not answer.
+func (d *domain) recordTimeout(now clock.Stamp, key uint32) {
 	for k, at := range d.silent {
 		if now.Sub(at) > silentWithin {
 			delete(d.silent, k)
@@ -53,8 +53,8 @@
 	d.until = now.Add(d.pause)
 }
 
-// answered notes that a target answered, whatever it said.
-func (d *domain) answered() {
+// recordResponse notes that a target recordResponse, whatever it said.
+func (d *domain) recordResponse() {
 	clear(d.silent)
 	d.until, d.pause, d.probing = 0, 0, false
 }
@@ -81,9 +81,9 @@
 func (b *Board) reach(now clock.Stamp, name string, key uint32, o Outcome) {
 	switch o {
 	case Unreached:
-		b.domainOf(name).fell(now, key)
+		b.domainOf(name).recordTimeout(now, key)
 	case Served, Failed, Refused, Replaced, Closed:
-		b.domainOf(name).answered()
+		b.domainOf(name).recordResponse()
 	case Silent, Canceled: // a connection that broke says nothing of the way there
 	}
 }
--- a/board/holds.go
+++ b/board/holds.go
@@ -15,7 +15,7 @@
 	// fetch, and whoever tries reads it a second time.
 	ready bool
 	// listed says that only the target itself named it: most of such parts belong
-	// to one request, and peers are not told until another asks for it.
+	// to one request, and are not reported to peers until another asks for it.
 	listed bool
 }
 
@@ -63,14 +63,14 @@
 		return
 	}
 	for _, p := range parts[:len(parts)-1] {
-		if b.learn(now, uint32(p.ID), key, ready) {
+		if b.recordPart(now, uint32(p.ID), key, ready) {
 			b.news = append(b.news, share.Hold{Target: key, Part: uint32(p.ID), Ready: ready})
 		}
 	}
 }
 
-// learn notes a part in a cache, and says whether that is new.
-func (b *Board) learn(now clock.Stamp, part, key uint32, ready bool) bool {
+// recordPart notes a part in a cache, and says whether that is new.
+func (b *Board) recordPart(now clock.Stamp, part, key uint32, ready bool) bool {
 	m := b.holds[part]
 	if m == nil {
 		if len(b.holds) >= partsMost {
@@ -136,12 +136,12 @@
 	return lists
 }
 
-// TakeLists notes what a peer knows of caches.
-func (b *Board) TakeLists(now clock.Stamp, lists []share.List) {
+// MergeLists notes what a peer knows of caches.
+func (b *Board) MergeLists(now clock.Stamp, lists []share.List) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin()
-	b.takeLists(now, lists)
+	b.mergeLists(now, lists)
 }
 
 // list notes a part that a target named, unless more is known of it.
@@ -149,7 +149,7 @@
 	if _, known := b.holds[part][key]; known {
 		return
 	}
-	b.learn(now, part, key, true)
+	b.recordPart(now, part, key, true)
 	b.holds[part][key] = hold{at: now, ready: true, listed: true}
 }
 
--- a/board/peers.go
+++ b/board/peers.go
@@ -13,7 +13,7 @@
 	// dead peer don't keep targets looking busy.
 	loadKeep = 1500 * time.Millisecond
 	// firstKeep is how long a peer that spoke once counts as a member: entries of a
-	// large fleet hear from each other many seconds apart.
+	// large fleet get reports of each other many seconds apart.
 	firstKeep = 30 * time.Second
 	// gapsKept is how many of its usual gaps a member may be silent.
 	gapsKept = 3
@@ -23,21 +23,21 @@
 
 // peer is another entry. Its loads are worth something only while they are fresh; as
 // one of the fleet, among whom budgets are divided, it counts for as long as its
-// silence is usual. Entries of a large fleet hear a part of the others within
+// silence is usual. Entries of a large fleet get reports of a part of the others within
 // loadKeep: taken for the whole fleet, each would use too large a part of its budgets.
 type peer struct {
-	heard clock.Stamp
+	lastSeen clock.Stamp
 	// gap is the longest time of late between two of its datagrams; 0 after one.
 	gap   time.Duration
 	loads []share.Load
 }
 
-// hear notes a datagram.
-func (p *peer) hear(now clock.Stamp) {
-	if p.heard != 0 {
-		p.gap = max(now.Sub(p.heard), p.gap-time.Duration(gapFade*float64(p.gap)))
+// recordReport notes a datagram.
+func (p *peer) recordReport(now clock.Stamp) {
+	if p.lastSeen != 0 {
+		p.gap = max(now.Sub(p.lastSeen), p.gap-time.Duration(gapFade*float64(p.gap)))
 	}
-	p.heard = now
+	p.lastSeen = now
 }
 
 // keep is how long a silent peer counts as a member.
@@ -90,9 +90,9 @@
 	return list
 }
 
-// learnKept keeps as much free as a peer does. An entry that kept less would give away
+// mergeKept keeps as much free as a peer does. An entry that kept less would give away
 // what the others leave, and what a workspace is refused there it gets here.
-func (b *Board) learnKept(now clock.Stamp, list []share.Kept) {
+func (b *Board) mergeKept(now clock.Stamp, list []share.Kept) {
 	for _, k := range list {
 		for _, u := range b.services {
 			if u.key == k.Service {
@@ -112,8 +112,8 @@
 	return list
 }
 
-// Learn takes a peer's report.
-func (b *Board) Learn(now clock.Stamp, r *share.Report) {
+// MergeReport takes a peer's report.
+func (b *Board) MergeReport(now clock.Stamp, r *share.Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.begin()
@@ -126,17 +126,17 @@
 		b.most, b.mostAt = len(b.peers)+1, now
 	}
 	if len(r.Lists) > 0 {
-		b.takeLists(now, r.Lists)
+		b.mergeLists(now, r.Lists)
 		return
 	}
 	b.add(p.loads, -1)
-	p.hear(now)
+	p.recordReport(now)
 	p.loads = r.Loads
 	if r.Leaving {
 		p.loads = nil
 	}
 	b.add(p.loads, 1)
-	b.learnKept(now, r.Kept)
+	b.mergeKept(now, r.Kept)
 	for _, key := range r.Gone {
 		if s := b.targets[key]; s != nil {
 			s.health.take(now, Replaced)
@@ -144,13 +144,13 @@
 	}
 	for _, h := range r.Holds {
 		if old, known := b.holds[h.Part][h.Target]; !known || h.Ready && !old.ready {
-			b.learn(now, h.Part, h.Target, h.Ready)
+			b.recordPart(now, h.Part, h.Target, h.Ready)
 		}
 	}
 }
 
-// takeLists notes caches that a peer was told of.
-func (b *Board) takeLists(now clock.Stamp, lists []share.List) {
+// mergeLists takes whole caches from a peer.
+func (b *Board) mergeLists(now clock.Stamp, lists []share.List) {
 	for _, l := range lists {
 		l.Each(func(part uint32) { b.list(now, l.Target, part) })
 		b.listed[l.Target] = true
@@ -176,13 +176,13 @@
 // was made smaller gets its whole budget back.
 const mostKeep = 5 * time.Minute
 
-// expire forgets loads and peers that were not heard for long.
+// expire forgets the loads of peers that are silent, and peers that are silent for long.
 func (b *Board) expire(now clock.Stamp) {
 	if now.Sub(b.mostAt) > mostKeep {
 		b.most, b.mostAt = len(b.peers)+1, now
 	}
 	for from, p := range b.peers {
-		silent := now.Sub(p.heard)
+		silent := now.Sub(p.lastSeen)
 		if silent > loadKeep {
 			b.add(p.loads, -1)
 			p.loads = nil
--- a/board/run.go
+++ b/board/run.go
@@ -69,7 +69,7 @@
 	r.ready = true
 	r.read()
 	r.observe(now)
-	r.board.domainOf(r.domain).answered()
+	r.board.domainOf(r.domain).recordResponse()
 	r.board.hold(now, r.cache, r.parts, true)
 }
 
--- a/board/usage.go
+++ b/board/usage.go
@@ -24,10 +24,10 @@
 	// paceSmooth lets the last hundred or so requests to a service count, long ones and
 	// short ones: a limit that follows the last few swings with their mix.
 	paceSmooth = 0.01
-	// recent is how old what peers told of their requests is by and large.
+	// recent is the usual age of what peers report of their requests.
 	recent = 50 * time.Millisecond
 	// unheardMost is the part of a target's limit that requests of peers may take that
-	// they have not told of.
+	// they have not reported.
 	unheardMost = 0.5
 )
 
@@ -51,33 +51,33 @@
 }
 
 // leastPlaces is the lowest limit of a target: below it, places would stay free. An
-// entry that hears only some of the others counts only their requests and its own: it
+// entry that has reports of only some of the others counts only their requests and its own: it
 // keeps to their part.
 func (b *Board) leastPlaces(now clock.Stamp, slots int, engine bool) float64 {
-	least := float64(slots) * b.heard(now)
+	least := float64(slots) * b.reportingPart(now)
 	if engine {
 		least *= engineLeast
 	}
 	return max(least, 1)
 }
 
-// heard is the part of the entries, this one among them, whose requests are known.
-func (b *Board) heard(now clock.Stamp) float64 {
+// reportingPart is the part of the entries, this one among them, whose requests are known.
+func (b *Board) reportingPart(now clock.Stamp) float64 {
 	n := 1
 	for _, p := range b.peers {
-		if now.Sub(p.heard) <= loadKeep {
+		if now.Sub(p.lastSeen) <= loadKeep {
 			n++
 		}
 	}
 	return float64(n) / float64(max(b.entries(), n))
 }
 
-// unheard are the requests that peers have sent to a target since they told of theirs,
+// unreported are the requests that peers have sent to a target since their last reports,
 // taken to be as many as this entry has sent, and at most a part of what it may have.
 // Without it all entries see the same free place and give it away, each to a request of its
 // own. Without the bound one request of this entry would close a target before hundreds of
 // peers, however idle it is.
-func (b *Board) unheard(now clock.Stamp, s *state, limit float64) float64 {
+func (b *Board) unreported(now clock.Stamp, s *state, limit float64) float64 {
 	return min(s.sent.at(now)*float64(len(b.peers)), unheardMost*limit)
 }
 
--- a/node/advice.go
+++ b/node/advice.go
@@ -10,10 +10,10 @@
 	"chestnutstep.example/chestnutstep/share"
 )
 
-// Tell fills a report to the peers.
-func (n *Direct) Tell(now clock.Stamp, r *share.Report) {
+// FillReport fills a report to the peers.
+func (n *Direct) FillReport(now clock.Stamp, r *share.Report) {
 	r.Version = n.roster.Version()
-	r.Knows = n.knows.Load()
+	r.HasIndex = n.knows.Load()
 	r.Age = -1
 	if at := n.roster.Proof(); at != 0 {
 		r.Age = now.Sub(at).Milliseconds() + 1
@@ -27,11 +27,11 @@
 	return share.News{Holds: n.board.Holds(), Gone: n.board.Gone(), Crashes: n.crashes.News()}
 }
 
-// Learn takes a peer's report. One that proves that the configuration in force
+// MergeReport takes a peer's report. One that proves that the configuration in force
 // here is current saves this entry when it can't reach the source itself.
-func (n *Direct) Learn(now clock.Stamp, r *share.Report, asked clock.Stamp) {
-	n.board.Learn(now, r)
-	n.crashes.Learn(time.Now(), r.Crashes)
+func (n *Direct) MergeReport(now clock.Stamp, r *share.Report, asked clock.Stamp) {
+	n.board.MergeReport(now, r)
+	n.crashes.Merge(time.Now(), r.Crashes)
 	own := n.roster.Version()
 	switch {
 	case r.Version == own && own != 0 && r.Age >= 0 && asked != 0:
--- a/node/direct.go
+++ b/node/direct.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	n.peers = &share.Peers{Self: self, Run: drawRun(), Knowledge: n, Conn: conn, Failed: n.datagramFailed}
+	n.peers = &share.Peers{Self: self, Run: drawRun(), Knowledge: n, Conn: conn, OnError: n.datagramFailed}
 	if a, err := netip.ParseAddrPort(n.Settings.Control); err == nil && n.Facts != nil {
 		n.peers.Control = a.Port()
 	}
--- a/node/learn.go
+++ b/node/learn.go
@@ -19,9 +19,9 @@
 	// what targets hold, or a target has joined.
 	learnTick = 10 * time.Millisecond
 	// learnWait is how long it waits for such a peer before it asks the targets:
-	// peers greet it within a few milliseconds, in another failure domain too.
+	// peers report to it within a few milliseconds, in another failure domain too.
 	learnWait = 40 * time.Millisecond
-	// askers is how many entries ask one target, and tell the others: two, as the
+	// askers is how many entries ask one target, and report to the others: two, as the
 	// datagrams of one may be lost. Each listing costs its target some work.
 	askers = 2
 	// learnFor is how long after the first view targets are asked that join: twice
@@ -69,12 +69,12 @@
 // learnFromPeer asks a peer that knows, if there is one.
 func (n *Direct) learnFromPeer(ctx context.Context, began time.Time) bool {
 	for {
-		if peer, ok := n.peers.Knowing(); ok {
+		if peer, ok := n.peers.PeerWithCacheIndex(); ok {
 			lists, size, err := share.FetchCaches(ctx, peer.String(), link.Dial)
 			n.log.Emit(event.CachesTaken, event.Str("peer", peer.String()), event.Int("lists", int64(len(lists))),
 				event.Int("bytes", int64(size)), event.Err(err))
 			if err == nil {
-				n.board.TakeLists(clock.Now(), lists)
+				n.board.MergeLists(clock.Now(), lists)
 			}
 			return err == nil
 		}
@@ -96,7 +96,7 @@
 	for end := time.Now().Add(learnFor); time.Now().Before(end); {
 		list := n.unlisted()
 		for _, t := range list {
-			if !asked[t.ID] && n.board.Sponsors(&t.Instance, askers) {
+			if !asked[t.ID] && n.board.IsAssigned(&t.Instance, askers) {
 				asked[t.ID] = true
 				queue <- t
 			}
--- a/place/place.go
+++ b/place/place.go
@@ -4,7 +4,7 @@
 // The load it answers: many chats share long prompt prefixes, and a few prefixes
 // take much of the traffic. Placed by load alone, each prefix is read anew at
 // every target, and the reading delays the tokens of all others there. Placed by
-// prefix alone, the target of a popular prefix drowns. The choice here weighs
+// prefix alone, the target of a popular prefix is overloaded. The choice here weighs
 // both in one unit, milliseconds of the caller's time.
 package place
 
@@ -57,8 +57,8 @@
 	Running float64
 	// Slots is how many run at once.
 	Slots int
-	// Unheard is the requests there, estimated, that other entries have not told of.
-	Unheard float64
+	// Unreported is the requests there, estimated, that other entries have not reported.
+	Unreported float64
 	// Limit is how many requests it may have so that one more begins in time; 0 for
 	// no limit.
 	Limit float64
@@ -75,7 +75,7 @@
 }
 
 // free says that one more request would begin in time.
-func (c *Candidate) free() bool { return c.Limit <= 0 || c.Running+c.Unheard < c.Limit }
+func (c *Candidate) free() bool { return c.Limit <= 0 || c.Running+c.Unreported < c.Limit }
 
 // Taken is the part of all places at the targets that is taken, 1 and more where none
 // of them has one left. Of cold targets, which carry little by intention, one that may
@@ -87,7 +87,7 @@
 		if c.Limit <= 0 || c.Cold && c.free() {
 			return 0
 		}
-		running += c.Running + c.Unheard
+		running += c.Running + c.Unreported
 		places += c.Limit
 		free = free || c.free()
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -26,14 +26,14 @@
 		f := q.verdict(q.ctx.Err())
 		return nil, choice{}, &f
 	}
-	// What is believed may have changed while an earlier try ran.
+	// The view may have changed while an earlier attempt ran.
 	if v := q.Roster.View(); v != nil {
 		q.view = v
 	}
 	if q.workspace != nil && !q.current() {
 		return nil, choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonVersion, retryUnready}
 	}
-	if q.Crashes.Condemned(time.Now(), q.content) {
+	if q.Crashes.Quarantined(time.Now(), q.content) {
 		return nil, choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, retryCondemned}
 	}
 	list := q.candidates(now)
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -13,7 +13,7 @@
 // retryCondemned is when a refused content may come back.
 const retryCondemned = 10 * time.Second
 
-// Crashes asks the jury about contents. Without agents nobody sees a target die: a
+// Crashes detects contents that crash targets. Without agents nobody sees a target die: a
 // connection that breaks while a target runs a content counts as its crash. It is
 // safe for concurrent use.
 type Crashes struct {
@@ -22,8 +22,8 @@
 	news []share.Crash
 }
 
-// Condemned says that the content broke too many targets.
-func (c *Crashes) Condemned(now time.Time, content uint64) bool {
+// Quarantined says that the content broke too many targets.
+func (c *Crashes) Quarantined(now time.Time, content uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.jury.Judge(now, content) == chestnutstep.Condemned
@@ -36,8 +36,8 @@
 	c.jury.End(now, content, true)
 }
 
-// Broke notes that a target's connection broke while it ran the content.
-func (c *Crashes) Broke(now time.Time, content uint64, target uint32) {
+// Record notes that a target's connection broke while it ran the content.
+func (c *Crashes) Record(now time.Time, content uint64, target uint32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	news := share.Crash{Target: target, Fingerprint: content}
@@ -47,12 +47,12 @@
 	}
 }
 
-// newsMost bounds what waits to be told: a target that dies breaks as many
+// newsMost bounds what waits to be reported: a target that dies breaks as many
 // connections as it has requests.
 const newsMost = 256
 
-// Learn takes a peer's word.
-func (c *Crashes) Learn(now time.Time, list []share.Crash) {
+// Merge takes a peer's word.
+func (c *Crashes) Merge(now time.Time, list []share.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range list {
--- a/relay/run.go
+++ b/relay/run.go
@@ -98,8 +98,8 @@
 		q.failed(run, t, err)
 		return false, err
 	}
-	told := q.Wire.Told(answer.Status, answer.Header)
-	if err := q.judge(answer, told); err != nil {
+	told := q.Wire.ServerHeaders(answer.Status, answer.Header)
+	if err := q.validate(answer, told); err != nil {
 		answer.Close(false)
 		q.failed(run, t, err)
 		return false, err
--- a/relay/judge.go
+++ b/relay/validate.go
@@ -16,9 +16,9 @@
 	"chestnutstep.example/chestnutstep/roster"
 )
 
-// judge says whether an answer's head can be that of the request, and whether
+// validate says whether an answer's head can be that of the request, and whether
 // it says that the request ran.
-func (q *request) judge(a *link.Answer, told chestnutstep.Told) error {
+func (q *request) validate(a *link.Answer, told chestnutstep.ServerHeaders) error {
 	switch {
 	case told.NotRun && (told.ID == "" || told.ID == q.ask.ID):
 		reason := chestnutstep.ReasonFull
@@ -49,7 +49,7 @@
 		q.tally.Add(e.Run)
 	}
 	if e.Reason == chestnutstep.ReasonLink && !left {
-		q.Crashes.Broke(time.Now(), q.content, board.Key(&t.Instance))
+		q.Crashes.Record(time.Now(), q.content, board.Key(&t.Instance))
 	}
 	if e.Reason == chestnutstep.ReasonDown || e.Reason == chestnutstep.ReasonDead {
 		q.Pool.Drop(t.Address)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,4 +1,4 @@
-// Package roster holds what a process believes of the configuration and of the
+// Package roster holds what a process knows of the configuration and of the
 // targets that run, from facts that come late, twice, out of order or not at
 // all. It is pure: its owner gives it facts and the time.
 package roster
@@ -15,7 +15,7 @@
 )
 
 // settle is how long after the source's return an instance that is missing is
-// still believed in. Entries lapse while the source is away; those of live
+// still kept. Entries lapse while the source is away; those of live
 // targets are back within about two seconds. Dropped at once, a whole fleet of
 // sound targets would get no work.
 const settle = 2 * time.Second
@@ -29,7 +29,7 @@
 	missing bool
 }
 
-// View is what is believed at one moment. It is never changed.
+// View is what is known at one moment. It is never changed.
 type View struct {
 	Routing *chestnutstep.Routing
 	// Listed says that the list of targets was read: before that, none is known.
@@ -94,7 +94,7 @@
 	return c.Version == 0 && len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Back)+len(c.Out)+len(c.In) == 0
 }
 
-// View returns what is believed now; nil before the configuration is known.
+// View returns what is known now; nil before the configuration is known.
 func (r *Roster) View() *View { return r.view.Load() }
 
 // Proof is the moment as of which the configuration is known to be current; 0
@@ -324,7 +324,7 @@
 	}
 }
 
-// publish makes a view of what is believed, if anything changed or always.
+// publish makes a new view, if anything changed or always.
 func (r *Roster) publish(c Change, always bool) {
 	if r.routing == nil || !always && c.Empty() && r.view.Load() != nil {
 		return
--- a/share/news.go
+++ b/share/news.go
@@ -1,12 +1,12 @@
 package share
 
 const (
-	// newsKept bounds the events that are kept for peers that were not told of them: twenty
+	// newsKept bounds the events that are kept for peers that have not got them: twenty
 	// seconds of a heavy load.
 	newsKept = 4096
 	// newsTold bounds the events of one datagram.
 	newsTold = 60
-	// newsFirst is how many of the latest events a peer is told of that was not known
+	// newsFirst is how many of the latest events are sent to a peer that was not known
 	// before: what came earlier it reads from the lists of a peer.
 	newsFirst = newsTold
 	// sendsKept is how many datagrams may be on their way to a peer before the first of
@@ -14,14 +14,14 @@
 	sendsKept = 4
 )
 
-// News are events that every peer has to be told of once.
+// News are events that every peer has to receive.
 type News struct {
 	Holds   []Hold
 	Gone    []uint32
 	Crashes []Crash
 }
 
-// newsLog numbers events, so that each peer is told of those that it does not have. Its zero
+// newsLog numbers events, so that each peer is sent those that it does not have. Its zero
 // value is empty.
 type newsLog struct {
 	// first is the number of the oldest event that is kept.
@@ -77,8 +77,8 @@
 	return from + uint64(len(events))
 }
 
-// cursor is up to where a peer has the news. Datagrams are lost now and then: what was told
-// is told again until an answer confirms it.
+// cursor is up to where a peer has the news. As datagrams may be lost, events are sent again
+// until an answer confirms them.
 type cursor struct {
 	// has is the number of the first event that the peer may lack.
 	has uint64
--- a/share/news_test.go
+++ b/share/news_test.go
@@ -27,7 +27,7 @@
 	got  map[Hold]int
 }
 
-func (c *collector) Tell(_ clock.Stamp, r *Report) { r.Age = -1 }
+func (c *collector) FillReport(_ clock.Stamp, r *Report) { r.Age = -1 }
 
 func (c *collector) News() News {
 	n := c.news
@@ -35,7 +35,7 @@
 	return n
 }
 
-func (c *collector) Learn(_ clock.Stamp, r *Report, _ clock.Stamp) {
+func (c *collector) MergeReport(_ clock.Stamp, r *Report, _ clock.Stamp) {
 	for _, h := range r.Holds {
 		c.got[h]++
 	}
@@ -71,7 +71,7 @@
 		k := &collector{got: make(map[Hold]int)}
 		m.knowers = append(m.knowers, k)
 		m.entries[a.String()] = &Peers{
-			Self: a, Seeds: addrs, Run: uint32(i + 1), Knowledge: k, Conn: &meshConn{mesh: m}, Failed: func(error) {},
+			Self: a, Seeds: addrs, Run: uint32(i + 1), Knowledge: k, Conn: &meshConn{mesh: m}, OnError: func(error) {},
 		}
 	}
 	for _, p := range m.entries {
--- a/share/peers.go
+++ b/share/peers.go
@@ -12,35 +12,36 @@
 )
 
 const (
-	// fanout bounds the peers of one round; beyond it each round picks those that were not
-	// told for longest. fanoutLeast of them are told whatever the bytes.
+	// fanout bounds the peers of one round, which are those that got no report for longest;
+	// fanoutLeast of them get one whatever the bytes.
 	fanout      = 8
 	fanoutLeast = 4
-	// tellPeers bounds the addresses of one datagram, and tellEvery says in which
-	// rounds they are told: who is there changes slowly.
+	// tellPeers bounds the addresses of one datagram; every tellEvery-th round has some, as
+	// membership changes slowly.
 	tellPeers = 6
 	tellEvery = 8
 	// peerKeep is how long a silent peer is remembered: after a cut it is asked
 	// again, and the two sides find each other.
 	peerKeep = 2 * time.Minute
-	// liveFor is how long after its last datagram a peer counts as heard.
+	// liveFor is how long after its last datagram a peer counts as alive.
 	liveFor = 1500 * time.Millisecond
 	// memberFor is how long after its last datagram a peer counts as a member: datagrams of
 	// one peer come seconds apart in a large fleet.
 	memberFor = 10 * time.Second
-	// quietEvery is how often a peer that is not heard gets a datagram.
+	// quietEvery is how often a silent peer gets a datagram.
 	quietEvery = 500 * time.Millisecond
 )
 
-// Knowledge is what an entry tells and learns. Its methods return at once.
+// Knowledge is what an entry reports to others, and takes from their reports. Its methods
+// return at once.
 type Knowledge interface {
-	// Tell fills a report but for what Peers itself knows.
-	Tell(now clock.Stamp, r *Report)
+	// FillReport fills a report but for what Peers itself knows.
+	FillReport(now clock.Stamp, r *Report)
 	// News returns what happened since the last call.
 	News() News
-	// Learn takes a peer's report. Asked is a moment of this process's clock
+	// MergeReport takes a peer's report. Asked is a moment of this process's clock
 	// before which the peer can't have made it; 0 where that is not known.
-	Learn(now clock.Stamp, r *Report, asked clock.Stamp)
+	MergeReport(now clock.Stamp, r *Report, asked clock.Stamp)
 }
 
 // Peers exchanges reports with other entries. Set the fields before Run.
@@ -53,8 +54,8 @@
 	Control uint16
 	// Conn is the socket, open already.
 	Conn net.PacketConn
-	// Failed hears of datagrams that can't be read or sent.
-	Failed func(err error)
+	// OnError is called for each datagram that could not be read or sent.
+	OnError func(err error)
 
 	mu     sync.Mutex
 	peers  map[netip.AddrPort]*peer
@@ -68,18 +69,18 @@
 
 // peer is another entry.
 type peer struct {
-	// met is when its address was first named, heard when it last spoke.
-	met    clock.Stamp
-	heard  clock.Stamp
-	sent   clock.Stamp
-	run    uint32
-	number uint32
+	// addedAt is when its address was first named, lastSeen when its last datagram came.
+	addedAt  clock.Stamp
+	lastSeen clock.Stamp
+	sent     clock.Stamp
+	run      uint32
+	number   uint32
 	// echo is the peer's Sent of its last report.
-	echo    int64
-	control uint16
-	leaving bool
-	knows   bool
-	news    cursor
+	echo     int64
+	control  uint16
+	leaving  bool
+	hasIndex bool
+	news     cursor
 }
 
 // Seed adds addresses of entries to ask.
@@ -88,7 +89,7 @@
 	defer p.mu.Unlock()
 	p.Seeds = list
 	for _, s := range list {
-		p.meet(s)
+		p.addPeer(s)
 	}
 }
 
@@ -104,7 +105,7 @@
 	defer p.mu.Unlock()
 	var list []Member
 	for a, x := range p.peers {
-		if x.heard == 0 || now.Sub(x.heard) > memberFor || x.leaving || x.control == 0 {
+		if x.lastSeen == 0 || now.Sub(x.lastSeen) > memberFor || x.leaving || x.control == 0 {
 			continue
 		}
 		list = append(list, Member{Addr: a, Control: netip.AddrPortFrom(a.Addr(), x.control)})
@@ -112,15 +113,15 @@
 	return list
 }
 
-// Knowing returns the control address of a live peer that knows what targets hold;
+// PeerWithCacheIndex returns the control address of a live peer that knows what targets hold;
 // false says that there is none. Map order is random, so that restarted entries
 // don't all ask the same one.
-func (p *Peers) Knowing() (netip.AddrPort, bool) {
+func (p *Peers) PeerWithCacheIndex() (netip.AddrPort, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := clock.Now()
 	for a, x := range p.peers {
-		if x.live(now) && x.knows && x.control != 0 {
+		if x.live(now) && x.hasIndex && x.control != 0 {
 			return netip.AddrPortFrom(a.Addr(), x.control), true
 		}
 	}
@@ -132,18 +133,18 @@
 	defer p.mu.Unlock()
 	p.peers = make(map[netip.AddrPort]*peer)
 	for _, s := range p.Seeds {
-		p.meet(s)
+		p.addPeer(s)
 	}
 }
 
-// meet notes an address; the caller holds the lock.
-func (p *Peers) meet(a netip.AddrPort) *peer {
+// addPeer notes an address; the caller holds the lock.
+func (p *Peers) addPeer(a netip.AddrPort) *peer {
 	if a == p.Self || !a.IsValid() {
 		return nil
 	}
 	x := p.peers[a]
 	if x == nil {
-		x = &peer{met: clock.Now()}
+		x = &peer{addedAt: clock.Now()}
 		p.forget(x)
 		p.peers[a] = x
 	}
@@ -157,9 +158,9 @@
 	x.news = cursor{has: end - min(end, newsFirst)}
 }
 
-func (x *peer) live(now clock.Stamp) bool { return x.heard != 0 && now.Sub(x.heard) <= liveFor }
+func (x *peer) live(now clock.Stamp) bool { return x.lastSeen != 0 && now.Sub(x.lastSeen) <= liveFor }
 
-// choose numbers the report, and picks who gets it: those that were not told for longest.
+// choose numbers the report, and picks who gets it: those that got none for longest.
 func (p *Peers) choose(now clock.Stamp, r *Report) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -175,7 +176,7 @@
 		switch {
 		case live && len(r.Peers) < tellPeers && p.number%tellEvery == 1:
 			r.Peers = append(r.Peers, a)
-		case now.Sub(max(x.heard, x.met)) > peerKeep && !p.seed(a):
+		case now.Sub(max(x.lastSeen, x.addedAt)) > peerKeep && !p.seed(a):
 			delete(p.peers, a)
 			continue
 		}
@@ -191,7 +192,7 @@
 	return to
 }
 
-// most is how many peers one round may tell, so that even the slowest pace keeps
+// most is how many peers one round may reach, so that even the slowest pace keeps
 // the rate. The caller holds the lock.
 func (p *Peers) most() int {
 	round := rate * slow.Seconds()
--- a/share/report.go
+++ b/share/report.go
@@ -1,6 +1,6 @@
-// Package share lets entries tell each other what each knows of targets, in
-// small periodic datagrams. It is advice only: no promise rests on it, and an
-// entry that hears nobody stays inside a share of its own.
+// Package share exchanges reports between entries in small periodic datagrams: requests in
+// progress, prompt parts in caches, crashes. Reports are hints: no guarantee rests on them,
+// and an entry that receives none keeps to its own part of each budget.
 package share
 
 import (
@@ -23,7 +23,7 @@
 	// Sent is the sender's clock, to be echoed; whole milliseconds, rounded down,
 	// so that an echo proves rather too little.
 	Sent int64
-	// Echo is the receiver's own Sent as the sender last heard it, 0 for none.
+	// Echo is the receiver's own Sent as the sender last received it, 0 for none.
 	Echo int64
 	// EchoRun is the receiver's incarnation that Echo belongs to.
 	EchoRun uint32
@@ -34,11 +34,11 @@
 	// Age of the proof that the version is current, in milliseconds; -1 for no
 	// proof.
 	Age int64
-	// Knows says that the sender has learned what targets hold.
-	Knows bool
+	// HasIndex says that the sender knows what targets have in their caches.
+	HasIndex bool
 	// Leaving says that the sender is stopping.
 	Leaving bool
-	// Peers are some other entries that the sender hears.
+	// Peers are some other entries that are alive for the sender.
 	Peers []netip.AddrPort
 	// Loads are the sender's own requests in progress.
 	Loads []Load
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -26,7 +26,7 @@
 	lists   int
 }
 
-func (k *knower) Tell(_ clock.Stamp, r *Report) {
+func (k *knower) FillReport(_ clock.Stamp, r *Report) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	r.Loads, r.Age = k.loads, 5
@@ -40,7 +40,7 @@
 	return n
 }
 
-func (k *knower) Learn(_ clock.Stamp, r *Report, asked clock.Stamp) {
+func (k *knower) MergeReport(_ clock.Stamp, r *Report, asked clock.Stamp) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.lists += len(r.Lists)
@@ -63,7 +63,7 @@
 	assert.NilError(t, err)
 	self := netip.MustParseAddrPort(conn.LocalAddr().String())
 	k := &knower{learned: make(map[netip.AddrPort]*Report), asked: make(map[netip.AddrPort]clock.Stamp)}
-	p := &Peers{Self: self, Seeds: seeds, Run: uint32(self.Port()), Knowledge: k, Conn: conn, Failed: func(error) {}}
+	p := &Peers{Self: self, Seeds: seeds, Run: uint32(self.Port()), Knowledge: k, Conn: conn, OnError: func(error) {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go p.Loop(ctx)
@@ -107,7 +107,7 @@
 func TestEchoProvesNoLaterThanItWas(t *testing.T) {
 	k := &knower{learned: make(map[netip.AddrPort]*Report), asked: make(map[netip.AddrPort]clock.Stamp)}
 	self, from := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7")
-	p := &Peers{Self: self, Run: 11, Knowledge: k, Conn: &sent{}, Failed: func(error) {}}
+	p := &Peers{Self: self, Run: 11, Knowledge: k, Conn: &sent{}, OnError: func(error) {}}
 	p.begin()
 	const ms = clock.Stamp(time.Millisecond)
 	p.take(1000*ms, &Report{From: from, Run: 5, Number: 1, Echo: 400, EchoRun: 11}, 10)
@@ -191,7 +191,7 @@
 func TestAddressWithoutEntryIsForgotten(t *testing.T) {
 	k := &knower{learned: make(map[netip.AddrPort]*Report), asked: make(map[netip.AddrPort]clock.Stamp)}
 	self, nobody := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.9:7")
-	p := &Peers{Self: self, Run: 1, Knowledge: k, Conn: &sent{}, Failed: func(error) {}}
+	p := &Peers{Self: self, Run: 1, Knowledge: k, Conn: &sent{}, OnError: func(error) {}}
 	p.begin()
 	p.take(clock.Now(), &Report{From: netip.MustParseAddrPort("10.0.0.2:7"), Run: 5, Number: 1, Peers: []netip.AddrPort{nobody}}, 10)
 	assert.Assert(t, p.peers[nobody] != nil)
@@ -217,7 +217,7 @@
 	k := &knower{learned: make(map[netip.AddrPort]*Report), asked: make(map[netip.AddrPort]clock.Stamp)}
 	self, from := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7")
 	conn := &sent{}
-	p := &Peers{Self: self, Run: 1, Knowledge: k, Conn: conn, Failed: func(error) {}}
+	p := &Peers{Self: self, Run: 1, Knowledge: k, Conn: conn, OnError: func(error) {}}
 	p.begin()
 	p.take(clock.Now(), &Report{From: from, Run: 5, Number: 1}, 10)
 	p.take(clock.Now(), &Report{From: from, Run: 5, Number: 2}, 10)
--- a/share/talk.go
+++ b/share/talk.go
@@ -49,7 +49,7 @@
 	return min(max(pause, fast), slow)
 }
 
-// Leave tells the peers that this entry stops.
+// Leave announces to the peers that this entry stops.
 func (p *Peers) Leave() {
 	p.mu.Lock()
 	p.leaving = true
@@ -81,7 +81,7 @@
 // bytes.
 func (p *Peers) round(now clock.Stamp) int {
 	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
-	p.Knowledge.Tell(now, r)
+	p.Knowledge.FillReport(now, r)
 	p.addNews()
 	targets := p.choose(now, r)
 	sum := 0
@@ -147,11 +147,11 @@
 // send writes one datagram that was encoded, and returns its bytes with headers.
 func (p *Peers) send(b []byte, err error, to netip.AddrPort) int {
 	if err != nil {
-		p.Failed(err)
+		p.OnError(err)
 		return 0
 	}
 	if _, err := p.Conn.WriteTo(b, net.UDPAddrFromAddrPort(to)); err != nil {
-		p.Failed(errors.Wrapf(err, "send to %s", to))
+		p.OnError(errors.Wrapf(err, "send to %s", to))
 		return 0
 	}
 	return len(b) + overhead
@@ -166,13 +166,13 @@
 			return
 		}
 		if err != nil {
-			p.Failed(err)
+			p.OnError(err)
 			time.Sleep(fast)
 			continue
 		}
 		r, err := decode(buf[:n])
 		if err != nil {
-			p.Failed(err)
+			p.OnError(err)
 			continue
 		}
 		p.take(clock.Now(), r, n)
@@ -183,7 +183,7 @@
 func (p *Peers) take(now clock.Stamp, r *Report, n int) {
 	p.mu.Lock()
 	p.in += int64(n + overhead)
-	x := p.meet(r.From)
+	x := p.addPeer(r.From)
 	if x == nil || x.run == r.Run && r.Number <= x.number {
 		p.mu.Unlock()
 		return
@@ -192,15 +192,15 @@
 	if started {
 		p.forget(x)
 	}
-	x.run, x.number, x.heard = r.Run, r.Number, now
+	x.run, x.number, x.lastSeen = r.Run, r.Number, now
 	if len(r.Lists) == 0 {
-		x.echo, x.control, x.leaving, x.knows = r.Sent, r.Control, r.Leaving, r.Knows
+		x.echo, x.control, x.leaving, x.hasIndex = r.Sent, r.Control, r.Leaving, r.HasIndex
 	}
 	if r.EchoRun == p.Run {
 		x.news.confirm(r.Echo)
 	}
 	for _, a := range r.Peers {
-		p.meet(a)
+		p.addPeer(a)
 	}
 	p.mu.Unlock()
 	var asked clock.Stamp
@@ -208,18 +208,18 @@
 	if echo > 0 && r.EchoRun == p.Run && echo <= now {
 		asked = echo
 	}
-	p.Knowledge.Learn(now, r, asked)
+	p.Knowledge.MergeReport(now, r, asked)
 	if started {
-		p.greet(now, r.From)
+		p.answerNew(now, r.From)
 	}
 }
 
-// greet answers an entry that was not heard before, or has restarted. In a large
+// answerNew reports at once to an entry that was not known before, or has restarted. In a large
 // fleet it would otherwise wait for its turn, up to half a second, before it knows
-// whom to ask for what it lost; each peer greets each life of it once.
-func (p *Peers) greet(now clock.Stamp, to netip.AddrPort) {
+// whom to ask for what it lost; each peer does so once for each of its runs.
+func (p *Peers) answerNew(now clock.Stamp, to netip.AddrPort) {
 	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
-	p.Knowledge.Tell(now, r)
+	p.Knowledge.FillReport(now, r)
 	p.addNews()
 	p.mu.Lock()
 	p.number++
--- a/trial/direct.go
+++ b/trial/direct.go
@@ -95,7 +95,7 @@
 		r := &share.Report{From: d.addrs[i], Loads: from.Loads(), Holds: from.Holds()}
 		for j, to := range d.entries {
 			if j != i {
-				to.Learn(now, r)
+				to.MergeReport(now, r)
 			}
 		}
 	}
--- a/trial/flood.go
+++ b/trial/flood.go
@@ -106,7 +106,7 @@
 		r := &share.Report{From: s.addrs[i], Loads: from.Loads(), Kept: from.Kept(s.clock())}
 		for j, to := range s.entries {
 			if j != i {
-				to.Learn(s.clock(), r)
+				to.MergeReport(s.clock(), r)
 			}
 		}
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -22,8 +22,8 @@
 	pauseLeast = 30 * time.Millisecond
 	pauseMost  = 300 * time.Millisecond
 	// lostWait is how long a watch waits after the source was lost. What is missing
-	// counts as gone two seconds after its return, and a watch that waits long hears
-	// of the return with the next change only: a target that is removed meanwhile
+	// counts as gone two seconds after its return, and a watch that waits long notices
+	// the return with the next change only: a target that is removed meanwhile
 	// would pass for one whose entry only lapsed, and still get requests.
 	lostWait = 50 * time.Millisecond
 )
@@ -32,7 +32,7 @@
 type Watcher struct {
 	Source chestnutstep.Source
 	Roster *roster.Roster
-	// Notify hears of what changed, and of each loss and return of the source.
+	// Notify is called for each change, and for each loss and return of the source.
 	Notify Notify
 	// Wait is how long the next watch waits for changes.
 	Wait func() time.Duration
