--- a/board/cold.go
+++ b/board/cold.go
@@ -18,7 +18,7 @@
 	assignedMost = 6
 	// coldShare is the part of a cold target's rate that is used: what is on the
 	// way when a target turns cold takes the rest.
-	coldShare = 0.9
+	coldShare        = 0.9
 	defaultFleetSize = 6 // used until the first peer report arrives
 	// overDefault and slackDefault stand in where operators set no bounds.
 	overDefault  = 1.5
