--- a/admit/sieve.go
+++ b/admit/sieve.go
@@ -11,11 +11,11 @@
 const (
 	// delayTarget is how long work may wait for the processor before an entry counts as
 	// full.
-	delayTarget = 10 * time.Millisecond
+	delayTarget = 100 * time.Millisecond
 	// shedGain is the part of what is still taken that one observation refuses, for each
 	// time that the delay is as long as the target, and shedStep bounds it.
-	shedGain = 0.05
-	shedStep = 0.2
+	shedGain = 0.2
+	shedStep = 0.25
 	// shedEase is what is left of the refused part after an observation without delay.
 	shedEase = 0.93
 	// shedLeast is the refused part that counts as none.
@@ -31,8 +31,8 @@
 // Sieve refuses requests before they are read while an entry gets more of them than its
 // processor can parse. It answers a surge that would make every request wait in the entry
 // beyond its deadline, and be parsed for nobody. Workspaces that send more than an even part
-// of what is taken are refused the surplus; the others are not refused. It uses the delay
-// of work that is ready to run; the zero value refuses nothing.
+// of what is taken are refused the surplus; the others are not refused. It uses the standing
+// delay of work that is ready to run; the zero value refuses nothing.
 type Sieve struct {
 	// part of the arrivals that is refused.
 	part float64
--- a/feed/page.go
+++ b/feed/page.go
@@ -6,10 +6,15 @@
 package feed
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"chestnutstep.example/chestnutstep"
@@ -21,15 +26,26 @@
 // (0 for all facts), "wait" and "fresh", both in milliseconds.
 const Path = "/feed"
 
-// page is the answer to a watch.
+// Headers of an answer, beside a body of published facts.
+const (
+	// headerAge is the age of the facts, and headerSettle the time for which missing
+	// instances may come back, in milliseconds.
+	headerAge    = "Feed-Age"
+	headerSettle = "Feed-Settle"
+	// headerRevision is that up to which the facts are.
+	headerRevision = "Feed-Revision"
+	// headerPacked is set where the body is compressed.
+	headerPacked = "Feed-Packed"
+)
+
+// packLeast is the size in bytes from which on a body is compressed.
+const packLeast = 2 << 10
+
+// page is an answer.
 type page struct {
-	_ struct{} `cbor:",toarray"`
-	// Age of the facts and Settle, the time for which missing instances may come back, in
-	// milliseconds.
-	Age      int64
-	Settle   int64
-	Revision uint64
-	Facts    []published
+	age, settle time.Duration
+	revision    uint64
+	facts       []published
 }
 
 // published is a fact as it was published.
@@ -45,6 +61,17 @@
 // Server answers peers that follow this entry. Set the fields before use.
 type Server struct {
 	Roster *roster.Roster
+
+	mu sync.Mutex
+	// last is the newest body, which most followers ask for.
+	last body
+}
+
+// body is an encoded list of facts.
+type body struct {
+	after, revision uint64
+	raw             []byte
+	packed          bool
 }
 
 // ServeHTTP answers with the facts after a revision as soon as there are any. It answers
@@ -68,17 +95,78 @@
 		http.Error(w, "history is gone", http.StatusGone)
 		return
 	}
-	p := page{Age: age.Milliseconds() + 1, Settle: b.Settle.Milliseconds(), Revision: b.Revision}
-	for _, f := range b.Facts {
-		p.Facts = append(p.Facts, published{Kind: uint8(f.Kind), Name: f.Name, Revision: f.Revision, Gone: f.Gone, Raw: f.Raw})
-	}
-	raw, err := cbor.Marshal(p)
+	encoded, err := s.encode(after, b)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	h := w.Header()
+	h.Set(headerAge, strconv.FormatInt(age.Milliseconds()+1, 10))
+	h.Set(headerSettle, strconv.FormatInt(b.Settle.Milliseconds(), 10))
+	h.Set(headerRevision, strconv.FormatUint(b.Revision, 10))
+	if encoded.packed {
+		h.Set(headerPacked, "1")
+	}
 	// An error here is the reader's: it sees that the answer is cut.
-	_, _ = w.Write(raw)
+	_, _ = w.Write(encoded.raw)
+}
+
+// encode returns the body of an answer. It is the same for all followers that are as far.
+func (s *Server) encode(after uint64, b chestnutstep.Batch) (body, error) {
+	if len(b.Facts) == 0 {
+		return body{}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last.revision == b.Revision && s.last.after == after && s.last.raw != nil {
+		return s.last, nil
+	}
+	list := make([]published, 0, len(b.Facts))
+	for _, f := range b.Facts {
+		list = append(list, published{Kind: uint8(f.Kind), Name: f.Name, Revision: f.Revision, Gone: f.Gone, Raw: f.Raw})
+	}
+	raw, err := cbor.Marshal(list)
+	if err != nil {
+		return body{}, errors.Wrap(err, "encode facts")
+	}
+	s.last = body{after: after, revision: b.Revision, raw: raw}
+	if len(raw) >= packLeast {
+		s.last.raw, s.last.packed = pack(raw), true
+	}
+	return s.last, nil
+}
+
+// pack compresses.
+func pack(raw []byte) []byte {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a valid one
+	}
+	_, _ = w.Write(raw) // a bytes.Buffer takes all
+	_ = w.Close()
+	return b.Bytes()
+}
+
+// decode reads an answer.
+func decode(h http.Header, raw []byte) (*page, error) {
+	p := &page{age: milliseconds(h.Get(headerAge)), settle: milliseconds(h.Get(headerSettle))}
+	var err error
+	if p.revision, err = strconv.ParseUint(h.Get(headerRevision), 10, 64); err != nil {
+		return nil, errors.Wrap(err, headerRevision)
+	}
+	if p.age <= 0 {
+		return nil, errors.Newf("%s: %q", headerAge, h.Get(headerAge))
+	}
+	if h.Get(headerPacked) != "" {
+		if raw, err = io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(raw)), pageMost)); err != nil {
+			return nil, errors.Wrap(err, "unpack facts")
+		}
+	}
+	if len(raw) == 0 {
+		return p, nil
+	}
+	return p, errors.Wrap(cbor.Unmarshal(raw, &p.facts), "decode facts")
 }
 
 func (s *Server) age() time.Duration { return clock.Now().Sub(s.Roster.Proof()) }
@@ -92,14 +180,10 @@
 	return time.Duration(n) * time.Millisecond
 }
 
-// batch decodes a page.
+// batch decodes the facts of a page.
 func (p *page) batch(d chestnutstep.Decoder) chestnutstep.Batch {
-	b := chestnutstep.Batch{
-		Revision: p.Revision,
-		Age:      time.Duration(p.Age) * time.Millisecond,
-		Settle:   time.Duration(p.Settle) * time.Millisecond,
-	}
-	for _, x := range p.Facts {
+	b := chestnutstep.Batch{Revision: p.revision, Age: p.age, Settle: p.settle}
+	for _, x := range p.facts {
 		kind := chestnutstep.FactKind(x.Kind)
 		if x.Gone {
 			b.Facts = append(b.Facts, chestnutstep.Fact{Kind: kind, Name: x.Name, Revision: x.Revision, Gone: true})
--- a/feed/source.go
+++ b/feed/source.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
@@ -81,8 +80,8 @@
 // call reads from the source itself.
 type call func(context.Context) (chestnutstep.Batch, error)
 
-// read asks the source first or the readers first, and the others if that fails. An answer
-// that says that the history is gone is final.
+// read asks the source first or the readers first, and the others if that fails. That the
+// history is gone only the source itself can say: a reader that has just started knows less.
 func (s *Source) read(ctx context.Context, after uint64, wait time.Duration, source call) (chestnutstep.Batch, error) {
 	s.once.Do(s.begin)
 	now := clock.Now()
@@ -93,14 +92,14 @@
 			return b, err
 		}
 		b, followed := s.follow(ctx, c.Parents, after, wait)
-		if followed != nil && !isGap(followed) {
+		if followed != nil {
 			return b, err
 		}
 		s.sourceAt = clock.Now().Add(sourceAfter)
-		return b, followed
+		return b, nil
 	}
 	b, err := s.follow(ctx, c.Parents, after, wait)
-	if err == nil || isGap(err) || ctx.Err() != nil {
+	if err == nil || ctx.Err() != nil {
 		return b, err
 	}
 	if clock.Now() < s.sourceAt {
@@ -150,9 +149,9 @@
 	err = errors.New("no reader is known")
 	for _, m := range parents[:min(parentsTried, len(parents))] {
 		b, err = s.ask(ctx, m, after, wait)
-		if err == nil || isGap(err) {
+		if err == nil {
 			s.setParent(m.ID)
-			return b, err
+			return b, nil
 		}
 		if ctx.Err() != nil {
 			return b, err
@@ -215,10 +214,9 @@
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, chestnutstep.ErrSource{Status: resp.StatusCode, Gap: resp.StatusCode == http.StatusGone}
+		return nil, errors.Newf("status %d", resp.StatusCode)
 	}
-	p := &page{}
-	return p, errors.Wrap(cbor.Unmarshal(raw, p), "decode")
+	return decode(resp.Header, raw)
 }
 
 // setParent notes whom the entry follows.
--- a/node/delays.go
+++ b/node/delays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/metrics"
+	"slices"
 	"time"
 
 	"chestnutstep.example/chestnutstep/clock"
@@ -12,6 +13,12 @@
 const (
 	// delaysEvery is how often the wait for the processor is looked at.
 	delaysEvery = 50 * time.Millisecond
+	// delaysKept is how many looks in a row have to show a wait: a single late wake-up is no
+	// queue.
+	delaysKept = 2
+	// hops is how many times a request waits for the processor: to be read, sent, answered,
+	// passed on and canceled.
+	hops = 5
 	// fullLogged is the least time between two lines on an entry that is full.
 	fullLogged = time.Second
 	// latencies is the runtime's histogram of the time for which goroutines were ready to
@@ -25,6 +32,9 @@
 	node   *Direct
 	sample [1]metrics.Sample
 	before []uint64
+	// last are the waits at the last looks.
+	last [delaysKept]time.Duration
+	next int
 	// full says that the last line said so, logged when that was, and refused counts since.
 	full    bool
 	logged  time.Time
@@ -37,14 +47,15 @@
 	for due := time.Now().Add(delaysEvery); sleep(ctx, delaysEvery); due = time.Now().Add(delaysEvery) {
 		// The runtime sees the wait behind other work of this process, a late timer the
 		// wait for the host, and the listener the wait of connections.
-		delay := max(d.median(), time.Since(due), d.node.callers.Backlog())
+		backlog := d.node.callers.Backlog()
+		delay := max(d.standing(max(hops*d.median(), time.Since(due))), backlog)
 		refused, part := d.node.shed.Observe(clock.Now(), delay)
 		d.refused += refused
-		d.log(time.Now(), delay, part)
+		d.log(time.Now(), delay, part, backlog)
 	}
 }
 
-func (d *delays) log(now time.Time, delay time.Duration, part float64) {
+func (d *delays) log(now time.Time, delay time.Duration, part float64, backlog time.Duration) {
 	if part == 0 {
 		if d.full {
 			d.full = false
@@ -58,10 +69,17 @@
 	}
 	d.full, d.logged = true, now
 	d.node.log.Emit(event.EntryFull, event.Dur("delay", delay), event.Float("part", part), event.Int("refused", int64(d.refused)),
-		event.Int("requests", d.node.relay.Open()), event.Dur("backlog", d.node.callers.Backlog()))
+		event.Int("requests", d.node.relay.Open()), event.Dur("backlog", backlog))
 	d.refused = 0
 }
 
+// standing takes the wait at one look, and returns that which all of the last ones had.
+func (d *delays) standing(delay time.Duration) time.Duration {
+	d.last[d.next] = delay
+	d.next = (d.next + 1) % delaysKept
+	return slices.Min(d.last[:])
+}
+
 // median is the usual wait since the last call; 0 where nothing ran.
 func (d *delays) median() time.Duration {
 	metrics.Read(d.sample[:])
--- a/node/direct.go
+++ b/node/direct.go
@@ -101,6 +101,9 @@
 	if err != nil {
 		return errors.Wrap(err, "callers")
 	}
+	if err := relay.BoundQueue(callers); err != nil {
+		return errors.Wrap(err, "queue of callers")
+	}
 	ready, err := net.Listen("tcp", n.Settings.Ready)
 	if err != nil {
 		return errors.Wrap(err, "ready")
--- a/relay/listen.go
+++ b/relay/listen.go
@@ -36,8 +36,6 @@
 	mu   sync.Mutex
 	room *sync.Cond
 	open int
-	// fullSince is since when there has been no room; 0 while there is.
-	fullSince clock.Stamp
 	// idle are connections without a request, the longest idle first.
 	idle   list.List
 	closed bool
@@ -47,9 +45,9 @@
 // unread, it goes on past the connections of those.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		room := l.wait()
-		if l.Shed != nil && (!room || l.Shed.active()) {
-			c, waits := l.sift(room)
+		l.wait()
+		if l.Shed != nil && l.Shed.active() {
+			c, waits := l.sift()
 			if c != nil {
 				return c, nil
 			}
@@ -61,25 +59,20 @@
 		if err != nil {
 			return nil, err
 		}
-		l.queue.accepted(clock.Now(), connWaits(l.Listener))
-		if room {
-			return l.hold(c, nil), nil
-		}
-		_ = c.Close() // nothing of the request was read: the caller may repeat it
+		return l.hold(c, nil), nil
 	}
 }
 
 // sift accepts a connection that waits, and refuses its request or returns it. It reports
 // whether one waited. Nothing is built for a request that is refused.
-func (l *Listener) sift(room bool) (c net.Conn, waits bool) {
+func (l *Listener) sift() (c net.Conn, waits bool) {
 	fd, ok := acceptNow(l.Listener)
-	l.queue.accepted(clock.Now(), ok)
+	l.queue.observe(clock.Now(), ok)
 	if !ok {
 		return nil, false
 	}
 	head := l.head[:readNow(fd, l.head[:])]
-	answer := l.answer(head, room)
-	if answer != nil || !room {
+	if answer := l.answer(head); answer != nil {
 		rejectNow(fd, answer, len(head) == len(l.head))
 		return nil, true
 	}
@@ -91,14 +84,9 @@
 }
 
 // answer is that to a request that is refused by its first bytes, nil for one that is not.
-// One whose headers are not all there is not refused unless there is no room for it.
-func (l *Listener) answer(head []byte, room bool) []byte {
-	switch {
-	case l.Shed == nil:
-		return nil
-	case !room && len(head) > 0:
-		return l.Shed.refuseFull()
-	case !bytes.Contains(head, []byte("\r\n\r\n")):
+// One whose headers are not all there is not refused.
+func (l *Listener) answer(head []byte) []byte {
+	if l.Shed == nil || !l.Shed.active() || !bytes.Contains(head, []byte("\r\n\r\n")) {
 		return nil
 	}
 	return l.Shed.refuse(head)
@@ -112,8 +100,13 @@
 	return &callerConn{Conn: c, listener: l, ahead: ahead, fresh: len(ahead) == 0}
 }
 
-// Backlog is for how long connections have been waiting to be accepted without a break.
-func (l *Listener) Backlog() time.Duration { return l.queue.standing(clock.Now()) }
+// Backlog looks whether connections wait to be accepted, and returns for how long they have
+// at each look.
+func (l *Listener) Backlog() time.Duration {
+	now := clock.Now()
+	l.queue.observe(now, connWaits(l.Listener))
+	return l.queue.standing(now)
+}
 
 // evictTries is how many of the longest idle connections are looked at for one that no
 // request waits on: on a busy host a request may have come that nobody has read yet.
@@ -163,25 +156,17 @@
 // full says that no more connections are held.
 func (l *Listener) full() bool { return l.Most > 0 && l.open >= l.Most }
 
-// fullWait is how long callers wait for room before they are refused.
-const fullWait = 100 * time.Millisecond
-
 // wait returns once there is room for one more connection: one has ended, or has become
-// idle and can be closed. It reports false where callers have waited for too long, and are
-// refused.
-func (l *Listener) wait() bool {
-	for {
-		idle, room := l.await()
-		if idle == nil {
-			return room
-		}
+// idle and can be closed.
+func (l *Listener) wait() {
+	for idle := l.await(); idle != nil; idle = l.await() {
 		_ = idle.Close() // it is closed either way
 	}
 }
 
-// await waits for room, and returns an idle connection that has to be closed for it; none
-// once there is room, or there was none for too long.
-func (l *Listener) await() (idle *callerConn, room bool) {
+// await waits for room, and returns an idle connection that has to be closed for it; nil
+// once there is room.
+func (l *Listener) await() *callerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.room == nil {
@@ -189,27 +174,11 @@
 	}
 	for l.full() && !l.closed {
 		if idle := l.evict(); idle != nil {
-			return idle, true
-		}
-		if l.overdue(clock.Now()) {
-			return nil, false
+			return idle
 		}
 		l.room.Wait()
 	}
-	l.fullSince = 0
-	return nil, true
-}
-
-// overdue reports that there has been no room for too long. The caller holds the lock.
-func (l *Listener) overdue(now clock.Stamp) bool {
-	if l.Shed == nil {
-		return false
-	}
-	if l.fullSince == 0 {
-		l.fullSince = now
-		time.AfterFunc(fullWait, l.room.Broadcast)
-	}
-	return now.Sub(l.fullSince) >= fullWait
+	return nil
 }
 
 // crowded says that idle connections make room for new ones.
@@ -274,7 +243,7 @@
 	if !fresh {
 		return n, err
 	}
-	if answer := c.listener.answer(b[:n], true); answer != nil {
+	if answer := c.listener.answer(b[:n]); answer != nil {
 		c.reject(answer)
 		return 0, io.EOF
 	}
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -25,6 +25,9 @@
 	// the ratio of the longest time to the shortest among which one is drawn.
 	shedAnswers = 64
 	shedSpread  = 3.0
+	// siftPart is the part from which on requests are refused. Below it refusals cost more
+	// than they save: callers come back on new connections.
+	siftPart = 0.5
 	// shedLogged bounds the requests that are logged between two observations.
 	shedLogged = 2
 )
@@ -35,7 +38,7 @@
 type Shedder struct {
 	Relay *Relay
 
-	// full reports whether requests may be refused.
+	// full reports whether requests are refused.
 	full  atomic.Bool
 	mu    sync.Mutex
 	sieve admit.Sieve
@@ -54,11 +57,11 @@
 	refused = s.refused
 	s.refused, s.logged = 0, 0
 	s.sieve.Observe(now, delay)
-	s.full.Store(s.sieve.Part() > 0)
+	s.full.Store(s.sieve.Part() >= siftPart)
 	return refused, s.sieve.Part()
 }
 
-// active reports whether requests may be refused.
+// active reports whether requests are refused.
 func (s *Shedder) active() bool { return s.full.Load() }
 
 // refuse decides on a request by its first bytes. Where it is refused, it returns the answer.
@@ -80,14 +83,6 @@
 	return s.answer()
 }
 
-// refuseFull counts a refusal for want of connections, and returns the answer.
-func (s *Shedder) refuseFull() []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refused++
-	return s.answer()
-}
-
 // workspace names who holds a key; unknown keys count as one.
 func (s *Shedder) workspace(key string) string {
 	v := s.Relay.Roster.View()
--- a/relay/socket.go
+++ b/relay/socket.go
@@ -25,6 +25,19 @@
 	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
+// queueMost bounds the connections that wait to be accepted: as many as are refused within
+// a tenth of a second. In a longer queue all wait until their callers give up.
+const queueMost = 512
+
+// BoundQueue bounds the connections that wait at a listener.
+func BoundQueue(l net.Listener) error {
+	var err error
+	if failed := control(l, func(fd int) { err = unix.Listen(fd, queueMost) }); failed != nil {
+		return failed
+	}
+	return err
+}
+
 // connWaits reports whether a connection waits to be accepted.
 func connWaits(l net.Listener) bool {
 	waits := false
@@ -61,9 +74,7 @@
 	if more {
 		drainNow(fd)
 	}
-	if answer != nil {
-		_, _ = unix.Write(fd, answer) // the caller may have left
-	}
+	_, _ = unix.Write(fd, answer) // the caller may have left
 	_ = unix.Close(fd)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -19,7 +19,7 @@
 
 const (
 	// entries and targets of one run: enough that some can be away at once.
-	entries = 3
+	entries = 5
 	targets = 4
 	// callers send side by side, each on connections that it keeps.
 	callers = 6
