--- a/relay/listen_test.go
+++ b/relay/listen_test.go
@@ -52,10 +52,16 @@
 
 // listen serves the rig's relay with a bound on connections.
 func listen(t *testing.T, g *rig, most int) *relay.Listener {
+	t.Helper()
+	return serve(t, g, &relay.Listener{Relay: g.relay, Most: most})
+}
+
+// serve serves the rig's relay behind a listener.
+func serve(t *testing.T, g *rig, l *relay.Listener) *relay.Listener {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	l := &relay.Listener{Listener: inner, Relay: g.relay, Most: most}
+	l.Listener = inner
 	srv := &http.Server{Handler: g.relay, ConnContext: relay.ConnContext, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(l) }()
--- a/relay/shed_test.go
+++ b/relay/shed_test.go
@@ -19,20 +19,10 @@
 // shedding serves the rig's relay behind a listener that may refuse requests unread.
 func shedding(t *testing.T, g *rig, most int) *relay.Listener {
 	t.Helper()
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	l := &relay.Listener{Listener: inner, Relay: g.relay, Most: most, Shed: &relay.Shedder{Relay: g.relay}}
-	srv := &http.Server{Handler: g.relay, ConnContext: relay.ConnContext, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
-	done := make(chan error, 1)
-	go func() { done <- srv.Serve(l) }()
-	t.Cleanup(func() {
-		_ = srv.Close()
-		<-done
-	})
-	return l
+	return serve(t, g, &relay.Listener{Relay: g.relay, Most: most, Shed: &relay.Shedder{Relay: g.relay}})
 }
 
-// full makes the listener believe that work waits for long.
+// full reports a long wait to the listener.
 func full(l *relay.Listener) {
 	for range 40 {
 		l.Shed.Observe(clock.Now(), time.Second)
--- a/share/news_test.go
+++ b/share/news_test.go
@@ -21,7 +21,7 @@
 	now     clock.Stamp
 }
 
-// collector collects the events that one entry is told of.
+// collector collects the events that reach one entry.
 type collector struct {
 	news News
 	got  map[Hold]int
@@ -90,9 +90,9 @@
 	}
 }
 
-// TestNewsReachEveryPeer guards against events that a large fleet's entry tells to the peers
-// of one or two rounds only, so that most never learn of them, and against events that are
-// lost with a datagram.
+// TestNewsReachEveryPeer guards against events that a large fleet's entry sends to the peers
+// of one or two rounds only, so that most never get them, and against events that are lost
+// with a datagram.
 func TestNewsReachEveryPeer(t *testing.T) {
 	const entries, events = 60, 10
 	m := newMesh(entries, 0.2)
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -68,8 +68,8 @@
 }
 
 // TestEntriesThatTellReuseMore guards against prefixes that are read again although some
-// target holds them: entries that tell each other what they know read fewer than two thirds
-// of what entries read that don't, and those find most prefixes by hash alone.
+// target holds them: entries that exchange reports read fewer than two thirds of what entries
+// read that don't, and those find most prefixes by hash alone.
 func TestEntriesThatTellReuseMore(t *testing.T) {
 	play := func(talk time.Duration) Result {
 		cfg := small(0, Policy{Import: true})
