matrix: faults at steps after the accept wait until the entry has read it

Two cells were known red: chat/start/cutdown ("ran 2 times, wanted 1 at most") and chat/start/break (message lost).

Cause: an agent starts its target before its accept is sent. The play stops the request where the target has it, and struck right away; on a busy machine the accept had not left the agent. The fault then lost the accept: after 500 ms without an answer the entry offers the idempotent request to the next target, which the cells accept/cutdown and accept/break allow (2 runs). Profile book is not concerned: its tickets join.

No bound was changed.

Ruled out: the second run as a fault of the entry; orders between processes (the numbers are each target's own count). The filter of make matrix is anchored, the whole output is kept in bin/matrix.log, failures name their cell.

--- a/Makefile
+++ b/Makefile
@@ -16,9 +16,10 @@
 	go test -race -count=1 -skip TestMatrix ./matrix
 	$(MAKE) matrix RACE=-race
 
-# Every fault at every step, as a table.
+# Every fault at every step, as a table; bin/matrix.log has the whole output.
 matrix:
-	bash -o pipefail -c 'go test $(RACE) -count=1 -run TestMatrix $${SKIP:+-skip "$$SKIP"} -v ./matrix | grep -v -e "^===" -e "--- PASS" -e "--- SKIP" -e "naive version:"'
+	mkdir -p bin
+	bash -o pipefail -c 'go test $(RACE) -count=1 -run TestMatrix $${SKIP:+-skip "$$SKIP"} -v ./matrix | tee bin/matrix.log | grep -v -e "^=== " -e "^ *--- PASS" -e "^ *--- SKIP" -e "_test.go:[0-9]*: naive version:"'
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/matrix/halt.go
+++ b/matrix/halt.go
@@ -30,6 +30,19 @@
 	target  string
 	reached chan struct{}
 	release chan struct{}
+	// accepted lists the targets whose accept an entry has read since Arm.
+	accepted map[string]bool
+}
+
+// afterAccept says that a request at the step has its accept at the entry. An
+// agent starts its target before it sends the accept, so a fault that strikes
+// right at the step could lose the accept: that is a fault at StepAccept.
+func (s Step) afterAccept() bool {
+	switch s {
+	case StepMint, StepOffer, StepAccept, StepOrder:
+		return false
+	}
+	return true
 }
 
 // Arm makes the next request that comes to the step stop there.
@@ -39,6 +52,23 @@
 	h.at = at
 	h.reached = make(chan struct{})
 	h.release = make(chan struct{})
+	h.accepted = make(map[string]bool)
+}
+
+// Accept is called when an entry has read a target's accept.
+func (h *Halt) Accept(target string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.accepted != nil {
+		h.accepted[target] = true
+	}
+}
+
+// Accepted reports whether an entry has read the target's accept since Arm.
+func (h *Halt) Accepted(target string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.accepted[target]
 }
 
 // Reach is called where a step is; it blocks when the step is armed.
--- a/matrix/hook.go
+++ b/matrix/hook.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -20,6 +21,8 @@
 type hooks struct {
 	halt   *Halt
 	target string
+	// acceptDelay keeps the agent's accepts back.
+	acceptDelay time.Duration
 	// probes counts what the agent asked of the target's controls.
 	probes atomic.Int64
 	// busy counts the requests and orders that the target has not seen the end of.
@@ -64,6 +67,7 @@
 func (s *hookedStream) SendMsg(m any) error {
 	down, _ := m.(*wire.Down)
 	if down.GetAccept() != nil {
+		time.Sleep(s.acceptDelay)
 		s.halt.Reach(StepAccept, s.target)
 	}
 	if down.GetLast() != nil {
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"testing"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
@@ -149,7 +150,7 @@
 	if err := c.play(func() *Stack { return &Stack{} }); err != nil {
 		n.add(&n.failed)
 		n.sign(c, "FAIL")
-		t.Error(err)
+		t.Errorf("%s: %v", c.name(), err)
 	} else {
 		n.add(&n.passed)
 		n.sign(c, "ok")
@@ -193,3 +194,17 @@
 		assert.Assert(t, err != nil, "the naive version got through: the cell shows nothing")
 	}
 }
+
+// TestStepsWaitForAccept guards against a fault at a later step that also loses the accept, which allows a second run.
+func TestStepsWaitForAccept(t *testing.T) {
+	const busy = 100 * time.Millisecond
+	for _, c := range readCells(t) {
+		if c.profile != ProfileChat || c.step != string(StepStart) || c.wanted[0] == elsewhere || c.wanted[0] == notRun {
+			continue
+		}
+		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, c.play(func() *Stack { return &Stack{AcceptDelay: busy} }))
+		})
+	}
+}
--- a/matrix/play_test.go
+++ b/matrix/play_test.go
@@ -106,6 +106,10 @@
 	case <-time.After(stepLimit):
 		return errors.Newf("step %s never came: %v", at, <-done)
 	}
+	if !p.accepted(at) {
+		p.stack.Halt.Release()
+		return ErrStep{Step: at, Tries: <-done}
+	}
 	if err := p.strike(at, first); err != nil {
 		return err
 	}
@@ -122,6 +126,16 @@
 	return nil
 }
 
+// accepted waits until the entry has read the accept of the target where the
+// request stands, if the step comes after it.
+func (p *play) accepted(at Step) bool {
+	if p.stack.Naive || !at.afterAccept() {
+		return true
+	}
+	target := p.stack.Halt.Target()
+	return until(func() bool { return p.stack.Halt.Accepted(target) }, "the entry reads the accept") == nil
+}
+
 // strike lets the faults happen and the request go on.
 func (p *play) strike(at Step, first <-chan struct{}) error {
 	defer p.stack.Halt.Release()
--- a/matrix/stack.go
+++ b/matrix/stack.go
@@ -95,8 +95,10 @@
 type Stack struct {
 	// Naive puts a plain pass-through in the place of entries and agents.
 	Naive bool
-	Halt  Halt
-	Nodes []*Node
+	// AcceptDelay keeps each agent's accept back, as a busy machine does.
+	AcceptDelay time.Duration
+	Halt        Halt
+	Nodes       []*Node
 	// Fronts are the ways from callers to each entry.
 	Fronts [Entries]*pipe.Relay
 
@@ -187,7 +189,7 @@
 }
 
 func (s *Stack) addNode(n *Node) error {
-	n.hooks = &hooks{halt: &s.Halt, target: n.Name}
+	n.hooks = &hooks{halt: &s.Halt, target: n.Name, acceptDelay: s.AcceptDelay}
 	n.back = httptest.NewServer(&hookedTarget{Handler: n.handler(), hooks: n.hooks, plain: s.Naive, whole: n.Service != nil})
 	s.onClose(n.back.Close)
 	addr, err := s.startAgent(n)
@@ -265,7 +267,7 @@
 	if s.Naive {
 		return s.newNaive(i)
 	}
-	s.pools[i] = &mortal{Pool: dial.Pool{Credentials: insecure.NewCredentials()}}
+	s.pools[i] = &mortal{Pool: dial.Pool{Credentials: insecure.NewCredentials()}, accept: s.accept}
 	return &entry.Entry{
 		Name: "e", Region: "r", Hosts: noHosts{},
 		View: func() *chestnutstep.View { return s.View(i) },
@@ -319,6 +321,8 @@
 type mortal struct {
 	dial.Pool
 	dead atomic.Bool
+	// accept is called with the address of each agent whose accept was read.
+	accept func(addr string)
 }
 
 // Conn implements entry.Links.
@@ -326,7 +330,51 @@
 	if m.dead.Load() {
 		return nil, net.ErrClosed
 	}
-	return m.Pool.Conn(addr)
+	conn, err := m.Pool.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	return &watchedConn{ClientConnInterface: conn, accept: func() { m.accept(addr) }}, nil
+}
+
+// watchedConn reports the accepts that come in over its streams.
+type watchedConn struct {
+	grpc.ClientConnInterface
+	accept func()
+}
+
+// NewStream implements grpc.ClientConnInterface.
+func (c *watchedConn) NewStream(ctx context.Context, desc *grpc.StreamDesc, method string, opts ...grpc.CallOption) (grpc.ClientStream, error) {
+	st, err := c.ClientConnInterface.NewStream(ctx, desc, method, opts...)
+	if err != nil {
+		return nil, err
+	}
+	return &watchedStream{ClientStream: st, accept: c.accept}, nil
+}
+
+type watchedStream struct {
+	grpc.ClientStream
+	accept func()
+}
+
+// RecvMsg implements grpc.ClientStream.
+func (s *watchedStream) RecvMsg(m any) error {
+	err := s.ClientStream.RecvMsg(m)
+	if down, ok := m.(*wire.Down); ok && err == nil && down.GetAccept() != nil {
+		s.accept()
+	}
+	return err
+}
+
+// accept notes that an entry has read the accept of the agent behind a link.
+func (s *Stack) accept(addr string) {
+	for _, n := range s.Nodes {
+		for _, l := range n.Links {
+			if l.Addr() == addr {
+				s.Halt.Accept(n.Name)
+			}
+		}
+	}
 }
 
 // Publish puts a changed publication in force under the next version.
