board, place, relay: a choice looks at a few targets, not at all

Cause: each request listed all targets, added up their loads, looked for the best donor among all and ranked all by hash, under one lock.

Now the board keeps an index by service: sums by failure domain, changed by what changes a target; the few targets that sums don't say all of stand apart; holders by part; the order by hash from a ring with 32 points a target. A choice looks at targets in that order until 16 have a place, and at up to 32 holders.

They differ where more than 16 targets have a place: TestFewChoicesAreAlmostAll plays that. The emulator's tests caught a domain without usual targets that counted as unbounded places.

--- a/admit/limit.go
+++ b/admit/limit.go
@@ -48,6 +48,13 @@
 	return min(most, l.grown(now))
 }
 
+// forgotten is the age of the last cut from which on its limit says nothing: it has doubled
+// a dozen times.
+const forgotten = steady + 12*doubles
+
+// Binds reports whether a cut may still bound the target below its reach.
+func (l *Limit) Binds(now clock.Stamp) bool { return l.most > 0 && now.Sub(l.cut) < forgotten }
+
 // grown is the limit some time after the last cut. Without growth a load that was heavy
 // once would bound the next one, which may be of another kind.
 func (l *Limit) grown(now clock.Stamp) float64 {
--- a/board/board.go
+++ b/board/board.go
@@ -56,6 +56,15 @@
 	// mostAt when there were that many.
 	most   int
 	mostAt clock.Stamp
+	// fleet counts the changes of who is a member of the fleet.
+	fleet     uint64
+	expiredAt clock.Stamp
+
+	// groups are the services' targets of the newest view, former those of the one before.
+	view    *roster.View
+	groups  map[string]*group
+	former  map[string]*group
+	scratch []place.Candidate
 }
 
 // state is what is known of one target.
@@ -69,6 +78,12 @@
 	limit   admit.Limit
 	// sent are this entry's own requests that peers may not know of.
 	sent burst
+	// member is the target in the index of the newest view; nil before it is indexed.
+	member *member
+	// rank is this entry's place among those that may send to the target while it is cold,
+	// as of a number of changes of the fleet.
+	rank   int
+	ranked uint64
 }
 
 // loadKey names a target in datagrams about what is in progress there. A restart
@@ -120,63 +135,39 @@
 	key := loadKey(t.ID)
 	s := b.state(key)
 	if s.born != t.Born {
+		b.setApart(s)
 		s.born, s.health, s.cold, s.limit = t.Born, health{}, coldBucket{}, admit.Limit{}
 	}
 	return key, s
 }
 
-// Need says what a request wants of a target.
-type Need struct {
-	Parts []chestnutstep.Part
-	// Domain of the entry.
-	Domain string
-	// Allowed says whether targets of a failure domain may have the request; nil
-	// for all.
-	Allowed func(domain string) bool
-	// Skip are targets that had the request already.
-	Skip []string
-	// Suspects may be used when nothing else is left.
-	Suspects bool
-}
-
-// Candidates lists the targets of a service that may take a request now.
-func (b *Board) Candidates(now clock.Stamp, v *roster.View, service *chestnutstep.Service, need Need) []place.Candidate {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.begin()
-	b.expire(now)
-	hold := b.usage(service.Name).pace.Mean()
-	patience := time.Duration(patienceShare * float64(service.Objective))
-	list := make([]place.Candidate, 0, len(v.Services[service.Name]))
-	for _, t := range v.Services[service.Name] {
-		if !v.Usable(t) || slices.Contains(need.Skip, t.ID) || need.Allowed != nil && !need.Allowed(t.Domain) {
-			continue
-		}
-		key, s := b.instance(&t.Instance)
-		if !need.Suspects && (s.health.down(now) || b.domains[t.Domain].isUnreachable(now)) {
-			continue
-		}
-		cold := service.ColdRate > 0 && now < t.ColdUntil
-		if cold && !b.coldLeft(now, key, s, service) {
-			continue
-		}
-		sum := b.sums[key]
-		limit := s.limit.At(now, t.Slots, hold, patience)
-		list = append(list, place.Candidate{
-			ID:         t.ID,
-			Address:    t.Address,
-			Running:    float64(s.running + int(sum.Running)),
-			Limit:      limit,
-			Unreported: b.unreported(now, s, limit),
-			Reading:    float64(s.reading + readingUnit*int(sum.Reading)),
-			Slots:      t.Slots,
-			Held:       b.held(now, Key(&t.Instance), need.Parts, false),
-			Failing:    s.health.failing(),
-			Far:        t.Domain != need.Domain,
-			Cold:       cold,
-		})
+// candidate returns a target as a candidate for a request; false where it may not have it.
+func (b *Board) candidate(l *look, m *member) (place.Candidate, bool) {
+	if !m.usable || slices.Contains(l.need.Skip, m.ID) || !m.area.open {
+		return place.Candidate{}, false
+	}
+	s := m.state
+	if !l.need.Suspects && s.health.down(l.now) {
+		return place.Candidate{}, false
+	}
+	cold := l.service.ColdRate > 0 && l.now < m.ColdUntil
+	if cold && !b.coldLeft(l.now, m.key, s, l.service) {
+		return place.Candidate{}, false
 	}
-	return list
+	limit := s.limit.At(l.now, m.Slots, l.hold, l.patience)
+	return place.Candidate{
+		ID:         m.ID,
+		Address:    m.Address,
+		Running:    float64(b.runningAt(m)),
+		Limit:      limit,
+		Unreported: b.unreported(l.now, s, limit),
+		Reading:    float64(s.reading + readingUnit*int(b.sums[m.key].Reading)),
+		Slots:      m.Slots,
+		Held:       b.held(l.now, m.cache, l.need.Parts, false),
+		Failing:    s.health.failing(),
+		Far:        m.Domain != l.need.Domain,
+		Cold:       cold,
+	}, true
 }
 
 // Keep forgets all targets that are not listed: what they held is lost.
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -225,6 +225,7 @@
 	assert.Equal(t, b.Donor(start, v, engine, ask).ID, "t0")
 	run.End(start, board.Served)
 
+	v = view(2, 2)
 	v.ByID["t0"].Born = 7
 	assert.Equal(t, held(b), 0)
 	assert.Equal(t, b.Donor(start, v, engine, ask).Held, 0)
--- /dev/null
+++ b/board/choose_test.go
@@ -0,0 +1,186 @@
+package board_test
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/place"
+	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/share"
+)
+
+// plainChoice chooses as Choose does, by looking at every target.
+func plainChoice(b *board.Board, now clock.Stamp, v *roster.View, need board.Need, ask place.Ask) (place.Choice, []place.Candidate) {
+	list := b.Candidates(now, v, engine, need)
+	byID := make(map[string]*place.Candidate, len(list))
+	var sum place.Totals
+	for i := range list {
+		byID[list[i].ID] = &list[i]
+		sum.Add(&list[i])
+	}
+	var ids []string
+	for _, t := range v.Services["s"] {
+		ids = append(ids, t.ID)
+	}
+	named := 0
+	place.NewRing(ids).Walk(ask.Key, func(i int) bool {
+		if c := byID[ids[i]]; c != nil && named < place.Choices {
+			named++
+			c.Named = named
+		}
+		return true
+	})
+	ask.Ceiling = sum.Ceiling(need.Cap)
+	c, _ := place.Pick(list, b.Donor(now, v, engine, need.Parts), ask)
+	return c, list
+}
+
+// event is one step of a random history of a board.
+type history struct {
+	b    *board.Board
+	v    *roster.View
+	now  clock.Stamp
+	runs []*board.Run
+	// loads are what the peers reported last.
+	loads map[netip.AddrPort][]share.Load
+}
+
+func (h *history) step(t *rapid.T) {
+	h.now = h.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+	x := rapid.SampledFrom(h.v.Services["s"]).Draw(t, "target")
+	switch rapid.IntRange(0, 4).Draw(t, "step") {
+	case 0, 1:
+		p := rapid.Uint64Range(1, 6).Draw(t, "prefix")
+		h.runs = append(h.runs, h.b.Start(h.now, x, engine, parts(p, 1000+p), 0, board.Who{Objective: time.Second}))
+	case 2:
+		if len(h.runs) > 0 {
+			r := h.runs[0]
+			h.runs = h.runs[1:]
+			r.First(h.now)
+			r.End(h.now, rapid.SampledFrom([]board.Outcome{board.Served, board.Refused, board.Unreached, board.Silent}).Draw(t, "end"))
+		}
+	case 3:
+		from := addr(rapid.IntRange(1, 4).Draw(t, "peer"))
+		var loads []share.Load
+		for _, l := range h.b.Loads() {
+			loads = append(loads, share.Load{Target: l.Target, Running: uint16(rapid.IntRange(0, 9).Draw(t, "running"))})
+		}
+		h.b.MergeReport(h.now, &share.Report{From: from, Loads: loads})
+	case 4:
+		h.v = view(len(h.v.Services["s"]), rapid.IntRange(1, len(h.v.Services["s"])).Draw(t, "warm"))
+	}
+}
+
+// TestChooseIsThePlainChoice guards against an index that has lost track of the targets: totals,
+// holders and the order by hash have to be those that a look at every target gives.
+func TestChooseIsThePlainChoice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "targets")
+		h := &history{b: &board.Board{Self: addr(0)}, v: view(n, n), now: start}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			h.step(t)
+			p := rapid.Uint64Range(1, 6).Draw(t, "asked")
+			need := board.Need{Parts: parts(p, 2000), Domain: "d", Skip: []string{"t0"}[:rapid.IntRange(0, 1).Draw(t, "skip")]}
+			ask := place.Ask{Key: p, Tokens: 2000, Shared: 1000}
+			sameTotals(t, h, need)
+			want, list := plainChoice(h.b, h.now, h.v, need, ask)
+			if len(list) == 0 {
+				need.Suspects = true
+				want, list = plainChoice(h.b, h.now, h.v, need, ask)
+			}
+			got := h.b.Choose(h.now, h.v, engine, need, ask)
+			if len(list) == 0 {
+				assert.Assert(t, got.Target == nil)
+				continue
+			}
+			assert.Equal(t, got.ID, list[want.Index].ID)
+			assert.Equal(t, got.Donor.ID != "", want.Fetch)
+			assert.Assert(t, math.Abs(got.Cost-want.Cost) < 1e-6)
+		}
+	})
+}
+
+// sameTotals compares the sums of the index with those over all targets.
+func sameTotals(t *rapid.T, h *history, need board.Need) {
+	var want place.Totals
+	for _, c := range h.b.Candidates(h.now, h.v, engine, need) {
+		want.Add(&c)
+	}
+	got := h.b.Sum(h.now, h.v, engine, need)
+	assert.Equal(t, got.Targets, want.Targets)
+	assert.Equal(t, got.Warm, want.Warm)
+	assert.Equal(t, got.Running, want.Running)
+	assert.Equal(t, got.Busy, want.Busy)
+	assert.Equal(t, got.Open, want.Open)
+	assert.Assert(t, math.Abs(got.Taken()-want.Taken()) < 0.02, "%f and %f", got.Taken(), want.Taken())
+}
+
+// TestFewChoicesAreAlmostAll guards against a look at too few targets: the least loaded of
+// those has to be hardly busier than the least loaded of all.
+func TestFewChoicesAreAlmostAll(t *testing.T) {
+	b, v := &board.Board{Self: addr(0)}, view(300, 300)
+	for i := range 6000 {
+		ask := place.Ask{Key: uint64(i) * 7919}
+		c := b.Choose(start, v, engine, board.Need{}, ask)
+		b.Start(start, c.Target, engine, nil, 0, board.Who{})
+	}
+	most, least := 0.0, math.Inf(1)
+	for _, c := range b.Candidates(start, v, engine, board.Need{}) {
+		most, least = max(most, c.Running), min(least, c.Running)
+	}
+	assert.Assert(t, most <= 34 && least >= 10, "%.0f to %.0f in progress, 20 on average", least, most)
+}
+
+// bench is a board that knows of many targets, with a request in ten in progress.
+func bench(n int) (*board.Board, *roster.View) {
+	b, v := &board.Board{Self: addr(0)}, view(n, n)
+	for i := range 10 * n {
+		b.Start(start, v.Services["s"][i%n], engine, parts(1, uint64(10+i/3), uint64(1e6+i)), 0, board.Who{}).First(start)
+	}
+	for i := range 300 {
+		b.MergeReport(start, &share.Report{From: addr(i + 1), Loads: []share.Load{{Target: 7, Running: 1}}})
+	}
+	return b, v
+}
+
+// request is all that the board does for one request.
+func request(b *board.Board, v *roster.View, now clock.Stamp, i uint64) {
+	need := board.Need{Parts: parts(1, 10+i%1000, 1e9+i), Domain: "d", Who: &board.Who{Workspace: "w", Objective: time.Second}}
+	c := b.Choose(now, v, engine, need, place.Ask{Key: 10 + i%1000, Tokens: 3000, Shared: 2000})
+	r := b.Start(now, c.Target, engine, need.Parts, c.Cached(), *need.Who)
+	r.First(now)
+	r.End(now, board.Served)
+}
+
+// BenchmarkChoose plays requests against fleets of several sizes, 1 ms apart.
+func BenchmarkChoose(bm *testing.B) {
+	for _, n := range []int{51, 300, 1000, 2700} {
+		bm.Run(fmt.Sprint(n), func(bm *testing.B) {
+			b, v := bench(n)
+			bm.ReportAllocs()
+			for i := range uint64(bm.N) {
+				request(b, v, start.Add(time.Duration(i)*time.Millisecond), i)
+			}
+		})
+		bm.Run(fmt.Sprint(n, "-by-8"), func(bm *testing.B) {
+			b, v := bench(n)
+			bm.SetParallelism(8)
+			var next atomic.Uint64
+			bm.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					i := next.Add(1)
+					request(b, v, start.Add(time.Duration(i)*time.Millisecond), i)
+				}
+			})
+		})
+	}
+}
--- a/board/cold.go
+++ b/board/cold.go
@@ -49,7 +49,7 @@
 func (b *Board) coldLeft(now clock.Stamp, key uint32, s *state, service *chestnutstep.Service) bool {
 	n := b.entries()
 	k := min(n, b.assignedFor(service.ColdRate))
-	if n > k && !b.isAssigned(key, k) {
+	if n > k && b.rankAt(s, key) >= k {
 		return false
 	}
 	s.cold.refill(now, coldShare*service.ColdRate/float64(k))
@@ -87,6 +87,21 @@
 	return b.isAssigned(loadKey(t.ID), k)
 }
 
+// IsFirstOf reports whether this entry comes before some others in looking after a target.
+func (b *Board) IsFirstOf(t *chestnutstep.Instance, others []netip.AddrPort) bool {
+	key := loadKey(t.ID)
+	own := hash(b.Self, key)
+	return !slices.ContainsFunc(others, func(p netip.AddrPort) bool { return hash(p, key) < own })
+}
+
+// rankAt is rank, worked out anew only when the fleet has changed.
+func (b *Board) rankAt(s *state, key uint32) int {
+	if s.ranked != b.fleet || b.fleet == 0 {
+		s.rank, s.ranked = b.rank(key), b.fleet
+	}
+	return s.rank
+}
+
 // rank is this entry's place among the known ones, by hash.
 func (b *Board) rank(key uint32) int {
 	own := hash(b.Self, key)
--- a/board/holds.go
+++ b/board/holds.go
@@ -3,8 +3,6 @@
 import (
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
-	"chestnutstep.example/chestnutstep/place"
-	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
 )
 
@@ -34,28 +32,6 @@
 	return n
 }
 
-// Donor returns the target with the longest prefix to fetch from; of several the
-// least loaded, as fetches from one run one after the other. One that is leaving
-// may give while it still answers: what only it holds is lost otherwise.
-func (b *Board) Donor(now clock.Stamp, v *roster.View, service *chestnutstep.Service, parts []chestnutstep.Part) place.Donor {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.begin()
-	var best place.Donor
-	for _, t := range v.Services[service.Name] {
-		key, s := b.instance(&t.Instance)
-		if s.health.down(now) || now < t.ColdUntil {
-			continue
-		}
-		held := b.held(now, Key(&t.Instance), parts, true)
-		load := float64(s.running + int(b.sums[key].Running))
-		if held > best.Held || held == best.Held && held > 0 && load < best.Running {
-			best = place.Donor{ID: t.ID, Address: t.Address, Held: held, Running: load}
-		}
-	}
-	return best
-}
-
 // hold notes that a target reads parts. The last part is the request's own: no
 // other request asks for it.
 func (b *Board) hold(now clock.Stamp, key uint32, parts []chestnutstep.Part, ready bool) {
--- a/board/peers.go
+++ b/board/peers.go
@@ -121,6 +121,7 @@
 	if p == nil {
 		p = &peer{}
 		b.peers[r.From] = p
+		b.fleet++
 	}
 	if len(b.peers)+1 >= b.most {
 		b.most, b.mostAt = len(b.peers)+1, now
@@ -139,6 +140,7 @@
 	b.mergeKept(now, r.Kept)
 	for _, key := range r.Gone {
 		if s := b.targets[key]; s != nil {
+			b.setApart(s)
 			s.health.take(now, Replaced)
 		}
 	}
@@ -161,8 +163,12 @@
 func (b *Board) add(loads []share.Load, sign int) {
 	for _, l := range loads {
 		s := b.sums[l.Target]
+		before := int(s.Running)
 		s.Running = uint16(max(int(s.Running)+sign*int(l.Running), 0))
 		s.Reading = uint16(max(int(s.Reading)+sign*int(l.Reading), 0))
+		if known := b.targets[l.Target]; known != nil {
+			known.addToArea(int(s.Running) - before)
+		}
 		if s.Running == 0 && s.Reading == 0 {
 			delete(b.sums, l.Target)
 			continue
@@ -176,8 +182,15 @@
 // was made smaller gets its whole budget back.
 const mostKeep = 5 * time.Minute
 
+// expireEvery is how often it is looked for peers that fell silent.
+const expireEvery = 50 * time.Millisecond
+
 // expire forgets the loads of peers that are silent, and peers that are silent for long.
 func (b *Board) expire(now clock.Stamp) {
+	if now.Sub(b.expiredAt) < expireEvery && b.expiredAt != 0 {
+		return
+	}
+	b.expiredAt = now
 	if now.Sub(b.mostAt) > mostKeep {
 		b.most, b.mostAt = len(b.peers)+1, now
 	}
@@ -189,6 +202,7 @@
 		}
 		if silent > p.keep() {
 			delete(b.peers, from)
+			b.fleet++
 		}
 	}
 }
--- a/board/run.go
+++ b/board/run.go
@@ -40,8 +40,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key, s := b.instance(&t.Instance)
-	s.running++
-	s.sent.add(now)
+	s.addRunning(1)
+	b.addSent(now, s)
 	if service.ColdRate > 0 && now < t.ColdUntil {
 		s.cold.take()
 	}
@@ -84,8 +84,11 @@
 	defer r.board.mu.Unlock()
 	r.read()
 	s := r.board.state(r.key)
-	s.running--
+	s.addRunning(-1)
 	s.health.take(now, o)
+	if s.health.down(now) {
+		r.board.setApart(s)
+	}
 	r.leave(now, o)
 	r.board.reach(now, r.domain, r.key, o)
 	if o == Replaced {
--- a/board/usage.go
+++ b/board/usage.go
@@ -9,7 +9,6 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/admit"
 	"chestnutstep.example/chestnutstep/clock"
-	"chestnutstep.example/chestnutstep/place"
 )
 
 const (
@@ -88,9 +87,21 @@
 }
 
 func (c *burst) at(now clock.Stamp) float64 {
-	return c.n * math.Exp2(-now.Sub(c.last).Seconds()/recent.Seconds())
+	ms := now.Sub(c.last) / time.Millisecond
+	if ms < 0 || int(ms) >= len(fading) {
+		return 0
+	}
+	return c.n * fading[ms]
 }
 
+// fading is the part of a burst that peers may not know of, by its age in milliseconds.
+var fading = func() (list [10 * int(recent/time.Millisecond)]float64) {
+	for ms := range list {
+		list[ms] = math.Exp2(-float64(ms) * float64(time.Millisecond) / float64(recent))
+	}
+	return list
+}()
+
 func (c *burst) add(now clock.Stamp) { c.n, c.last = c.at(now)+1, now }
 
 // Room says whether a request finds a place.
@@ -106,13 +117,10 @@
 	Kept float64
 }
 
-// Admit says whether a request may take a place at one of the candidates, while others
-// ask for places too.
-func (b *Board) Admit(now clock.Stamp, service string, list []place.Candidate, who Who) Room {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.begin()
-	r := Room{Taken: place.Taken(list), Reason: chestnutstep.ReasonFull}
+// admit says whether a request may take a place where a part of all places is taken, while
+// others ask for places too.
+func (b *Board) admit(now clock.Stamp, service string, taken float64, who Who) Room {
+	r := Room{Taken: taken, Reason: chestnutstep.ReasonFull}
 	u := b.usage(service)
 	u.taken = r.Taken
 	r.Free, r.Yield = u.fair.Ask(now, who.Urgency, who.Workspace, r.Taken)
@@ -157,7 +165,9 @@
 // late notes that the target had more than it could begin in time.
 func (r *Run) late(now clock.Stamp) {
 	least := r.board.leastPlaces(now, r.slots, r.engine)
-	r.board.state(r.key).limit.Late(now, r.before, r.slots, least)
+	s := r.board.state(r.key)
+	r.board.setApart(s)
+	s.limit.Late(now, r.before, r.slots, least)
 }
 
 // leave gives the place back.
--- a/place/place.go
+++ b/place/place.go
@@ -72,29 +72,63 @@
 	Far bool
 	// Cold targets take a request only while they have allowance left.
 	Cold bool
+	// Named is the target's place among those that the hash of the prefix names, from 1 to
+	// Choices; 0 for the others.
+	Named int
 }
 
 // free says that one more request would begin in time.
 func (c *Candidate) free() bool { return c.Limit <= 0 || c.Running+c.Unreported < c.Limit }
 
-// Taken is the part of all places at the targets that is taken, 1 and more where none
-// of them has one left. Of cold targets, which carry little by intention, one that may
-// get a request now is a place for it.
-func Taken(list []Candidate) float64 {
-	running, places, free := 0.0, 0.0, len(list) == 0
-	for i := range list {
-		c := &list[i]
-		if c.Limit <= 0 || c.Cold && c.free() {
-			return 0
-		}
-		running += c.Running + c.Unreported
-		places += c.Limit
-		free = free || c.free()
+// Fits reports whether one more request would begin in time and keep the target below a ceiling.
+func (c *Candidate) Fits(ceiling float64) bool { return c.free() && c.Running+1 <= ceiling }
+
+// Totals sum up the targets that may take a request.
+type Totals struct {
+	// Targets is how many there are, and Warm how many of them are not cold.
+	Targets, Warm int
+	// Running is the requests in progress at all of them, Busy those at the warm ones.
+	Running, Busy float64
+	// Unreported is the requests, estimated, that other entries have not reported.
+	Unreported float64
+	// Places is the sum of their limits.
+	Places float64
+	// Open reports that a target has no limit, or that a cold one has a place for a request
+	// now: it carries little by intention.
+	Open bool
+}
+
+// Add counts one target.
+func (t *Totals) Add(c *Candidate) {
+	t.Targets++
+	t.Running += c.Running
+	t.Unreported += c.Unreported
+	t.Places += c.Limit
+	t.Open = t.Open || c.Limit <= 0 || c.Cold && c.free()
+	if !c.Cold {
+		t.Warm++
+		t.Busy += c.Running
+	}
+}
+
+// Taken is the part of all places that is taken, 1 and more where no target has one left.
+func (t *Totals) Taken() float64 {
+	if t.Open || t.Targets == 0 {
+		return 0
+	}
+	return (t.Running + t.Unreported) / max(t.Places, 1)
+}
+
+// Ceiling is the load that no target should exceed, where none may carry more than a multiple
+// of the mean. Cold targets carry little by intention; counted, they would lower the mean.
+func (t *Totals) Ceiling(most float64) float64 {
+	if t.Warm == 0 {
+		return math.Inf(1)
 	}
-	if !free {
-		return max(running/places, 1)
+	if most <= 0 {
+		most = CapDefault
 	}
-	return running / max(places, 1)
+	return max(Spread*most, 1)*t.Busy/float64(t.Warm) + spreadSlack
 }
 
 // Donor is a target to fetch cache from; the zero Donor is none.
@@ -115,9 +149,8 @@
 	Tokens int
 	// Shared is the tokens of the prompt that other requests share.
 	Shared int
-	// Cap is the multiple of the mean load that no target may carry; 0 where none
-	// is set.
-	Cap float64
+	// Ceiling is the load that no target should exceed, see Totals.
+	Ceiling float64
 }
 
 // Choice is a target, and where it fetches from.
@@ -129,47 +162,57 @@
 	Cost float64
 }
 
+// Choices is how many targets the hash of a request names. Entries know of each
+// other's requests some hundred milliseconds late, and all the same: had each of them
+// the choice among all targets, all would send to the one that was least loaded when
+// they last heard. Among a few, by a hash that differs from prefix to prefix, what one of
+// them takes too much the others don't.
+const Choices = 3
+
 // Pick returns the best candidate; false where there is none. It looks among targets
 // that hold some of the prefix and the one that the hash of the request names first, then
 // among a few that it names, then among all below the ceiling, then among all. Entries that
 // need a new prefix at the same moment so send it to the same target, where it is read once.
 func Pick(list []Candidate, donor Donor, ask Ask) (Choice, bool) {
-	limit := ceiling(list, ask.Cap)
-	first, few := named(list, ask.Key)
-	passes := []func(c *Candidate) bool{
-		func(c *Candidate) bool {
-			return ask.Shared >= fetchLeast && c.free() && c.Running+1 <= limit && (holds(c, ask) || unit(c.ID, ask.Key) >= first)
-		},
-		func(c *Candidate) bool {
-			return c.free() && c.Running+1 <= limit && (holds(c, ask) || unit(c.ID, ask.Key) >= few)
-		},
-		func(c *Candidate) bool { return c.free() && c.Running+1 <= limit },
-		(*Candidate).free,
-		func(*Candidate) bool { return true },
-	}
+	passes := [...]func(c *Candidate, ask *Ask) bool{holderOrFirst, holderOrNamed, belowCeiling, hasPlace, anyTarget}
 	for _, allowed := range passes {
-		if best := cheapest(list, donor, ask, allowed); best.Index >= 0 {
+		if best := cheapest(list, donor, &ask, allowed); best.Index >= 0 {
 			return best, true
 		}
 	}
 	return Choice{Index: -1}, false
 }
 
+func holderOrFirst(c *Candidate, ask *Ask) bool {
+	return ask.Shared >= fetchLeast && belowCeiling(c, ask) && (holds(c, ask) || c.Named == 1)
+}
+
+func holderOrNamed(c *Candidate, ask *Ask) bool {
+	return belowCeiling(c, ask) && (holds(c, ask) || c.Named > 0)
+}
+
+func belowCeiling(c *Candidate, ask *Ask) bool { return c.Fits(ask.Ceiling) }
+
+func hasPlace(c *Candidate, _ *Ask) bool { return c.free() }
+
+func anyTarget(*Candidate, *Ask) bool { return true }
+
 // holdsLeast is the part of a shared prefix that makes a target a holder of it. Many
 // prompts begin with the same instructions: with any part of a prefix enough, all
 // entries that know no loads would send to the first targets that have read those.
 const holdsLeast = 0.5
 
-// holds says whether a target holds enough of the request's prefix to be chosen for it.
-func holds(c *Candidate, ask Ask) bool {
-	return c.Held >= fetchLeast && float64(c.Held) >= holdsLeast*float64(ask.Shared)
-}
+// HolderTokens is how many leading tokens of a shared prefix make a target a holder of it.
+func HolderTokens(shared int) int { return max(int(math.Ceil(holdsLeast*float64(shared))), fetchLeast) }
+
+// holds reports whether a target holds enough of the request's prefix to be chosen for it.
+func holds(c *Candidate, ask *Ask) bool { return c.Held >= HolderTokens(ask.Shared) }
 
 // cheapest is the candidate of least cost among those that are allowed.
-func cheapest(list []Candidate, donor Donor, ask Ask, allowed func(c *Candidate) bool) Choice {
+func cheapest(list []Candidate, donor Donor, ask *Ask, allowed func(c *Candidate, ask *Ask) bool) Choice {
 	best := Choice{Index: -1, Cost: math.Inf(1)}
 	for i := range list {
-		if !allowed(&list[i]) {
+		if !allowed(&list[i], ask) {
 			continue
 		}
 		cost, fetch := cost(&list[i], donor, ask)
@@ -180,51 +223,8 @@
 	return best
 }
 
-// choices is how many targets the hash of a request names. Entries know of each
-// other's requests some hundred milliseconds late, and all the same: had each of them
-// the choice among all targets, all would send to the one that was least loaded when
-// they last heard. Among a few, by a hash that differs from prefix to prefix, what one of
-// them takes too much the others don't.
-const choices = 3
-
-// named is the hash of the target that is named first, and that from which on a target is
-// among the choices.
-func named(list []Candidate, key uint64) (first, last float64) {
-	var top [choices]float64
-	for i := range list {
-		u := unit(list[i].ID, key)
-		for k := range top {
-			if u > top[k] {
-				u, top[k] = top[k], u
-			}
-		}
-	}
-	return top[0], top[choices-1]
-}
-
-// ceiling is the load that no target should exceed. Cold and failing targets
-// carry little by intention; counted, they would lower the mean.
-func ceiling(list []Candidate, most float64) float64 {
-	if most <= 0 {
-		most = CapDefault
-	}
-	spread := max(Spread*most, 1)
-	sum, n := 0.0, 0
-	for i := range list {
-		if list[i].Cold {
-			continue
-		}
-		sum += list[i].Running
-		n++
-	}
-	if n == 0 {
-		return math.Inf(1)
-	}
-	return spread*sum/float64(n) + spreadSlack
-}
-
 // cost is the expected time to the first byte, and whether fetching shortens it.
-func cost(c *Candidate, donor Donor, ask Ask) (float64, bool) {
+func cost(c *Candidate, donor Donor, ask *Ask) (float64, bool) {
 	ms := c.Running*Share + c.Reading/ReadRate + c.Failing*greyCost
 	if c.Slots > 0 && c.Running >= float64(c.Slots) {
 		ms += (c.Running - float64(c.Slots) + 1) * slotCost
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -61,9 +61,36 @@
 	return list, donor
 }
 
+// pick names candidates, and works out their ceiling, by looking at all of them.
+func pick(list []place.Candidate, donor place.Donor, ask place.Ask) (place.Choice, bool) {
+	var ids []string
+	var sum place.Totals
+	for i := range list {
+		ids = append(ids, list[i].ID)
+		list[i].Named = 0
+		sum.Add(&list[i])
+	}
+	named := 0
+	place.NewRing(ids).Walk(ask.Key, func(i int) bool {
+		named++
+		list[i].Named = named
+		return named < place.Choices
+	})
+	ask.Ceiling = sum.Ceiling(0)
+	return place.Pick(list, donor, ask)
+}
+
+func taken(list []place.Candidate) float64 {
+	var sum place.Totals
+	for i := range list {
+		sum.Add(&list[i])
+	}
+	return sum.Taken()
+}
+
 func ours(p *play, key uint64) place.Choice {
 	list, donor := p.candidates(key)
-	c, _ := place.Pick(list, donor, place.Ask{Key: key, Tokens: prefix + own, Shared: prefix})
+	c, _ := pick(list, donor, place.Ask{Key: key, Tokens: prefix + own, Shared: prefix})
 	return c
 }
 
@@ -187,7 +214,7 @@
 				ID: fmt.Sprint("t", i), Running: float64((entry*7 + i*3) % 4), Slots: 64, Far: (entry+i)%3 > 0,
 			})
 		}
-		c, ok := place.Pick(list, place.Donor{}, ask)
+		c, ok := pick(list, place.Donor{}, ask)
 		assert.Assert(t, ok)
 		got[list[c.Index].ID] = true
 	}
@@ -201,10 +228,10 @@
 	for i := range 4 {
 		list = append(list, place.Candidate{ID: fmt.Sprint(i), Running: float64(90 + i), Slots: 64})
 	}
-	c, ok := place.Pick(list, place.Donor{}, place.Ask{Key: 5})
+	c, ok := pick(list, place.Donor{}, place.Ask{Key: 5})
 	assert.Assert(t, ok)
 	assert.Equal(t, c.Index, 0)
-	_, ok = place.Pick(nil, place.Donor{}, place.Ask{})
+	_, ok = pick(nil, place.Donor{}, place.Ask{})
 	assert.Assert(t, !ok)
 }
 
@@ -213,7 +240,7 @@
 	list := []place.Candidate{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 	got := make([]int, 3)
 	for i := range uint64(300) {
-		c, _ := place.Pick(list, place.Donor{}, place.Ask{Key: i * 7919})
+		c, _ := pick(list, place.Donor{}, place.Ask{Key: i * 7919})
 		got[c.Index]++
 	}
 	for _, n := range got {
@@ -232,7 +259,7 @@
 	list[7].Running = 4
 	crowd := 0
 	for i := range uint64(24) {
-		c, ok := place.Pick(list, place.Donor{}, place.Ask{Key: i * 104729, Tokens: prefix + own, Shared: prefix})
+		c, ok := pick(list, place.Donor{}, place.Ask{Key: i * 104729, Tokens: prefix + own, Shared: prefix})
 		assert.Assert(t, ok)
 		if c.Index == 7 {
 			crowd++
@@ -253,7 +280,7 @@
 	list[7].Held = instructions
 	crowd := 0
 	for i := range uint64(24) {
-		c, ok := place.Pick(list, place.Donor{}, place.Ask{Key: i * 104729, Tokens: prefix + own, Shared: prefix})
+		c, ok := pick(list, place.Donor{}, place.Ask{Key: i * 104729, Tokens: prefix + own, Shared: prefix})
 		assert.Assert(t, ok)
 		if c.Index == 7 {
 			crowd++
@@ -272,7 +299,7 @@
 	}
 	list[4].Running, list[4].Held = 9, prefix
 	donor := place.Donor{ID: "t4", Held: prefix}
-	c, ok := place.Pick(list, donor, place.Ask{Key: 1, Tokens: prefix + own, Shared: prefix})
+	c, ok := pick(list, donor, place.Ask{Key: 1, Tokens: prefix + own, Shared: prefix})
 	assert.Assert(t, ok)
 	assert.Equal(t, c.Index, 4)
 	assert.Assert(t, !c.Fetch)
@@ -292,7 +319,7 @@
 		holder := rapid.IntRange(0, len(list)-1).Draw(t, "holder")
 		list[holder].Held = prefix
 		donor := place.Donor{ID: list[holder].ID, Held: prefix}
-		c, ok := place.Pick(list, donor, place.Ask{Key: 3, Tokens: prefix + own, Shared: prefix, Cap: 2})
+		c, ok := pick(list, donor, place.Ask{Key: 3, Tokens: prefix + own, Shared: prefix})
 		assert.Assert(t, ok)
 		most := 2*sum/float64(len(list)) + 3
 		assert.Assert(t, list[c.Index].Running+1 <= most, "%.0f in progress, %.1f allowed", list[c.Index].Running, most)
@@ -304,7 +331,7 @@
 // every caller through to targets that can't begin in time.
 func TestColdTargetThatIsFullIsNoPlace(t *testing.T) {
 	list := []place.Candidate{{ID: "a", Running: 70, Limit: 70}, {ID: "cold", Running: 70, Limit: 70, Cold: true}}
-	assert.Assert(t, place.Taken(list) >= 1, "%.2f", place.Taken(list))
+	assert.Assert(t, taken(list) >= 1, "%.2f", taken(list))
 	list[1].Running = 2
-	assert.Equal(t, place.Taken(list), 0.0, "a cold target that may get one is a place")
+	assert.Equal(t, taken(list), 0.0, "a cold target that may get one is a place")
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/roster"
@@ -16,12 +17,12 @@
 }
 
 // logSend logs a send, with what decided for its target.
-func (q *request) logSend(t *roster.Target, c choice) {
+func (q *request) logSend(c *board.Choice) {
 	q.log(event.RelaySent,
-		event.Str("target", t.ID), event.Str("service", q.service.Name), event.Int("try", int64(q.tally.Tries+1)),
-		event.Float("running", c.candidate.Running), event.Int("own", int64(c.candidate.Held)), event.Int("held", int64(c.held)),
-		event.Int("shared", int64(c.want.Shared)), event.Uint("prefix", c.want.Key), event.Float("cost", c.cost),
-		event.Int("of", int64(c.of)), event.Bool("cold", c.candidate.Cold), event.Str("fetch", c.fetch),
+		event.Str("target", c.ID), event.Str("service", q.service.Name), event.Int("try", int64(q.tally.Tries+1)),
+		event.Float("running", c.Running), event.Int("own", int64(c.Held)), event.Int("held", int64(c.Cached())),
+		event.Int("shared", int64(c.Ask.Shared)), event.Uint("prefix", c.Ask.Key), event.Float("cost", c.Cost),
+		event.Int("of", int64(c.Of)), event.Bool("cold", c.Cold), event.Str("fetch", c.Donor.Address),
 		event.Uint("version", q.view.Routing.Version))
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -14,7 +14,6 @@
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/place"
-	"chestnutstep.example/chestnutstep/roster"
 )
 
 const (
@@ -27,12 +26,12 @@
 // run sends the request to targets until one has answered or none is left.
 func (q *request) run() {
 	for {
-		t, c, refused := q.next()
+		c, refused := q.next()
 		if refused != nil {
 			q.end(*refused)
 			return
 		}
-		done, err := q.try(t, c)
+		done, err := q.try(&c)
 		if done {
 			return
 		}
@@ -82,18 +81,18 @@
 
 // try sends the request to one target. Done says that the caller has its final
 // answer.
-func (q *request) try(t *roster.Target, c choice) (done bool, err error) {
-	now := clock.Now()
+func (q *request) try(c *board.Choice) (done bool, err error) {
+	now, t := clock.Now(), c.Target
 	q.skip = append(q.skip, t.ID)
 	if q.tally.Tries+q.tally.Unreached == 0 {
 		q.Budgets.Earn(time.Now(), q.service.Name)
 	}
-	run := q.Board.Start(now, t, q.service, q.ask.Parts, c.held, q.who())
-	q.logSend(t, c)
+	run := q.Board.Start(now, t, q.service, q.ask.Parts, c.Cached(), q.who())
+	q.logSend(c)
 	q.countTokens(c)
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
-	answer, err := q.Pool.Do(ctx, t.Address, q.call(t, c))
+	answer, err := q.Pool.Do(ctx, t.Address, q.call(c))
 	if err != nil {
 		q.failed(run, t, err)
 		return false, err
@@ -121,17 +120,17 @@
 }
 
 // countTokens counts where the prompt is expected to come from.
-func (q *request) countTokens(c choice) {
-	if c.want.Tokens == 0 {
+func (q *request) countTokens(c *board.Choice) {
+	if c.Ask.Tokens == 0 {
 		return
 	}
-	q.Meters.Tokens.Add(int64(c.candidate.Held), "held")
-	q.Meters.Tokens.Add(int64(c.held-c.candidate.Held), "fetched")
-	q.Meters.Tokens.Add(int64(max(c.want.Tokens-c.held, 0)), "read")
+	q.Meters.Tokens.Add(int64(c.Held), "held")
+	q.Meters.Tokens.Add(int64(c.Cached()-c.Held), "fetched")
+	q.Meters.Tokens.Add(int64(max(c.Ask.Tokens-c.Cached(), 0)), "read")
 }
 
 // call builds the message for a target.
-func (q *request) call(t *roster.Target, c choice) *link.Call {
+func (q *request) call(c *board.Choice) *link.Call {
 	h := make(http.Header, len(q.r.Header)+4)
 	for name, values := range q.r.Header {
 		if !chestnutstep.IsHopHeader(name) && !q.named(name) && name != "Content-Length" && name != "Expect" {
@@ -139,9 +138,9 @@
 		}
 	}
 	s := chestnutstep.Send{
-		Instance: t.ID,
+		Instance: c.ID,
 		Limit:    time.Until(q.deadline),
-		Fetch:    c.fetch,
+		Fetch:    c.Donor.Address,
 		Urgency:  chestnutstep.UrgencyUnset,
 		Resumes:  q.ask.Resumes,
 		Last:     q.ask.Last,
--- a/trial/direct.go
+++ b/trial/direct.go
@@ -117,23 +117,15 @@
 func (d *direct) try(entry *board.Board, r *request, skip *[]string) bool {
 	now := d.now()
 	parts := d.parts(r)
-	list := entry.Candidates(now, d.view, d.service, board.Need{Parts: parts, Skip: *skip})
-	donor := entry.Donor(now, d.view, d.service, parts)
 	ask := place.Ask{Key: parts[0].ID, Tokens: parts[0].Tokens + parts[1].Tokens, Shared: parts[0].Tokens}
-	c, ok := place.Pick(list, donor, ask)
-	if !ok {
+	c := entry.Choose(now, d.view, d.service, board.Need{Parts: parts, Skip: *skip}, ask)
+	if c.Target == nil {
 		return false
 	}
-	picked := list[c.Index]
-	*skip = append(*skip, picked.ID)
-	held := picked.Held
-	r.source = nil
-	if c.Fetch {
-		held = donor.Held
-		r.source = d.trial.byName[donor.ID]
-	}
-	r.run = entry.Start(now, d.view.ByID[picked.ID], d.service, parts, held, board.Who{})
-	g := d.trial.byName[picked.ID]
+	*skip = append(*skip, c.ID)
+	r.source = d.trial.byName[c.Donor.ID]
+	r.run = entry.Start(now, c.Target, d.service, parts, c.Cached(), board.Who{})
+	g := d.trial.byName[c.ID]
 	if g.down {
 		r.run.End(now, board.Unreached)
 		r.run = nil
--- a/trial/flood.go
+++ b/trial/flood.go
@@ -150,15 +150,18 @@
 func (s *surge) send(r *surgeRequest) {
 	e := s.entries[s.rand.IntN(len(s.entries))]
 	objective := surgeKinds[r.kind].objective
-	list := e.Candidates(s.clock(), s.view, s.service, board.Need{})
 	who := board.Who{Workspace: r.workspace, Urgency: r.kind, Objective: objective}
-	if s.cfg.Admit && !e.Admit(s.clock(), serviceName, list, who).Free {
+	var need board.Need
+	if s.cfg.Admit {
+		need.Who = &who
+	}
+	c := e.Choose(s.clock(), s.view, s.service, need, place.Ask{Key: uint64(r.seq)})
+	if !c.Room.Free {
 		s.refuse(r)
 		return
 	}
-	c, _ := place.Pick(list, place.Donor{}, place.Ask{Key: uint64(r.seq)})
-	g := s.targets[list[c.Index].ID]
-	r.run = e.Start(s.clock(), s.view.ByID[list[c.Index].ID], s.service, nil, 0, who)
+	g := s.targets[c.ID]
+	r.run = e.Start(s.clock(), c.Target, s.service, nil, 0, who)
 	if len(g.waiting) >= surgeBound*s.cfg.Slots {
 		r.run.End(s.clock(), board.Refused)
 		s.refuse(r)
