--- a/node/learn.go
+++ b/node/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// learnWait is how long it waits for such a peer before it asks the targets:
 	// peers report to it within a few milliseconds, in another failure domain too.
 	learnWait = 40 * time.Millisecond
+	// seedWait is how long an entry that is no seed waits for one that knows: the seeds ask
+	// the targets for all. Requests wait no longer, see settleMost.
+	seedWait = settleMost
 	// askers is how many entries ask one target, and report to the others: two, as the
 	// datagrams of one may be lost. Each listing costs its target some work.
 	askers = 2
@@ -62,6 +66,7 @@
 // known notes that this entry knows what targets hold.
 func (n *Direct) known(began time.Time) {
 	if !n.knows.Swap(true) {
+		n.peers.Announce()
 		n.log.Emit(event.CachesKnown, event.Dur("took", time.Since(began)))
 	}
 }
@@ -78,12 +83,32 @@
 			}
 			return err == nil
 		}
-		if time.Since(began) >= learnWait || !sleep(ctx, learnTick) {
+		if time.Since(began) >= n.peerWait() || !sleep(ctx, learnTick) {
 			return false
 		}
 	}
 }
 
+// peerWait is how long to wait for a peer that knows. After a loss of all entries none knows who
+// the others are: did each ask, every target would be asked by all.
+func (n *Direct) peerWait() time.Duration {
+	if len(n.settings.Load().Seeds) == 0 || n.isSeed() {
+		return learnWait
+	}
+	return seedWait
+}
+
+// isSeed reports whether this entry is one of the seeds.
+func (n *Direct) isSeed() bool { return slices.Contains(n.settings.Load().Seeds, n.Settings.Peer) }
+
+// asks reports whether this entry asks a target: a seed shares them with the other seeds.
+func (n *Direct) asks(t *roster.Target) bool {
+	if !n.isSeed() {
+		return n.board.IsAssigned(&t.Instance, askers)
+	}
+	return n.board.IsFirstOf(&t.Instance, n.peers.LiveSeeds(clock.Now()))
+}
+
 // learnFromTargets asks the targets, together with the other entries. Where the
 // source was away as well, targets come back to its list one by one.
 func (n *Direct) learnFromTargets(ctx context.Context, began time.Time, settle func()) {
@@ -96,7 +121,7 @@
 	for end := time.Now().Add(learnFor); time.Now().Before(end); {
 		list := n.unlisted()
 		for _, t := range list {
-			if !asked[t.ID] && n.board.IsAssigned(&t.Instance, askers) {
+			if !asked[t.ID] && n.asks(t) {
 				asked[t.ID] = true
 				queue <- t
 			}
--- a/node/learn_test.go
+++ b/node/learn_test.go
@@ -20,11 +20,29 @@
 // startLate starts an entry of a fleet that has served before, and waits until it
 // knows what targets hold.
 func startLate(t *testing.T, store *stand.Store, seeds ...string) *direct {
+	t.Helper()
+	d := launchLate(t, store, seeds...)
+	d.waitLearned(t)
+	return d
+}
+
+func (d *direct) waitLearned(t *testing.T) {
+	t.Helper()
+	waitFor(t, func() bool { return strings.Contains(d.out.text(), "caches_known") }, "the entry knows what targets hold")
+}
+
+// launchLate starts an entry of a fleet that has served before. The seed "self" is its own address.
+func launchLate(t *testing.T, store *stand.Store, seeds ...string) *direct {
 	t.Helper()
 	d := &direct{door: store.Open(), out: &pausable{}, done: make(chan error, 1)}
 	t.Cleanup(d.door.Close)
 	d.settings = directSettings(t, d.door.Address(), seeds...)
 	d.settings.First = false
+	for i, s := range d.settings.Seeds {
+		if s == "self" {
+			d.settings.Seeds[i] = d.settings.Peer
+		}
+	}
 	source := platform.NewStore(d.door.Address(), link.Dial)
 	n := &node.Direct{
 		Settings: d.settings, Source: source, Wire: platform.Wire{}, Out: d.out, Facts: source, Caches: platform.NewTargets(),
@@ -32,7 +50,6 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go func() { d.done <- n.Run(ctx) }()
-	waitFor(t, func() bool { return strings.Contains(d.out.text(), "caches_known") }, "the entry knows what targets hold")
 	return d
 }
 
@@ -96,3 +113,37 @@
 	assert.Assert(t, second.held(), second.out.text())
 	assert.Equal(t, x.Listed(), 1, "the first one told the second")
 }
+
+// TestSeedsAskTargetsForAll guards against every entry of a fleet that lost power asking every
+// target what it holds, as none knows yet who the others are.
+func TestSeedsAskTargetsForAll(t *testing.T) {
+	const others = 5
+	store, x := stand.NewStore(), newTarget(t, "i-a")
+	publishEngine(store, x)
+	x.Holds("aa11")
+	seed := launchLate(t, store, "self")
+	fleet := []*direct{seed}
+	for range others {
+		fleet = append(fleet, launchLate(t, store, seed.settings.Peer))
+	}
+	for i, d := range fleet {
+		d.waitLearned(t)
+		d.talk(t, string(rune('a'+i)))
+		assert.Assert(t, d.held(), d.out.text())
+	}
+	for _, d := range fleet {
+		t.Log(d.out.text())
+	}
+	assert.Equal(t, x.Listed(), 1)
+}
+
+// TestTargetsAreAskedWithoutSeeds guards against entries that wait for a seed which is gone.
+func TestTargetsAreAskedWithoutSeeds(t *testing.T) {
+	store, x := stand.NewStore(), newTarget(t, "i-a")
+	publishEngine(store, x)
+	x.Holds("aa11")
+	d := startLate(t, store, node.FreeAddr(t))
+	d.talk(t, "a")
+	assert.Assert(t, d.held(), d.out.text())
+	assert.Equal(t, x.Listed(), 1)
+}
--- a/share/peers.go
+++ b/share/peers.go
@@ -28,8 +28,10 @@
 	// memberFor is how long after its last datagram a peer counts as a member: datagrams of
 	// one peer come seconds apart in a large fleet.
 	memberFor = 10 * time.Second
-	// quietEvery is how often a silent peer gets a datagram.
+	// quietEvery is how often a silent peer gets a datagram, and quietFirst how soon the second
+	// one: where a whole fleet starts, the first ones come before their readers do.
 	quietEvery = 500 * time.Millisecond
+	quietFirst = 50 * time.Millisecond
 )
 
 // Knowledge is what an entry reports to others, and takes from their reports. Its methods
@@ -73,8 +75,10 @@
 	addedAt  clock.Stamp
 	lastSeen clock.Stamp
 	sent     clock.Stamp
-	run      uint32
-	number   uint32
+	// unanswered counts the datagrams since the last one that came.
+	unanswered int
+	run        uint32
+	number     uint32
 	// echo is the peer's Sent of its last report.
 	echo     int64
 	control  uint16
@@ -113,6 +117,19 @@
 	return list
 }
 
+// LiveSeeds returns the other seeds from which a datagram came of late.
+func (p *Peers) LiveSeeds(now clock.Stamp) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []netip.AddrPort
+	for _, s := range p.Seeds {
+		if x := p.peers[s]; x != nil && x.live(now) && !x.leaving {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // PeerWithCacheIndex returns the control address of a live peer that knows what targets hold;
 // false says that there is none. Map order is random, so that restarted entries
 // don't all ask the same one.
@@ -158,6 +175,11 @@
 	x.news = cursor{has: end - min(end, newsFirst)}
 }
 
+// quiet is the pause between datagrams to a silent peer.
+func (x *peer) quiet() time.Duration {
+	return min(quietFirst<<min(max(x.unanswered-1, 0), 8), quietEvery)
+}
+
 func (x *peer) live(now clock.Stamp) bool { return x.lastSeen != 0 && now.Sub(x.lastSeen) <= liveFor }
 
 // choose numbers the report, and picks who gets it: those that got none for longest.
@@ -180,7 +202,7 @@
 			delete(p.peers, a)
 			continue
 		}
-		if live || now.Sub(x.sent) >= quietEvery {
+		if live || now.Sub(x.sent) >= x.quiet() {
 			due = append(due, candidate{a, x.sent})
 		}
 	}
--- a/share/talk.go
+++ b/share/talk.go
@@ -70,6 +70,32 @@
 	}
 }
 
+// announceMost bounds the peers that get a report out of turn.
+const announceMost = 64
+
+// Announce reports to the peers at once, instead of some in each round.
+func (p *Peers) Announce() {
+	now := clock.Now()
+	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
+	p.Knowledge.FillReport(now, r)
+	p.mu.Lock()
+	p.number++
+	r.Number, r.Leaving = p.number, p.leaving
+	to := make([]netip.AddrPort, 0, announceMost)
+	for a, x := range p.peers {
+		if x.live(now) && len(to) < announceMost {
+			to = append(to, a)
+		}
+	}
+	p.mu.Unlock()
+	for _, a := range to {
+		n := p.tell(now, r, a)
+		p.mu.Lock()
+		p.out += int64(n)
+		p.mu.Unlock()
+	}
+}
+
 // Bytes is what was sent and received.
 func (p *Peers) Bytes() (out, in int64) {
 	p.mu.Lock()
@@ -104,6 +130,7 @@
 		return 0
 	}
 	x.sent = now
+	x.unanswered++
 	r.Echo, r.EchoRun = x.echo, x.run
 	r.Sent = int64(clock.Now()) / int64(time.Millisecond)
 	b, next, err := p.fit(r, x.news.has)
@@ -192,7 +219,7 @@
 	if started {
 		p.forget(x)
 	}
-	x.run, x.number, x.lastSeen = r.Run, r.Number, now
+	x.run, x.number, x.lastSeen, x.unanswered = r.Run, r.Number, now, 0
 	if len(r.Lists) == 0 {
 		x.echo, x.control, x.leaving, x.hasIndex = r.Sent, r.Control, r.Leaving, r.HasIndex
 	}
