--- a/node/learn.go
+++ b/node/learn.go
@@ -23,8 +23,9 @@
 	// peers report to it within a few milliseconds, in another failure domain too.
 	learnWait = 40 * time.Millisecond
 	// seedWait is how long an entry that is no seed waits for one that knows: the seeds ask
-	// the targets for all. Requests wait no longer, see settleMost.
-	seedWait = settleMost
+	// the targets for all, and hosts don't all start at the same moment. Requests wait no
+	// longer than settleMost.
+	seedWait = 500 * time.Millisecond
 	// askers is how many entries ask one target, and report to the others: two, as the
 	// datagrams of one may be lost. Each listing costs its target some work.
 	askers = 2
