--- a/node/direct.go
+++ b/node/direct.go
@@ -45,7 +45,7 @@
 	// gcPercent collects garbage when the heap has grown by this much of what is in
 	// use. An entry lives on little, and less garbage beside it costs hardly any
 	// processor while callers are few.
-	gcPercent = 40
+	gcPercent = 20
 	// unprovedReady is the part of the bound on keys after which an entry that
 	// can't prove its configuration says that it is not ready: callers are then
 	// better served by another.
