--- a/board/board.go
+++ b/board/board.go
@@ -75,13 +75,13 @@
 // state is what is known of one target.
 type state struct {
 	// born is the start that health and cold are about.
-	born    int64
-	running int
-	reading int
-	health  health
-	cold    coldBucket
-	limit   admit.Limit
-	doubt   doubt
+	born      int64
+	running   int
+	reading   int
+	health    health
+	cold      coldBucket
+	limit     admit.Limit
+	suspicion suspicion
 	// sent are this entry's own requests that peers may not know of.
 	sent burst
 	// member is the target in the index of the newest view; nil before it is indexed.
@@ -171,7 +171,7 @@
 		Slots:      m.Slots,
 		Held:       b.held(l.now, m.cache, l.need.Parts, false),
 		Failing:    s.health.failing(),
-		Doubtful:   s.doubt.in(l.now),
+		Suspected:  s.suspicion.active(l.now),
 		Far:        m.Domain != l.need.Domain,
 		Cold:       cold,
 	}, true
--- a/board/choose.go
+++ b/board/choose.go
@@ -37,7 +37,7 @@
 	Cap float64
 	// Sure asks for a host that is surely there: the request may run only once, or has lost
 	// time already.
-	Sure bool
+	VerifyHost bool
 }
 
 // Choice is the target for a request.
@@ -50,8 +50,8 @@
 	Donor place.Donor
 	// Cost is the expected milliseconds to the first byte.
 	Cost float64
-	// Proof says that a connection should be opened, to prove that the host is there.
-	Proof bool
+	// Fresh says that the request should open a connection, to verify that the host is there.
+	Fresh bool
 	// Of is the number of targets that might have taken the request.
 	Of int
 	// Room is what is known of the places; Free where the request did not ask for one.
@@ -108,7 +108,7 @@
 	}
 	c.Candidate, c.Cost = list[picked.Index], picked.Cost
 	c.Target = v.ByID[c.ID]
-	c.Proof = b.needsProof(now, b.state(loadKey(c.ID)), need.Sure)
+	c.Fresh = b.needsHandshake(now, b.state(loadKey(c.ID)), need.VerifyHost)
 	if picked.Fetch {
 		c.Donor = donor
 	}
--- a/board/choose_test.go
+++ b/board/choose_test.go
@@ -185,31 +185,31 @@
 	}
 }
 
-// TestDoubtsOfPeers guards against every entry finding out by a request of its own that a host is
+// TestSuspicionsOfPeers guards against every entry finding out by a request of its own that a host is
 // gone, and against one that is cut off closing targets for all.
-func TestDoubtsOfPeers(t *testing.T) {
+func TestSuspicionsOfPeers(t *testing.T) {
 	entries, v := fleet(2), view(2, 2)
 	a, b := entries[0], entries[1]
 	b.Candidates(start, v, engine, board.Need{})
 	a.Start(start, v.ByID["t0"], engine, nil, 0, board.Who{}).End(start, board.Unreached)
-	tell := func() { b.MergeReport(start, &share.Report{From: addr(0), Silent: a.Doubts()}) }
+	tell := func() { b.MergeReport(start, &share.Report{From: addr(0), Suspected: a.Suspicions()}) }
 	tell()
 	list := b.Candidates(start, v, engine, board.Need{})
 	assert.Equal(t, len(list), 2, "a peer's word closes no target")
-	assert.Assert(t, list[0].Doubtful && !list[1].Doubtful)
+	assert.Assert(t, list[0].Suspected && !list[1].Suspected)
 
 	choose := func(sure bool, skip string) board.Choice {
-		return b.Choose(start, v, engine, board.Need{Sure: sure, Skip: []string{skip}}, place.Ask{Key: 1})
+		return b.Choose(start, v, engine, board.Need{VerifyHost: sure, Skip: []string{skip}}, place.Ask{Key: 1})
 	}
-	assert.Assert(t, choose(false, "t1").Proof, "in doubt: a connection has to prove the host")
-	assert.Assert(t, !choose(false, "t0").Proof)
-	assert.Assert(t, choose(true, "t0").Proof, "hosts fall silent together: what may run once needs a proof")
+	assert.Assert(t, choose(false, "t1").Fresh, "suspected: a connection has to verify the host")
+	assert.Assert(t, !choose(false, "t0").Fresh)
+	assert.Assert(t, choose(true, "t0").Fresh, "hosts fall silent together: what may run once needs a proof")
 
 	run := b.Start(start, v.ByID["t0"], engine, nil, 0, board.Who{})
 	run.First(start)
-	assert.Assert(t, !choose(true, "t1").Proof, "it has answered")
-	assert.Assert(t, !b.Candidates(start, v, engine, board.Need{})[0].Doubtful)
+	assert.Assert(t, !choose(true, "t1").Fresh, "it has answered")
+	assert.Assert(t, !b.Candidates(start, v, engine, board.Need{})[0].Suspected)
 	a.Start(start, v.ByID["t0"], engine, nil, 0, board.Who{}).End(start.Add(time.Second), board.Unreached)
 	tell()
-	assert.Assert(t, !b.Candidates(start, v, engine, board.Need{})[0].Doubtful, "it answers here")
+	assert.Assert(t, !b.Candidates(start, v, engine, board.Need{})[0].Suspected, "it answers here")
 }
--- a/board/peers.go
+++ b/board/peers.go
@@ -144,7 +144,7 @@
 			s.health.take(now, Replaced)
 		}
 	}
-	b.mergeDoubts(now, r.Silent)
+	b.mergeSuspicions(now, r.Suspected)
 	for _, h := range r.Holds {
 		if old, known := b.holds[h.Part][h.Target]; !known || h.Ready && !old.ready {
 			b.recordPart(now, h.Part, h.Target, h.Ready)
--- a/board/run.go
+++ b/board/run.go
@@ -64,7 +64,7 @@
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
 	r.board.heard = now
-	r.board.state(r.key).doubt.answered(now)
+	r.board.state(r.key).suspicion.answered(now)
 	if r.ready {
 		return
 	}
@@ -92,7 +92,7 @@
 		r.board.setApart(s)
 	}
 	if o == Unreached {
-		r.board.raiseDoubt(now, s, r.key)
+		r.board.raiseSuspicion(now, s, r.key)
 	}
 	r.leave(now, o)
 	r.board.reach(now, r.domain, r.key, o)
--- /dev/null
+++ b/board/suspicion.go
@@ -0,0 +1,89 @@
+package board
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+const (
+	// suspectFor is how long a target whose host did not answer, here or at a peer, is
+	// suspected, unless it answers.
+	suspectFor = 2 * time.Second
+	// alertFor is how long after the last suspicion of any target requests that
+	// verify hosts open a connection: hosts mostly fall silent together.
+	alertFor = 2 * time.Second
+	// provenFor is how long an answer proves that a host is there.
+	provenFor = 100 * time.Millisecond
+	// linkProof is how recent an answer of any target has to be to prove this host's own link.
+	linkProof = 100 * time.Millisecond
+)
+
+// suspicion is what is known of whether a target's host is there.
+type suspicion struct {
+	until clock.Stamp
+	// heard is when the target last answered this entry.
+	heard clock.Stamp
+}
+
+func (s *suspicion) active(now clock.Stamp) bool { return now < s.until }
+
+// answered notes a sign of life.
+func (s *suspicion) answered(now clock.Stamp) { s.heard, s.until = now, 0 }
+
+// raise makes the target suspected.
+func (s *suspicion) raise(now clock.Stamp) { s.until = now.Add(suspectFor) }
+
+// RecordSilence notes that a target's host does not acknowledge a request, and reports whether that
+// says something of the target: where nothing answers, this host's own link may be the cause.
+func (b *Board) RecordSilence(now clock.Stamp, t *roster.Target) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.heard) > linkProof {
+		return false
+	}
+	_, s := b.instance(&t.Instance)
+	s.health.rest(now)
+	b.setApart(s)
+	b.raiseSuspicion(now, s, loadKey(t.ID))
+	return true
+}
+
+// raiseSuspicion makes a target suspected, here and at the peers.
+func (b *Board) raiseSuspicion(now clock.Stamp, s *state, key uint32) {
+	if !s.suspicion.active(now) {
+		b.silent = append(b.silent, key)
+	}
+	s.suspicion.raise(now)
+	b.alert = now.Add(alertFor)
+}
+
+// mergeSuspicions takes the targets that did not answer a peer. They are not left alone for its
+// word: the peer may be the one that is cut off.
+func (b *Board) mergeSuspicions(now clock.Stamp, keys []uint32) {
+	for _, key := range keys {
+		b.alert = now.Add(alertFor)
+		if s := b.targets[key]; s != nil && now.Sub(s.suspicion.heard) > provenFor {
+			s.suspicion.raise(now)
+		}
+	}
+}
+
+// needsHandshake reports whether a request should open a connection, to verify that the host is
+// there.
+func (b *Board) needsHandshake(now clock.Stamp, s *state, verify bool) bool {
+	if s.suspicion.active(now) {
+		return true
+	}
+	return verify && now < b.alert && now.Sub(s.suspicion.heard) > provenFor
+}
+
+// Suspicions returns the targets that were found to be silent since the last call.
+func (b *Board) Suspicions() []uint32 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := b.silent
+	b.silent = nil
+	return list
+}
--- a/meter/set.go
+++ b/meter/set.go
@@ -74,6 +74,8 @@
 	FirstByte Histogram // time to the first byte of an answer
 	Answer    Histogram // time to the last byte of an answer
 	Tries     Counter   // sends to targets, by service and how they ended
+	Silent    Counter   // requests that a target's host did not acknowledge
+	Verified  Counter   // requests that opened a connection to verify a host
 	Denied    Counter   // repeats that the retry budget did not allow
 	Tokens    Counter   // prompt tokens, by whether a cache was expected to hold them
 	Peers     Gauge     // other entries of the fleet
@@ -155,6 +157,8 @@
 		{&s.Relay.FirstByte, entry{"relay_first_byte_seconds", kindHistogram, "seconds", []string{labelKind}, "From the request's headers to the first event of a stream."}},
 		{&s.Relay.Answer, entry{"relay_answer_seconds", kindHistogram, "seconds", []string{labelKind}, "From the request's headers to the end of a whole answer."}},
 		{&s.Relay.Tries, entry{"relay_tries_total", kindCounter, "requests", []string{labelService, labelResult}, "Sends to targets by service: ok, or the reason of the failure."}},
+		{&s.Relay.Silent, entry{"relay_silent_total", kindCounter, "requests", []string{labelService}, "Requests that the target's host had not acknowledged after a quarter of a second."}},
+		{&s.Relay.Verified, entry{"relay_verified_total", kindCounter, "requests", []string{labelService}, "Requests that opened a connection to verify that the target's host is there."}},
 		{&s.Relay.Denied, entry{"relay_retries_denied_total", kindCounter, "requests", []string{labelService}, "Repeats that the service's retry budget did not allow."}},
 		{&s.Relay.Tokens, entry{"relay_prompt_tokens_total", kindCounter, "tokens", []string{labelResult}, "Prompt tokens sent: held by the target, fetched from another, or to be read."}},
 		{&s.Relay.Peers, entry{"relay_peers", kindGauge, "entries", nil, "Other entries of the fleet, as far as this one knows."}},
--- a/node/advice.go
+++ b/node/advice.go
@@ -24,7 +24,7 @@
 
 // News returns what has happened since the last call, for all peers.
 func (n *Direct) News() share.News {
-	return share.News{Holds: n.board.Holds(), Gone: n.board.Gone(), Silent: n.board.Doubts(), Crashes: n.crashes.News()}
+	return share.News{Holds: n.board.Holds(), Gone: n.board.Gone(), Suspected: n.board.Suspicions(), Crashes: n.crashes.News()}
 }
 
 // MergeReport takes a peer's report. One that proves that the configuration in force
--- a/place/place.go
+++ b/place/place.go
@@ -44,9 +44,9 @@
 	// greyCost is added for a target that failed much of what it got of late,
 	// times the share that failed. It outweighs any wait that a caller accepts.
 	greyCost = 4000.0
-	// doubtCost is added for a target whose host did not answer of late: finding out that it is
-	// gone costs more, reading a long prefix elsewhere as much.
-	doubtCost = 100.0
+	// suspectCost is added for a target whose host did not answer of late, in milliseconds: less
+	// than finding out that it is gone, as much as reading a long prefix elsewhere.
+	suspectCost = 100.0
 	// tieCost breaks ties by hash, so that entries that place the same prefix for
 	// the first time at the same moment choose the same target.
 	tieCost = 3.0
@@ -71,8 +71,8 @@
 	Held int
 	// Failing is the share of recent requests that failed: 0 to 1.
 	Failing float64
-	// Doubtful says that its host did not answer of late.
-	Doubtful bool
+	// Suspected says that its host did not answer of late.
+	Suspected bool
 	// Far says that it is in another failure domain.
 	Far bool
 	// Cold targets take a request only while they have allowance left.
@@ -237,8 +237,8 @@
 	if c.Far {
 		ms += farCost
 	}
-	if c.Doubtful {
-		ms += doubtCost
+	if c.Suspected {
+		ms += suspectCost
 	}
 	ms += tieCost * unit(c.ID, ask.Key)
 	missing := float64(max(ask.Tokens-c.Held, 0))
--- a/relay/log.go
+++ b/relay/log.go
@@ -22,7 +22,7 @@
 		event.Str("target", c.ID), event.Str("service", q.service.Name), event.Int("try", int64(q.tally.Tries+1)),
 		event.Float("running", c.Running), event.Int("own", int64(c.Held)), event.Int("held", int64(c.Cached())),
 		event.Int("shared", int64(c.Ask.Shared)), event.Uint("prefix", c.Ask.Key), event.Float("cost", c.Cost),
-		event.Int("of", int64(c.Of)), event.Bool("cold", c.Cold), event.Str("fetch", c.Donor.Address),
+		event.Int("of", int64(c.Of)), event.Bool("cold", c.Cold), event.Str("fetch", c.Donor.Address), event.Bool("fresh", c.Fresh),
 		event.Uint("version", q.view.Routing.Version))
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -91,6 +91,9 @@
 	run := q.Board.Start(now, t, q.service, q.ask.Parts, c.Cached(), q.who())
 	q.logSend(c)
 	q.countTokens(c)
+	if c.Fresh {
+		q.Meters.Verified.Add(1, q.service.Name)
+	}
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
 	answer, err := q.Pool.Do(ctx, t.Address, q.call(c))
@@ -164,25 +167,25 @@
 		Body:     q.body,
 		HasBody:  q.r.ContentLength != 0,
 		Keep:     link.Keep(q.service.Connections, q.Board.Entries()),
-		Fresh:    c.Proof,
+		Fresh:    c.Fresh,
 		Dial:     q.dialLimit(c),
 		OnSilent: q.onSilent(c.Target),
 	}
 }
 
 const (
-	// proofShare is the part of its objective that a request may wait for a connection which
-	// proves that the target's host is there, and proofLeast its least time.
-	proofShare = 0.25
-	proofLeast = 100 * time.Millisecond
+	// verifyShare is the part of its objective that a request may wait for a connection which
+	// verifies that the target's host is there, and verifyLeast its least time.
+	verifyShare = 0.25
+	verifyLeast = 100 * time.Millisecond
 )
 
-// dialLimit bounds the opening of a connection to a host in doubt: in time for another one.
+// dialLimit bounds the opening of a connection that verifies a host, in time for another one.
 func (q *request) dialLimit(c *board.Choice) time.Duration {
-	if !c.Proof || q.route.Objective <= 0 {
+	if !c.Fresh || q.route.Objective <= 0 {
 		return 0
 	}
-	return max(time.Duration(proofShare*float64(q.route.Objective)), proofLeast)
+	return max(time.Duration(verifyShare*float64(q.route.Objective)), verifyLeast)
 }
 
 // onSilent returns what is done when a target's host does not acknowledge the request: a request
@@ -190,7 +193,8 @@
 func (q *request) onSilent(t *roster.Target) func() bool {
 	repeat := q.route.Idempotent() && q.tally.Tries+1 < q.route.Tries
 	return func() bool {
-		known := q.Board.Silent(clock.Now(), t)
+		q.Meters.Silent.Add(1, q.service.Name)
+		known := q.Board.RecordSilence(clock.Now(), t)
 		q.log(event.TargetSilent, event.Str("target", t.ID), event.Bool("link", known), event.Bool("again", known && repeat))
 		return known && repeat
 	}
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -97,9 +97,9 @@
 	b := &board.Board{}
 	g := newRig(t)
 	v := g.roster.View()
-	assert.Assert(t, !b.Silent(clock.Now(), v.ByID["i-a"]), "nothing has answered here")
+	assert.Assert(t, !b.RecordSilence(clock.Now(), v.ByID["i-a"]), "nothing has answered here")
 	run := b.Start(clock.Now(), v.ByID["i-b"], v.Routing.Services["shop"], nil, 0, board.Who{})
 	run.First(clock.Now())
-	assert.Assert(t, b.Silent(clock.Now(), v.ByID["i-a"]))
-	assert.Equal(t, len(b.Doubts()), 1)
+	assert.Assert(t, b.RecordSilence(clock.Now(), v.ByID["i-a"]))
+	assert.Equal(t, len(b.Suspicions()), 1)
 }
--- a/share/news.go
+++ b/share/news.go
@@ -16,10 +16,10 @@
 
 // News are events that every peer has to receive.
 type News struct {
-	Holds   []Hold
-	Gone    []uint32
-	Silent  []uint32
-	Crashes []Crash
+	Holds     []Hold
+	Gone      []uint32
+	Suspected []uint32
+	Crashes   []Crash
 }
 
 // newsLog numbers events, so that each peer is sent those that it does not have. Its zero
@@ -46,8 +46,8 @@
 	for i := range n.Gone {
 		l.events = append(l.events, newsEvent{gone: &n.Gone[i]})
 	}
-	for i := range n.Silent {
-		l.events = append(l.events, newsEvent{silent: &n.Silent[i]})
+	for i := range n.Suspected {
+		l.events = append(l.events, newsEvent{silent: &n.Suspected[i]})
 	}
 	for i := range n.Crashes {
 		l.events = append(l.events, newsEvent{crash: &n.Crashes[i]})
@@ -68,7 +68,7 @@
 	from = min(max(from, l.first), l.end())
 	events := l.events[from-l.first:]
 	events = events[:min(len(events), most)]
-	r.Holds, r.Gone, r.Silent, r.Crashes = nil, nil, nil, nil
+	r.Holds, r.Gone, r.Suspected, r.Crashes = nil, nil, nil, nil
 	for _, e := range events {
 		switch {
 		case e.hold != nil:
@@ -76,7 +76,7 @@
 		case e.gone != nil:
 			r.Gone = append(r.Gone, *e.gone)
 		case e.silent != nil:
-			r.Silent = append(r.Silent, *e.silent)
+			r.Suspected = append(r.Suspected, *e.silent)
 		case e.crash != nil:
 			r.Crashes = append(r.Crashes, *e.crash)
 		}
--- a/share/report.go
+++ b/share/report.go
@@ -53,7 +53,7 @@
 	// Kept are the places that the sender keeps free.
 	Kept []Kept
 	// Silent are targets whose hosts did not answer the sender.
-	Silent []uint32
+	Suspected []uint32
 }
 
 // Kept is the part of a service's places that an entry keeps free for requests within
