board, place: an index that follows the list of targets change by change

Now targets keep their slots on the ring, points are taken out and merged in one pass, and members whose target is as it was stay as they are. TestChooseIsThePlainChoice plays joins, leaves and changes one by one (3,000 checks).

--- a/board/board.go
+++ b/board/board.go
@@ -65,10 +65,8 @@
 	alert  clock.Stamp
 	heard  clock.Stamp
 
-	// groups are the services' targets of the newest view, former those of the one before.
-	view    *roster.View
+	// groups index the targets of each service.
 	groups  map[string]*group
-	former  map[string]*group
 	scratch []place.Candidate
 }
 
@@ -123,6 +121,7 @@
 	b.services = make(map[string]*usage)
 	b.domains = make(map[string]*domain)
 	b.listed = make(map[uint32]bool)
+	b.groups = make(map[string]*group)
 }
 
 func (b *Board) state(key uint32) *state {
--- a/board/choose_test.go
+++ b/board/choose_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"math"
-	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/place"
@@ -32,7 +33,9 @@
 		ids = append(ids, t.ID)
 	}
 	named := 0
-	place.NewRing(ids).Walk(ask.Key, func(i int) bool {
+	var ring place.Ring
+	ring.Change(ids, nil)
+	ring.Walk(ask.Key, func(i int) bool {
 		if c := byID[ids[i]]; c != nil && named < place.Choices {
 			named++
 			c.Named = named
@@ -44,20 +47,20 @@
 	return c, list
 }
 
-// event is one step of a random history of a board.
+// history is a random history of a board.
 type history struct {
 	b    *board.Board
 	v    *roster.View
 	now  clock.Stamp
 	runs []*board.Run
-	// loads are what the peers reported last.
-	loads map[netip.AddrPort][]share.Load
+	// joined counts the targets that joined.
+	joined int
 }
 
 func (h *history) step(t *rapid.T) {
 	h.now = h.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 	x := rapid.SampledFrom(h.v.Services["s"]).Draw(t, "target")
-	switch rapid.IntRange(0, 4).Draw(t, "step") {
+	switch rapid.IntRange(0, 5).Draw(t, "step") {
 	case 0, 1:
 		p := rapid.Uint64Range(1, 6).Draw(t, "prefix")
 		h.runs = append(h.runs, h.b.Start(h.now, x, engine, parts(p, 1000+p), 0, board.Who{Objective: time.Second}))
@@ -77,9 +80,35 @@
 		h.b.MergeReport(h.now, &share.Report{From: from, Loads: loads})
 	case 4:
 		h.v = view(len(h.v.Services["s"]), rapid.IntRange(1, len(h.v.Services["s"])).Draw(t, "warm"))
+	case 5:
+		h.change(t, x)
 	}
 }
 
+// change takes one target out, or lets it leave, or adds one; the others stay as they are.
+func (h *history) change(t *rapid.T, x *roster.Target) {
+	list := slices.Clone(h.v.Services["s"])
+	i := slices.Index(list, x)
+	switch rapid.IntRange(0, 2).Draw(t, "change") {
+	case 0:
+		if len(list) > 1 {
+			list = slices.Delete(list, i, i+1)
+		}
+	case 1:
+		leaving := *x
+		leaving.Leaving = !leaving.Leaving
+		list[i] = &leaving
+	case 2:
+		h.joined++
+		list = append(list, &roster.Target{Instance: chestnutstep.Instance{ID: fmt.Sprint("j", h.joined), Service: "s", Domain: "e", Slots: 4}})
+	}
+	v := &roster.View{Services: map[string][]*roster.Target{"s": list}, ByID: make(map[string]*roster.Target)}
+	for _, one := range list {
+		v.ByID[one.ID] = one
+	}
+	h.v = v
+}
+
 // TestChooseIsThePlainChoice guards against an index that has lost track of the targets: totals,
 // holders and the order by hash have to be those that a look at every target gives.
 func TestChooseIsThePlainChoice(t *testing.T) {
@@ -213,3 +242,21 @@
 	tell()
 	assert.Assert(t, !b.Candidates(start, v, engine, board.Need{})[0].Suspected, "it answers here")
 }
+
+// BenchmarkView plays a target that joins and one that leaves before each request.
+func BenchmarkView(bm *testing.B) {
+	for _, n := range []int{51, 2700} {
+		bm.Run(fmt.Sprint(n), func(bm *testing.B) {
+			b, v := bench(n)
+			request(b, v, start, 0)
+			bm.ReportAllocs()
+			for i := range uint64(bm.N) {
+				list := slices.Clone(v.Services["s"])
+				list[int(i)%n] = &roster.Target{Instance: chestnutstep.Instance{ID: fmt.Sprint("j", i), Service: "s", Domain: "d", Slots: 4}}
+				v = &roster.View{Services: map[string][]*roster.Target{"s": list}, ByID: v.ByID}
+				v.ByID[list[int(i)%n].ID] = list[int(i)%n]
+				request(b, v, start.Add(time.Duration(i)*time.Millisecond), i)
+			}
+		})
+	}
+}
--- a/board/export_test.go
+++ b/board/export_test.go
@@ -21,8 +21,9 @@
 	l := b.newLook(now, service, &need)
 	b.openAreas(&l, g)
 	var list []place.Candidate
-	for _, m := range g.members {
-		if c, ok := b.candidate(&l, m); ok {
+	for _, t := range v.Services[service.Name] {
+		slot, _ := g.ring.Slot(t.ID)
+		if c, ok := b.candidate(&l, g.members[slot]); ok {
 			list = append(list, c)
 		}
 	}
@@ -36,7 +37,7 @@
 	b.begin()
 	var best place.Donor
 	for _, m := range b.group(now, v, service).members {
-		if !m.state.health.down(now) && now >= m.ColdUntil {
+		if m != nil && !m.state.health.down(now) && now >= m.ColdUntil {
 			b.compareDonor(now, &best, m, parts)
 		}
 	}
--- a/board/index.go
+++ b/board/index.go
@@ -10,8 +10,10 @@
 // group is the index of a service's targets. It is kept up to date by what changes them, so
 // that a choice looks at a few of them instead of all.
 type group struct {
+	view *roster.View
+	// members are by their slot on the ring; nil for a slot that is free.
 	members []*member
-	ring    *place.Ring
+	ring    place.Ring
 	// caches finds members by the key of their cache.
 	caches map[uint32]*member
 	areas  map[string]*area
@@ -19,21 +21,22 @@
 	apart []*member
 	// recent are those that got requests of this entry that peers may not know of.
 	recent []*member
-	// turn numbers the choices.
-	turn uint64
+	// turn numbers the choices, and change the changes of the view.
+	turn, change uint64
 }
 
 // member is a target of a group.
 type member struct {
 	*roster.Target
+	slot       int
 	key, cache uint32
 	state      *state
 	area       *area
 	usable     bool
 	apart      bool
 	recent     bool
-	// turn is the last choice that has looked at it.
-	turn uint64
+	// turn is the last choice that has looked at it, and change the last view that has it.
+	turn, change uint64
 }
 
 // area sums up the usual members of a failure domain: usable, warm, reachable, and without a
@@ -60,65 +63,89 @@
 
 // group returns the index of a service for a view.
 func (b *Board) group(now clock.Stamp, v *roster.View, service *chestnutstep.Service) *group {
-	if b.view != v {
-		b.view = v
-		b.former, b.groups = b.groups, make(map[string]*group, len(v.Services))
-	}
 	g := b.groups[service.Name]
 	if g == nil {
-		g = b.newGroup(now, v, service)
+		g = &group{caches: make(map[uint32]*member), areas: make(map[string]*area)}
 		b.groups[service.Name] = g
 	}
+	if g.view != v {
+		g.view = v
+		b.follow(now, g, v.Services[service.Name])
+	}
 	return g
 }
 
-func (b *Board) newGroup(now clock.Stamp, v *roster.View, service *chestnutstep.Service) *group {
-	list := v.Services[service.Name]
-	g := &group{
-		members: make([]*member, 0, len(list)),
-		caches:  make(map[uint32]*member, len(list)),
-		areas:   make(map[string]*area),
-	}
+// follow brings the index up to a list of targets. What is known of those that are as they were
+// is not worked out anew.
+func (b *Board) follow(now clock.Stamp, g *group, list []*roster.Target) {
+	g.change++
+	var join, left []string
 	for _, t := range list {
-		key, s := b.instance(&t.Instance)
-		m := &member{Target: t, key: key, cache: Key(&t.Instance), state: s, usable: v.Usable(t)}
-		s.member = m
-		m.area = g.areas[t.Domain]
-		if m.area == nil {
-			m.area = &area{domain: t.Domain}
-			g.areas[t.Domain] = m.area
+		slot, known := g.ring.Slot(t.ID)
+		if !known {
+			join = append(join, t.ID)
+			continue
 		}
-		g.members = append(g.members, m)
-		g.caches[m.cache] = m
-		if m.isUsual(now) {
-			m.area.add(m, b.runningAt(m), 1)
-		} else {
-			m.apart = true
-			g.apart = append(g.apart, m)
+		m := g.members[slot]
+		if m.Target == t && m.usable == g.view.Usable(t) {
+			m.change = g.change
+			continue
 		}
-		if s.sent.at(now) > 0 {
-			m.recent = true
-			g.recent = append(g.recent, m)
+		g.remove(m, b.runningAt(m))
+		b.insert(now, g, t, slot)
+	}
+	for _, m := range g.members {
+		if m != nil && m.change != g.change {
+			left = append(left, m.ID)
+			g.remove(m, b.runningAt(m))
 		}
 	}
-	g.ring = b.formerRing(service.Name, g)
-	return g
+	g.ring.Change(join, left)
+	g.members = append(g.members, make([]*member, g.ring.Slots()-len(g.members))...)
+	for _, t := range list {
+		if slot, _ := g.ring.Slot(t.ID); g.members[slot] == nil {
+			b.insert(now, g, t, slot)
+		}
+	}
+}
+
+// insert puts a target into the index.
+func (b *Board) insert(now clock.Stamp, g *group, t *roster.Target, slot int) {
+	key, s := b.instance(&t.Instance)
+	m := &member{Target: t, slot: slot, key: key, cache: Key(&t.Instance), state: s, usable: g.view.Usable(t), change: g.change}
+	s.member = m
+	m.area = g.areas[t.Domain]
+	if m.area == nil {
+		m.area = &area{domain: t.Domain}
+		g.areas[t.Domain] = m.area
+	}
+	g.members[slot] = m
+	g.caches[m.cache] = m
+	if m.isUsual(now) {
+		m.area.add(m, b.runningAt(m), 1)
+	} else {
+		m.apart = true
+		g.apart = append(g.apart, m)
+	}
+	if s.sent.at(now) > 0 {
+		m.recent = true
+		g.recent = append(g.recent, m)
+	}
 }
 
-// formerRing returns the ring of the last view, if the targets are still the same.
-func (b *Board) formerRing(service string, g *group) *place.Ring {
-	f := b.former[service]
-	delete(b.former, service)
-	same := f != nil && len(f.members) == len(g.members)
-	ids := make([]string, len(g.members))
-	for i, m := range g.members {
-		ids[i] = m.ID
-		same = same && f.members[i].ID == m.ID
+// remove takes a target out of the index, but for the lists that settle looks through.
+func (g *group) remove(m *member, running int) {
+	if !m.apart {
+		m.area.add(m, running, -1)
+	}
+	m.apart, m.recent = false, false
+	if m.state.member == m {
+		m.state.member = nil
 	}
-	if same {
-		return f.ring
+	if g.caches[m.cache] == m {
+		delete(g.caches, m.cache)
 	}
-	return place.NewRing(ids)
+	g.members[m.slot] = nil
 }
 
 // isUsual reports whether the sums of the failure domain say all of the target.
@@ -137,18 +164,8 @@
 	}
 	m.area.add(m, b.runningAt(m), -1)
 	m.apart = true
-	if g := b.groupOf(m); g != nil {
-		g.apart = append(g.apart, m)
-	}
-}
-
-// groupOf returns the index that has the target; nil where a newer view has replaced it.
-func (b *Board) groupOf(m *member) *group {
 	g := b.groups[m.Service]
-	if g == nil || g.caches[m.cache] != m {
-		return nil
-	}
-	return g
+	g.apart = append(g.apart, m)
 }
 
 // addSent counts a request that peers may not know of.
@@ -159,9 +176,8 @@
 		return
 	}
 	m.recent = true
-	if g := b.groupOf(m); g != nil {
-		g.recent = append(g.recent, m)
-	}
+	g := b.groups[m.Service]
+	g.recent = append(g.recent, m)
 }
 
 // addRunning counts requests that began at a target, or ended.
@@ -181,12 +197,14 @@
 func (b *Board) settle(now clock.Stamp, g *group) {
 	kept := g.apart[:0]
 	for _, m := range g.apart {
-		if m.isUsual(now) {
+		switch {
+		case g.members[m.slot] != m:
+		case m.isUsual(now):
 			m.apart = false
 			m.area.add(m, b.runningAt(m), 1)
-			continue
+		default:
+			kept = append(kept, m)
 		}
-		kept = append(kept, m)
 	}
 	clear(g.apart[len(kept):])
 	g.apart = kept
@@ -197,7 +215,8 @@
 func (g *group) forgetSent(now clock.Stamp) {
 	kept := g.recent[:0]
 	for _, m := range g.recent {
-		if m.recent = m.state.sent.at(now) > 0; m.recent {
+		m.recent = g.members[m.slot] == m && m.state.sent.at(now) > 0
+		if m.recent {
 			kept = append(kept, m)
 		}
 	}
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -71,7 +71,9 @@
 		sum.Add(&list[i])
 	}
 	named := 0
-	place.NewRing(ids).Walk(ask.Key, func(i int) bool {
+	var ring place.Ring
+	ring.Change(ids, nil)
+	ring.Walk(ask.Key, func(i int) bool {
 		named++
 		list[i].Named = named
 		return named < place.Choices
--- a/place/ring.go
+++ b/place/ring.go
@@ -12,55 +12,121 @@
 const pointsEach = 32
 
 // Ring orders targets by the hash of a key, the same for all who know the same targets: one
-// that joins or leaves changes the order for few keys. It is not safe for concurrent use.
+// that joins or leaves changes the order for few keys. Targets are known by slots, which stay
+// theirs while they are members. The zero value is empty. It is not safe for concurrent use.
 type Ring struct {
 	points []point
-	// seen is the last walk that came to each target.
+	slots  map[string]int
+	free   []int
+	// seen is the last walk that came to each slot.
 	seen []uint32
 	walk uint32
 }
 
 // point is a place on the ring.
 type point struct {
-	at     uint32
-	target uint32
+	at   uint32
+	slot uint32
 }
 
-// NewRing returns the ring of targets with these names.
-func NewRing(ids []string) *Ring {
-	r := &Ring{points: make([]point, 0, pointsEach*len(ids)), seen: make([]uint32, len(ids))}
-	for i, id := range ids {
+func comparePoints(a, b point) int {
+	if a.at != b.at {
+		return cmp.Compare(a.at, b.at)
+	}
+	return cmp.Compare(a.slot, b.slot)
+}
+
+// Slots is the number of slots that were given out, those that are free again included.
+func (r *Ring) Slots() int { return len(r.seen) }
+
+// Slot returns the slot of a target; false where it is no member.
+func (r *Ring) Slot(id string) (int, bool) {
+	slot, ok := r.slots[id]
+	return slot, ok
+}
+
+// Change takes in targets that join and drops those that left. Its cost is that of one walk
+// over the points, however few targets change.
+func (r *Ring) Change(join, left []string) {
+	if len(join)+len(left) == 0 {
+		return
+	}
+	gone := make([]bool, len(r.seen))
+	for _, id := range left {
+		if slot, ok := r.slots[id]; ok {
+			gone[slot] = true
+			delete(r.slots, id)
+			r.free = append(r.free, slot)
+		}
+	}
+	kept := r.points[:0]
+	for _, p := range r.points {
+		if !gone[p.slot] {
+			kept = append(kept, p)
+		}
+	}
+	r.points = merge(kept, r.join(join))
+}
+
+// join gives slots to targets and returns their points in order.
+func (r *Ring) join(ids []string) []point {
+	if r.slots == nil {
+		r.slots = make(map[string]int, len(ids))
+	}
+	list := make([]point, 0, pointsEach*len(ids))
+	for _, id := range ids {
+		slot := len(r.seen)
+		if n := len(r.free); n > 0 {
+			slot, r.free = r.free[n-1], r.free[:n-1]
+		} else {
+			r.seen = append(r.seen, 0)
+		}
+		r.slots[id] = slot
 		h := xxhash.Sum64String(id)
 		for range pointsEach {
 			h = mix(h)
-			r.points = append(r.points, point{uint32(h >> 32), uint32(i)})
+			list = append(list, point{uint32(h >> 32), uint32(slot)})
+		}
+	}
+	slices.SortFunc(list, comparePoints)
+	return list
+}
+
+// merge puts points that are in order among others that are.
+func merge(list, more []point) []point {
+	a, b := len(list), len(more)
+	list = append(list, more...)
+	for b > 0 {
+		if a > 0 && comparePoints(list[a-1], more[b-1]) > 0 {
+			list[a+b-1] = list[a-1]
+			a--
+			continue
 		}
+		list[a+b-1] = more[b-1]
+		b--
 	}
-	slices.SortFunc(r.points, func(a, b point) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.target, b.target))
-	})
-	return r
+	return list
 }
 
-// Walk calls f with the place of each target in the list of names, once, in the order of the
-// key, until f returns false.
-func (r *Ring) Walk(key uint64, f func(i int) bool) {
+// Walk calls f with the slot of each target, once, in the order of the key, until f returns
+// false.
+func (r *Ring) Walk(key uint64, f func(slot int) bool) {
 	r.walk++
 	at := uint32(mix(key) >> 32)
 	first, _ := slices.BinarySearchFunc(r.points, at, func(p point, at uint32) int { return cmp.Compare(p.at, at) })
-	left := len(r.seen)
+	left := len(r.slots)
 	for n := range r.points {
 		k := first + n
 		if k >= len(r.points) {
 			k -= len(r.points)
 		}
-		i := r.points[k].target
-		if r.seen[i] == r.walk {
+		slot := r.points[k].slot
+		if r.seen[slot] == r.walk {
 			continue
 		}
-		r.seen[i] = r.walk
+		r.seen[slot] = r.walk
 		left--
-		if !f(int(i)) || left == 0 {
+		if !f(int(slot)) || left == 0 {
 			return
 		}
 	}
