--- a/admit/sieve.go
+++ b/admit/shedder.go
@@ -28,12 +28,12 @@
 	arrivalsForgotten = 0.01
 )
 
-// Sieve refuses requests before they are read while an entry gets more of them than its
+// LoadShedder refuses requests before they are read while an entry gets more of them than its
 // processor can parse. It answers a surge that would make every request wait in the entry
 // beyond its deadline, and be parsed for nobody. Workspaces that send more than an even part
 // of what is taken are refused the surplus; the others are not refused. It uses the standing
 // delay of work that is ready to run; the zero value refuses nothing.
-type Sieve struct {
+type LoadShedder struct {
 	// part of the arrivals that is refused.
 	part float64
 	// level is the count of arrivals of one workspace up to which none is refused.
@@ -53,11 +53,11 @@
 	return a.n * math.Exp2(-now.Sub(a.last).Seconds()/arrivalsHalf.Seconds())
 }
 
-// Part is the part of the arrivals that is refused.
-func (s *Sieve) Part() float64 { return s.part }
+// RejectRatio is the part of the arrivals that is refused.
+func (s *LoadShedder) RejectRatio() float64 { return s.part }
 
 // Observe takes the usual delay of work since the last observation.
-func (s *Sieve) Observe(now clock.Stamp, delay time.Duration) {
+func (s *LoadShedder) Observe(now clock.Stamp, delay time.Duration) {
 	if delay > delayTarget {
 		step := min(shedGain*delay.Seconds()/delayTarget.Seconds(), shedStep)
 		s.part = min(s.part+step*(1-s.part), shedMost)
@@ -71,7 +71,7 @@
 }
 
 // divide finds the level at which the workspaces together get what is taken.
-func (s *Sieve) divide(now clock.Stamp) {
+func (s *LoadShedder) divide(now clock.Stamp) {
 	counts := make([]float64, 0, len(s.arrivals))
 	sum := 0.0
 	for who, a := range s.arrivals {
@@ -97,7 +97,7 @@
 }
 
 // Refuse counts a request of a workspace, and reports whether it is refused.
-func (s *Sieve) Refuse(now clock.Stamp, workspace string) bool {
+func (s *LoadShedder) Refuse(now clock.Stamp, workspace string) bool {
 	if s.arrivals == nil {
 		s.arrivals = make(map[string]*arrivals)
 	}
--- a/admit/sieve_test.go
+++ b/admit/shedder_test.go
@@ -24,7 +24,7 @@
 // processor plays an entry whose processor is what is full: requests wait for it in the
 // order in which they come.
 type processor struct {
-	sieve *admit.Sieve
+	shedder *admit.LoadShedder
 	// busy is until when the processor has work.
 	busy   clock.Stamp
 	served map[string]int
@@ -48,12 +48,12 @@
 				p.take(now, who, delay, at > d/2)
 			}
 		}
-		if at%observeEvery == 0 && p.sieve != nil {
+		if at%observeEvery == 0 && p.shedder != nil {
 			usual := max(p.busy.Sub(now), 0)
 			if n > 0 {
 				usual = delays / time.Duration(n)
 			}
-			p.sieve.Observe(now, usual)
+			p.shedder.Observe(now, usual)
 			delays, n = 0, 0
 		}
 	}
@@ -65,7 +65,7 @@
 		p.asked[who]++
 	}
 	cost := taskTime
-	if p.sieve != nil && p.sieve.Refuse(now, who) {
+	if p.shedder != nil && p.shedder.Refuse(now, who) {
 		cost = shedTime
 	} else if counted {
 		p.worst = max(p.worst, delay)
@@ -95,15 +95,15 @@
 	usual := map[string]int{"a": 300, "b": 300, "c": 300, "d": 300, "hot": 300}
 	surge := map[string]int{"a": 300, "b": 300, "c": 300, "d": 300, "hot": 8800}
 
-	best := &processor{sieve: &admit.Sieve{}}
+	best := &processor{shedder: &admit.LoadShedder{}}
 	best.play(start, 10*time.Second, usual)
 	assert.Equal(t, best.share("hot"), 1.0, "nothing is refused while the processor has time")
 
 	naive := &processor{}
 	naive.play(start, 10*time.Second, surge)
-	assert.Assert(t, naive.share("a") < 0.1, "%f in time without a sieve", naive.share("a"))
+	assert.Assert(t, naive.share("a") < 0.1, "%f in time without a shedder", naive.share("a"))
 
-	p := &processor{sieve: &admit.Sieve{}}
+	p := &processor{shedder: &admit.LoadShedder{}}
 	p.play(start, 10*time.Second, surge)
 	t.Logf("in time: %.2f of a usual workspace, %.2f of the surge; worst delay %s", p.share("a"), p.share("hot"), p.worst)
 	for _, who := range []string{"a", "b", "c", "d"} {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -47,11 +47,11 @@
 	// View returns the publication in force, or nil before the first one.
 	View func() *chestnutstep.View
 
-	Gate    chestnutstep.Gate
-	Jury    chestnutstep.Jury
-	Booth   chestnutstep.Booth
-	Sampler chestnutstep.Sampler
-	Shelf   *answer.Shelf
+	Gate     chestnutstep.Gate
+	Detector chestnutstep.Detector
+	Issuer   chestnutstep.Issuer
+	Sampler  chestnutstep.Sampler
+	Answers  *answer.Store
 
 	// Reuse is the client of requests that may be sent again; Single opens a
 	// connection for each request. See Clients for why there are two.
@@ -124,7 +124,7 @@
 	if a.Clock == nil {
 		a.Clock = time.Now
 	}
-	a.sender.warden.Target = a.Name
+	a.sender.permits.Target = a.Name
 	a.sender.desk.Began = a.Clock()
 	a.sender.desk.Uptime = a.Uptime
 	if a.Linger == 0 {
@@ -179,7 +179,7 @@
 		a.expire(now, j)
 	}
 	a.advance(now)
-	a.Shelf.Sweep(now)
+	a.Answers.Sweep(now)
 	a.forget()
 }
 
@@ -265,6 +265,6 @@
 	return a.Gate.Load(a.Clock())
 }
 
-// Lock returns the lock that guards Sampler and Jury, for the gossip that
+// Lock returns the lock that guards Sampler and Detector, for the gossip that
 // feeds them.
 func (a *Agent) Lock() sync.Locker { return &a.mu }
--- a/agent/call.go
+++ b/agent/call.go
@@ -94,7 +94,7 @@
 	if j.agent.health.crashes == j.crashes {
 		return chestnutstep.ReasonShort
 	}
-	if j.agent.Jury.Judge(j.agent.Clock(), j.offer.Fingerprint) == chestnutstep.Condemned {
+	if j.agent.Detector.Judge(j.agent.Clock(), j.offer.Fingerprint) == chestnutstep.Condemned {
 		return chestnutstep.ReasonCondemned
 	}
 	return chestnutstep.ReasonCrashed
@@ -105,7 +105,7 @@
 func (a *Agent) unwatch(j *job) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.Jury.End(a.Clock(), j.offer.Fingerprint, false)
+	a.Detector.End(a.Clock(), j.offer.Fingerprint, false)
 }
 
 // settle turns "nothing was sent" into a true "not run", for a ticket by its
@@ -121,7 +121,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Clock()
-	res.run = a.Booth.Unsent(now, j.offer.Ticket).Run
+	res.run = a.Issuer.Unsent(now, j.offer.Ticket).Run
 }
 
 func (j *job) call(ctx context.Context) result {
--- a/agent/health.go
+++ b/agent/health.go
@@ -171,9 +171,9 @@
 	h.crashes++
 	a.chats.clear()
 	a.Notify(Notice{Kind: NoticeCrash, Subject: a.Name, Before: h.boot})
-	for _, s := range a.Jury.Crash(now) {
+	for _, s := range a.Detector.Crash(now) {
 		kind := NoticeSuspect
-		if a.Jury.Judge(now, s.Fingerprint) == chestnutstep.Condemned {
+		if a.Detector.Judge(now, s.Fingerprint) == chestnutstep.Condemned {
 			kind = NoticeCondemned
 		}
 		a.Notify(Notice{Kind: kind, Subject: number(s.Fingerprint), Reason: chestnutstep.ReasonCrashed})
--- a/agent/job.go
+++ b/agent/job.go
@@ -137,14 +137,14 @@
 		a.drop(now, j, chestnutstep.ReasonTimeout)
 		return
 	}
-	if j.offer.Ticket != "" && !a.Booth.Run(now, j.offer.Ticket) {
+	if j.offer.Ticket != "" && !a.Issuer.Run(now, j.offer.Ticket) {
 		a.drop(now, j, chestnutstep.ReasonSpent)
 		return
 	}
 	j.state = running
 	j.begun = now
 	j.crashes = a.health.crashes
-	a.Jury.Start(now, j.offer.Fingerprint)
+	a.Detector.Start(now, j.offer.Fingerprint)
 	ctx, cancel := context.WithDeadline(context.Background(), j.limit())
 	j.abort = cancel
 	a.runs.Add(1)
@@ -203,7 +203,7 @@
 // remove forgets a job that never ran, so that a repeat is decided afresh.
 func (a *Agent) remove(j *job) {
 	delete(a.jobs, j.key)
-	a.Shelf.Remove(j.offer.Workspace, j.offer.Id)
+	a.Answers.Remove(j.offer.Workspace, j.offer.Id)
 }
 
 // finish ends a job that ran.
@@ -217,10 +217,10 @@
 	}
 	j.abort()
 	if !res.unsent {
-		a.Jury.End(now, j.offer.Fingerprint, res.outcome == chestnutstep.Served)
+		a.Detector.End(now, j.offer.Fingerprint, res.outcome == chestnutstep.Served)
 	}
 	if j.offer.Ticket != "" {
-		a.Booth.Done(now, j.offer.Ticket, res.outcome == chestnutstep.Served)
+		a.Issuer.Done(now, j.offer.Ticket, res.outcome == chestnutstep.Served)
 	}
 	if res.outcome == chestnutstep.Served && j.offer.Chat != "" {
 		a.chats.put(chat{j.offer.Workspace, j.offer.Chat}, now)
@@ -259,10 +259,10 @@
 	}
 }
 
-// forget drops jobs whose answer the shelf no longer keeps.
+// forget drops jobs whose answer the store no longer keeps.
 func (a *Agent) forget() {
 	for key, j := range a.jobs {
-		if j.state == over && j.links == 0 && a.Shelf.Get(j.offer.Workspace, j.offer.Id) == nil {
+		if j.state == over && j.links == 0 && a.Answers.Get(j.offer.Workspace, j.offer.Id) == nil {
 			delete(a.jobs, key)
 		}
 	}
--- a/agent/limits.go
+++ b/agent/limits.go
@@ -14,7 +14,7 @@
 		return
 	}
 	a.view = v
-	a.sender.warden.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
+	a.sender.permits.Limit(now, targetNames(v), v.Publication.Budget.Loads, order.DefaultWardens)
 	t := v.Targets[a.Name]
 	if t == nil {
 		// Operators removed the target: it takes no new work.
--- a/agent/mint.go
+++ b/agent/mint.go
@@ -26,7 +26,7 @@
 	}
 	a.Notify(Notice{Kind: NoticeMinted, Subject: a.Name, Workspace: rq.Workspace, Profile: rq.Profile, Count: int(rq.Count)})
 	return &wire.MintReply{
-		Tickets: a.Booth.Mint(a.Clock(), rq.Workspace, int(rq.Count)),
+		Tickets: a.Issuer.Mint(a.Clock(), rq.Workspace, int(rq.Count)),
 		Target:  a.Name,
 	}, nil
 }
@@ -46,6 +46,6 @@
 	a := s.Agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	stub := a.Booth.Drop(a.Clock(), rq.Ticket, rq.Workspace)
+	stub := a.Issuer.Drop(a.Clock(), rq.Ticket, rq.Workspace)
 	return &wire.DropReply{Run: string(stub.Run)}, nil
 }
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -21,7 +21,7 @@
 	defer a.mu.Unlock()
 	now := a.Clock()
 	if len(o.Crashed) > 0 {
-		a.Jury.Learn(now, []chestnutstep.Suspicion{{Fingerprint: o.Fingerprint, Crashed: o.Crashed, Seen: now}})
+		a.Detector.Learn(now, []chestnutstep.Suspicion{{Fingerprint: o.Fingerprint, Crashed: o.Crashed, Seen: now}})
 	}
 	if adm, known := a.join(o); known {
 		return adm
@@ -101,7 +101,7 @@
 		return refusal(a.closed(), chestnutstep.RunNo)
 	case o.Remain <= 0:
 		return refusal(chestnutstep.ReasonTimeout, chestnutstep.RunNo)
-	case a.Jury.Judge(now, o.Fingerprint) == chestnutstep.Condemned:
+	case a.Detector.Judge(now, o.Fingerprint) == chestnutstep.Condemned:
 		// It ran where it crashed, under this name or another.
 		return refusal(chestnutstep.ReasonCondemned, chestnutstep.RunMaybe)
 	}
@@ -121,7 +121,7 @@
 // dropTicket writes the tombstone of a refused ticket and gives a fresh one, where
 // that can be used here: the caller's next try needs it.
 func (a *Agent) dropTicket(now time.Time, o *wire.Offer, r *wire.Refuse) {
-	stub := a.Booth.Drop(now, o.Ticket, o.Workspace)
+	stub := a.Issuer.Drop(now, o.Ticket, o.Workspace)
 	r.Run = string(stub.Run)
 	if stub.Run == chestnutstep.RunNo && a.mintRefusal() == "" {
 		r.Ticket = a.fresh(now, o.Workspace)
@@ -130,7 +130,7 @@
 
 // fresh mints one ticket, or returns "" where the workspace's name fits none.
 func (a *Agent) fresh(now time.Time, workspace string) string {
-	tickets := a.Booth.Mint(now, workspace, 1)
+	tickets := a.Issuer.Mint(now, workspace, 1)
 	if len(tickets) == 0 {
 		return ""
 	}
@@ -148,7 +148,7 @@
 		r.Ticket = a.fresh(now, o.Workspace)
 		return r
 	}
-	stub := a.Booth.Hold(now, o.Ticket, o.Workspace, o.Id)
+	stub := a.Issuer.Hold(now, o.Ticket, o.Workspace, o.Id)
 	if stub.State == chestnutstep.TicketHeld && stub.Reason == "" {
 		return nil
 	}
@@ -162,13 +162,13 @@
 
 // decide asks the gate.
 func (a *Agent) decide(now time.Time, o *wire.Offer) admission {
-	log, _ := a.Shelf.Put(now, o.Workspace, o.Id)
+	log, _ := a.Answers.Put(now, o.Workspace, o.Id)
 	j := newJob(a, now, o, log)
 	if o.Ticket != "" {
 		log.Prefer()
 	}
 	home := o.Chat != "" && a.chats.has(chat{o.Workspace, o.Chat})
-	alone := a.Jury.Judge(now, o.Fingerprint) == chestnutstep.Suspect
+	alone := a.Detector.Judge(now, o.Fingerprint) == chestnutstep.Suspect
 	d := a.Gate.Offer(now, j.work(now, home, alone))
 	switch d.Verdict {
 	case chestnutstep.Accept:
@@ -181,7 +181,7 @@
 		a.Notify(j.notice(NoticeQueued, ""))
 		return a.follow(j, false)
 	}
-	a.Shelf.Remove(o.Workspace, o.Id)
+	a.Answers.Remove(o.Workspace, o.Id)
 	r := refusal(d.Reason, chestnutstep.RunNo)
 	r.Retry = int64(d.Retry)
 	r.Home = home
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -27,8 +27,8 @@
 // that are missing, one after the other, each with its fencing number. An
 // engine that restarts has forgotten what it was told, so all are sent again.
 type sender struct {
-	desk   order.Desk
-	warden order.Warden
+	desk    order.Desk
+	permits order.PermitServer
 	// obeyed lists the orders that the engine's present life has followed.
 	obeyed map[chestnutstep.Order]bool
 	boot   string
@@ -123,11 +123,11 @@
 	return err == nil && reply.Ok
 }
 
-// grant hands out a permit if this agent is a warden.
+// grant hands out a permit if this agent is a permit server.
 func (a *Agent) grant() (bool, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.sender.warden.Permit(a.Clock())
+	return a.sender.permits.Permit(a.Clock())
 }
 
 func targetNames(v *chestnutstep.View) []string {
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -128,11 +128,11 @@
 	client := &http.Client{Transport: s.target}
 	s.agent = &Agent{
 		Name: "t", URL: "http://127.0.0.1:2", Incarnation: "1",
-		View:  func() *chestnutstep.View { p := s.pub; return chestnutstep.NewView(&p) },
-		Gate:  &gate.Gate{},
-		Jury:  &crash.Jury{Target: "t"},
-		Booth: &ticket.Booth{Target: "t", Incarnation: "1", Key: make([]byte, 32), Rand: zeros{}},
-		Shelf: &answer.Shelf{}, Reuse: client, Single: client,
+		View:     func() *chestnutstep.View { p := s.pub; return chestnutstep.NewView(&p) },
+		Gate:     &gate.Gate{},
+		Detector: &crash.Detector{Target: "t"},
+		Issuer:   &ticket.Issuer{Target: "t", Incarnation: "1", Key: make([]byte, 32), Rand: zeros{}},
+		Answers:  &answer.Store{}, Reuse: client, Single: client,
 		Clock:  func() time.Time { return s.now },
 		Notify: func(n Notice) { s.notices = append(s.notices, string(n.Kind)) },
 	}
@@ -190,7 +190,7 @@
 		s.target.mu.Unlock()
 		s.agent.health.check(s.agent)
 	case "mint":
-		s.tickets[id] = s.agent.Booth.Mint(s.now, "w", 1)[0]
+		s.tickets[id] = s.agent.Issuer.Mint(s.now, "w", 1)[0]
 	case "out":
 		s.pub.Version++
 		s.pub.Domains = []chestnutstep.Domain{{Name: "a", Region: "r", Out: id != "back"}}
--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -40,7 +40,7 @@
 func TestLinksReadTheSameAnswer(t *testing.T) {
 	want := make([]byte, 300<<10)
 	rand.New(rand.NewSource(1)).Read(want)
-	var s Shelf
+	var s Store
 	l, existed := s.Put(script.Epoch, "brand", "r1")
 	assert.Assert(t, !existed)
 	go func() {
@@ -128,7 +128,7 @@
 // Thousands of answers end within a minute. What the agent keeps stays bounded;
 // booked slots' answers outlive the others, and a dropped one is unknown.
 func TestShelfIsBounded(t *testing.T) {
-	s := Shelf{Most: 100 << 10}
+	s := Store{Most: 100 << 10}
 	for i := range 1000 {
 		l, _ := s.Put(script.Epoch, "brand", strconv.Itoa(i))
 		if i < 10 {
@@ -150,9 +150,9 @@
 }
 
 // Long answers run at once and nobody reads them: their entries died. Each
-// keeps two windows at most while the shelf is over its bound.
+// keeps two windows at most while the store is over its bound.
 func TestRunningAnswersAreBounded(t *testing.T) {
-	s := Shelf{Most: 10 << 10, Window: 1 << 10}
+	s := Store{Most: 10 << 10, Window: 1 << 10}
 	for n := range 200 {
 		for id := range 20 {
 			l, _ := s.Put(script.Epoch, "brand", strconv.Itoa(id))
@@ -165,7 +165,7 @@
 // A request is refused after its answer was opened, and its repeat arrives: it
 // starts anew. Links of the old one hear that it is gone rather than wait.
 func TestRemoveEndsWaitingLinks(t *testing.T) {
-	var s Shelf
+	var s Store
 	l, _ := s.Put(script.Epoch, "brand", "r")
 	k, err := l.Attach(0)
 	assert.NilError(t, err)
@@ -202,7 +202,7 @@
 
 // BenchmarkShelf prints what an empty answer takes in memory.
 func BenchmarkShelf(b *testing.B) {
-	s := Shelf{Most: 1 << 40}
+	s := Store{Most: 1 << 40}
 	before := script.Heap()
 	for i := range b.N {
 		l, _ := s.Put(script.Epoch, "darkroom", "0b6c3f3e-7d5e-4f1e-9b1a-"+strconv.Itoa(1e11+i))
--- a/answer/log.go
+++ b/answer/log.go
@@ -52,7 +52,7 @@
 	// Window.
 	Most int
 
-	shelf *Shelf
+	store *Store
 
 	mu      sync.Mutex
 	head    *wire.Head
@@ -66,7 +66,7 @@
 	links   []*Link
 	changed chan struct{} // closed at the next change; nil when nobody waits
 
-	// Guarded by the shelf's lock.
+	// Guarded by the store's lock.
 	key   key
 	order uint64
 	ended time.Time
@@ -120,8 +120,8 @@
 	}
 	l.add(p)
 	l.mu.Unlock()
-	if l.shelf != nil {
-		l.shelf.relieve()
+	if l.store != nil {
+		l.store.relieve()
 	}
 	return nil
 }
@@ -134,7 +134,7 @@
 	l.buf = append(l.buf, p...)
 	l.account(len(p))
 	keep := l.most()
-	if l.shelf != nil && l.shelf.pressed() {
+	if l.store != nil && l.store.pressed() {
 		keep = 2 * l.window()
 	}
 	l.trim(keep)
@@ -160,8 +160,8 @@
 }
 
 func (l *Log) account(n int) {
-	if l.shelf != nil {
-		l.shelf.bytes.Add(int64(n))
+	if l.store != nil {
+		l.store.bytes.Add(int64(n))
 	}
 }
 
@@ -198,8 +198,8 @@
 
 func (l *Log) finish() {
 	l.sum = nil
-	if l.shelf != nil {
-		l.shelf.ends.Add(1)
+	if l.store != nil {
+		l.store.ends.Add(1)
 	}
 	l.wake()
 }
--- a/answer/shelf.go
+++ b/answer/store.go
@@ -31,13 +31,13 @@
 	id        string
 }
 
-// Shelf keeps the logs of one agent. Set the fields before the first call. It
+// Store keeps the logs of one agent. Set the fields before the first call. It
 // is safe for concurrent use.
 //
 // Its bytes are bounded by Bytes plus two windows for each running answer:
 // finished answers are dropped first, the oldest first, then the fronts of
 // running ones that every link has read.
-type Shelf struct {
+type Store struct {
 	// Keep is how long a finished answer is kept; DefaultKeep when 0.
 	Keep time.Duration
 	// Long is the same for preferred answers; DefaultLong when 0.
@@ -60,15 +60,15 @@
 	finished []*Log
 }
 
-func (s *Shelf) most() int64 { return cmp.Or(s.Most, DefaultBytes) }
+func (s *Store) most() int64 { return cmp.Or(s.Most, DefaultBytes) }
 
-func (s *Shelf) pressed() bool { return s.bytes.Load() > s.most() }
+func (s *Store) pressed() bool { return s.bytes.Load() > s.most() }
 
 // Bytes returns what is kept, with a flat cost for each answer.
-func (s *Shelf) Bytes() int64 { return s.bytes.Load() }
+func (s *Store) Bytes() int64 { return s.bytes.Load() }
 
 // Len returns how many answers are kept.
-func (s *Shelf) Len() int {
+func (s *Store) Len() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.logs)
@@ -76,7 +76,7 @@
 
 // Get returns a request's answer, or nil when it is not known here, or no
 // longer.
-func (s *Shelf) Get(workspace, id string) *Log {
+func (s *Store) Get(workspace, id string) *Log {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.logs[key{workspace, id}]
@@ -84,7 +84,7 @@
 
 // Put returns a request's answer, a new one unless it existed. Only the caller
 // that hears false may run the request: of two that race, one gets it.
-func (s *Shelf) Put(_ time.Time, workspace, id string) (l *Log, existed bool) {
+func (s *Store) Put(_ time.Time, workspace, id string) (l *Log, existed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key{workspace, id}
@@ -95,7 +95,7 @@
 		s.logs = map[key]*Log{}
 	}
 	s.orders++
-	l = &Log{Window: s.Window, Most: s.Each, shelf: s, key: k, order: s.orders}
+	l = &Log{Window: s.Window, Most: s.Each, store: s, key: k, order: s.orders}
 	s.logs[k] = l
 	s.bytes.Add(overhead)
 	s.shrink()
@@ -103,7 +103,7 @@
 }
 
 // Remove forgets a request that never ran, so that a repeat starts anew.
-func (s *Shelf) Remove(workspace, id string) {
+func (s *Store) Remove(workspace, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gone := s.logs[key{workspace, id}]
@@ -115,7 +115,7 @@
 }
 
 // Sweep drops answers that were kept long enough. Call it every second or so.
-func (s *Shelf) Sweep(now time.Time) {
+func (s *Store) Sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.collect()
@@ -127,7 +127,7 @@
 
 // expired counts from the first sweep that sees the answer ended, so that an end
 // needs no clock.
-func (s *Shelf) expired(now time.Time, l *Log) bool {
+func (s *Store) expired(now time.Time, l *Log) bool {
 	if l.ended.IsZero() {
 		l.ended = now
 	}
@@ -139,7 +139,7 @@
 }
 
 // collect moves answers that have ended into the queue, the oldest first.
-func (s *Shelf) collect() {
+func (s *Store) collect() {
 	if s.ends.Swap(0) == 0 {
 		return
 	}
@@ -158,7 +158,7 @@
 }
 
 // relieve makes room after bytes were added.
-func (s *Shelf) relieve() {
+func (s *Store) relieve() {
 	if !s.pressed() {
 		return
 	}
@@ -169,7 +169,7 @@
 
 // shrink drops finished answers above the bound: those that are not preferred
 // first, and of each kind the oldest first.
-func (s *Shelf) shrink() {
+func (s *Store) shrink() {
 	if !s.pressed() {
 		return
 	}
@@ -182,7 +182,7 @@
 }
 
 // drop always returns true: the answer is no longer kept.
-func (s *Shelf) drop(l *Log) bool {
+func (s *Store) drop(l *Log) bool {
 	delete(s.logs, l.key)
 	l.evict()
 	s.bytes.Add(-overhead)
--- a/crash/bound.go
+++ b/crash/bound.go
@@ -11,7 +11,7 @@
 // bound drops expired suspicions and then the least useful above the limit:
 // first what is not condemned, the oldest first. Without a limit a caller whose
 // requests all differ could fill the memory by crashing targets.
-func (j *Jury) bound(now time.Time) {
+func (j *Detector) bound(now time.Time) {
 	for fingerprint := range j.cases {
 		j.find(now, fingerprint)
 	}
@@ -34,7 +34,7 @@
 	}
 }
 
-func (j *Jury) weight(now time.Time, f *file) int {
+func (j *Detector) weight(now time.Time, f *file) int {
 	if j.Judge(now, f.Fingerprint) == chestnutstep.Condemned {
 		return 1
 	}
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -19,38 +19,38 @@
 
 func TestMain(m *testing.M) { script.Main(m, 5000) }
 
-// The scripts in testdata/jury play crashes at a few targets; each opens with
+// The scripts in testdata/detector play crashes at a few targets; each opens with
 // what callers notice.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata/jury", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/detector", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
-			p := &player{juries: map[string]*Jury{}, now: script.Epoch}
+			p := &player{juries: map[string]*Detector{}, now: script.Epoch}
 			return script.Play(d.Input, &p.now, p.step)
 		})
 	})
 }
 
 type player struct {
-	juries map[string]*Jury
+	juries map[string]*Detector
 	now    time.Time
 }
 
-func (p *player) jury(target string) *Jury {
+func (p *player) detector(target string) *Detector {
 	if p.juries[target] == nil {
-		p.juries[target] = &Jury{Target: target, Most: 4, Served: 3}
+		p.juries[target] = &Detector{Target: target, Most: 4, Served: 3}
 	}
 	return p.juries[target]
 }
 
 func (p *player) step(f []string) string {
-	j := p.jury(f[1])
+	j := p.detector(f[1])
 	switch f[0] {
 	case "crash":
 		return say(j.Crash(p.now))
 	case "tell":
 		told := j.Tell(p.now, 2)
 		for _, to := range f[2:] {
-			p.jury(to).Learn(p.now, told)
+			p.detector(to).Learn(p.now, told)
 		}
 		return say(told)
 	}
@@ -100,7 +100,7 @@
 type outage struct {
 	r       *rand.Rand
 	now     time.Time
-	juries  []*Jury
+	juries  []*Detector
 	late    []chestnutstep.Suspicion // news that come after the next offer
 	crashed map[string]bool
 }
@@ -113,7 +113,7 @@
 func newOutage(seed int64) *outage {
 	o := &outage{r: rand.New(rand.NewSource(seed)), now: script.Epoch, crashed: map[string]bool{}}
 	for n := range 8 {
-		j := &Jury{Target: fmt.Sprint("t", n)}
+		j := &Detector{Target: fmt.Sprint("t", n)}
 		for f := range uint64(popular) {
 			j.Start(o.now, poison+1+f)
 			j.End(o.now, poison+1+f, true)
@@ -123,7 +123,7 @@
 	return o
 }
 
-// offer sends the bad request to any target; blind ignores what its jury says,
+// offer sends the bad request to any target; blind ignores what its detector says,
 // slow delays the news of the crash by one offer.
 func (o *outage) offer(blind, slow bool) {
 	j := o.juries[o.r.Intn(len(o.juries))]
@@ -164,7 +164,7 @@
 
 // A caller repeats a request that crashes each target which runs it. It stops
 // after two targets, also when the news of the first crash come late; without
-// the jury it takes down every one. What many callers ask is still served. When
+// the detector it takes down every one. What many callers ask is still served. When
 // the news of every crash are late by one offer, more targets are lost: the
 // agent should tell the next targets of the ranking before it tells the caller.
 func TestPoisonStopsAfterTwoTargets(t *testing.T) {
@@ -181,7 +181,7 @@
 		slow = max(slow, len(lagging.crashed))
 		condemned += prompt.condemned() + lagging.condemned()
 	}
-	t.Logf("lost at most %d of 8 targets, without the jury %d, with all news late %d; popular requests condemned %d",
+	t.Logf("lost at most %d of 8 targets, without the detector %d, with all news late %d; popular requests condemned %d",
 		worst, naive, slow, condemned)
 	assert.Equal(t, worst, 2)
 	assert.Equal(t, slow, 3)
@@ -192,7 +192,7 @@
 // Requests that all differ crash target after target. What an agent keeps stays
 // bounded, and a condemned request is not pushed out by mere suspects.
 func TestSuspicionsAreBounded(t *testing.T) {
-	j := &Jury{Target: "t", Most: 100}
+	j := &Detector{Target: "t", Most: 100}
 	j.Learn(script.Epoch, []chestnutstep.Suspicion{{Fingerprint: 1, Crashed: []string{"a", "b"}, Seen: script.Epoch}})
 	for n := uint64(2); n < 1000; n++ {
 		now := script.Epoch.Add(time.Duration(n) * time.Millisecond)
@@ -220,7 +220,7 @@
 // BenchmarkJudge prints the cost of a judgement, and what a suspicion and a
 // served fingerprint take in memory.
 func BenchmarkJudge(b *testing.B) {
-	j := &Jury{Target: "bay-engine-1"}
+	j := &Detector{Target: "bay-engine-1"}
 	before := script.Heap()
 	for n := range uint64(DefaultMost) {
 		target := fmt.Sprint("bay-engine-", n)
--- a/crash/jury.go
+++ b/crash/detector.go
@@ -34,9 +34,9 @@
 	DefaultServed = 4096
 )
 
-// Jury implements chestnutstep.Jury for one process. Set the fields before the
+// Detector implements chestnutstep.Detector for one process. Set the fields before the
 // first call. It is not safe for concurrent use.
-type Jury struct {
+type Detector struct {
 	// Target is the target beside the agent; empty at an entry.
 	Target string
 	// Keep is how long a suspicion lasts; DefaultKeep when 0.
@@ -54,7 +54,7 @@
 	served memory
 }
 
-var _ chestnutstep.Jury = (*Jury)(nil)
+var _ chestnutstep.Detector = (*Detector)(nil)
 
 // file is a suspicion with what only this process knows of it.
 type file struct {
@@ -65,7 +65,7 @@
 	told int
 }
 
-func (j *Jury) init() {
+func (j *Detector) init() {
 	if j.cases != nil {
 		return
 	}
@@ -94,7 +94,7 @@
 //
 // What was served elsewhere is clear after one crash. After a crash here, or
 // two anywhere, it runs alone once more at this target.
-func (j *Jury) Judge(now time.Time, fingerprint uint64) chestnutstep.Judgement {
+func (j *Detector) Judge(now time.Time, fingerprint uint64) chestnutstep.Judgement {
 	j.init()
 	f := j.find(now, fingerprint)
 	if f == nil {
@@ -117,7 +117,7 @@
 }
 
 // find returns the suspicion of a fingerprint unless it has expired.
-func (j *Jury) find(now time.Time, fingerprint uint64) *file {
+func (j *Detector) find(now time.Time, fingerprint uint64) *file {
 	f := j.cases[fingerprint]
 	if f == nil || now.Sub(f.Seen) < j.Keep {
 		return f
@@ -127,7 +127,7 @@
 }
 
 // Start notes that the content runs at this target from now on.
-func (j *Jury) Start(_ time.Time, fingerprint uint64) {
+func (j *Detector) Start(_ time.Time, fingerprint uint64) {
 	j.init()
 	j.running[fingerprint]++
 	j.total++
@@ -136,7 +136,7 @@
 // End notes that the content no longer runs; each Start has one End, also after a
 // crash. Content that was served to its end is cleared for all, as it did not
 // crash the target that ran it.
-func (j *Jury) End(now time.Time, fingerprint uint64, served bool) {
+func (j *Detector) End(now time.Time, fingerprint uint64, served bool) {
 	j.init()
 	j.leave(fingerprint)
 	if !served || fingerprint == 0 {
@@ -152,7 +152,7 @@
 // leave takes one run off the count. The end of a run that died in a crash comes
 // after it, when the caller's repeat may run already: taken off that one, it
 // would let the next crash of the same content pass unnoticed.
-func (j *Jury) leave(fingerprint uint64) {
+func (j *Detector) leave(fingerprint uint64) {
 	if j.owed[fingerprint] > 0 {
 		drop(j.owed, fingerprint)
 		return
@@ -170,7 +170,7 @@
 	}
 }
 
-func (j *Jury) clear(f *file) {
+func (j *Detector) clear(f *file) {
 	if !f.Cleared {
 		f.Cleared = true
 		f.told = 0
@@ -180,7 +180,7 @@
 // Crash says that the target died; what was running becomes suspect. It returns
 // the suspicions that changed, which should be told to the peers at once: the
 // caller's repeat is already on its way to the next target.
-func (j *Jury) Crash(now time.Time) []chestnutstep.Suspicion {
+func (j *Detector) Crash(now time.Time) []chestnutstep.Suspicion {
 	j.init()
 	var changed []chestnutstep.Suspicion
 	for _, fingerprint := range j.suspects() {
@@ -209,7 +209,7 @@
 
 // suspects lists what runs, in order, so that a crash has the same outcome each
 // time. Content without a fingerprint can't be told apart and is left out.
-func (j *Jury) suspects() []uint64 {
+func (j *Detector) suspects() []uint64 {
 	var all []uint64
 	for fingerprint := range j.running {
 		if fingerprint != 0 {
@@ -223,7 +223,7 @@
 // Learn takes suspicions of other agents. Content that this target has served
 // of late is cleared at once, so that a popular request does not run alone at
 // every target because it stood beside a crash at one.
-func (j *Jury) Learn(now time.Time, s []chestnutstep.Suspicion) {
+func (j *Detector) Learn(now time.Time, s []chestnutstep.Suspicion) {
 	j.init()
 	for _, one := range s {
 		if one.Fingerprint == 0 || len(one.Crashed) == 0 || now.Sub(one.Seen) >= j.Keep {
@@ -238,7 +238,7 @@
 	j.bound(now)
 }
 
-func (j *Jury) merge(s chestnutstep.Suspicion) {
+func (j *Detector) merge(s chestnutstep.Suspicion) {
 	f := j.cases[s.Fingerprint]
 	if f == nil {
 		j.cases[s.Fingerprint] = &file{Suspicion: s}
@@ -257,7 +257,7 @@
 
 // Tell returns at most n suspicions worth passing on: those told least often
 // since they changed, so that news goes out first and all have their turn.
-func (j *Jury) Tell(now time.Time, n int) []chestnutstep.Suspicion {
+func (j *Detector) Tell(now time.Time, n int) []chestnutstep.Suspicion {
 	j.init()
 	j.bound(now)
 	all := make([]*file, 0, len(j.cases))
--- a/decide.go
+++ b/decide.go
@@ -195,10 +195,10 @@
 	Seen time.Time
 }
 
-// Jury keeps the crash suspicions of one process: an agent's are of its own
+// Detector keeps the crash suspicions of one process: an agent's are of its own
 // target and what it was told, an entry's of the breaks that it saw and what it
 // was told.
-type Jury interface {
+type Detector interface {
 	Judge(now time.Time, fingerprint uint64) Judgement
 	// Start and End bracket a run of the content at this target.
 	Start(now time.Time, fingerprint uint64)
@@ -236,9 +236,9 @@
 	TicketInvalid TicketState = "invalid" // forged, expired or of a dead incarnation
 )
 
-// Booth mints and spends the tickets of one agent incarnation. It is pure: its
+// Issuer mints and spends the tickets of one agent incarnation. It is pure: its
 // owner calls it under one lock.
-type Booth interface {
+type Issuer interface {
 	// Mint returns n fresh tickets for a workspace.
 	Mint(now time.Time, workspace string, n int) []string
 	// Hold binds a ticket to a request. A repeat of the same request finds the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -47,8 +47,8 @@
 	// ranking after a refusal.
 	Repeats chestnutstep.Allowance
 	Steps   chestnutstep.Allowance
-	// Jury keeps the crash suspicions; nil switches them off. Lock guards it.
-	Jury chestnutstep.Jury
+	// Detector keeps the crash suspicions; nil switches them off. Lock guards it.
+	Detector chestnutstep.Detector
 	// Entries returns how many entries share the callers, for rate limits.
 	Entries func() int
 	// Most bounds the requests in progress; 0 is no bound. Beyond it a surge
@@ -59,11 +59,11 @@
 	// Notify is told of what operators should see; it must not block.
 	Notify func(Notice)
 
-	rates   rates
-	budget  sync.Mutex
-	jury    sync.Mutex
-	leaving atomic.Bool
-	open    atomic.Int64
+	rates    rates
+	budget   sync.Mutex
+	detector sync.Mutex
+	leaving  atomic.Bool
+	open     atomic.Int64
 }
 
 // Notice is how a caller's request ended; see docs/EVENTS.md.
@@ -96,30 +96,30 @@
 // Open is how many requests are in progress.
 func (e *Entry) Open() int64 { return e.open.Load() }
 
-// Lock guards Jury, for the gossip that feeds it.
-func (e *Entry) Lock() sync.Locker { return &e.jury }
+// Lock guards Detector, for the gossip that feeds it.
+func (e *Entry) Lock() sync.Locker { return &e.detector }
 
 // condemned says that content has crashed targets. An entry that saw it must not
 // wait for gossip to tell it so: its caller sends the same again at once, under
 // another name, and a third target would go down.
 func (e *Entry) condemned(fingerprint uint64) bool {
-	if e.Jury == nil {
+	if e.Detector == nil {
 		return false
 	}
-	e.jury.Lock()
-	defer e.jury.Unlock()
-	return e.Jury.Judge(e.Clock(), fingerprint) == chestnutstep.Condemned
+	e.detector.Lock()
+	defer e.detector.Unlock()
+	return e.Detector.Judge(e.Clock(), fingerprint) == chestnutstep.Condemned
 }
 
 // accuse notes the targets that died while they ran the content.
 func (e *Entry) accuse(fingerprint uint64, crashed []string) {
-	if e.Jury == nil {
+	if e.Detector == nil {
 		return
 	}
-	e.jury.Lock()
-	defer e.jury.Unlock()
+	e.detector.Lock()
+	defer e.detector.Unlock()
 	now := e.Clock()
-	e.Jury.Learn(now, []chestnutstep.Suspicion{{Fingerprint: fingerprint, Crashed: crashed, Seen: now}})
+	e.Detector.Learn(now, []chestnutstep.Suspicion{{Fingerprint: fingerprint, Crashed: crashed, Seen: now}})
 }
 
 // Ready says whether the balancer should send callers here.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -113,8 +113,8 @@
 	reuse, single := agent.Clients()
 	a := &agent.Agent{
 		Name: name, URL: back.URL, Incarnation: "1", View: p.current,
-		Gate: &gate.Gate{}, Jury: &crash.Jury{Target: name}, Booth: &ticket.Booth{Target: name},
-		Shelf: &answer.Shelf{}, Reuse: reuse, Single: single, Ranker: ranker,
+		Gate: &gate.Gate{}, Detector: &crash.Detector{Target: name}, Issuer: &ticket.Issuer{Target: name},
+		Answers: &answer.Store{}, Reuse: reuse, Single: single, Ranker: ranker,
 		Dial: func(addr string) (wire.AgentClient, error) {
 			conn, err := p.pool.Conn(addr)
 			return wire.NewAgentClient(conn), err
@@ -195,7 +195,7 @@
 func TestCondemnedContentIsRefusedAtOnce(t *testing.T) {
 	p := newPath(t)
 	e := p.entries[0].Config.Handler.(*Entry)
-	e.Jury = &crash.Jury{}
+	e.Detector = &crash.Detector{}
 	body := `{"prompt":10,"output":5,"note":"bad"}`
 	ask := []string{chestnutstep.HeaderProfile, "quick", chestnutstep.HeaderChat, "c1"}
 	rs, text := p.ask(0, "/v1/chat", body, ask...)
--- a/gossip/carry_test.go
+++ b/gossip/carry_test.go
@@ -35,13 +35,13 @@
 
 func (l *listener) Learn(_ time.Time, s []chestnutstep.Sample) { l.heard = append(l.heard, s...) }
 
-type jury struct {
-	chestnutstep.Jury
+type detector struct {
+	chestnutstep.Detector
 	l *listener
 }
 
-func (j jury) Tell(time.Time, int) []chestnutstep.Suspicion     { return j.l.suspects }
-func (j jury) Learn(_ time.Time, list []chestnutstep.Suspicion) { j.l.suspects = list }
+func (j detector) Tell(time.Time, int) []chestnutstep.Suspicion     { return j.l.suspects }
+func (j detector) Learn(_ time.Time, list []chestnutstep.Suspicion) { j.l.suspects = list }
 
 // Loads and suspicions cross from one process to another as ages, because no two
 // clocks are compared: sent as times, a host whose clock is a minute ahead would
@@ -53,11 +53,11 @@
 	told.suspects = []chestnutstep.Suspicion{{Fingerprint: 7, Crashed: []string{"t1"}, Seen: now.Add(-time.Minute)}}
 	weights := make(map[string]float64)
 	b := &Node{
-		Name: "b", Store: new(config.Store), Sampler: &heard, Jury: jury{l: &heard},
+		Name: "b", Store: new(config.Store), Sampler: &heard, Detector: detector{l: &heard},
 		OnWeight: func(target string, w float64) { weights[target] = w },
 	}
 	a := &Node{
-		Name: "a", Store: new(config.Store), Sampler: &told, Jury: jury{l: &told}, Weight: func() float64 { return 0.5 },
+		Name: "a", Store: new(config.Store), Sampler: &told, Detector: detector{l: &told}, Weight: func() float64 { return 0.5 },
 		Dial: func(string) (grpc.ClientConnInterface, error) { return direct{to: b}, nil },
 	}
 	a.init()
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -60,10 +60,10 @@
 
 	// Members learns the host lists; nil switches that off.
 	Members *member.List
-	// Sampler and Jury are carried if set. Lock guards both.
-	Sampler chestnutstep.Sampler
-	Jury    chestnutstep.Jury
-	Lock    sync.Locker
+	// Sampler and Detector are carried if set. Lock guards both.
+	Sampler  chestnutstep.Sampler
+	Detector chestnutstep.Detector
+	Lock     sync.Locker
 	// Weight is the share of full load that the target asks for.
 	Weight func() float64
 	// OnWeight is told another target's share.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -51,8 +51,8 @@
 			m.Samples = append(m.Samples, &wire.Sample{Target: s.Target, Model: s.Model, Load: s.Load, Age: int64(now.Sub(s.Seen))})
 		}
 	}
-	if n.Jury != nil {
-		for _, s := range n.Jury.Tell(now, suspicionsMax) {
+	if n.Detector != nil {
+		for _, s := range n.Detector.Tell(now, suspicionsMax) {
 			m.Suspicions = append(m.Suspicions, &wire.Suspicion{
 				Fingerprint: s.Fingerprint, Crashed: s.Crashed, Cleared: s.Cleared, Age: int64(now.Sub(s.Seen)),
 			})
@@ -87,14 +87,14 @@
 		}
 		n.Sampler.Learn(now, list)
 	}
-	if n.Jury != nil {
+	if n.Detector != nil {
 		var list []chestnutstep.Suspicion
 		for _, s := range first(m.GetSuspicions(), suspicionsMax) {
 			list = append(list, chestnutstep.Suspicion{
 				Fingerprint: s.GetFingerprint(), Crashed: first(s.GetCrashed(), 2), Cleared: s.GetCleared(), Seen: ago(now, s.GetAge()),
 			})
 		}
-		n.Jury.Learn(now, list)
+		n.Detector.Learn(now, list)
 	}
 }
 
--- a/matrix/stack.go
+++ b/matrix/stack.go
@@ -226,8 +226,8 @@
 	n.Agent = &agent.Agent{
 		Name: n.Name, URL: "http://" + n.Back.Addr(), Incarnation: strconv.Itoa(n.lives), Uptime: time.Since(s.began),
 		View: func() *chestnutstep.View { return s.View(agentView) },
-		Gate: &gate.Gate{}, Jury: &crash.Jury{Target: n.Name}, Booth: &ticket.Booth{Target: n.Name},
-		Shelf: &answer.Shelf{}, Reuse: reuse, Single: single,
+		Gate: &gate.Gate{}, Detector: &crash.Detector{Target: n.Name}, Issuer: &ticket.Issuer{Target: n.Name},
+		Answers: &answer.Store{}, Reuse: reuse, Single: single,
 	}
 	srv := grpc.NewServer(grpc.StreamInterceptor(n.hooks.stream), grpc.UnaryInterceptor(n.hooks.unary))
 	wire.RegisterAgentServer(srv, n.Agent.Service())
--- a/node/agent.go
+++ b/node/agent.go
@@ -31,10 +31,10 @@
 	Out io.Writer
 
 	*base
-	agent   *agent.Agent
-	jury    *crash.Jury
-	sampler *mean.Sampler
-	server  *grpc.Server
+	agent    *agent.Agent
+	detector *crash.Detector
+	sampler  *mean.Sampler
+	server   *grpc.Server
 }
 
 // Run serves until ctx ends, then lets what runs come to its end.
@@ -84,7 +84,7 @@
 		return err
 	}
 	name := n.Settings.Target.Name
-	n.jury = &crash.Jury{Target: name}
+	n.detector = &crash.Detector{Target: name}
 	n.sampler = &mean.Sampler{Target: name}
 	reuse, single := agent.Clients()
 	n.agent = &agent.Agent{
@@ -93,10 +93,10 @@
 		Incarnation: n.settings.Host + "-" + newIncarnation(),
 		View:        n.store.View,
 		Gate:        &gate.Gate{},
-		Jury:        n.jury,
-		Booth:       &ticket.Booth{Target: name},
+		Detector:    n.detector,
+		Issuer:      &ticket.Issuer{Target: name},
 		Sampler:     n.sampler,
-		Shelf:       &answer.Shelf{Keep: n.settings.Keep.Time.Std(), Most: n.settings.Keep.Bytes},
+		Answers:     &answer.Store{Keep: n.settings.Keep.Time.Std(), Most: n.settings.Keep.Bytes},
 		Reuse:       reuse,
 		Single:      single,
 		Linger:      n.settings.Linger.Std(),
@@ -109,7 +109,7 @@
 	n.server = n.base.server()
 	wire.RegisterAgentServer(n.server, n.agent.Service())
 	n.peer = n.newGossip(name, n.settings.Listen)
-	n.peer.Sampler, n.peer.Jury, n.peer.Lock = n.sampler, n.jury, n.agent.Lock()
+	n.peer.Sampler, n.peer.Detector, n.peer.Lock = n.sampler, n.detector, n.agent.Lock()
 	n.peer.Weight = func() float64 { return n.agent.Load().Weight }
 	n.register(n.server)
 	return nil
--- a/node/entry.go
+++ b/node/entry.go
@@ -86,23 +86,23 @@
 		return err
 	}
 	n.entry = &entry.Entry{
-		Name:    n.settings.Name,
-		Region:  n.settings.Region,
-		View:    n.store.View,
-		Ranker:  n.ranker,
-		Links:   n.pool,
-		Hosts:   n.members,
-		Repeats: &retry.Allowance{},
-		Steps:   retry.Steps(),
-		Jury:    &crash.Jury{},
-		Entries: n.entries,
-		Most:    int64(n.settings.Streams),
-		Clock:   time.Now,
-		Notify:  n.notice,
+		Name:     n.settings.Name,
+		Region:   n.settings.Region,
+		View:     n.store.View,
+		Ranker:   n.ranker,
+		Links:    n.pool,
+		Hosts:    n.members,
+		Repeats:  &retry.Allowance{},
+		Steps:    retry.Steps(),
+		Detector: &crash.Detector{},
+		Entries:  n.entries,
+		Most:     int64(n.settings.Streams),
+		Clock:    time.Now,
+		Notify:   n.notice,
 	}
 	n.server = n.base.server()
 	n.peer = n.newGossip(n.settings.Name, n.settings.Peer)
-	n.peer.Jury, n.peer.Lock = n.entry.Jury, n.entry.Lock()
+	n.peer.Detector, n.peer.Lock = n.entry.Detector, n.entry.Lock()
 	n.register(n.server)
 	return nil
 }
--- a/order/warden.go
+++ b/order/permit.go
@@ -13,7 +13,7 @@
 	// Four survive the loss of any three, each loss costing a quarter of the
 	// rate; more would leave each too small a share to serve one target soon.
 	DefaultWardens = 4
-	// Settle is how long an agent that becomes a warden waits before it hands
+	// Settle is how long an agent that becomes a permit server waits before it hands
 	// anything out. An accepted publication is in force everywhere within
 	// seconds, so that its predecessor has stopped by then.
 	Settle = 10 * time.Second
@@ -45,7 +45,7 @@
 	return names
 }
 
-// Warden hands out permits to load weights at its share of the fleet's rate. The
+// PermitServer hands out permits to load weights at its share of the fleet's rate. The
 // load it answers is a whole domain that starts cold at once: all its targets
 // load weights, the store refuses most, and their repeats keep it refusing, so
 // that none starts in time.
@@ -54,13 +54,13 @@
 // loads a second it makes a lone cold target wait for 22 minutes.
 //
 // With one publication in force the wardens together never exceed the rate by
-// more than a permit each, over any time. A new, restarted or changed warden
+// more than a permit each, over any time. A new, restarted or changed permit server
 // starts with nothing and waits for Settle. Where two publications stay in force
 // for longer, as across a partition, the rate may be exceeded by the share of
 // those wardens that differ.
 //
 // Set Target before the first call. It is not safe for concurrent use.
-type Warden struct {
+type PermitServer struct {
 	// Target is the target beside this agent.
 	Target string
 
@@ -70,7 +70,7 @@
 
 // Limit puts a publication in force: its targets, the loads a second of the whole
 // fleet, and how many wardens share them.
-func (w *Warden) Limit(now time.Time, targets []string, loads float64, k int) {
+func (w *PermitServer) Limit(now time.Time, targets []string, loads float64, k int) {
 	rate := 0.0
 	if names := Wardens(targets, k); slices.Contains(names, w.Target) {
 		rate = loads / float64(len(names))
@@ -82,10 +82,10 @@
 	w.spent = now.Add(Settle)
 }
 
-// Permit lets one load go, whoever asks: what bounds the fleet is what each warden
+// Permit lets one load go, whoever asks: what bounds the fleet is what each permit server
 // believes of itself. Otherwise it says when to ask again; 0 means not here, as
-// this agent is no warden.
-func (w *Warden) Permit(now time.Time) (ok bool, wait time.Duration) {
+// this agent is no permit server.
+func (w *PermitServer) Permit(now time.Time) (ok bool, wait time.Duration) {
 	if w.rate <= 0 {
 		return false, 0
 	}
@@ -103,7 +103,7 @@
 }
 
 // each is the time that one permit takes to accrue.
-func (w *Warden) each() time.Duration {
+func (w *PermitServer) each() time.Duration {
 	s := min(1/w.rate, maxEach.Seconds())
 	return time.Duration(s * float64(time.Second))
 }
--- a/order/warden_test.go
+++ b/order/permit_test.go
@@ -32,7 +32,7 @@
 // cold targets ask all of them all the time.
 type store struct {
 	now    time.Time
-	agents [14]*Warden
+	agents [14]*PermitServer
 	times  []time.Time
 }
 
@@ -46,7 +46,7 @@
 
 // start makes an agent new and lets it learn a publication.
 func (s *store) start(n int, version uint64) {
-	s.agents[n] = &Warden{Target: fmt.Sprint("t", n)}
+	s.agents[n] = &PermitServer{Target: fmt.Sprint("t", n)}
 	s.learn(n, version)
 }
 
@@ -76,7 +76,7 @@
 }
 
 // A publication spreads, and agents learn it at different moments and restart. If
-// each new warden began with its full share, the store would refuse loads just
+// each new permit server began with its full share, the store would refuse loads just
 // while a domain starts cold.
 func TestLoadsStayWithinTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -131,7 +131,7 @@
 // saved up in that hour would flood the store; and so would a rate so close to
 // nothing that its overflow meant no limit.
 func TestQuietSavesOnePermit(t *testing.T) {
-	w := &Warden{Target: "t"}
+	w := &PermitServer{Target: "t"}
 	w.Limit(script.Epoch, []string{"t"}, loads, wardens)
 	now := script.Epoch.Add(time.Hour)
 	assert.Equal(t, burst(w, now), 1)
@@ -145,7 +145,7 @@
 	assert.Equal(t, burst(w, now.Add(9*maxEach)), 0, "a rate of 0 lets nothing go")
 }
 
-func burst(w *Warden, now time.Time) int {
+func burst(w *PermitServer, now time.Time) int {
 	n := 0
 	for range 100 {
 		if ok, _ := w.Permit(now); ok {
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -17,23 +17,23 @@
 // connection that breaks while a target runs a content counts as its crash. It is
 // safe for concurrent use.
 type Crashes struct {
-	mu   sync.Mutex
-	jury crash.Jury
-	news []share.Crash
+	mu       sync.Mutex
+	detector crash.Detector
+	news     []share.Crash
 }
 
 // Quarantined says that the content broke too many targets.
 func (c *Crashes) Quarantined(now time.Time, content uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.jury.Judge(now, content) == chestnutstep.Condemned
+	return c.detector.Judge(now, content) == chestnutstep.Condemned
 }
 
 // Served clears a content: it ran to its end.
 func (c *Crashes) Served(now time.Time, content uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.jury.End(now, content, true)
+	c.detector.End(now, content, true)
 }
 
 // Record notes that a target's connection broke while it ran the content.
@@ -41,7 +41,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	news := share.Crash{Target: target, Fingerprint: content}
-	c.jury.Learn(now, []chestnutstep.Suspicion{suspicion(now, news)})
+	c.detector.Learn(now, []chestnutstep.Suspicion{suspicion(now, news)})
 	if len(c.news) < newsMost {
 		c.news = append(c.news, news)
 	}
@@ -56,7 +56,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range list {
-		c.jury.Learn(now, []chestnutstep.Suspicion{suspicion(now, x)})
+		c.detector.Learn(now, []chestnutstep.Suspicion{suspicion(now, x)})
 	}
 }
 
--- a/relay/shed.go
+++ b/relay/shed.go
@@ -39,9 +39,9 @@
 	Relay *Relay
 
 	// full reports whether requests are refused.
-	full  atomic.Bool
-	mu    sync.Mutex
-	sieve admit.Sieve
+	full    atomic.Bool
+	mu      sync.Mutex
+	shedder admit.LoadShedder
 	// answers are refusals that are ready to be sent.
 	answers [][]byte
 	// refused counts since the last observation.
@@ -56,9 +56,9 @@
 	defer s.mu.Unlock()
 	refused = s.refused
 	s.refused, s.logged = 0, 0
-	s.sieve.Observe(now, delay)
-	s.full.Store(s.sieve.Part() >= siftPart)
-	return refused, s.sieve.Part()
+	s.shedder.Observe(now, delay)
+	s.full.Store(s.shedder.RejectRatio() >= siftPart)
+	return refused, s.shedder.RejectRatio()
 }
 
 // active reports whether requests are refused.
@@ -70,14 +70,14 @@
 	workspace := s.workspace(key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.sieve.Refuse(clock.Now(), workspace) {
+	if !s.shedder.Refuse(clock.Now(), workspace) {
 		return nil
 	}
 	s.refused++
 	if s.logged < shedLogged {
 		s.logged++
 		s.Relay.Log.Emit(event.RelayShed, event.Str("request", id), event.Str("workspace", workspace),
-			event.Float("part", s.sieve.Part()))
+			event.Float("part", s.shedder.RejectRatio()))
 	}
 	s.Relay.Meters.Refused.Add(1, workspace, string(chestnutstep.ReasonBusy))
 	return s.answer()
@@ -104,7 +104,7 @@
 			s.answers = append(s.answers, s.format(shedBackLeast+i*step))
 		}
 	}
-	least := shedBackLeast.Seconds() / (1 - s.sieve.Part())
+	least := shedBackLeast.Seconds() / (1 - s.shedder.RejectRatio())
 	after := time.Duration(least * (1 + (shedSpread-1)*rand.Float64()) * float64(time.Second))
 	i := (min(max(after, shedBackLeast), shedBackMost) - shedBackLeast) / step
 	return s.answers[i]
--- a/ticket/booth.go
+++ b/ticket/issuer.go
@@ -63,9 +63,9 @@
 	maxHistory = 1024
 )
 
-// Booth implements chestnutstep.Booth for one agent incarnation. Set the fields
+// Issuer implements chestnutstep.Issuer for one agent incarnation. Set the fields
 // before the first call. It is not safe for concurrent use.
-type Booth struct {
+type Issuer struct {
 	// Target is the target beside the agent.
 	Target string
 	// Incarnation names this process; a new process must have another one. It
@@ -92,7 +92,7 @@
 	shares  map[string]int
 }
 
-var _ chestnutstep.Booth = (*Booth)(nil)
+var _ chestnutstep.Issuer = (*Issuer)(nil)
 
 // slot is what is remembered of the tickets that were minted in one time slot.
 type slot struct {
@@ -106,7 +106,7 @@
 	workspace string
 }
 
-func (b *Booth) start(now time.Time) {
+func (b *Issuer) start(now time.Time) {
 	if b.slots != nil {
 		b.advance(now)
 		return
@@ -118,7 +118,7 @@
 	b.shares = map[string]int{}
 }
 
-func (b *Booth) defaults() {
+func (b *Issuer) defaults() {
 	if b.Rand == nil {
 		b.Rand = rand.Reader
 	}
@@ -139,9 +139,9 @@
 	}
 }
 
-// draw reads random bytes. A booth without randomness can't sign anything that
+// draw reads random bytes. An issuer without randomness can't sign anything that
 // a caller could not forge, so that the process has to stop.
-func (b *Booth) draw(n int) []byte {
+func (b *Issuer) draw(n int) []byte {
 	p := make([]byte, n)
 	if _, err := io.ReadFull(b.Rand, p); err != nil {
 		panic("ticket: no randomness: " + err.Error())
@@ -152,7 +152,7 @@
 // Mint returns n fresh tickets for a workspace. It stores nothing: a flood of
 // mints costs the time of its HMACs and no memory. It returns none for names
 // that don't fit a token.
-func (b *Booth) Mint(now time.Time, workspace string, n int) []string {
+func (b *Issuer) Mint(now time.Time, workspace string, n int) []string {
 	b.start(now)
 	if len(workspace) > maxName || len(b.Target) > maxName || len(b.Incarnation) > maxName {
 		return nil
@@ -173,7 +173,7 @@
 //
 // RunNo is only said where it is final. A held ticket answers RunMaybe, as it
 // may run the moment after.
-func (b *Booth) Hold(now time.Time, token, workspace, request string) chestnutstep.Stub {
+func (b *Issuer) Hold(now time.Time, token, workspace, request string) chestnutstep.Stub {
 	b.start(now)
 	c, reason := b.check(token, workspace)
 	if reason != "" {
@@ -199,7 +199,7 @@
 
 // Run marks a held ticket as handed to the target. It is the one step that lets
 // an action run, and its chart has no way back to held.
-func (b *Booth) Run(now time.Time, token string) bool {
+func (b *Issuer) Run(now time.Time, token string) bool {
 	b.start(now)
 	c, r, ok := b.lookup(token)
 	if !ok || !b.move(c, &r, eventRun) {
@@ -212,7 +212,7 @@
 // Release gives a held ticket back unused: any request of its workspace may
 // hold it again. The agent may not say "not run" after it, as an offer that is
 // still on its way would make that false: Drop is for that.
-func (b *Booth) Release(now time.Time, token string) {
+func (b *Issuer) Release(now time.Time, token string) {
 	b.start(now)
 	if c, r, ok := b.lookup(token); ok {
 		b.move(c, &r, eventRelease)
@@ -220,7 +220,7 @@
 }
 
 // Done ends a running ticket; known says whether the outcome is known.
-func (b *Booth) Done(now time.Time, token string, known bool) {
+func (b *Issuer) Done(now time.Time, token string, known bool) {
 	b.start(now)
 	event := eventLose
 	if known {
@@ -235,7 +235,7 @@
 // no connection to the target came about, so that no byte of the action left
 // this process: without it a target that is down would leave every action's
 // outcome unknown, and callers would have to ask people.
-func (b *Booth) Unsent(now time.Time, token string) chestnutstep.Stub {
+func (b *Issuer) Unsent(now time.Time, token string) chestnutstep.Stub {
 	b.start(now)
 	c, r, ok := b.lookup(token)
 	if !ok {
@@ -246,7 +246,7 @@
 }
 
 // Drop writes a tombstone when the ticket has not run, and says the truth.
-func (b *Booth) Drop(now time.Time, token, workspace string) chestnutstep.Stub {
+func (b *Issuer) Drop(now time.Time, token, workspace string) chestnutstep.Stub {
 	b.start(now)
 	c, reason := b.check(token, workspace)
 	if reason != "" {
@@ -267,7 +267,7 @@
 }
 
 // check verifies that this incarnation minted a token for the workspace.
-func (b *Booth) check(token, workspace string) (claim, chestnutstep.Reason) {
+func (b *Issuer) check(token, workspace string) (claim, chestnutstep.Reason) {
 	c, body, mac, ok := parse(token)
 	if !ok || c.target != b.Target {
 		return c, chestnutstep.ReasonForged
@@ -282,7 +282,7 @@
 }
 
 // lookup finds the record of a token that was held before.
-func (b *Booth) lookup(token string) (claim, record, bool) {
+func (b *Issuer) lookup(token string) (claim, record, bool) {
 	c, body, mac, ok := parse(token)
 	if !ok || c.incarnation != b.Incarnation || !hmac.Equal(mac, sign(b.Key, body)) {
 		return claim{}, record{}, false
--- a/ticket/booth_test.go
+++ b/ticket/issuer_test.go
@@ -18,10 +18,10 @@
 
 func TestMain(m *testing.M) { script.Main(m, 5000) }
 
-// The scripts in testdata/booth play one agent's booth step by step; each opens
+// The scripts in testdata/issuer play one agent's issuer step by step; each opens
 // with what goes wrong without the rule that it checks.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata/booth", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/issuer", func(t *testing.T, path string) {
 		p := &player{tokens: map[string]string{}, now: script.Epoch}
 		p.restart()
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
@@ -31,7 +31,7 @@
 }
 
 type player struct {
-	booth  *Booth
+	issuer *Issuer
 	lives  int
 	now    time.Time
 	tokens map[string]string
@@ -39,7 +39,7 @@
 
 func (p *player) restart() {
 	p.lives++
-	p.booth = &Booth{
+	p.issuer = &Issuer{
 		Target: "bay-1", Incarnation: fmt.Sprint("life-", p.lives), Slots: 2, Most: 6,
 		Rand: rand.New(rand.NewSource(int64(p.lives))),
 	}
@@ -50,29 +50,29 @@
 	token := p.tokens[f[1]]
 	switch f[0] {
 	case "mint":
-		p.tokens[f[1]] = p.booth.Mint(p.now, f[2], 1)[0]
+		p.tokens[f[1]] = p.issuer.Mint(p.now, f[2], 1)[0]
 		target, ok := Target(p.tokens[f[1]])
 		return fmt.Sprintf("for %s %v", target, ok)
 	case "tear":
 		p.tokens[f[1]] = token[:len(token)-2] + "AA"
 	case "hold":
-		return say(p.booth.Hold(p.now, token, f[2], f[3]))
+		return say(p.issuer.Hold(p.now, token, f[2], f[3]))
 	case "drop":
-		return say(p.booth.Drop(p.now, token, f[2]))
+		return say(p.issuer.Drop(p.now, token, f[2]))
 	case "unsent":
-		return say(p.booth.Unsent(p.now, token))
+		return say(p.issuer.Unsent(p.now, token))
 	case "run":
-		return strconv.FormatBool(p.booth.Run(p.now, token))
+		return strconv.FormatBool(p.issuer.Run(p.now, token))
 	case "release":
-		p.booth.Release(p.now, token)
+		p.issuer.Release(p.now, token)
 	case "done":
-		p.booth.Done(p.now, token, f[2] == "known")
+		p.issuer.Done(p.now, token, f[2] == "known")
 	case "restart":
 		p.restart()
 	default:
 		return "unknown command"
 	}
-	return fmt.Sprintf("%d remembered", p.booth.spent)
+	return fmt.Sprintf("%d remembered", p.issuer.spent)
 }
 
 func say(s chestnutstep.Stub) string {
@@ -83,7 +83,7 @@
 // would see the agent grow until it is killed, and with it lose the outcome of
 // every booking that it remembers.
 func TestFloodKeepsTheBound(t *testing.T) {
-	b := &Booth{Target: "bay-1", Most: 1000, Rand: rand.New(rand.NewSource(1))}
+	b := &Issuer{Target: "bay-1", Most: 1000, Rand: rand.New(rand.NewSource(1))}
 	b.Mint(script.Epoch, "brand", 5000)
 	assert.Equal(t, b.spent, 0, "minting stored something")
 	for i, token := range b.Mint(script.Epoch, "brand", 5000) {
@@ -107,18 +107,18 @@
 	for _, size := range []int{36, MaxRequest} {
 		b.Run(fmt.Sprint("id=", size), func(b *testing.B) {
 			id := strings.Repeat("r", size)
-			booth := &Booth{Target: "bay-service-1", Most: 1 << 30}
-			tokens := booth.Mint(script.Epoch, "darkroom", b.N)
+			issuer := &Issuer{Target: "bay-service-1", Most: 1 << 30}
+			tokens := issuer.Mint(script.Epoch, "darkroom", b.N)
 			before := script.Heap()
 			b.ResetTimer()
 			for _, token := range tokens {
-				booth.Hold(script.Epoch, token, "darkroom", id)
-				booth.Run(script.Epoch, token)
-				booth.Done(script.Epoch, token, true)
+				issuer.Hold(script.Epoch, token, "darkroom", id)
+				issuer.Run(script.Epoch, token)
+				issuer.Done(script.Epoch, token, true)
 			}
 			b.StopTimer()
 			b.ReportMetric((script.Heap()-before)/float64(b.N), "B/ticket")
-			runtime.KeepAlive(booth)
+			runtime.KeepAlive(issuer)
 			runtime.KeepAlive(tokens)
 		})
 	}
--- a/ticket/memory.go
+++ b/ticket/memory.go
@@ -9,7 +9,7 @@
 // advance moves to the slot of now and closes the slots that fall out. A clock
 // that went back changes nothing, so that a closed slot never opens again: if
 // it did, a ticket whose record is gone could run a second time.
-func (b *Booth) advance(now time.Time) {
+func (b *Issuer) advance(now time.Time) {
 	at := uint64(max(now.Sub(b.started), 0) / b.Slot)
 	if at <= b.slot {
 		return
@@ -24,14 +24,14 @@
 }
 
 // closed says that no ticket of the slot may be held any more.
-func (b *Booth) closed(n uint64) bool {
+func (b *Issuer) closed(n uint64) bool {
 	return n+uint64(b.Slots) <= b.slot
 }
 
 // forget drops the records of a closed slot, but for those that still wait or
 // run: these are bounded by the agent's queue and slots, and their callers'
 // repeats can still join them.
-func (b *Booth) forget(n uint64) {
+func (b *Issuer) forget(n uint64) {
 	s := b.slots[n]
 	for k, r := range s.spent {
 		if r.state != chestnutstep.TicketHeld && r.state != chestnutstep.TicketRunning {
@@ -42,7 +42,7 @@
 
 // trim bounds what is remembered of closed slots. Without it a process that
 // lives for years would collect one bit for each slot in which it ran.
-func (b *Booth) trim() {
+func (b *Issuer) trim() {
 	if b.slot < maxHistory+uint64(b.Slots) {
 		return
 	}
@@ -58,7 +58,7 @@
 	}
 }
 
-func (b *Booth) find(c claim) (record, bool) {
+func (b *Issuer) find(c claim) (record, bool) {
 	s := b.slots[c.slot]
 	if s == nil {
 		return record{}, false
@@ -69,7 +69,7 @@
 
 // move changes a record by an event of the chart and stores the outcome. False
 // means that the chart has no such move, and nothing has changed.
-func (b *Booth) move(c claim, r *record, event string) bool {
+func (b *Issuer) move(c claim, r *record, event string) bool {
 	to, err := Chart.Next(string(r.state), event)
 	if err != nil {
 		return false
@@ -83,7 +83,7 @@
 	return true
 }
 
-func (b *Booth) store(c claim, r record) {
+func (b *Issuer) store(c claim, r record) {
 	s := b.slots[c.slot]
 	if s == nil {
 		s = &slot{spent: map[nonce]record{}}
@@ -96,7 +96,7 @@
 	s.spent[c.nonce] = r
 }
 
-func (b *Booth) remove(n uint64, k nonce, r record) {
+func (b *Issuer) remove(n uint64, k nonce, r record) {
 	s := b.slots[n]
 	delete(s.spent, k)
 	b.spent--
@@ -114,7 +114,7 @@
 // memory, so that a surge of one can't make the others' actions wait. Where
 // there is no room, turning new tickets away is right: forgetting old ones
 // would turn the known outcomes of other callers into unknown ones.
-func (b *Booth) room(workspace string) chestnutstep.Reason {
+func (b *Issuer) room(workspace string) chestnutstep.Reason {
 	if b.spent >= b.Most {
 		return chestnutstep.ReasonQueue
 	}
--- a/ticket/model_test.go
+++ b/ticket/model_test.go
@@ -32,11 +32,11 @@
 	saidNo  bool
 }
 
-// agent is one booth with what the model knows of it.
+// agent is one issuer with what the model knows of it.
 type agent struct {
-	booth *Booth
-	life  int
-	slot  int
+	issuer *Issuer
+	life   int
+	slot   int
 }
 
 // offer is an action on its way, in each scheme. It stays in flight when it is
@@ -62,12 +62,12 @@
 	if a := w.agents[target]; a != nil {
 		life = a.life + 1
 	}
-	b := &Booth{
+	b := &Issuer{
 		Target: fmt.Sprint(target), Incarnation: fmt.Sprint(life), Slots: 2,
 		Rand: rand.New(rand.NewSource(int64(life*targets + target))),
 	}
 	b.start(w.now)
-	w.agents[target] = &agent{booth: b, life: life}
+	w.agents[target] = &agent{issuer: b, life: life}
 	for i := range w.naive {
 		w.naive[i].restart(target)
 	}
@@ -77,26 +77,26 @@
 	target := rapid.IntRange(0, targets-1).Draw(t, "target")
 	a := w.agents[target]
 	w.holds[action] = &truth{
-		token: a.booth.Mint(w.now, "brand", 1)[0], action: action, target: target,
+		token: a.issuer.Mint(w.now, "brand", 1)[0], action: action, target: target,
 		life: a.life, slot: a.slot, state: chestnutstep.TicketFresh,
 	}
 	w.all = append(w.all, w.holds[action])
 }
 
 // pick draws any ticket that was ever minted.
-func (w *world) pick(t *rapid.T) (*truth, *Booth) {
+func (w *world) pick(t *rapid.T) (*truth, *Issuer) {
 	if len(w.all) == 0 {
 		w.mint(t, 0)
 	}
 	a := rapid.SampledFrom(w.all).Draw(t, "ticket")
-	return a, w.agents[a.target].booth
+	return a, w.agents[a.target].issuer
 }
 
-// known says whether the booth must still know the ticket's state.
+// known says whether the issuer must still know the ticket's state.
 func (w *world) known(a *truth) bool {
 	at := w.agents[a.target]
 	live := a.state == chestnutstep.TicketHeld || a.state == chestnutstep.TicketRunning
-	return a.life == at.life && (live || at.slot-a.slot < at.booth.Slots)
+	return a.life == at.life && (live || at.slot-a.slot < at.issuer.Slots)
 }
 
 // hear checks an answer against the truth. Its caller, if the answer reaches it,
@@ -141,7 +141,7 @@
 	if w.known(a) && a.state == chestnutstep.TicketFresh {
 		a.state, a.request = chestnutstep.TicketHeld, request
 	}
-	s := w.agents[a.target].booth.Hold(w.now, a.token, "brand", request)
+	s := w.agents[a.target].issuer.Hold(w.now, a.token, "brand", request)
 	spent := w.known(a) && a.state != chestnutstep.TicketDropped && a.request != request
 	assert.Equal(t, s.Reason == chestnutstep.ReasonSpent, spent)
 	w.hear(t, a, w.known(a), s)
@@ -157,7 +157,7 @@
 
 func (w *world) start(t *rapid.T, a *truth) {
 	want := a.life == w.agents[a.target].life && a.state == chestnutstep.TicketHeld
-	assert.Equal(t, w.agents[a.target].booth.Run(w.now, a.token), want)
+	assert.Equal(t, w.agents[a.target].issuer.Run(w.now, a.token), want)
 	if !want {
 		return
 	}
@@ -212,8 +212,8 @@
 	d := rapid.SampledFrom([]time.Duration{0, time.Second, time.Second, DefaultSlot / 2, time.Hour, -DefaultSlot}).Draw(t, "pass")
 	w.now = w.now.Add(d)
 	for _, a := range w.agents {
-		a.booth.start(w.now)
-		a.slot = max(a.slot, int(w.now.Sub(a.booth.started)/DefaultSlot))
+		a.issuer.start(w.now)
+		a.slot = max(a.slot, int(w.now.Sub(a.issuer.started)/DefaultSlot))
 	}
 	for i := range w.naive {
 		w.naive[i].now += max(0, d)
--- a/ticket/stub.go
+++ b/ticket/stub.go
@@ -35,7 +35,7 @@
 // ever. A forged or torn token also answers "maybe": its caller may have sent
 // the right one before. An expired ticket is "not run" only when no ticket of
 // its slot ever ran: its own record is gone, and a closed slot never reopens.
-func (b *Booth) reject(c claim, reason chestnutstep.Reason) chestnutstep.Stub {
+func (b *Issuer) reject(c claim, reason chestnutstep.Reason) chestnutstep.Stub {
 	state, _ := Chart.Next(string(chestnutstep.TicketFresh), eventReject)
 	s := chestnutstep.Stub{
 		State: chestnutstep.TicketState(state), Reason: reason, Run: chestnutstep.RunMaybe,
@@ -49,7 +49,7 @@
 // busy turns a fresh ticket away for want of memory. It says "maybe", as there
 // is no room for the tombstone that would make "not run" true for ever: an
 // offer that was delayed on its way may still come. The ticket stays good.
-func (b *Booth) busy(reason chestnutstep.Reason) chestnutstep.Stub {
+func (b *Issuer) busy(reason chestnutstep.Reason) chestnutstep.Stub {
 	return chestnutstep.Stub{
 		State: chestnutstep.TicketFresh, Reason: reason, Run: chestnutstep.RunMaybe,
 	}
--- a/ticket/token_test.go
+++ b/ticket/token_test.go
@@ -15,7 +15,7 @@
 // back the same, so that no two texts stand for one ticket, and none but the
 // minted one passes the check.
 func FuzzToken(f *testing.F) {
-	b := &Booth{Target: "bay-1", Rand: rand.New(rand.NewSource(1))}
+	b := &Issuer{Target: "bay-1", Rand: rand.New(rand.NewSource(1))}
 	minted := b.Mint(script.Epoch, "brand", 1)[0]
 	for _, seed := range []string{"", minted, minted[:20], minted + "\n", minted + "A", strings.Repeat("A", 900)} {
 		f.Add(seed)
@@ -36,7 +36,7 @@
 
 func TestNamesThatDoNotFit(t *testing.T) {
 	longest := strings.Repeat("w", maxName)
-	b := &Booth{Target: longest, Incarnation: longest}
+	b := &Issuer{Target: longest, Incarnation: longest}
 	assert.Equal(t, len(b.Mint(script.Epoch, longest+"w", 1)), 0)
 	token := b.Mint(script.Epoch, longest, 1)[0]
 	assert.Equal(t, b.Hold(script.Epoch, token, longest, "r").State, chestnutstep.TicketHeld)
