--- a/board/choose.go
+++ b/board/choose.go
@@ -35,8 +35,8 @@
 	Who *Who
 	// Cap is the multiple of the mean load that no target may carry; 0 where none is set.
 	Cap float64
-	// Sure asks for a host that is surely there: the request may run only once, or has lost
-	// time already.
+	// VerifyHost says that a dead host would cost the request more than a handshake: it may run
+	// only once, or has lost time already.
 	VerifyHost bool
 }
 
