node, share, board: copies of the index are bounded

Now two copies are given at a time, others are refused at once and ask somebody else 50 ms later; it is announced to eight; a copy names targets that hold nothing; one is asked for again only while a tenth of the targets is unknown. Tests: TestCopiesAreBounded, TestEmptyCachesAreListed.

--- a/board/choose_test.go
+++ b/board/choose_test.go
@@ -260,3 +260,13 @@
 		})
 	}
 }
+
+// TestEmptyCachesAreListed guards against entries that ask again and again for what a target holds
+// that is known to hold nothing.
+func TestEmptyCachesAreListed(t *testing.T) {
+	entries, v := fleet(2), view(1, 1)
+	a, b := entries[0], entries[1]
+	a.Hold(start, &v.ByID["t0"].Instance, nil)
+	b.MergeLists(start, a.Lists(start))
+	assert.Assert(t, b.Listed(&v.ByID["t0"].Instance))
+}
--- a/board/holds.go
+++ b/board/holds.go
@@ -105,6 +105,11 @@
 			l.Add(part)
 		}
 	}
+	for key := range b.listed {
+		if byTarget[key] == nil {
+			byTarget[key] = &share.List{Target: key}
+		}
+	}
 	lists := make([]share.List, 0, len(byTarget))
 	for _, l := range byTarget {
 		lists = append(lists, *l)
--- a/node/learn.go
+++ b/node/learn.go
@@ -27,6 +27,8 @@
 	// the targets for all, and hosts don't all start at the same moment. Requests wait no
 	// longer than settleMost.
 	seedWait = 500 * time.Millisecond
+	// busyRest is the pause after a peer that could not give a copy now.
+	busyRest = 50 * time.Millisecond
 	// askers is how many entries ask one target, and report to the others: two, as the
 	// datagrams of one may be lost. Each listing costs its target some work.
 	askers = 2
@@ -84,16 +86,18 @@
 // learnFromPeer asks a peer that knows, if there is one.
 func (n *Direct) learnFromPeer(ctx context.Context, began time.Time) bool {
 	for {
+		pause := learnTick
 		if peer, ok := n.peers.PeerWithCacheIndex(); ok {
 			lists, size, err := share.FetchCaches(ctx, peer.String(), link.Dial)
 			n.log.Emit(event.CachesTaken, event.Str("peer", peer.String()), event.Int("lists", int64(len(lists))),
 				event.Int("bytes", int64(size)), event.Err(err))
 			if err == nil {
 				n.board.MergeLists(clock.Now(), lists)
+				return true
 			}
-			return err == nil
+			pause = busyRest
 		}
-		if time.Since(began) >= n.peerWait() || !sleep(ctx, learnTick) {
+		if time.Since(began) >= n.peerWait() || !sleep(ctx, pause) {
 			return false
 		}
 	}
@@ -103,13 +107,18 @@
 // did not tell of: after a loss of the source they come back within about two seconds.
 var relearnAfter = [...]time.Duration{400 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond}
 
+// relearnPart is the part of the targets that has to be unknown for that: a copy is of all.
+const relearnPart = 0.1
+
 // learnLater asks peers once more for what targets hold that have come back since.
 func (n *Direct) learnLater(ctx context.Context) {
 	for _, pause := range relearnAfter {
-		if !sleep(ctx, pause) || len(n.unlisted()) == 0 {
+		if !sleep(ctx, pause) {
 			return
 		}
-		n.learnFromPeer(ctx, time.Now())
+		if v := n.roster.View(); len(n.unlisted()) > int(relearnPart*float64(len(v.ByID))) {
+			n.learnFromPeer(ctx, time.Now())
+		}
 	}
 }
 
--- a/share/copy.go
+++ b/share/copy.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +17,9 @@
 	cachesLimit = 2 * time.Second
 	// cachesMost bounds them in bytes.
 	cachesMost = 8 << 20
+	// copiesMost is how many peers are answered at a time: a copy may take seconds of a host's
+	// link, and whoever has one can give it to the others.
+	copiesMost = 2
 )
 
 // CachesPath is the path at which an entry serves what it knows of targets' caches.
@@ -25,10 +29,18 @@
 type Caches struct {
 	// Lists returns what is known of targets' caches.
 	Lists func() []List
+
+	open atomic.Int32
 }
 
 // ServeHTTP writes the lists.
 func (s *Caches) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if s.open.Add(1) > copiesMost {
+		s.open.Add(-1)
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.open.Add(-1)
 	raw, err := cbor.Marshal(s.Lists())
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -226,3 +228,31 @@
 	p.take(clock.Now(), &Report{From: from, Run: 6, Number: 1}, 10)
 	assert.Equal(t, len(conn.to), 2)
 }
+
+// TestCopiesAreBounded guards against a fleet that starts at once copying from the one entry that
+// knows, whose link is then full for seconds.
+func TestCopiesAreBounded(t *testing.T) {
+	hold := make(chan struct{})
+	c := &Caches{Lists: func() []List { <-hold; return []List{{Target: 1}} }}
+	srv := httptest.NewServer(c)
+	defer srv.Close()
+	results := make(chan int, 4)
+	for range 4 {
+		go func() {
+			resp, err := http.Get(srv.URL)
+			if err != nil {
+				results <- 0
+				return
+			}
+			resp.Body.Close()
+			results <- resp.StatusCode
+		}()
+	}
+	for range 2 {
+		assert.Equal(t, <-results, http.StatusServiceUnavailable)
+	}
+	close(hold)
+	for range 2 {
+		assert.Equal(t, <-results, http.StatusOK)
+	}
+}
--- a/share/talk.go
+++ b/share/talk.go
@@ -70,8 +70,9 @@
 	}
 }
 
-// announceMost bounds the peers that get a report out of turn.
-const announceMost = 64
+// announceMost bounds the peers that get a report out of turn: each may ask for a copy at once,
+// and gives it to others.
+const announceMost = fanout
 
 // Announce reports to the peers at once, instead of some in each round.
 func (p *Peers) Announce() {
