--- a/link/pool.go
+++ b/link/pool.go
@@ -18,7 +18,7 @@
 const (
 	// dialLimit bounds the opening of a connection. A host that is gone doesn't
 	// refuse, it stays silent; a live one answers within milliseconds.
-	dialLimit = 250 * time.Millisecond
+	dialLimit = 400 * time.Millisecond
 	// silentLimit is how long a peer may leave bytes unacknowledged. A host that
 	// lost power, or a connection that went silent for good, shows by this alone:
 	// without it the request would wait until its deadline.
--- a/relay/run.go
+++ b/relay/run.go
@@ -177,7 +177,7 @@
 	// verifyShare is the part of its objective that a request may wait for a connection which
 	// verifies that the target's host is there, and verifyLeast its least time.
 	verifyShare = 0.25
-	verifyLeast = 100 * time.Millisecond
+	verifyLeast = 250 * time.Millisecond
 )
 
 // dialLimit bounds the opening of a connection that verifies a host, in time for another one.
