--- a/board/board.go
+++ b/board/board.go
@@ -60,10 +60,10 @@
 	fleet     uint64
 	expiredAt clock.Stamp
 	// silent are targets that were found to be silent, for the peers; alert is until when
-	// more of them are to be expected, and heard when any target last answered.
-	silent []uint32
-	alert  clock.Stamp
-	heard  clock.Stamp
+	// more of them are to be expected, and answeredAt when any target last answered.
+	silent     []uint32
+	alert      clock.Stamp
+	answeredAt clock.Stamp
 
 	// groups index the targets of each service.
 	groups  map[string]*group
--- a/board/run.go
+++ b/board/run.go
@@ -63,7 +63,7 @@
 func (r *Run) First(now clock.Stamp) {
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
-	r.board.heard = now
+	r.board.answeredAt = now
 	r.board.state(r.key).suspicion.answered(now)
 	if r.ready {
 		return
--- a/board/suspicion.go
+++ b/board/suspicion.go
@@ -23,14 +23,14 @@
 // suspicion is what is known of whether a target's host is there.
 type suspicion struct {
 	until clock.Stamp
-	// heard is when the target last answered this entry.
-	heard clock.Stamp
+	// answeredAt is when the target last answered this entry.
+	answeredAt clock.Stamp
 }
 
 func (s *suspicion) active(now clock.Stamp) bool { return now < s.until }
 
 // answered notes a sign of life.
-func (s *suspicion) answered(now clock.Stamp) { s.heard, s.until = now, 0 }
+func (s *suspicion) answered(now clock.Stamp) { s.answeredAt, s.until = now, 0 }
 
 // raise makes the target suspected.
 func (s *suspicion) raise(now clock.Stamp) { s.until = now.Add(suspectFor) }
@@ -40,7 +40,7 @@
 func (b *Board) RecordSilence(now clock.Stamp, t *roster.Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.heard) > linkProof {
+	if now.Sub(b.answeredAt) > linkProof {
 		return false
 	}
 	_, s := b.instance(&t.Instance)
@@ -59,12 +59,12 @@
 	b.alert = now.Add(alertFor)
 }
 
-// mergeSuspicions takes the targets that did not answer a peer. They are not left alone for its
-// word: the peer may be the one that is cut off.
+// mergeSuspicions takes the targets that did not answer a peer. They still get requests:
+// the peer may be the one that is cut off.
 func (b *Board) mergeSuspicions(now clock.Stamp, keys []uint32) {
 	for _, key := range keys {
 		b.alert = now.Add(alertFor)
-		if s := b.targets[key]; s != nil && now.Sub(s.suspicion.heard) > provenFor {
+		if s := b.targets[key]; s != nil && now.Sub(s.suspicion.answeredAt) > provenFor {
 			s.suspicion.raise(now)
 		}
 	}
@@ -76,7 +76,7 @@
 	if s.suspicion.active(now) {
 		return true
 	}
-	return verify && now < b.alert && now.Sub(s.suspicion.heard) > provenFor
+	return verify && now < b.alert && now.Sub(s.suspicion.answeredAt) > provenFor
 }
 
 // Suspicions returns the targets that were found to be silent since the last call.
--- a/node/learn.go
+++ b/node/learn.go
@@ -39,7 +39,7 @@
 	// targets hold: a target that does not answer must not hold up all callers.
 	settleMost = 250 * time.Millisecond
 	// othersWait is how long an entry that has asked its part of the targets waits for what the
-	// others tell of theirs.
+	// others report of theirs.
 	othersWait = 100 * time.Millisecond
 	// lookRest is the pause after a look at all targets, in times of what the look took: an entry
 	// that has just started needs its processor for callers.
@@ -104,7 +104,7 @@
 }
 
 // relearnAfter are the pauses after which a peer is asked again while targets are listed that it
-// did not tell of: after a loss of the source they come back within about two seconds.
+// did not list: after a loss of the source they come back within about two seconds.
 var relearnAfter = [...]time.Duration{400 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond}
 
 // relearnPart is the part of the targets that has to be unknown for that: a copy is of all.
@@ -226,7 +226,7 @@
 	}
 }
 
-// list asks one target, and tells the peers.
+// list asks one target, and reports to the peers.
 func (l *learner) list(ctx context.Context, t *roster.Target) {
 	n := l.node
 	parts, err := n.Caches.Held(ctx, t.Address)
