link: a watch that has ended leaves its connection alone

Cause (read, not seen): a look that was under way when the answer came set its timer again after the end. 125 ms later the connection may carry another request whose bytes are not acknowledged yet: it would be reset under a request that may run only once. Change: looks and the end exclude each other. Result: TestStoppedWatchLeavesTheConnectionAlone; tests of link and relay named Silent, Stopped, Own, Kept, Early, race detector.

--- a/link/call.go
+++ b/link/call.go
@@ -101,11 +101,11 @@
 		}()
 	}
 	resp, err := readHead(c, call.Method)
-	s.stop()
+	silent := s.stop()
 	if err != nil {
 		a.abort()
 		<-sent
-		return nil, broken(ctx, c, s.silent.Load(), err)
+		return nil, broken(ctx, c, silent, err)
 	}
 	a.resp = resp
 	a.Status, a.Header, a.Body, a.Length = resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
--- a/link/silence.go
+++ b/link/silence.go
@@ -1,7 +1,7 @@
 package link
 
 import (
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,25 +23,40 @@
 	// found is called once, when the peer counts as silent; true gives the request up.
 	found func() bool
 
+	mu      sync.Mutex
 	unacked int
 	looks   int
-	silent  atomic.Bool
+	silent  bool
+	stopped bool
 	timer   *time.Timer
 }
 
-// watch begins to look; stop ends it.
+// watch begins to look.
 func (s *silence) watch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(silentLook, s.look)
 }
 
-func (s *silence) stop() {
+// stop ends it, and reports whether the peer was found to be silent and given up. A look that is
+// under way ends first: afterwards the connection may carry another request.
+func (s *silence) stop() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
 	if s.timer != nil {
 		s.timer.Stop()
 	}
+	return s.silent
 }
 
 // look runs on the timer, one after the other.
 func (s *silence) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
 	n := unacknowledged(s.conn)
 	if n == 0 {
 		return // it has all: what it does with it is no matter of the connection
@@ -54,7 +69,7 @@
 		return
 	}
 	if s.found() {
-		s.silent.Store(true)
+		s.silent = true
 		s.conn.abandon()
 	}
 }
