node, share: one loop for what an entry learns in its first seconds

Cause (read as a newcomer): asking targets and copying from peers were two loops with states of their own; an entry that had asked its part of the targets said that it knows after 100 ms and never asked peers for the rest, so that without seeds (stale or down) each kept a part. Announce repeated what a round does. Result: tests of node named Seeds, Learns, Dead, Without twice under the race detector, those of share and relay.

--- a/node/learn.go
+++ b/node/learn.go
@@ -41,6 +41,10 @@
 	// othersWait is how long an entry that has asked its part of the targets waits for what the
 	// others report of theirs.
 	othersWait = 100 * time.Millisecond
+	// copyEvery is how often a peer is asked for a copy while more than copyPart of the targets
+	// are unknown: a copy is of all.
+	copyEvery = 700 * time.Millisecond
+	copyPart  = 0.1
 	// lookRest is the pause after a look at all targets, in times of what the look took: an entry
 	// that has just started needs its processor for callers.
 	lookRest = 20
@@ -66,13 +70,15 @@
 	}
 	late := time.AfterFunc(settleMost, settle)
 	defer late.Stop()
+	l := &learning{node: n, began: began, settle: settle, asked: make(map[string]bool)}
 	if n.learnFromPeer(ctx, began) {
-		n.known(began)
-		settle()
-		n.learnLater(ctx)
-		return
+		l.know()
+	} else {
+		l.startAsking(ctx)
+		defer close(l.queue)
 	}
-	n.learnFromTargets(ctx, began, settle)
+	l.run(ctx)
+	n.known(began)
 }
 
 // known notes that this entry knows what targets hold.
@@ -103,25 +109,6 @@
 	}
 }
 
-// relearnAfter are the pauses after which a peer is asked again while targets are listed that it
-// did not list: after a loss of the source they come back within about two seconds.
-var relearnAfter = [...]time.Duration{400 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond}
-
-// relearnPart is the part of the targets that has to be unknown for that: a copy is of all.
-const relearnPart = 0.1
-
-// learnLater asks peers once more for what targets hold that have come back since.
-func (n *Direct) learnLater(ctx context.Context) {
-	for _, pause := range relearnAfter {
-		if !sleep(ctx, pause) {
-			return
-		}
-		if v := n.roster.View(); len(n.unlisted()) > int(relearnPart*float64(len(v.ByID))) {
-			n.learnFromPeer(ctx, time.Now())
-		}
-	}
-}
-
 // peerWait is how long to wait for a peer that knows. After a loss of all entries none knows who
 // the others are: did each ask, every target would be asked by all.
 func (n *Direct) peerWait() time.Duration {
@@ -142,64 +129,92 @@
 	return n.board.IsFirstOf(&t.Instance, n.peers.LiveSeeds(clock.Now()))
 }
 
-// learnFromTargets asks the targets, together with the other entries. Where the
+// learning is what an entry does in its first seconds to learn what targets hold. Where the
 // source was away as well, targets come back to its list one by one.
-func (n *Direct) learnFromTargets(ctx context.Context, began time.Time, settle func()) {
-	c := &canvass{node: n, queue: make(chan *roster.Target), asked: make(map[string]bool)}
-	defer close(c.queue)
+type learning struct {
+	node   *Direct
+	began  time.Time
+	settle func()
+	// knownAt is when enough was known, and copied when a peer was last asked for a copy.
+	knownAt, copied time.Time
+
+	// queue is of the targets to ask; nil where a peer's copy made that needless.
+	queue chan *roster.Target
+	asked map[string]bool
+	// open counts the targets that were asked and have not answered.
+	open atomic.Int64
+	// idle is when the last of them did.
+	idle time.Time
+}
+
+func (l *learning) startAsking(ctx context.Context) {
+	l.queue = make(chan *roster.Target)
 	for range learners {
-		go (&learner{canvass: c}).run(ctx)
+		go (&learner{learning: l}).run(ctx)
 	}
+}
+
+// know notes that enough is known to serve by.
+func (l *learning) know() {
+	if l.knownAt.IsZero() {
+		l.knownAt, l.copied = time.Now(), time.Now()
+	}
+	l.node.known(l.began)
+	l.settle()
+}
+
+// run asks the targets that are this entry's to ask, and peers for a copy of what is still
+// unknown once they had the time to learn it.
+func (l *learning) run(ctx context.Context) {
 	for end := time.Now().Add(learnFor); time.Now().Before(end); {
 		looked := time.Now()
-		list := n.unlisted()
+		list := l.node.unlisted()
 		pause := max(learnTick, lookRest*time.Since(looked))
-		if c.ask(list) {
-			n.known(began)
-			settle()
+		if l.queue != nil && l.ask(list) {
+			l.know()
 		}
+		l.copyRest(ctx, len(list))
 		if !sleep(ctx, pause) {
 			return
 		}
 	}
-	n.known(began)
 }
 
-// canvass asks targets what they hold.
-type canvass struct {
-	node  *Direct
-	queue chan *roster.Target
-	asked map[string]bool
-	// open counts the targets that were asked and have not answered.
-	open atomic.Int64
-	// idle is when the last of them did.
-	idle time.Time
+// copyRest asks a peer for a copy where many targets are unknown still.
+func (l *learning) copyRest(ctx context.Context, unknown int) {
+	if l.knownAt.IsZero() || time.Since(l.copied) < copyEvery {
+		return
+	}
+	l.copied = time.Now()
+	if v := l.node.roster.View(); float64(unknown) > copyPart*float64(len(v.ByID)) {
+		l.node.learnFromPeer(ctx, time.Now())
+	}
 }
 
 // ask asks those of the targets that are this entry's to ask, and reports whether no more is to
 // be expected: one that is gone, or whose entry is, must not hold up what is known of the others.
-func (c *canvass) ask(list []*roster.Target) bool {
+func (l *learning) ask(list []*roster.Target) bool {
 	others := false
 	for _, t := range list {
-		if c.asked[t.ID] {
+		if l.asked[t.ID] {
 			continue
 		}
-		if !c.node.asks(t) {
+		if !l.node.asks(t) {
 			others = true
 			continue
 		}
-		c.asked[t.ID] = true
-		c.open.Add(1)
-		c.queue <- t
+		l.asked[t.ID] = true
+		l.open.Add(1)
+		l.queue <- t
 	}
-	if c.open.Load() > 0 {
-		c.idle = time.Time{}
+	if l.open.Load() > 0 {
+		l.idle = time.Time{}
 		return false
 	}
-	if c.idle.IsZero() {
-		c.idle = time.Now()
+	if l.idle.IsZero() {
+		l.idle = time.Now()
 	}
-	return !others || time.Since(c.idle) >= othersWait
+	return !others || time.Since(l.idle) >= othersWait
 }
 
 // unlisted are the engines whose caches neither they nor a peer have listed.
@@ -216,7 +231,7 @@
 
 // learner asks targets, one after the other.
 type learner struct {
-	*canvass
+	*learning
 }
 
 func (l *learner) run(ctx context.Context) {
--- a/node/learn_test.go
+++ b/node/learn_test.go
@@ -69,6 +69,15 @@
 	})
 }
 
+// newHolder is a store that lists one engine, which has the shared prefix.
+func newHolder(t *testing.T) (*stand.Store, *stand.Target) {
+	t.Helper()
+	store, x := stand.NewStore(), newTarget(t, "i-a")
+	publishEngine(store, x)
+	x.Holds("aa11")
+	return store, x
+}
+
 // talk sends a request whose prompt has a shared prefix.
 func (d *direct) talk(t *testing.T, id string) {
 	t.Helper()
@@ -102,9 +111,7 @@
 // All entries lose power at once, and nobody knows what targets hold. The targets
 // do: they are asked, by few entries, and all know.
 func TestDirectLearnsFromTargets(t *testing.T) {
-	store, x := stand.NewStore(), newTarget(t, "i-a")
-	publishEngine(store, x)
-	x.Holds("aa11")
+	store, x := newHolder(t)
 	first := startLate(t, store)
 	assert.Equal(t, x.Listed(), 1)
 	second := startLate(t, store, first.settings.Peer)
@@ -119,9 +126,7 @@
 // target what it holds, as none knows yet who the others are.
 func TestSeedsAskTargetsForAll(t *testing.T) {
 	const others = 5
-	store, x := stand.NewStore(), newTarget(t, "i-a")
-	publishEngine(store, x)
-	x.Holds("aa11")
+	store, x := newHolder(t)
 	seed := launchLate(t, store, "self")
 	fleet := []*direct{seed}
 	for range others {
@@ -137,9 +142,7 @@
 
 // TestTargetsAreAskedWithoutSeeds guards against entries that wait for a seed which is gone.
 func TestTargetsAreAskedWithoutSeeds(t *testing.T) {
-	store, x := stand.NewStore(), newTarget(t, "i-a")
-	publishEngine(store, x)
-	x.Holds("aa11")
+	store, x := newHolder(t)
 	d := startLate(t, store, node.FreeAddr(t))
 	d.talk(t, "a")
 	assert.Assert(t, d.held(), d.out.text())
@@ -149,12 +152,10 @@
 // TestDeadTargetHoldsUpNoIndex guards against entries that know nothing for seconds, as one of the
 // targets that they ask is gone.
 func TestDeadTargetHoldsUpNoIndex(t *testing.T) {
-	store, x := stand.NewStore(), newTarget(t, "i-a")
-	publishEngine(store, x)
+	store, _ := newHolder(t)
 	store.Put("servers/i-gone", map[string]any{
 		"service": "s", "address": node.FreeAddr(t), "zone": "d", "slots": 4, "state": "ready",
 	})
-	x.Holds("aa11")
 	began := time.Now()
 	d := startLate(t, store)
 	assert.Assert(t, time.Since(began) < 2*time.Second, "%s", time.Since(began))
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -35,7 +35,10 @@
 	if q.Crashes.Quarantined(time.Now(), q.content) {
 		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, retryCondemned}
 	}
-	need := board.Need{Parts: q.ask.Parts, Domain: q.Domain, Skip: q.skip, Allowed: q.allowed, Cap: q.Bounds().Cap, VerifyHost: !q.route.Idempotent() || q.tally.Tries > 0}
+	need := board.Need{
+		Parts: q.ask.Parts, Domain: q.Domain, Skip: q.skip, Allowed: q.allowed, Cap: q.Bounds().Cap,
+		VerifyHost: !q.route.Idempotent() || q.tally.Tries > 0,
+	}
 	if who := q.who(); q.tally.Tries == 0 {
 		need.Who = &who
 	}
--- a/share/talk.go
+++ b/share/talk.go
@@ -70,32 +70,8 @@
 	}
 }
 
-// announceMost bounds the peers that get a report out of turn: each may ask for a copy at once,
-// and gives it to others.
-const announceMost = fanout
-
-// Announce reports to the peers at once, instead of some in each round.
-func (p *Peers) Announce() {
-	now := clock.Now()
-	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
-	p.Knowledge.FillReport(now, r)
-	p.mu.Lock()
-	p.number++
-	r.Number, r.Leaving = p.number, p.leaving
-	to := make([]netip.AddrPort, 0, announceMost)
-	for a, x := range p.peers {
-		if x.live(now) && len(to) < announceMost {
-			to = append(to, a)
-		}
-	}
-	p.mu.Unlock()
-	for _, a := range to {
-		n := p.tell(now, r, a)
-		p.mu.Lock()
-		p.out += int64(n)
-		p.mu.Unlock()
-	}
-}
+// Announce reports at once, to as many peers as one round reaches.
+func (p *Peers) Announce() { p.round(clock.Now()) }
 
 // Bytes is what was sent and received.
 func (p *Peers) Bytes() (out, in int64) {
