board, node: an entry that is overloaded suspects nobody

Ruled out: the longer bounds as the whole mend; they only make the same loop slower. Change: while work waits more than 20 ms for the entry's own processor, time-outs raise no suspicion and no host is verified. Test: TestOverloadedEntrySuspectsNobody.

--- a/board/board.go
+++ b/board/board.go
@@ -35,6 +35,9 @@
 	// Cold bounds what all entries together may send to a cold target in a second:
 	// over times its rate, and slack more. Nil for the defaults.
 	Cold func() (over, slack float64)
+	// Overloaded reports that work waits for this entry's own processor: its time-outs then say
+	// nothing of hosts. Nil for never.
+	Overloaded func() bool
 	// Self names this entry among Peers.
 	Self netip.AddrPort
 
--- a/board/choose_test.go
+++ b/board/choose_test.go
@@ -270,3 +270,24 @@
 	b.MergeLists(start, a.Lists(start))
 	assert.Assert(t, b.Listed(&v.ByID["t0"].Instance))
 }
+
+// TestOverloadedEntrySuspectsNobody guards against an entry without processor whose time-outs have it
+// verify every host, time out again, and send all to the few hosts that it doesn't suspect.
+func TestOverloadedEntrySuspectsNobody(t *testing.T) {
+	overloaded := true
+	b, v := &board.Board{Self: addr(0), Overloaded: func() bool { return overloaded }}, view(3, 3)
+	fail := func() { b.Start(start, v.ByID["t0"], engine, nil, 0, board.Who{}).End(start, board.Unreached) }
+	choose := func() board.Choice {
+		return b.Choose(start, v, engine, board.Need{VerifyHost: true}, place.Ask{Key: 1})
+	}
+	fail()
+	b.Start(start, v.ByID["t1"], engine, nil, 0, board.Who{}).First(start)
+	assert.Assert(t, !b.RecordSilence(start, v.ByID["t2"]))
+	assert.Equal(t, len(b.Suspicions()), 0)
+	overloaded = false
+	assert.Assert(t, !choose().Fresh)
+	fail()
+	assert.Equal(t, len(b.Suspicions()), 1)
+	overloaded = true
+	assert.Assert(t, !choose().Fresh)
+}
--- a/board/run.go
+++ b/board/run.go
@@ -91,7 +91,7 @@
 	if s.health.down(now) {
 		r.board.setApart(s)
 	}
-	if o == Unreached {
+	if o == Unreached && !r.board.isOverloaded() {
 		r.board.raiseSuspicion(now, s, r.key)
 	}
 	r.leave(now, o)
--- a/board/suspicion.go
+++ b/board/suspicion.go
@@ -40,7 +40,7 @@
 func (b *Board) RecordSilence(now clock.Stamp, t *roster.Target) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if now.Sub(b.answeredAt) > linkProof {
+	if b.isOverloaded() || now.Sub(b.answeredAt) > linkProof {
 		return false
 	}
 	_, s := b.instance(&t.Instance)
@@ -50,6 +50,8 @@
 	return true
 }
 
+func (b *Board) isOverloaded() bool { return b.Overloaded != nil && b.Overloaded() }
+
 // raiseSuspicion makes a target suspected, here and at the peers.
 func (b *Board) raiseSuspicion(now clock.Stamp, s *state, key uint32) {
 	if !s.suspicion.active(now) {
@@ -71,8 +73,12 @@
 }
 
 // needsHandshake reports whether a request should open a connection, to verify that the host is
-// there.
+// there. An entry that is overloaded verifies nothing: its handshakes time out at sound hosts too,
+// and each would have the next requests verify theirs.
 func (b *Board) needsHandshake(now clock.Stamp, s *state, verify bool) bool {
+	if b.isOverloaded() {
+		return false
+	}
 	if s.suspicion.active(now) {
 		return true
 	}
--- a/node/delays.go
+++ b/node/delays.go
@@ -4,6 +4,7 @@
 	"context"
 	"runtime/metrics"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"chestnutstep.example/chestnutstep/clock"
@@ -19,6 +20,9 @@
 	// hops is how many times a request waits for the processor: to be read, sent, answered,
 	// passed on and canceled.
 	hops = 5
+	// trustedDelay is the wait up to which a time-out still says something of the other side:
+	// a small part of the shortest one.
+	trustedDelay = 20 * time.Millisecond
 	// fullLogged is the least time between two lines on an entry that is full.
 	fullLogged = time.Second
 	// latencies is the runtime's histogram of the time for which goroutines were ready to
@@ -35,6 +39,8 @@
 	// last are the waits at the last looks.
 	last [delaysKept]time.Duration
 	next int
+	// present is the wait at the last look, in nanoseconds.
+	present atomic.Int64
 	// full says that the last line said so, logged when that was, and refused counts since.
 	full    bool
 	logged  time.Time
@@ -49,12 +55,17 @@
 		// wait for the host, and the listener the wait of connections.
 		backlog := d.node.callers.Backlog()
 		delay := max(d.standing(max(hops*d.median(), time.Since(due))), backlog)
+		d.present.Store(int64(delay))
 		refused, part := d.node.shed.Observe(clock.Now(), delay)
 		d.refused += refused
 		d.log(time.Now(), delay, part, backlog)
 	}
 }
 
+// overloaded reports whether work waits so long that time-outs of this entry say nothing of
+// targets' hosts.
+func (d *delays) overloaded() bool { return time.Duration(d.present.Load()) > trustedDelay }
+
 func (d *delays) log(now time.Time, delay time.Duration, part float64, backlog time.Duration) {
 	if part == 0 {
 		if d.full {
--- a/node/direct.go
+++ b/node/direct.go
@@ -77,6 +77,7 @@
 	relay    *relay.Relay
 	callers  *relay.Listener
 	shed     *relay.Shedder
+	delays   *delays
 	pool     *link.Pool
 	peers    *share.Peers
 	// wake ends the present watch.
@@ -142,7 +143,7 @@
 
 // begin starts what runs beside the servers.
 func (n *Direct) begin(work context.Context) {
-	start(work, n.loop, n.learn, n.peers.Loop, n.watcher().Run, (&delays{node: n}).loop)
+	start(work, n.loop, n.learn, n.peers.Loop, n.watcher().Run, n.delays.loop)
 	if n.Reloader != nil {
 		n.Reloader.Changed, n.Reloader.Refused = n.reload, n.refuse
 		start(work, n.Reloader.Loop)
@@ -176,7 +177,8 @@
 	if err != nil {
 		return errors.Wrap(err, "peer address")
 	}
-	n.board = &board.Board{Self: self, Cold: n.coldBounds}
+	n.delays = &delays{node: n}
+	n.board = &board.Board{Self: self, Cold: n.coldBounds, Overloaded: n.delays.overloaded}
 	n.relay = &relay.Relay{
 		Domain:  n.Settings.Domain,
 		Regions: n.Settings.Regions,
