node: an entry counts as overloaded for two seconds after a long wait

Cause: load shedding keeps the wait near its target, so that single looks fell below the 20 ms at which time-outs are trusted. Change: time-outs are trusted again two seconds after the last such wait.

--- a/node/delays.go
+++ b/node/delays.go
@@ -23,6 +23,9 @@
 	// trustedDelay is the wait up to which a time-out still says something of the other side:
 	// a small part of the shortest one.
 	trustedDelay = 20 * time.Millisecond
+	// trustedAgain is how long after such a wait time-outs are trusted again: requests are
+	// refused so that it doesn't stand, and it comes back for as long as the load lasts.
+	trustedAgain = 2 * time.Second
 	// fullLogged is the least time between two lines on an entry that is full.
 	fullLogged = time.Second
 	// latencies is the runtime's histogram of the time for which goroutines were ready to
@@ -39,8 +42,8 @@
 	// last are the waits at the last looks.
 	last [delaysKept]time.Duration
 	next int
-	// present is the wait at the last look, in nanoseconds.
-	present atomic.Int64
+	// late is when work last waited for more than trustedDelay, by clock.Stamp.
+	late atomic.Int64
 	// full says that the last line said so, logged when that was, and refused counts since.
 	full    bool
 	logged  time.Time
@@ -55,16 +58,21 @@
 		// wait for the host, and the listener the wait of connections.
 		backlog := d.node.callers.Backlog()
 		delay := max(d.standing(max(hops*d.median(), time.Since(due))), backlog)
-		d.present.Store(int64(delay))
+		if delay > trustedDelay {
+			d.late.Store(int64(clock.Now()))
+		}
 		refused, part := d.node.shed.Observe(clock.Now(), delay)
 		d.refused += refused
 		d.log(time.Now(), delay, part, backlog)
 	}
 }
 
-// overloaded reports whether work waits so long that time-outs of this entry say nothing of
-// targets' hosts.
-func (d *delays) overloaded() bool { return time.Duration(d.present.Load()) > trustedDelay }
+// overloaded reports whether work waited of late for so long that time-outs of this entry say
+// nothing of targets' hosts.
+func (d *delays) overloaded() bool {
+	late := clock.Stamp(d.late.Load())
+	return late != 0 && clock.Now().Sub(late) < trustedAgain
+}
 
 func (d *delays) log(now time.Time, delay time.Duration, part float64, backlog time.Duration) {
 	if part == 0 {
