entry: an event stream that breaks before its first byte begins with the error event

The caller's bytes were "\nevent: error\ndata: {...}": an empty line, then the error.

Cause: an entry ends an unfinished line before it writes the error event, and took an answer without a byte for an unfinished line. The agent had died between the head and the first frame. A reader that splits the stream at empty lines gets an event that is not the answer's.

TestBreakBeforeFirstByteBeginsTheStream failed before for the case without a byte.

--- a/entry/output.go
+++ b/entry/output.go
@@ -23,10 +23,10 @@
 	// status can't be changed any more.
 	started bool
 	status  int
-	// events says that the answer is an event stream, and line that its last
-	// byte ended a line.
+	// events says that the answer is an event stream, and inLine that its last
+	// byte did not end a line.
 	events bool
-	line   bool
+	inLine bool
 	offset int64
 	sum    *xxhash.Digest
 	first  time.Time
@@ -69,7 +69,7 @@
 	data := f.Data[skip:]
 	_, _ = o.sum.Write(data)
 	o.offset += int64(len(data))
-	o.line = data[len(data)-1] == '\n'
+	o.inLine = data[len(data)-1] != '\n'
 	if _, err := o.w.Write(data); err != nil {
 		return true, err
 	}
@@ -93,7 +93,7 @@
 	if o.events {
 		ref := refused(err)
 		data, _ := json.Marshal(problem{Code: string(ref.Reason), Run: string(ref.Run), Title: "answer broken off"})
-		if !o.line {
+		if o.inLine {
 			// Only the line ends here, not its event: what stands there becomes
 			// part of the error, and half a token is never read as a whole one.
 			_, _ = o.w.Write([]byte("\n"))
