matrix: the caller reads an answer that was cut inside an event as broken, not as another's

The caller looked for "\n\nevent: error\n". An entry that breaks an answer off ends an unfinished line, not its event (docs/CALLERS.md, entry/output.go): after "data: ab" comes "\nevent: error\n", and the caller took the whole for a foreign event. Engines write each event at once, so that a cell was seldom cut there. The check stays as strict: whatever comes before the error is still compared with the answer, and an answer that just ends is still short. TestCutFailure cuts one answer at each byte; it failed before at byte 0.

--- a/matrix/caller.go
+++ b/matrix/caller.go
@@ -262,14 +262,18 @@
 }
 
 // failure is how an entry begins the event that says that the answer broke
-// off. Blank lines before it end an event that was cut in two.
-const failure = "\n\nevent: error\n"
+// off. It begins a line, but not an event where one was cut in two: the lines
+// before it then belong to the error.
+const failure = "event: error\n"
 
 // cutFailure takes that event off, and says whether there was one.
 func cutFailure(raw []byte) ([]byte, bool) {
-	i := bytes.Index(raw, []byte(failure))
+	if bytes.HasPrefix(raw, []byte(failure)) {
+		return nil, true
+	}
+	i := bytes.Index(raw, []byte("\n"+failure))
 	if i < 0 {
 		return raw, false
 	}
-	return raw[:i], true
+	return raw[:i+1], true
 }
--- /dev/null
+++ b/matrix/caller_test.go
@@ -0,0 +1,44 @@
+package matrix
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/fake"
+)
+
+// TestCutFailure guards against a caller that takes an answer cut inside an event for another's answer.
+func TestCutFailure(t *testing.T) {
+	c := Caller{Stack: &Stack{}, Profile: ProfileChat, Chat: "c", Name: "n"}
+	whole := engineAnswer(t, &c)
+	const broken = "event: error\ndata: {\"code\":\"short\"}\n\n"
+	for i := range whole {
+		raw := whole[:i]
+		if raw != "" && !strings.HasSuffix(raw, "\n") {
+			raw += "\n"
+		}
+		assert.Equal(t, c.judgeStream([]byte(raw+broken), nil), Broken, "cut at byte %d", i)
+	}
+	assert.Equal(t, c.judgeStream([]byte(whole), nil), Whole)
+	assert.Equal(t, c.judgeStream([]byte(whole[:len(whole)/2]), nil), Short)
+	foreign := strings.Replace(whole, "data: ", "data: f", 1)
+	assert.Equal(t, c.judgeStream([]byte(foreign+broken), nil), Mistaken)
+}
+
+// engineAnswer is what an engine sends to the caller.
+func engineAnswer(t *testing.T, c *Caller) string {
+	t.Helper()
+	rq := httptest.NewRequest(http.MethodPost, c.path(), bytes.NewReader(c.body()))
+	rq.Header.Set(chestnutstep.HeaderRequest, c.key())
+	rq.Header.Set(chestnutstep.HeaderChat, c.Chat)
+	w := httptest.NewRecorder()
+	(&fake.Engine{}).ServeHTTP(w, rq)
+	assert.Equal(t, w.Code, http.StatusOK, w.Body)
+	return w.Body.String()
+}
