agent, entry: a target is started only once the entry has confirmed that it read the accept

What callers saw: a draft that was generated twice, half a second late, when the link between entry and agent broke or was cut while its target began (matrix chat/start/cutdown, cut, break: "ran 2 times, wanted 1 at most").

Cause: the agent started its target in the step that decides on an offer, before its accept was sent. An accept that is not written, not sent or lost leaves a run that the entry does not know of; after 500 ms it offers the request to the next target.

Why it works: the body follows the accept, as it did for tickets and above 16 KiB, and nothing starts without it. The offer says so, so that an empty body is waited for too. An offer without an answer ran nothing: "not run" is true, and the next target is taken out of the budget of steps, not of repeats. A repeat that joins a request without a body brings one along.

A ticketed request without a body was offered again to its one agent also while that was silent, up to 5.5 s of the caller's time; now only when the link broke.

--- a/agent/job.go
+++ b/agent/job.go
@@ -70,7 +70,7 @@
 		log:      log,
 		deadline: now.Add(time.Duration(o.Remain)),
 		body:     o.Small,
-		whole:    int64(len(o.Small)) == o.Size,
+		whole:    carriesBody(o),
 		moved:    now,
 		offered:  now,
 		placed:   make(chan struct{}),
@@ -107,29 +107,47 @@
 	}
 }
 
-// grow adds a piece of the body.
-func (a *Agent) grow(j *job, b *wire.Body) {
+// carriesBody says that the offer alone is enough to run the request.
+func carriesBody(o *wire.Offer) bool {
+	return !o.Confirms && int64(len(o.Small)) == o.Size
+}
+
+// grow adds a piece of the body. Each link that joined before the body was whole
+// sends it, and the first whole one counts: the link that made the offer may be
+// the one that is cut off.
+func (l *link) grow(b *wire.Body) {
+	a, j := l.agent, l.job
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if j.whole || j.state > placed {
 		return
 	}
 	now := a.Clock()
-	j.body = append(j.body, b.Data...)
+	l.body = append(l.body, b.Data...)
 	j.moved = now
-	if int64(len(j.body)) > j.offer.Size {
+	if int64(len(l.body)) > j.offer.Size {
 		a.drop(now, j, chestnutstep.ReasonLarge)
 		return
 	}
-	if !b.Last {
-		return
+	if b.Last {
+		a.supply(now, j, l.body)
 	}
-	j.whole = true
+}
+
+// supply gives a job its body and starts it, if its turn has come.
+func (a *Agent) supply(now time.Time, j *job, body []byte) {
+	j.body, j.whole = body, true
 	if j.state == placed {
 		a.start(now, j)
 	}
 }
 
+func (a *Agent) hasBody(j *job) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return j.whole
+}
+
 // start hands the job to the target, unless what was true at the offer is no
 // longer: this process may have slept since, and the caller may have given up.
 func (a *Agent) start(now time.Time, j *job) {
--- a/agent/link.go
+++ b/agent/link.go
@@ -15,8 +15,8 @@
 	agent  *Agent
 	job    *job
 	stream stream
-	// owner brought the job here and sends its body.
-	owner bool
+	// body is what this link has sent of the job's body.
+	body []byte
 }
 
 // service is an agent as the gRPC service: the protocol calls its method Run, a
@@ -52,7 +52,7 @@
 	if adm.refuse != nil {
 		return a.sendRefusal(st, adm.refuse)
 	}
-	l := &link{agent: a, job: adm.job, stream: st, owner: !adm.joined}
+	l := &link{agent: a, job: adm.job, stream: st}
 	defer l.close()
 	go l.loop()
 	return l.serve(0)
@@ -81,7 +81,7 @@
 	if refused, err := l.await(); refused || err != nil {
 		return err
 	}
-	accept := &wire.Accept{Target: l.agent.Name, Incarnation: l.agent.Incarnation, Joined: !l.owner}
+	accept := &wire.Accept{Target: l.agent.Name, Incarnation: l.agent.Incarnation, Joined: l.agent.hasBody(l.job)}
 	if err := l.stream.Send(&wire.Down{Kind: &wire.Down_Accept{Accept: accept}}); err != nil {
 		return err
 	}
@@ -205,9 +205,7 @@
 		}
 		switch k := up.Kind.(type) {
 		case *wire.Up_Body:
-			if l.owner {
-				l.agent.grow(l.job, k.Body)
-			}
+			l.grow(k.Body)
 		case *wire.Up_Cancel:
 			l.agent.cancel(l.job)
 		case *wire.Up_Moved:
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -51,10 +51,7 @@
 			return a.follow(j, true), true
 		}
 		// The first link never sent the body; this one brought it along.
-		j.body, j.whole = o.Small, true
-		if j.state == placed {
-			a.start(a.Clock(), j)
-		}
+		a.supply(a.Clock(), j, o.Small)
 		return a.follow(j, true), true
 	}
 	if target := a.moved.get(jobKey(o.Workspace, o.Id), a.Clock()); target != "" {
@@ -76,7 +73,7 @@
 
 // isWaitingFor says that the offer brings the body that the job lacks.
 func (j *job) isWaitingFor(o *wire.Offer) bool {
-	return j.state <= placed && int64(len(o.Small)) == o.Size
+	return j.state <= placed && carriesBody(o)
 }
 
 func (a *Agent) follow(j *job, joined bool) admission {
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -166,7 +166,7 @@
 	case "offer":
 		return s.offer(d, id)
 	case "body":
-		s.agent.grow(s.links[id].job, &wire.Body{Data: []byte(d.Input), Last: d.HasArg("last")})
+		s.links[id].grow(&wire.Body{Data: []byte(d.Input), Last: d.HasArg("last")})
 	case "cancel":
 		s.agent.cancel(s.links[id].job)
 	case "detach":
@@ -252,7 +252,7 @@
 	if from != "" {
 		o.Crashed = strings.Split(from, "+")
 	}
-	o.Idempotent = !d.HasArg("once")
+	o.Idempotent, o.Confirms = !d.HasArg("once"), d.HasArg("confirms")
 	o.Ticket = s.tickets[name]
 	adm := s.agent.admit(o)
 	s.settle()
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -17,11 +17,7 @@
 )
 
 const (
-	// smallBody goes along with the offer: one round trip less for nearly all
-	// questions. A larger one waits for the accept, so that a refusal down the
-	// ranking does not carry it several times.
-	smallBody = 16 << 10
-	// pieceSize is one message of a larger body.
+	// pieceSize is one message of a body.
 	pieceSize = 64 << 10
 	// nameMost bounds ids and names in headers: they are keys in memory.
 	nameMost = 256
@@ -163,10 +159,12 @@
 	return nil
 }
 
-// offer builds the message for an agent.
+// offer builds the message for an agent. The body never goes along: it follows
+// the accept, so that an agent whose accept is lost, or that wakes late and finds
+// an old offer with its whole time limit left, has nothing to run.
 func (a *ask) offer(now time.Time, patience time.Duration) *wire.Offer {
 	class, _ := chestnutstep.ParseClass(a.profile.Class)
-	o := &wire.Offer{
+	return &wire.Offer{
 		Id:          a.id,
 		Workspace:   a.workspace.Name,
 		Profile:     a.profile.Name,
@@ -184,20 +182,8 @@
 		Path:        a.request.URL.RequestURI(),
 		Headers:     headers(a.request.Header),
 		Size:        int64(len(a.body)),
+		Confirms:    true,
 	}
-	if a.along() {
-		o.Small = a.body
-	}
-	return o
-}
-
-// along says that the body goes with the offer. That of a ticketed request
-// never does: an agent that wakes late finds an old offer with its whole time
-// limit left, as clocks are not compared, and with the body in hand it would
-// carry out what the caller has long given up. A body that waits for the accept
-// is only sent while somebody still wants the answer.
-func (a *ask) along() bool {
-	return len(a.body) <= smallBody && a.ticket == ""
 }
 
 // place is what the ranking needs. A request without a chat spreads by its id.
--- a/entry/link.go
+++ b/entry/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -25,6 +26,8 @@
 	stream grpc.BidiStreamingClient[wire.Up, wire.Down]
 	target *chestnutstep.Target
 	cancel context.CancelFunc
+	// silent is set when the agent did not answer within answerLimit.
+	silent atomic.Bool
 	// mu guards the sending side of the stream.
 	mu sync.Mutex
 }
@@ -38,7 +41,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{target: t, cancel: cancel}
-	timer := time.AfterFunc(answerLimit, cancel)
+	timer := time.AfterFunc(answerLimit, l.expire)
 	defer timer.Stop()
 	l.stream, err = wire.NewAgentClient(conn).Run(ctx)
 	if err != nil {
@@ -50,11 +53,17 @@
 
 // first waits for the agent's answer to an offer, for a limited time.
 func (l *link) first() (*wire.Down, error) {
-	timer := time.AfterFunc(answerLimit, l.cancel)
+	timer := time.AfterFunc(answerLimit, l.expire)
 	defer timer.Stop()
 	return l.stream.Recv()
 }
 
+// expire ends a link whose agent did not answer in time.
+func (l *link) expire() {
+	l.silent.Store(true)
+	l.cancel()
+}
+
 // next waits for the next message, until ctx ends.
 func (l *link) next(ctx context.Context) (*wire.Down, error) {
 	stop := context.AfterFunc(ctx, l.giveUp)
@@ -90,7 +99,7 @@
 	l.finish(&wire.Up{Kind: &wire.Up_Moved{Moved: m}})
 }
 
-// sendBody sends a body that did not fit the offer.
+// sendBody sends the body; an empty one is one empty last piece.
 func (l *link) sendBody(body []byte) error {
 	for {
 		piece := body[:min(len(body), pieceSize)]
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		defer l.cancel()
 		k.fail(t)
-		return k.lost(ctx, l, o)
+		return k.lost(ctx, l)
 	}
 	k.entry.Hosts.Answer(k.entry.Clock(), t.Host)
 	return k.follow(ctx, l, down)
@@ -160,17 +160,14 @@
 	return l.first()
 }
 
-// lost decides after an offer without an answer. If the body went along, the
-// agent may have run it; if not, nothing can have run.
-func (k *walk) lost(ctx context.Context, l *link, o *wire.Offer) step {
-	if int64(len(o.Small)) < o.Size {
-		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
-	}
-	k.maybe = true
-	if !o.Idempotent {
+// lost decides after an offer without an answer: the body was not sent, so that
+// nothing ran. A ticket has only the one agent to go to, and a link that broke
+// is opened again; one that is silent would take the caller's time.
+func (k *walk) lost(ctx context.Context, l *link) step {
+	if k.ask.ticket != "" && !l.silent.Load() {
 		return k.again(ctx, l.target)
 	}
-	return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: chestnutstep.RunMaybe})
+	return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
 }
 
 // follow reads the link until the request is served, refused or broken.
@@ -203,7 +200,7 @@
 	}
 }
 
-// accepted sends the body if the offer did not carry it, and tells the first
+// accepted sends the body, which lets the agent start, and notes at the first
 // target that refused where the request is.
 func (k *walk) accepted(l *link, acc *wire.Accept) step {
 	k.served = l.target.Name
@@ -211,7 +208,7 @@
 		k.refused.noteMoved(k.ask, l.target.Name)
 		k.refused = nil
 	}
-	if acc.Joined || k.ask.along() {
+	if acc.Joined {
 		return step{}
 	}
 	// A send that fails shows in the next receive, with the reason.
--- a/entry/warn.go
+++ b/entry/warn.go
@@ -35,7 +35,7 @@
 	}
 	defer l.cancel()
 	o := w.walk.ask.offer(w.walk.entry.Clock(), 0)
-	o.Remain, o.Small, o.Size = 0, nil, 1
+	o.Remain = 0
 	o.Crashed = w.walk.crashed
 	_, _ = w.walk.offer(l, o)
 }
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -215,3 +215,18 @@
 		})
 	}
 }
+
+// TestLateAcceptStartsNothing guards against a target that starts before its accept is read: a fault between the two has
+// the request run again elsewhere.
+func TestLateAcceptStartsNothing(t *testing.T) {
+	const busy = 100 * time.Millisecond
+	for _, c := range readCells(t) {
+		if c.profile != ProfileChat || c.wanted[0] == elsewhere || c.wanted[0] == notRun {
+			continue
+		}
+		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, c.play(func() *Stack { return &Stack{AcceptDelay: busy} }))
+		})
+	}
+}
