agent: a request that its client sent again is not counted as unsent

Found while looking for the same fault elsewhere: is anything "not run" that a target may have begun?

What callers saw: "not run" for an idempotent request that its target had in hand when it died. The request was not noted as a crash suspect either, as nothing of it was thought to have reached the target: content that crashes targets went on to the next.

Cause: net/http sends a request with an Idempotency-Key again by itself when a reused connection breaks. The target is gone by then, the second connection is refused, and the agent took that error, a dial's, for proof that no byte had left.

Evidence: TestRepeatedByTheClientIsNotUnsent, a target that answers one request and dies with the second in hand: "unsent:true" before. Now the client's trace says whether the request ever had a connection, and only one that had none is unsent.

Non-idempotent requests use a connection each and were not concerned.

--- a/agent/call.go
+++ b/agent/call.go
@@ -5,8 +5,10 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -125,7 +127,11 @@
 }
 
 func (j *job) call(ctx context.Context) result {
-	rq, err := j.request(ctx)
+	// Set once the request had a connection: the client sends it again by itself
+	// when a reused one breaks, and its error is then that of the last attempt.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	rq, err := j.request(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
 		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonHeader, unsent: true}
 	}
@@ -141,7 +147,7 @@
 	}
 	rs, err := client.Do(rq)
 	if err != nil {
-		return j.callError(ctx, err)
+		return j.callError(ctx, err, connected.Load())
 	}
 	defer rs.Body.Close()
 	if !j.own(rs) {
@@ -212,12 +218,12 @@
 	return id == j.offer.Id
 }
 
-func (j *job) callError(ctx context.Context, err error) result {
+func (j *job) callError(ctx context.Context, err error, connected bool) result {
 	if ended, ok := endedBy(ctx); ok {
 		return ended
 	}
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !connected && errors.As(err, &op) && op.Op == "dial" {
 		return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonDown, unsent: true}
 	}
 	return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonCrashed, run: chestnutstep.RunMaybe}
--- /dev/null
+++ b/agent/call_test.go
@@ -0,0 +1,77 @@
+package agent
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// dyingTarget answers its first request and dies with the second one in hand.
+type dyingTarget struct {
+	l net.Listener
+
+	mu  sync.Mutex
+	got []string
+}
+
+func (d *dyingTarget) run() {
+	c, err := d.l.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		rq, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, rq.Body)
+		id := rq.Header.Get(chestnutstep.HeaderRequest)
+		d.mu.Lock()
+		d.got = append(d.got, id)
+		d.mu.Unlock()
+		if n == 2 {
+			d.l.Close()
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+chestnutstep.HeaderRequest+": "+id+"\r\n\r\nok")
+	}
+}
+
+// TestRepeatedByTheClientIsNotUnsent guards against a "not run" for a request that a target had in hand when it died:
+// net/http sends it again by itself, and only that second connection is refused.
+func TestRepeatedByTheClientIsNotUnsent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	d := &dyingTarget{l: l}
+	go d.run()
+	s := newScripted(t)
+	s.agent.URL = "http://" + l.Addr().String()
+	s.agent.Reuse, _ = Clients()
+	call := func(id string) result {
+		j := newJob(s.agent, s.now, &wire.Offer{
+			Id: id, Workspace: "w", Method: http.MethodPost, Path: "/v1", Remain: int64(time.Minute), Idempotent: true,
+			Headers: []*wire.Header{{Name: chestnutstep.HeaderIdempotency, Value: id}},
+		}, &answer.Log{})
+		return j.call(t.Context())
+	}
+	assert.Equal(t, call("a").outcome, chestnutstep.Served)
+	res := call("b")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	assert.DeepEqual(t, d.got, []string{"a", "b"})
+	assert.Equal(t, res.outcome, chestnutstep.Failed)
+	assert.Assert(t, !res.unsent, "%+v", res)
+	assert.Equal(t, res.run, chestnutstep.RunMaybe)
+}
