agent, entry, event, meter: each step of an offer has a line, with the request's id and the offer's number

A request that ran twice could not be told from one that joined: an offer that was dropped was logged without its number, an accept, a start and an end not at all, and an entry named the agents that had not answered only at the end, not why.

At the agent: 4014 offer_taken, 4015 accept_sent, 4016 run_started, 4013 offer_expired (any offer that was taken and never ran, with its reason), 4017 run_ended. At the entry, when it happens: 3011 offer_answered and 3006 offer_failed with the number of the offer, the answer (silent or broken) and after how long; counter entry_offers_total. Bounded as other lines of requests are.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,8 +75,10 @@
 	Notify func(Notice)
 
 	// mu guards the decisions and all jobs: they are short and never block.
-	mu    sync.Mutex
-	jobs  map[string]*job
+	mu   sync.Mutex
+	jobs map[string]*job
+	// taken counts the offers that became jobs.
+	taken uint64
 	moved movedNotes
 	chats chatCache
 	// view is the publication that was applied last, version its version. Two
--- a/agent/job.go
+++ b/agent/job.go
@@ -25,8 +25,10 @@
 type job struct {
 	agent *Agent
 	key   string
-	offer *wire.Offer
-	log   *answer.Log
+	// number counts the offers that the agent took.
+	number uint64
+	offer  *wire.Offer
+	log    *answer.Log
 
 	state    state
 	deadline time.Time
@@ -63,9 +65,11 @@
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
 
 func newJob(a *Agent, now time.Time, o *wire.Offer, log *answer.Log) *job {
+	a.taken++
 	return &job{
 		agent:    a,
 		key:      jobKey(o.Workspace, o.Id),
+		number:   a.taken,
 		offer:    o,
 		log:      log,
 		deadline: now.Add(time.Duration(o.Remain)),
@@ -163,6 +167,7 @@
 	j.begun = now
 	j.crashes = a.health.crashes
 	a.Detector.Start(now, j.offer.Fingerprint)
+	a.Notify(j.notice(NoticeStarted, ""))
 	ctx, cancel := context.WithDeadline(context.Background(), j.limit())
 	j.abort = cancel
 	a.runs.Add(1)
@@ -215,7 +220,7 @@
 	a.Gate.End(now, j.key, chestnutstep.Withdraw)
 	a.remove(j)
 	a.advance(now)
-	a.Notify(j.notice(NoticeRefused, d.Reason))
+	a.Notify(j.notice(NoticeWithdrawn, d.Reason))
 }
 
 // remove forgets a job that never ran, so that a repeat is decided afresh.
@@ -274,6 +279,7 @@
 	return Notice{
 		Kind: kind, Subject: j.offer.Id, Reason: reason,
 		Workspace: j.offer.Workspace, Profile: j.offer.Profile, Cost: j.offer.Cost, Ticket: j.offer.Ticket != "",
+		Offer: j.number, Age: j.agent.Clock().Sub(j.offered),
 	}
 }
 
--- a/agent/link.go
+++ b/agent/link.go
@@ -85,6 +85,7 @@
 	if err := l.stream.Send(&wire.Down{Kind: &wire.Down_Accept{Accept: accept}}); err != nil {
 		return err
 	}
+	l.agent.Notify(l.job.notice(NoticeSent, ""))
 	return l.relay(offset)
 }
 
--- a/agent/notice.go
+++ b/agent/notice.go
@@ -16,6 +16,10 @@
 	// Of a request: whose it was, and its estimated work in tokens.
 	Workspace string
 	Profile   string
+	// Offer numbers the offers that this agent took, Age is how long ago this one
+	// came.
+	Offer uint64
+	Age   time.Duration
 	// Ticket says that it carried one.
 	Ticket bool
 	Cost   float64
@@ -44,6 +48,9 @@
 	NoticeRefused   NoticeKind = "refused"   // an offer was refused
 	NoticeAccepted  NoticeKind = "accepted"  // an offer was accepted
 	NoticeQueued    NoticeKind = "queued"    // an offer waits
+	NoticeSent      NoticeKind = "sent"      // the accept of an offer was written
+	NoticeStarted   NoticeKind = "started"   // the target was called
+	NoticeWithdrawn NoticeKind = "withdrawn" // an offer that was taken will not run
 	NoticeImported  NoticeKind = "imported"  // a chat's KV cache was imported
 	NoticeMinted    NoticeKind = "minted"    // tickets were handed out
 	NoticeMoved     NoticeKind = "moved"     // a chat's request went elsewhere
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -112,6 +112,7 @@
 	pub     chestnutstep.Publication
 	links   map[string]*link
 	tickets map[string]string
+	mu      sync.Mutex
 	notices []string
 }
 
@@ -134,7 +135,7 @@
 		Issuer:   &ticket.Issuer{Target: "t", Incarnation: "1", Key: make([]byte, 32), Rand: zeros{}},
 		Answers:  &answer.Store{}, Reuse: client, Single: client,
 		Clock:  func() time.Time { return s.now },
-		Notify: func(n Notice) { s.notices = append(s.notices, string(n.Kind)) },
+		Notify: s.notify,
 	}
 	s.agent.init()
 	s.agent.health.check(s.agent)
@@ -210,11 +211,28 @@
 		s.agent.noteMoved(&wire.Moved{Id: id, Workspace: "w", Target: "other"})
 	case "ask":
 		return s.outcome(id)
+	case "notices":
+		return s.noticed()
 	}
 	s.settle()
 	return s.state()
 }
 
+func (s *scripted) notify(n Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notices = append(s.notices, strings.TrimSpace(fmt.Sprintf("%s %s offer %d %s", n.Kind, n.Subject, n.Offer, n.Reason)))
+}
+
+// noticed lists the notices since the last call.
+func (s *scripted) noticed() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.notices
+	s.notices = nil
+	return strings.Join(list, "\n") + "\n"
+}
+
 // publish puts a version with these orders in force.
 func (s *scripted) publish(d *datadriven.TestData) string {
 	s.pub.Version++
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,8 +56,10 @@
 	Most int64
 	// Clock is time.Now, but for tests.
 	Clock func() time.Time
-	// Notify is told of what operators should see; it must not block.
-	Notify func(Notice)
+	// Notify is called with how each request ended, OnOffer with what became of
+	// each of its offers. They must not block.
+	Notify  func(Notice)
+	OnOffer func(Offer)
 
 	rates    rates
 	budget   sync.Mutex
@@ -80,12 +82,10 @@
 	Offers int
 	Hint   string
 	// Repeated counts repeats of what may have run, Denied says that the budget
-	// for them was spent. Attached counts links taken up again. Silent names the
-	// targets whose agents did not answer.
+	// for them was spent. Attached counts links taken up again.
 	Repeated int
 	Denied   bool
 	Attached int
-	Silent   []string
 	// First is the time to the first byte; zero if none came.
 	First time.Duration
 	Total time.Duration
@@ -93,6 +93,31 @@
 	Cached int64
 }
 
+// Offer is what became of one offer to an agent; see docs/EVENTS.md.
+type Offer struct {
+	Request string
+	Profile string
+	Target  string
+	// Number counts the offers of the request from 1.
+	Number int
+	Answer OfferAnswer
+	// Reason of a refusal.
+	Reason chestnutstep.Reason
+	// After is how long the answer took, or after how long the offer was given up.
+	After time.Duration
+}
+
+// OfferAnswer says what became of an offer.
+type OfferAnswer string
+
+// The answers.
+const (
+	OfferAccepted OfferAnswer = "accept"
+	OfferRefused  OfferAnswer = "refuse"
+	OfferSilent   OfferAnswer = "silent" // no answer in time
+	OfferBroken   OfferAnswer = "broken" // the link could not be opened, or broke
+)
+
 // Open is how many requests are in progress.
 func (e *Entry) Open() int64 { return e.open.Load() }
 
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -23,6 +23,22 @@
 	return errors.As(err, &e)
 }
 
+// ErrSilent says that a target's agent did not answer in time.
+type ErrSilent struct {
+	Target string
+	Limit  time.Duration
+}
+
+func (e *ErrSilent) Error() string {
+	return fmt.Sprintf("the agent of target %s did not answer within %s", e.Target, e.Limit)
+}
+
+// IsErrSilent says whether err is an ErrSilent.
+func IsErrSilent(err error) bool {
+	var e *ErrSilent
+	return errors.As(err, &e)
+}
+
 // ErrRefused is the final word on a request that got no whole answer.
 type ErrRefused struct {
 	Reason chestnutstep.Reason
--- a/entry/link.go
+++ b/entry/link.go
@@ -26,6 +26,8 @@
 	stream grpc.BidiStreamingClient[wire.Up, wire.Down]
 	target *chestnutstep.Target
 	cancel context.CancelFunc
+	// opened is when the link was asked for.
+	opened time.Time
 	// silent is set when the agent did not answer within answerLimit.
 	silent atomic.Bool
 	// mu guards the sending side of the stream.
@@ -40,22 +42,32 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &link{target: t, cancel: cancel}
+	l := &link{target: t, cancel: cancel, opened: e.Clock()}
 	timer := time.AfterFunc(answerLimit, l.expire)
 	defer timer.Stop()
 	l.stream, err = wire.NewAgentClient(conn).Run(ctx)
 	if err != nil {
 		cancel()
-		return nil, err
+		return nil, l.cause(err)
 	}
 	return l, nil
 }
 
-// first waits for the agent's answer to an offer, for a limited time.
+// first waits for the agent's answer to an offer, for a limited time. The error
+// is ErrSilent where that has passed.
 func (l *link) first() (*wire.Down, error) {
 	timer := time.AfterFunc(answerLimit, l.expire)
 	defer timer.Stop()
-	return l.stream.Recv()
+	down, err := l.stream.Recv()
+	return down, l.cause(err)
+}
+
+// cause turns the error of a link that expired into ErrSilent.
+func (l *link) cause(err error) error {
+	if err != nil && l.silent.Load() {
+		return &ErrSilent{Target: l.target.Name, Limit: answerLimit}
+	}
+	return err
 }
 
 // expire ends a link whose agent did not answer in time.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -45,6 +45,8 @@
 	agents  []*agent.Agent
 	targets []string
 	entries []*httptest.Server
+	// onOffer is that of the entries that are added from now on.
+	onOffer func(Offer)
 }
 
 type noHosts struct{}
@@ -59,7 +61,7 @@
 }
 
 func newPath(t *testing.T) *path {
-	p := &path{t: t, engine: &fake.Engine{}, service: &fake.Service{}}
+	p := &path{t: t, engine: &fake.Engine{}, service: &fake.Service{}, onOffer: func(Offer) {}}
 	p.pool = &dial.Pool{Credentials: insecure.NewCredentials()}
 	p.pub = &chestnutstep.Publication{
 		Version: 1,
@@ -141,7 +143,7 @@
 		Ranker:  ranker,
 		Links:   p.pool,
 		Repeats: &retry.Allowance{}, Steps: retry.Steps(),
-		Entries: func() int { return 1 }, Clock: time.Now, Notify: func(Notice) {},
+		Entries: func() int { return 1 }, Clock: time.Now, Notify: func(Notice) {}, OnOffer: p.onOffer,
 	}
 	s := httptest.NewServer(e)
 	p.t.Cleanup(s.Close)
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -28,12 +28,10 @@
 	targets []*chestnutstep.Target
 	offers  int
 	// repeated counts repeats out of the budget, denied says that it was spent;
-	// attached counts links taken up again, silent names targets that did not
-	// answer.
+	// attached counts links taken up again.
 	repeated int
 	denied   bool
 	attached int
-	silent   []string
 	// reoffers counts the offers of a ticketed request that got no answer.
 	reoffers int
 	// refused is the open link of the first target that refused, to be told
@@ -128,9 +126,10 @@
 		return k.outOfTime(ctx)
 	}
 	k.offers++
+	began := k.entry.Clock()
 	l, err := k.entry.openLink(t)
 	if err != nil {
-		k.fail(t)
+		k.fail(t, began, err)
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
 	}
 	o := k.ask.offer(k.entry.Clock(), patience)
@@ -139,17 +138,30 @@
 	down, err := k.offer(l, o)
 	if err != nil {
 		defer l.cancel()
-		k.fail(t)
-		return k.lost(ctx, l)
+		k.fail(t, began, err)
+		return k.lost(ctx, t, err)
 	}
 	k.entry.Hosts.Answer(k.entry.Clock(), t.Host)
 	return k.follow(ctx, l, down)
 }
 
 // fail notes that a target's agent did not answer.
-func (k *walk) fail(t *chestnutstep.Target) {
-	k.silent = append(k.silent, t.Name)
-	k.entry.Hosts.Fail(k.entry.Clock(), t.Host)
+func (k *walk) fail(t *chestnutstep.Target, began time.Time, err error) {
+	now := k.entry.Clock()
+	k.entry.Hosts.Fail(now, t.Host)
+	answer := OfferBroken
+	if IsErrSilent(err) {
+		answer = OfferSilent
+	}
+	k.report(t, answer, "", now.Sub(began))
+}
+
+// report passes on what became of an offer.
+func (k *walk) report(t *chestnutstep.Target, answer OfferAnswer, reason chestnutstep.Reason, after time.Duration) {
+	k.entry.OnOffer(Offer{
+		Request: k.ask.id, Profile: k.ask.profile.Name, Target: t.Name, Number: k.offers,
+		Answer: answer, Reason: reason, After: after,
+	})
 }
 
 // offer sends the offer and waits for its answer.
@@ -163,9 +175,9 @@
 // lost decides after an offer without an answer: the body was not sent, so that
 // nothing ran. A ticket has only the one agent to go to, and a link that broke
 // is opened again; one that is silent would take the caller's time.
-func (k *walk) lost(ctx context.Context, l *link) step {
-	if k.ask.ticket != "" && !l.silent.Load() {
-		return k.again(ctx, l.target)
+func (k *walk) lost(ctx context.Context, t *chestnutstep.Target, err error) step {
+	if k.ask.ticket != "" && !IsErrSilent(err) {
+		return k.again(ctx, t)
 	}
 	return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
 }
@@ -175,8 +187,10 @@
 	for {
 		switch d := down.Kind.(type) {
 		case *wire.Down_Refuse:
+			k.report(l.target, OfferRefused, chestnutstep.Reason(d.Refuse.Reason), k.entry.Clock().Sub(l.opened))
 			return k.refuse(ctx, l, d.Refuse)
 		case *wire.Down_Accept:
+			k.report(l.target, OfferAccepted, "", k.entry.Clock().Sub(l.opened))
 			if s := k.accepted(l, d.Accept); s.done {
 				l.cancel()
 				return s
@@ -291,7 +305,6 @@
 		Repeated:  k.repeated,
 		Denied:    k.denied,
 		Attached:  k.attached,
-		Silent:    k.silent,
 		Total:     k.entry.Clock().Sub(start),
 		Cached:    k.out.cached,
 	}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -34,6 +34,7 @@
 	AnswerAttached  ID = 3008
 	KeyUnknown      ID = 3009
 	RateExceeded    ID = 3010
+	OfferAnswered   ID = 3011
 
 	TargetUp         ID = 4001
 	TargetDown       ID = 4002
@@ -47,6 +48,10 @@
 	AnswerCrossed    ID = 4011
 	AnswerShort      ID = 4012
 	OfferExpired     ID = 4013
+	OfferTaken       ID = 4014
+	AcceptSent       ID = 4015
+	RunStarted       ID = 4016
+	RunEnded         ID = 4017
 
 	TicketsMinted ID = 5001
 	TicketRefused ID = 5002
@@ -251,7 +256,7 @@
 	},
 	{
 		ID: OfferFailed, Name: "offer_failed", Level: Warn, Often: true,
-		Meaning: "An agent could not be reached.",
+		Meaning: "An offer got no answer and was given up: answer is silent where the agent's time was over, broken where the link broke or could not be opened; after says how long it took. Nothing ran there for it.",
 		Cause:   "The host is gone, or the network is cut.",
 		Action:  "When it lasts, take the host out: docs/operate/host.md.",
 	},
@@ -279,6 +284,12 @@
 		Cause:   "A surge.",
 		Action:  "Raise the rate if it is wanted.",
 	},
+	{
+		ID: OfferAnswered, Name: "offer_answered", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "An agent answered an offer of the request: accept, which the entry has read and now confirms, or refuse with its reason. The field offer counts the request's offers.",
+		Cause:   "The normal course.",
+		Action:  "Nothing; the next offer of the same request has the next number.",
+	},
 	{
 		ID: TargetUp, Name: "target_up", Level: Info,
 		Meaning: "The target answers, cold.",
@@ -347,10 +358,34 @@
 	},
 	{
 		ID: OfferExpired, Name: "offer_expired", Level: Info, Often: true,
-		Meaning: "An accepted offer was dropped: its body did not follow, or its time was up before it ran. Nothing ran.",
-		Cause:   "The entry is frozen, gone or slow.",
+		Meaning: "An offer that was taken was dropped before it ran: reason link where its entry went on or its body did not follow, else the caller left, its time was up or the queue gave it up. Nothing ran.",
+		Cause:   "The entry is frozen, gone or slow, the link is cut, or the target is saturated.",
 		Action:  "Nothing; when it lasts look at the entries' hosts.",
 	},
+	{
+		ID: OfferTaken, Name: "offer_taken", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "An offer was read and has a place at the target, or waits for one. The field offer numbers the offers that this agent took.",
+		Cause:   "The normal course.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: AcceptSent, Name: "accept_sent", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "The accept of an offer was written. Its body has to come back before anything runs.",
+		Cause:   "The normal course.",
+		Action:  "Nothing; without 4016 after it the accept or the body was lost.",
+	},
+	{
+		ID: RunStarted, Name: "run_started", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "The target was called: from here on the request may have run.",
+		Cause:   "The normal course.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: RunEnded, Name: "run_ended", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "The call of the target ended, with the reason where the answer is not whole.",
+		Cause:   "The normal course.",
+		Action:  "Nothing; see reason.",
+	},
 	{
 		ID: TicketsMinted, Name: "tickets_minted", Level: Debug, Often: true,
 		Meaning: "Tickets were minted for a workspace.",
--- a/matrix/stack.go
+++ b/matrix/stack.go
@@ -278,7 +278,7 @@
 		},
 		Links:   s.pools[i],
 		Repeats: &retry.Allowance{}, Steps: retry.Steps(),
-		Entries: func() int { return Entries }, Clock: time.Now, Notify: func(entry.Notice) {},
+		Entries: func() int { return Entries }, Clock: time.Now, Notify: func(entry.Notice) {}, OnOffer: func(entry.Offer) {},
 	}
 }
 
--- a/meter/set.go
+++ b/meter/set.go
@@ -40,6 +40,7 @@
 	Open      Gauge     // streams open to callers
 	FirstByte Histogram // time to the first byte of an answer
 	Answer    Histogram // time to the last byte of an answer
+	Offers    Counter   // offers to agents, by answer
 	Retries   Counter   // repeats, by whether the budget allowed them
 	Attached  Counter   // broken links taken up again
 	Hints     Counter   // what became of hints
@@ -131,6 +132,7 @@
 		{&s.Entry.Open, entry{"entry_open", kindGauge, "streams", nil, "Requests of callers in progress."}},
 		{&s.Entry.FirstByte, entry{"entry_first_byte_seconds", kindHistogram, "seconds", profile, "From the request's headers to the first byte of the answer's body."}},
 		{&s.Entry.Answer, entry{"entry_answer_seconds", kindHistogram, "seconds", profile, "From the request's headers to the end of a whole answer."}},
+		{&s.Entry.Offers, entry{"entry_offers_total", kindCounter, "offers", result, "Offers to agents: accept, refuse, silent where none came in time, or broken where the link broke or did not open."}},
 		{&s.Entry.Retries, entry{"entry_retries_total", kindCounter, "requests", result, "Repeats after a failure: spent, or denied by the retry budget."}},
 		{&s.Entry.Attached, entry{"entry_attached_total", kindCounter, "links", result, "Broken links to agents in mid-answer: ok when taken up again, else the reason."}},
 		{&s.Entry.Hints, entry{"entry_hints_total", kindCounter, "requests", result, "Requests with a hint: kept when the hinted target served, lost when another did."}},
--- a/node/entry.go
+++ b/node/entry.go
@@ -99,6 +99,7 @@
 		Most:     int64(n.settings.Streams),
 		Clock:    time.Now,
 		Notify:   n.notice,
+		OnOffer:  n.onOffer,
 	}
 	n.server = n.base.server()
 	n.peer = n.newGossip(n.settings.Name, n.settings.Peer)
--- a/node/notice.go
+++ b/node/notice.go
@@ -28,6 +28,16 @@
 	agent.NoticeCondemned: event.ContentCondemned,
 }
 
+// offerEvents are the steps of an offer that was taken.
+var offerEvents = map[agent.NoticeKind]event.ID{
+	agent.NoticeAccepted:  event.OfferTaken,
+	agent.NoticeQueued:    event.OfferTaken,
+	agent.NoticeSent:      event.AcceptSent,
+	agent.NoticeStarted:   event.RunStarted,
+	agent.NoticeWithdrawn: event.OfferExpired,
+	agent.NoticeEnded:     event.RunEnded,
+}
+
 // notice puts what an agent says into log, metrics and audit trail.
 func (n *Agent) notice(m agent.Notice) {
 	if id, ok := targetEvents[m.Kind]; ok {
@@ -38,11 +48,16 @@
 		n.log.Emit(id, event.Str("content", m.Subject))
 		n.record(audit.KindCondemned, m)
 	}
+	if id, ok := offerEvents[m.Kind]; ok {
+		n.log.Emit(id, event.Request(m.Subject), event.Int("offer", int64(m.Offer)), event.Reason(m.Reason), event.Dur("after", m.Age))
+	}
 	switch m.Kind {
 	case agent.NoticeCrash:
 		n.meters.Agent.Crashes.Add(1)
 	case agent.NoticeRefused:
-		n.refusedOffer(m)
+		n.refusedOffer(m, event.OfferRefused)
+	case agent.NoticeWithdrawn:
+		n.refusedOffer(m, 0)
 	case agent.NoticeMinted:
 		n.log.Emit(event.TicketsMinted, event.Workspace(m.Workspace), event.Int("count", int64(m.Count)))
 		n.meters.Agent.Tickets.Add(int64(m.Count), "fresh")
@@ -63,19 +78,18 @@
 	}
 }
 
-// refusedOffer notes an offer that was turned away, for a ticket with what
-// became of it.
-func (n *Agent) refusedOffer(m agent.Notice) {
-	id := event.OfferRefused
+// refusedOffer notes an offer that did not run, for a ticket with what became of
+// it; 0 writes no line for others.
+func (n *Agent) refusedOffer(m agent.Notice, id event.ID) {
 	switch {
-	case m.Reason == chestnutstep.ReasonLink:
-		id = event.OfferExpired
 	case m.Ticket && slices.Contains(ticketReasons, m.Reason):
 		id = event.TicketRefused
 	case m.Ticket:
 		id = event.TicketDropped
 	}
-	n.log.Emit(id, event.Request(m.Subject), event.Reason(m.Reason), event.Workspace(m.Workspace))
+	if id != 0 {
+		n.log.Emit(id, event.Request(m.Subject), event.Reason(m.Reason), event.Workspace(m.Workspace))
+	}
 	n.meters.Agent.Offers.Add(1, m.Profile, string(m.Reason))
 	if m.Ticket {
 		n.meters.Agent.Tickets.Add(1, string(m.Reason))
@@ -177,9 +191,6 @@
 
 // onTheWay notes what a request met before it ended.
 func (n *Entry) onTheWay(m entry.Notice) {
-	for _, name := range m.Silent {
-		n.log.Emit(event.OfferFailed, event.Request(m.Request), event.Target(name))
-	}
 	if m.Attached > 0 {
 		n.log.Emit(event.AnswerAttached, event.Request(m.Request), event.Target(m.Target))
 		n.meters.Entry.Attached.Add(int64(m.Attached), m.Profile, "ok")
@@ -200,6 +211,20 @@
 	}
 }
 
+// onOffer puts what became of an offer into log and metrics.
+func (n *Entry) onOffer(o entry.Offer) {
+	id := event.OfferAnswered
+	if o.Answer == entry.OfferSilent || o.Answer == entry.OfferBroken {
+		id = event.OfferFailed
+	}
+	n.log.Emit(
+		id,
+		event.Request(o.Request), event.Target(o.Target), event.Int("offer", int64(o.Number)),
+		event.Str("answer", string(o.Answer)), event.Reason(o.Reason), event.Dur("after", o.After),
+	)
+	n.meters.Entry.Offers.Add(1, o.Profile, string(o.Answer))
+}
+
 // requestEvent is the log event of how a request ended.
 func requestEvent(m entry.Notice) event.ID {
 	switch {
