relay: an entry that refuses unread leaves its processor to requests between rows of eight

Cause: the loop that accepts and refuses connections makes only calls that never block while callers wait, so that it never gives the processor up. Everything else stands still, the watch over the delay itself too.

Why it works: a refusal costs a fraction of a millisecond; after eight of them whatever is ready runs first.

TestRefusalsLeaveTurnsToRequests: 201 connections in a row before, eight now.

--- a/relay/listen.go
+++ b/relay/listen.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	Shed *Shedder
 
 	queue acceptQueue
+	// row counts the connections accepted since other work had the processor.
+	row int
 	// head is what was read of the connection at hand.
 	head [headMost]byte
 
@@ -45,6 +48,7 @@
 // unread, it goes on past the connections of those.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		l.yield()
 		l.wait()
 		if l.Shed != nil && l.Shed.active() {
 			c, waits := l.sift()
@@ -63,6 +67,19 @@
 	}
 }
 
+// acceptRow is how many connections are accepted in a row.
+const acceptRow = 8
+
+// yield lets other work run between rows of connections. While callers wait, accepting never
+// blocks, and the runtime would leave it the processor: answers under way stand still, and
+// callers who leave are not noticed.
+func (l *Listener) yield() {
+	if l.row++; l.row >= acceptRow {
+		l.row = 0
+		runtime.Gosched()
+	}
+}
+
 // sift accepts a connection that waits, and refuses its request or returns it. It reports
 // whether one waited. Nothing is built for a request that is refused.
 func (l *Listener) sift() (c net.Conn, waits bool) {
--- a/relay/shed_test.go
+++ b/relay/shed_test.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,3 +116,52 @@
 	}
 	assert.Assert(t, refused >= 15, "%d", refused)
 }
+
+// countingListener counts the connections that are asked of it.
+type countingListener struct {
+	*net.TCPListener
+	asked atomic.Int64
+}
+
+func (l *countingListener) SyscallConn() (syscall.RawConn, error) {
+	l.asked.Add(1)
+	return l.TCPListener.SyscallConn()
+}
+
+// TestRefusalsLeaveTurnsToRequests guards against an entry that only refuses: as long as connections wait, nothing else
+// gets its processor, neither answers under way nor callers who leave.
+func TestRefusalsLeaveTurnsToRequests(t *testing.T) {
+	const callers, turns = 200, 16
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	counting := &countingListener{TCPListener: inner.(*net.TCPListener)}
+	g := newRig(t)
+	l := &relay.Listener{Relay: g.relay, Listener: counting, Shed: &relay.Shedder{Relay: g.relay}}
+	for range callers {
+		c := dial(t, inner.Addr().String())
+		c.send("waits")
+	}
+	full(l)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	most := int64(0)
+	for before := int64(0); before < callers; {
+		runtime.Gosched()
+		now := counting.asked.Load()
+		most = max(most, now-before)
+		before = now
+	}
+	assert.NilError(t, l.Close())
+	<-done
+	assert.Assert(t, most <= turns, "%d connections in a row", most)
+}
