board, share, node: entries of one failure domain find out together that another one is lost

What callers saw: with one or two requests a second to an entry, as in a fleet of hundreds, a request in six waited 400 ms for a target of a domain without power, for three and a half seconds: until the list of targets dropped them.

Cause: a domain was left alone only after two targets there had not answered the same entry within 1.5 s. An entry that sends one request there every few seconds never sees that.

TestSilentDomainIsFoundTogether, 60 entries at a request a second: 57 requests to a domain that was lost two seconds before (by second 18, 19, 18, 20), now 11 (5, 5, 2, 0).

Each datagram says of each domain how long ago a target there last answered the sender, how long ago one last did not, and whether the sender leaves it alone. Reports of entries in the same failure domain count: their way is the same, a peer elsewhere may be the one that is cut off. An answer since the failed request was begun shows that the target is gone and not its domain: TestDeadTargetsAreNoSilentDomain, a quarter of a domain's targets dead, 21 requests a second before and 18 to 25 after. Entries look again one after the other, and an answer brings all of them back at once.

Datagrams have new fields: entries of this version and the last one don't read each other's during a rollout.

--- a/board/board.go
+++ b/board/board.go
@@ -38,8 +38,9 @@
 	// Overloaded reports that work waits for this entry's own processor: its time-outs then say
 	// nothing of hosts. Nil for never.
 	Overloaded func() bool
-	// Self names this entry among Peers.
-	Self netip.AddrPort
+	// Self names this entry among Peers, Domain the failure domain that it is in.
+	Self   netip.AddrPort
+	Domain string
 
 	mu      sync.Mutex
 	targets map[uint32]*state
--- a/board/domain_test.go
+++ b/board/domain_test.go
@@ -11,6 +11,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/share"
 )
 
 // dialTime is how long a request waits for a connection that can't be opened.
@@ -38,11 +39,6 @@
 		end   = 12 * time.Second
 	)
 	b, v := &board.Board{Self: addr(0)}, domains(3, 10)
-	type call struct {
-		run    *board.Run
-		at     clock.Stamp
-		silent bool
-	}
 	var open []call
 	r := rand.New(rand.NewPCG(3, 4))
 	late, served := 0, 0
@@ -98,3 +94,125 @@
 	}
 	assert.Equal(t, left, 8)
 }
+
+// fewRequests is a fleet whose entries send a request a second each: of a failure domain that is cut off
+// each sees one target every few seconds.
+type fewRequests struct {
+	boards []*board.Board
+	view   *roster.View
+	// dead says whether a target does not answer at a time.
+	dead func(t *roster.Target, now clock.Stamp) bool
+	// sent counts the requests to each failure domain, silent those that got no answer, by second.
+	sent, silent map[string][]int
+
+	r    *rand.Rand
+	open []call
+}
+
+// call is a request in progress.
+type call struct {
+	run    *board.Run
+	at     clock.Stamp
+	silent bool
+}
+
+const (
+	fewEntries = 60
+	fewDomains = 3
+	fewSeconds = 14
+	// callTime is how long an answer takes.
+	callTime = 30 * time.Millisecond
+)
+
+func newFewRequests(dead func(*roster.Target, clock.Stamp) bool) *fewRequests {
+	f := &fewRequests{
+		view: domains(fewDomains, 40), dead: dead, r: rand.New(rand.NewPCG(5, 6)),
+		sent: make(map[string][]int), silent: make(map[string][]int),
+	}
+	for i := range fewEntries {
+		f.boards = append(f.boards, &board.Board{Self: addr(i), Domain: fmt.Sprint("d", i%fewDomains)})
+	}
+	for d := range fewDomains {
+		f.sent[fmt.Sprint("d", d)] = make([]int, fewSeconds)
+		f.silent[fmt.Sprint("d", d)] = make([]int, fewSeconds)
+	}
+	return f
+}
+
+// run plays the seconds: requests, answers, and reports between entries, each of which reaches one other.
+func (f *fewRequests) run() {
+	const tick = 10 * time.Millisecond
+	for now := start; now < start.Add(fewSeconds*time.Second); now = now.Add(tick) {
+		f.end(now)
+		for _, b := range f.boards {
+			if f.r.IntN(int(time.Second/tick)) == 0 {
+				f.send(b, now)
+			}
+			if f.r.IntN(5) == 0 {
+				to := f.boards[f.r.IntN(fewEntries)]
+				to.MergeReport(now, &share.Report{From: b.Self, Domain: board.DomainKey(b.Domain), Domains: b.Domains(now)})
+			}
+		}
+	}
+}
+
+func (f *fewRequests) send(b *board.Board, now clock.Stamp) {
+	list := b.Candidates(now, f.view, engine, board.Need{})
+	x := f.view.ByID[list[f.r.IntN(len(list))].ID]
+	second := int(now.Sub(start) / time.Second)
+	silent := f.dead(x, now)
+	f.sent[x.Domain][second]++
+	if silent {
+		f.silent[x.Domain][second]++
+	}
+	f.open = append(f.open, call{b.Start(now, x, engine, nil, 0, board.Who{}), now, silent})
+}
+
+func (f *fewRequests) end(now clock.Stamp) {
+	kept := f.open[:0]
+	for _, c := range f.open {
+		switch age := now.Sub(c.at); {
+		case c.silent && age >= dialTime:
+			c.run.End(now, board.Unreached)
+		case !c.silent && age >= callTime:
+			c.run.End(now, board.Served)
+		default:
+			kept = append(kept, c)
+		}
+	}
+	f.open = kept
+}
+
+// TestSilentDomainIsFoundTogether guards against a large fleet that finds a lost failure domain only when the list of
+// targets drops it: each entry sends too little there to find out by itself.
+func TestSilentDomainIsFoundTogether(t *testing.T) {
+	const from, to = 4, 9
+	f := newFewRequests(func(x *roster.Target, now clock.Stamp) bool {
+		s := now.Sub(start)
+		return x.Domain == "d0" && s >= from*time.Second && s < to*time.Second
+	})
+	f.run()
+	t.Log("requests to the domain that was lost, by second:", f.sent["d0"])
+	late := 0
+	for s := from + 2; s < to; s++ {
+		late += f.silent["d0"][s]
+	}
+	assert.Assert(t, late <= fewEntries/4, "%d requests to a domain that was lost two seconds before", late)
+	assert.Assert(t, f.sent["d0"][fewSeconds-1] >= f.sent["d0"][from-1]/2, "the domain is back: %v", f.sent["d0"])
+}
+
+// TestDeadTargetsAreNoSilentDomain guards against a sound failure domain that entries leave alone for a few of its
+// targets that are dead.
+func TestDeadTargetsAreNoSilentDomain(t *testing.T) {
+	f := newFewRequests(func(x *roster.Target, now clock.Stamp) bool {
+		return x.Domain == "d0" && now >= start.Add(4*time.Second) && board.DomainKey(x.ID)%4 == 0
+	})
+	f.run()
+	t.Log("requests to the domain with dead targets, by second:", f.sent["d0"])
+	before, after := 0, 0
+	for s := range 4 {
+		before += f.sent["d0"][s]
+		after += f.sent["d0"][s+6]
+	}
+	assert.Assert(t, 10*after >= 8*before, "%d requests in four seconds before, %d with a quarter of the targets dead", before, after)
+}
--- a/board/peers.go
+++ b/board/peers.go
@@ -145,6 +145,9 @@
 		}
 	}
 	b.mergeSuspicions(now, r.Suspected)
+	if r.Domain == DomainKey(b.Domain) {
+		b.mergeDomains(now, r.From, r.Domains)
+	}
 	for _, h := range r.Holds {
 		if old, known := b.holds[h.Part][h.Target]; !known || h.Ready && !old.ready {
 			b.recordPart(now, h.Part, h.Target, h.Ready)
--- a/board/run.go
+++ b/board/run.go
@@ -64,6 +64,7 @@
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
 	r.board.answeredAt = now
+	r.board.domainOf(r.domain).recordAnswer(now)
 	r.board.state(r.key).suspicion.answered(now)
 	if r.ready {
 		return
@@ -71,7 +72,6 @@
 	r.ready = true
 	r.read()
 	r.observe(now)
-	r.board.domainOf(r.domain).recordResponse()
 	r.board.hold(now, r.cache, r.parts, true)
 }
 
--- a/node/advice.go
+++ b/node/advice.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/roster"
@@ -20,6 +21,7 @@
 	}
 	r.Loads = n.board.Loads()
 	r.Kept = n.board.Kept(now)
+	r.Domain, r.Domains = board.DomainKey(n.Settings.Domain), n.board.Domains(now)
 }
 
 // News returns what has happened since the last call, for all peers.
--- a/node/direct.go
+++ b/node/direct.go
@@ -178,7 +178,7 @@
 		return errors.Wrap(err, "peer address")
 	}
 	n.delays = &delays{node: n}
-	n.board = &board.Board{Self: self, Cold: n.coldBounds, Overloaded: n.delays.overloaded}
+	n.board = &board.Board{Self: self, Domain: n.Settings.Domain, Cold: n.coldBounds, Overloaded: n.delays.overloaded}
 	n.relay = &relay.Relay{
 		Domain:  n.Settings.Domain,
 		Regions: n.Settings.Regions,
--- a/share/report.go
+++ b/share/report.go
@@ -52,8 +52,28 @@
 	Lists []List
 	// Kept are the places that the sender keeps free.
 	Kept []Kept
-	// Silent are targets whose hosts did not answer the sender.
+	// Suspected are targets whose hosts did not answer the sender.
 	Suspected []uint32
+	// Domain is the low half of the hash of the sender's failure domain, and
+	// Domains what it has seen of the ways from there.
+	Domain  uint32
+	Domains []Domain
+}
+
+// Domain is what an entry has seen of the way to a failure domain of late.
+type Domain struct {
+	_ struct{} `cbor:",toarray"`
+	// Name is the low half of the hash of the domain's name.
+	Name uint32
+	// Answered is how long ago a target there last answered, in milliseconds; -1 for not of late.
+	Answered int16
+	// TimedOut is how long ago one last did not answer, likewise, and Targets how many
+	// did not since the last answer.
+	TimedOut int16
+	Targets  uint8
+	// Lost says that the sender leaves the domain alone. TimedOut then counts what other
+	// entries of its own domain saw as well.
+	Lost bool
 }
 
 // Kept is the part of a service's places that an entry keeps free for requests within
