feed, share, node: an entry that starts takes the published facts from a peer, and the source is listed by few

What callers saw: after all of 295 entries lost power, refusals with reason `version` for three and a half seconds.

Cause: an entry without facts lists the source. All 295 did so at the same moment: a list of 3,000 targets in pages of 50 is above a megabyte, and 295 of them fill the source's link of 1 Gbit/s for 2.8 s.

Now the seeds list the source; the others wait for a peer that has facts, half a second, or 1.5 s while a seed is there, and list the source themselves after that. Whoever has facts says so at once and gives them to two peers at a time, packed. Any peer will do, not readers alone, so that the number of those that can give doubles with each copy.

TestFleetThatStartsListsTheStoreOnce: 40 of 40 entries listed the store before, the two seeds now. TestCopiesOfFactsAreBounded.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -34,6 +36,8 @@
 type fleet struct {
 	store   *stand.Store
 	entries []*entry
+	// seeds is how many entries list the store at once when all start; 0 for all.
+	seeds int
 }
 
 // entry is what an entry of a fleet needs to read facts.
@@ -85,6 +89,13 @@
 	t.Helper()
 	f := &fleet{store: stand.NewStore()}
 	f.publish(1)
+	f.begin(t, n)
+	return f
+}
+
+// begin starts the entries.
+func (f *fleet) begin(t *testing.T, n int) {
+	t.Helper()
 	for i := range n {
 		e := &entry{
 			id:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000),
@@ -102,7 +113,6 @@
 	for _, e := range f.entries {
 		until(t, func() bool { return e.roster.Version() == 1 }, "each entry has read the facts")
 	}
-	return f
 }
 
 func (f *fleet) start(t *testing.T, e *entry) {
@@ -116,6 +126,10 @@
 		Empty:    func() bool { return e.roster.View() == nil },
 		OnParent: func(netip.AddrPort, error) {},
 	}
+	if f.seeds > 0 {
+		source.Informed = func() (feed.Member, bool) { return f.informed(e) }
+		source.CopyWait = func() time.Duration { return f.copyWait(e) }
+	}
 	w := &watch.Watcher{
 		Source: source, Roster: e.roster, Notify: e,
 		Wait: func() time.Duration { return pace.Wait }, Rest: func() time.Duration { return pace.Rest },
@@ -135,6 +149,24 @@
 	return list
 }
 
+// informed returns an entry that has facts.
+func (f *fleet) informed(e *entry) (feed.Member, bool) {
+	for _, i := range rand.Perm(len(f.entries)) {
+		if x := f.entries[i]; x != e && x.roster.View() != nil {
+			return x.member(), true
+		}
+	}
+	return feed.Member{}, false
+}
+
+// copyWait is none for seeds, and longer than any test for the others.
+func (f *fleet) copyWait(e *entry) time.Duration {
+	if slices.Index(f.entries, e) < f.seeds {
+		return 0
+	}
+	return time.Minute
+}
+
 func (f *fleet) publish(version int) {
 	f.store.Put("op/config", map[string]any{"version": version, "services": []any{map[string]any{"name": "s"}}})
 }
@@ -196,6 +228,64 @@
 	assert.Assert(t, calls <= 2*perReader, "%d calls in %s", calls, time.Since(began))
 }
 
+// TestFleetThatStartsListsTheStoreOnce guards against a fleet that starts at one moment and lists the store by every
+// entry: its link is the bottleneck, and callers are refused until the lists are there.
+func TestFleetThatStartsListsTheStoreOnce(t *testing.T) {
+	const entries, targets = 40, 300
+	f := &fleet{store: stand.NewStore(), seeds: 2}
+	f.publish(1)
+	for i := range targets {
+		f.target(fmt.Sprint("i-", i), "ready")
+	}
+	f.begin(t, entries)
+	for _, e := range f.entries {
+		until(t, func() bool { return len(e.roster.View().ByID) == targets }, "all targets are known")
+	}
+	listed := 0
+	for _, e := range f.entries {
+		if e.door.Lists() > 0 {
+			listed++
+		}
+	}
+	assert.Equal(t, listed, f.seeds)
+}
+
+// TestCopiesOfFactsAreBounded guards against an entry whose link is taken by copies for all others.
+func TestCopiesOfFactsAreBounded(t *testing.T) {
+	f := newFleet(t, 1)
+	release := make(chan struct{})
+	var all sync.WaitGroup
+	held := make(chan struct{}, 2)
+	for range 2 {
+		all.Go(func() {
+			w := &heldWriter{ResponseRecorder: httptest.NewRecorder(), held: held, release: release}
+			f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?after=0", nil))
+		})
+	}
+	<-held
+	<-held
+	w := httptest.NewRecorder()
+	f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?after=0", nil))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	close(release)
+	all.Wait()
+	w = httptest.NewRecorder()
+	f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?after=0", nil))
+	assert.Equal(t, w.Code, http.StatusOK)
+}
+
+// heldWriter is a peer that reads nothing until it is released.
+type heldWriter struct {
+	*httptest.ResponseRecorder
+	held, release chan struct{}
+}
+
+func (w *heldWriter) Write(b []byte) (int, error) {
+	w.held <- struct{}{}
+	<-w.release
+	return w.ResponseRecorder.Write(b)
+}
+
 // TestFollowersOutliveReaders guards against followers that rely on readers which are
 // silent, ended, or cut off from the store without noticing it: a target that leaves then
 // goes on getting requests.
--- a/feed/page.go
+++ b/feed/page.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,11 +59,16 @@
 	Raw      []byte
 }
 
+// copiesMost is how many peers get all facts at a time: a copy may take a good part of a
+// second of a host's link, and whoever has one can give it to the others.
+const copiesMost = 2
+
 // Server answers peers that follow this entry. Set the fields before use.
 type Server struct {
 	Roster *roster.Roster
 
-	mu sync.Mutex
+	copies atomic.Int32
+	mu     sync.Mutex
 	// last is the newest body, which most followers ask for.
 	last body
 }
@@ -75,7 +81,7 @@
 }
 
 // ServeHTTP answers with the facts after a revision as soon as there are any. It answers
-// 503 while nothing is known, and 410 where the revision is too old.
+// 503 while nothing is known or too many ask for all, and 410 where the revision is too old.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -87,6 +93,14 @@
 		http.Error(w, "no facts yet", http.StatusServiceUnavailable)
 		return
 	}
+	if after == 0 {
+		if s.copies.Add(1) > copiesMost {
+			s.copies.Add(-1)
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		defer s.copies.Add(-1)
+	}
 	wait := min(milliseconds(query.Get("wait")), milliseconds(query.Get("fresh"))-s.age())
 	s.Roster.Await(after, wait, r.Context().Done())
 	age := s.age()
--- a/feed/source.go
+++ b/feed/source.go
@@ -27,6 +27,8 @@
 	// sourceAfter is how long an entry that others can keep up to date leaves the source
 	// alone after a failure: all entries together would keep a source busy that is down.
 	sourceAfter = time.Second
+	// copyTick is how often an entry without facts looks for a peer that has some.
+	copyTick = 10 * time.Millisecond
 	// listLimit bounds the fetching of all facts.
 	listLimit = 2 * time.Second
 	// pageMost bounds an answer in bytes: the largest configuration and the list of
@@ -49,6 +51,10 @@
 	Pace func() Pace
 	// Empty reports whether this entry holds no facts at all: old ones are better.
 	Empty func() bool
+	// Informed returns a peer that holds facts, and CopyWait is for how long after its start an
+	// entry without facts waits for one before it lists the source. Nil for never.
+	Informed func() (Member, bool)
+	CopyWait func() time.Duration
 	// OnParent is called when the entry follows another reader, or none: then parent is
 	// not valid. Err is what was wrong with the one before.
 	OnParent func(parent netip.AddrPort, err error)
@@ -61,6 +67,8 @@
 	sourceAt clock.Stamp
 	parent   netip.AddrPort
 	failure  error
+	// waited says that the wait for a peer's copy is over.
+	waited bool
 }
 
 var _ chestnutstep.Source = (*Source)(nil)
@@ -84,6 +92,11 @@
 // history is gone only the source itself can say: a reader that has just started knows less.
 func (s *Source) read(ctx context.Context, after uint64, wait time.Duration, source call) (chestnutstep.Batch, error) {
 	s.once.Do(s.begin)
+	if s.Informed != nil && s.Empty() {
+		if b, ok := s.copy(ctx); ok {
+			return b, nil
+		}
+	}
 	now := clock.Now()
 	c := Choose(s.Self, s.members(now))
 	if (c.Reader || s.Empty()) && now >= s.sourceAt {
@@ -112,6 +125,37 @@
 	return b, err
 }
 
+// copy takes all facts from a peer. Where all entries of a large fleet start at the same
+// moment, each would list the source: hundreds of lists of thousands of targets take seconds of
+// its link, and callers are refused until the list is there.
+func (s *Source) copy(ctx context.Context) (chestnutstep.Batch, bool) {
+	for began := clock.Now(); ctx.Err() == nil; rest(ctx, copyTick) {
+		if m, ok := s.Informed(); ok {
+			b, err := s.ask(ctx, m, 0, listLimit)
+			if err == nil {
+				s.setParent(m.ID)
+				return b, true
+			}
+			s.failure = errors.Wrapf(err, "copy of %s", m.ID)
+		}
+		if s.waited || clock.Now().Sub(began) >= s.CopyWait() {
+			break
+		}
+	}
+	s.waited = true
+	return chestnutstep.Batch{}, false
+}
+
+// rest waits, or until ctx ends.
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 func (s *Source) begin() {
 	s.avoided = make(map[netip.AddrPort]clock.Stamp)
 	s.client = &http.Client{Transport: &http.Transport{
--- a/node/advice.go
+++ b/node/advice.go
@@ -62,6 +62,9 @@
 
 // Changed logs what a read of the source changed.
 func (n *Direct) Changed(c roster.Change, asked clock.Stamp) {
+	if n.hasFacts.CompareAndSwap(false, true) {
+		n.peers.Announce()
+	}
 	if c.Version != 0 {
 		n.log.Emit(event.RoutingInForce, event.Uint("version", c.Version), event.Dur("asked", clock.Now().Sub(asked)))
 	}
--- a/node/direct.go
+++ b/node/direct.go
@@ -86,6 +86,8 @@
 	newest   atomic.Uint64
 	newestAt atomic.Int64
 	leaving  atomic.Bool
+	// hasFacts says that the first facts are there.
+	hasFacts atomic.Bool
 	// knows says that this entry has learned what targets hold.
 	knows atomic.Bool
 	// settled is closed once it does, or is late with it.
--- a/node/feed.go
+++ b/node/feed.go
@@ -40,10 +40,31 @@
 		Members:  n.members,
 		Pace:     n.pace,
 		Empty:    func() bool { return n.roster.View() == nil },
+		Informed: n.informed,
+		CopyWait: n.copyWait,
 		OnParent: n.logParent,
 	}
 }
 
+// informed returns a peer that holds facts, if one is known.
+func (n *Direct) informed() (feed.Member, bool) {
+	m, ok := n.peers.PeerWithFacts()
+	return feed.Member{ID: m.Addr, Feed: m.Control}, ok
+}
+
+// copyWait is how long an entry that has just started waits for a peer with facts. The seeds
+// list the source at once; while one of them is there, the others leave it to them.
+func (n *Direct) copyWait() time.Duration {
+	wait := n.peerWait()
+	if wait == seedWait && len(n.peers.LiveSeeds(clock.Now())) > 0 {
+		return copyWaitMost
+	}
+	return wait
+}
+
+// copyWaitMost is how long a seed may take to list thousands of targets.
+const copyWaitMost = 1500 * time.Millisecond
+
 // pace derives the times of reading from the bounds on changes and on keys.
 func (n *Direct) pace() feed.Pace {
 	b := n.bounds()
--- a/share/peers.go
+++ b/share/peers.go
@@ -84,7 +84,9 @@
 	control  uint16
 	leaving  bool
 	hasIndex bool
-	news     cursor
+	// version of the configuration in force there; 0 for none.
+	version uint64
+	news    cursor
 }
 
 // Seed adds addresses of entries to ask.
@@ -130,6 +132,19 @@
 	return list
 }
 
+// PeerWithFacts returns a live peer that has published facts; false says that there is none.
+func (p *Peers) PeerWithFacts() (Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := clock.Now()
+	for a, x := range p.peers { // in random order: restarted entries don't all ask the same one
+		if x.live(now) && x.version > 0 && x.control != 0 && !x.leaving {
+			return Member{Addr: a, Control: netip.AddrPortFrom(a.Addr(), x.control)}, true
+		}
+	}
+	return Member{}, false
+}
+
 // PeerWithCacheIndex returns the control address of a live peer that knows what targets hold;
 // false says that there is none. Map order is random, so that restarted entries
 // don't all ask the same one.
--- a/share/talk.go
+++ b/share/talk.go
@@ -198,7 +198,7 @@
 	}
 	x.run, x.number, x.lastSeen, x.unanswered = r.Run, r.Number, now, 0
 	if len(r.Lists) == 0 {
-		x.echo, x.control, x.leaving, x.hasIndex = r.Sent, r.Control, r.Leaving, r.HasIndex
+		x.echo, x.control, x.leaving, x.hasIndex, x.version = r.Sent, r.Control, r.Leaving, r.HasIndex, r.Version
 	}
 	if r.EchoRun == p.Run {
 		x.news.confirm(r.Echo)
--- a/stand/store.go
+++ b/stand/store.go
@@ -100,6 +100,7 @@
 	mu      sync.Mutex
 	trouble Trouble
 	calls   int
+	lists   int
 }
 
 // Open returns a new door. Close it.
@@ -129,6 +130,13 @@
 	return d.calls
 }
 
+// Lists is how many of them asked for a page of a list.
+func (d *Door) Lists() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lists
+}
+
 // Close ends the door.
 func (d *Door) Close() {
 	close(d.done)
@@ -136,10 +144,16 @@
 	d.server.Close()
 }
 
+// rangePath is the path of a list.
+const rangePath = "/api/kv-range"
+
 // ServeHTTP answers a call, or not.
 func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
 	d.calls++
+	if r.URL.Path == rangePath {
+		d.lists++
+	}
 	trouble := d.trouble
 	d.mu.Unlock()
 	switch trouble {
@@ -178,7 +192,7 @@
 func (d *Door) answer(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	switch r.URL.Path {
-	case "/api/kv-range":
+	case rangePath:
 		d.store.list(w, q.Get("prefix"), q.Get("after"))
 	case "/api/kv-watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
