--- a/node/feed.go
+++ b/node/feed.go
@@ -52,19 +52,26 @@
 	return feed.Member{ID: m.Addr, Feed: m.Control}, ok
 }
 
+const (
+	// copyWaitLeast is how long an entry that has just started waits for a peer: hosts that
+	// come back together start within a tenth of a second.
+	copyWaitLeast = 150 * time.Millisecond
+	// copyWaitMost is how long a seed may take to list thousands of targets.
+	copyWaitMost = 1500 * time.Millisecond
+)
+
 // copyWait is how long an entry that has just started waits for a peer with facts. The seeds
 // list the source at once; while one of them is there, the others leave it to them.
 func (n *Direct) copyWait() time.Duration {
-	wait := n.peerWait()
-	if wait == seedWait && len(n.peers.LiveSeeds(clock.Now())) > 0 {
+	switch {
+	case n.isSeed() || len(n.settings.Load().Seeds) == 0:
+		return 0
+	case len(n.peers.LiveSeeds(clock.Now())) > 0:
 		return copyWaitMost
 	}
-	return wait
+	return copyWaitLeast
 }
 
-// copyWaitMost is how long a seed may take to list thousands of targets.
-const copyWaitMost = 1500 * time.Millisecond
-
 // pace derives the times of reading from the bounds on changes and on keys.
 func (n *Direct) pace() feed.Pace {
 	b := n.bounds()
