--- a/board/domain.go
+++ b/board/domain.go
@@ -67,7 +67,8 @@
 func (d *domain) recordTimeout(now clock.Stamp, key uint32) {
 	d.forget(now)
 	d.silent[key] = now
-	if d.pause == 0 && len(d.silent) < silentLeast && (d.answered() || !d.silentForAll()) || d.pause > 0 && !d.probing {
+	lost := len(d.silent) >= silentLeast || d.silentForAll() && !d.answered()
+	if d.pause == 0 && !lost || d.pause > 0 && !d.probing {
 		return
 	}
 	d.probing = false
--- /dev/null
+++ b/clock/sleep.go
@@ -0,0 +1,18 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits, and reports whether ctx is still alive.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/feed/source.go
+++ b/feed/source.go
@@ -129,7 +129,7 @@
 // moment, each would list the source: hundreds of lists of thousands of targets take seconds of
 // its link, and callers are refused until the list is there.
 func (s *Source) copy(ctx context.Context) (chestnutstep.Batch, bool) {
-	for began := clock.Now(); ctx.Err() == nil; rest(ctx, copyTick) {
+	for began := clock.Now(); ctx.Err() == nil; clock.Sleep(ctx, copyTick) {
 		if m, ok := s.Informed(); ok {
 			b, err := s.ask(ctx, m, 0, listLimit)
 			if err == nil {
@@ -146,16 +146,6 @@
 	return chestnutstep.Batch{}, false
 }
 
-// rest waits, or until ctx ends.
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func (s *Source) begin() {
 	s.avoided = make(map[netip.AddrPort]clock.Stamp)
 	s.client = &http.Client{Transport: &http.Transport{
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -28,7 +29,7 @@
 		if a := n.neighbour(time.Now()); a != "" {
 			n.exchange(ctx, a, n.message(time.Now()))
 		}
-		if !sleep(ctx, n.jitter(n.Interval)) {
+		if !clock.Sleep(ctx, n.jitter(n.Interval)) {
 			return
 		}
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -190,15 +190,3 @@
 	defer n.mu.Unlock()
 	return time.Duration(float64(d) * (0.8 + 0.4*n.rand.Float64()))
 }
-
-// sleep waits and says whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/gossip/hosts.go
+++ b/gossip/hosts.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/member"
 	"chestnutstep.example/chestnutstep/wire"
 )
@@ -42,13 +43,13 @@
 			list, read, err := n.readHosts(ctx)
 			if err != nil {
 				failures++
-				sleep(ctx, n.pauseAfter(failures))
+				clock.Sleep(ctx, n.pauseAfter(failures))
 				continue
 			}
 			failures, size = 0, read
 			n.learnList(list)
 		}
-		sleep(ctx, n.jitter(p.Hosts))
+		clock.Sleep(ctx, n.jitter(p.Hosts))
 	}
 }
 
@@ -170,7 +171,7 @@
 		m := n.brief(time.Now())
 		m.Hosts = []*wire.HostState{{Host: h.Name, Leaving: h.Leaving}}
 		n.exchange(ctx, a, m)
-		if !sleep(ctx, tellPause) {
+		if !clock.Sleep(ctx, tellPause) {
 			return
 		}
 	}
--- a/gossip/net_test.go
+++ b/gossip/net_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/fake"
 	"chestnutstep.example/chestnutstep/member"
@@ -179,7 +180,7 @@
 	if l.from.w.isCut(l.from.name, l.to) {
 		return errors.New("cut")
 	}
-	sleep(ctx, l.from.w.delay())
+	clock.Sleep(ctx, l.from.w.delay())
 	return l.ClientConnInterface.Invoke(ctx, method, args, reply, opts...)
 }
 
--- a/gossip/pull.go
+++ b/gossip/pull.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/wire"
 )
@@ -92,7 +93,7 @@
 	case <-t.C:
 	case <-p.wake:
 		if p.take().stamp == st {
-			return sleep(ctx, d/4) // told again by the same peers, time after time
+			return clock.Sleep(ctx, d/4) // told again by the same peers, time after time
 		}
 	case <-ctx.Done():
 	}
--- a/gossip/watch.go
+++ b/gossip/watch.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 )
 
@@ -33,7 +34,7 @@
 		v, err := n.readRoot(ctx, revision, watcher)
 		if err != nil {
 			failures++
-			sleep(ctx, n.pauseAfter(failures))
+			clock.Sleep(ctx, n.pauseAfter(failures))
 			continue
 		}
 		failures = 0
@@ -69,7 +70,7 @@
 // hold waits until this process's share allows a read again.
 func (n *Node) hold(ctx context.Context, watcher bool, d time.Duration) {
 	if watcher {
-		sleep(ctx, d)
+		clock.Sleep(ctx, d)
 		return
 	}
 	n.await(ctx, d)
@@ -81,7 +82,7 @@
 	spread := time.Duration(n.rand.Int64N(int64(startSpread)))
 	n.mu.Unlock()
 	if len(n.Peers) == 0 {
-		return sleep(ctx, spread/4)
+		return clock.Sleep(ctx, spread/4)
 	}
 	changed := n.Store.Changed()
 	if n.Store.View() != nil {
--- a/load/player.go
+++ b/load/player.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/fake"
 )
 
@@ -60,7 +61,7 @@
 func (s *session) run(ctx context.Context) {
 	defer s.player.active.Done()
 	for i, t := range s.chat.Turns {
-		if !sleep(ctx, t.Pause) {
+		if !clock.Sleep(ctx, t.Pause) {
 			return
 		}
 		s.turn(ctx, i, t)
@@ -98,7 +99,7 @@
 		if ctx.Err() != nil {
 			return res
 		}
-		if !again(res) || !sleep(ctx, res.Retry) {
+		if !again(res) || !clock.Sleep(ctx, res.Retry) {
 			break
 		}
 	}
@@ -116,14 +117,3 @@
 	}
 	return false
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/delays.go
+++ b/node/delays.go
@@ -53,7 +53,7 @@
 func (d *delays) loop(ctx context.Context) {
 	d.sample[0].Name = latencies
 	d.median()
-	for due := time.Now().Add(delaysEvery); sleep(ctx, delaysEvery); due = time.Now().Add(delaysEvery) {
+	for due := time.Now().Add(delaysEvery); clock.Sleep(ctx, delaysEvery); due = time.Now().Add(delaysEvery) {
 		// The runtime sees the wait behind other work of this process, a late timer the
 		// wait for the host, and the listener the wait of connections.
 		backlog := d.node.callers.Backlog()
--- a/node/learn.go
+++ b/node/learn.go
@@ -64,7 +64,7 @@
 		return
 	}
 	for n.roster.View() == nil {
-		if !sleep(ctx, learnTick) {
+		if !clock.Sleep(ctx, learnTick) {
 			return
 		}
 	}
@@ -103,7 +103,7 @@
 			}
 			pause = busyRest
 		}
-		if time.Since(began) >= n.peerWait() || !sleep(ctx, pause) {
+		if time.Since(began) >= n.peerWait() || !clock.Sleep(ctx, pause) {
 			return false
 		}
 	}
@@ -174,7 +174,7 @@
 			l.know()
 		}
 		l.copyRest(ctx, len(list))
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -260,15 +260,3 @@
 	}
 	return list
 }
-
-// sleep waits; false says that ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -95,21 +95,11 @@
 		w.Notify.Changed(c, asked)
 	}
 	if len(b.Facts) > 0 && !full {
-		rest(ctx, w.Rest())
+		clock.Sleep(ctx, w.Rest())
 	}
 	return nil
 }
 
-// rest waits, or until ctx ends.
-func rest(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // watch waits for changes, and gives up when it is woken.
 func (w *Watcher) watch(ctx context.Context) (chestnutstep.Batch, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -150,5 +140,5 @@
 		w.Notify.Lost(err)
 	}
 	w.pause = min(max(2*w.pause, pauseLeast), pauseMost)
-	rest(ctx, w.pause/2+rand.N(w.pause))
+	clock.Sleep(ctx, w.pause/2+rand.N(w.pause))
 }
