feed, node, roster: a line for each read of published facts; targets that are kept though no longer listed are named

Nothing said how long a read took, what part of it was waiting and what the transfer, nor which reads failed while the parent stayed the same. facts_read (7034) does, with the age of the proof before it, which bounds the age of every change that it brought; relay_reads_total, relay_read_bytes_total, relay_read_gap_seconds count. targets_changed names targets that are kept while the source settles, relay_sent the age of the proof. No decision changes.

--- a/event/catalog.go
+++ b/event/catalog.go
@@ -95,6 +95,7 @@
 	RelayShed       ID = 7031
 	EntryFull       ID = 7032
 	EntryFree       ID = 7033
+	FactsRead       ID = 7034
 )
 
 // requestLines bounds the lines a second of each event about single requests of
@@ -514,7 +515,7 @@
 	},
 	{
 		ID: TargetsChanged, Name: "targets_changed", Level: Info,
-		Meaning: "Targets joined, left, are leaving, or came back.",
+		Meaning: "Targets joined, left, are leaving, or came back. Kept are those that are no longer listed and stay in use for two seconds, as their entries may have lapsed while the source was away.",
 		Cause:   "The list of targets changed.",
 		Action:  "Nothing; many that left at once: look at the targets' hosts.",
 	},
@@ -626,4 +627,10 @@
 		Cause:   "The surge is over.",
 		Action:  "Nothing.",
 	},
+	{
+		ID: FactsRead, Name: "facts_read", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "Changes of published facts were read from a peer, or from the source where none is named, or a read failed. First is the time to the answer's beginning, took to its end, gap the age of the last proof: no change that was read is older.",
+		Cause:   "Something was published; with an error, the peer or the source did not answer in time, or had facts that were too old.",
+		Action:  "A gap above the bound on changes: look at bytes and took for a link that is too slow, at errors before it for peers that were given up.",
+	},
 }
--- a/feed/page.go
+++ b/feed/page.go
@@ -194,9 +194,9 @@
 	return time.Duration(n) * time.Millisecond
 }
 
-// batch decodes the facts of a page.
-func (p *page) batch(d chestnutstep.Decoder) chestnutstep.Batch {
-	b := chestnutstep.Batch{Revision: p.revision, Age: p.age, Settle: p.settle}
+// fill decodes the facts of a page into a batch.
+func (p *page) fill(b *chestnutstep.Batch, d chestnutstep.Decoder) {
+	b.Revision, b.Age, b.Settle = p.revision, p.age, p.settle
 	for _, x := range p.facts {
 		kind := chestnutstep.FactKind(x.Kind)
 		if x.Gone {
@@ -205,5 +205,4 @@
 		}
 		b.Facts = append(b.Facts, d.Decode(kind, x.Name, x.Revision, x.Raw))
 	}
-	return b
 }
--- a/feed/source.go
+++ b/feed/source.go
@@ -58,6 +58,8 @@
 	// OnParent is called when the entry follows another reader, or none: then parent is
 	// not valid. Err is what was wrong with the one before.
 	OnParent func(parent netip.AddrPort, err error)
+	// OnRead is called for each call that brought changes or failed.
+	OnRead func(Read)
 
 	once   sync.Once
 	client *http.Client
@@ -85,6 +87,17 @@
 	})
 }
 
+// Read is one call of a reader or of the source.
+type Read struct {
+	// Peer that was asked; not valid for the source itself.
+	Peer netip.AddrPort
+	// After is the revision that the changes were asked after; 0 asks for all facts.
+	After uint64
+	Batch chestnutstep.Batch
+	Took  time.Duration
+	Err   error
+}
+
 // call reads from the source itself.
 type call func(context.Context) (chestnutstep.Batch, error)
 
@@ -100,7 +113,7 @@
 	now := clock.Now()
 	c := Choose(s.Self, s.members(now))
 	if (c.Reader || s.Empty()) && now >= s.sourceAt {
-		b, err := s.readSource(ctx, source)
+		b, err := s.readSource(ctx, after, source)
 		if err == nil || isGap(err) || ctx.Err() != nil {
 			return b, err
 		}
@@ -118,7 +131,7 @@
 	if clock.Now() < s.sourceAt {
 		return b, chestnutstep.ErrSource{Err: err}
 	}
-	b, err = s.readSource(ctx, source)
+	b, err = s.readSource(ctx, after, source)
 	if err != nil {
 		s.sourceAt = clock.Now().Add(sourceAfter)
 	}
@@ -170,8 +183,10 @@
 }
 
 // readSource asks the source itself.
-func (s *Source) readSource(ctx context.Context, source call) (chestnutstep.Batch, error) {
+func (s *Source) readSource(ctx context.Context, after uint64, source call) (chestnutstep.Batch, error) {
+	asked := clock.Now()
 	b, err := source(ctx)
+	s.onRead(Read{After: after, Batch: b, Took: clock.Now().Sub(asked), Err: err})
 	if err == nil {
 		s.setParent(netip.AddrPort{})
 	}
@@ -217,40 +232,53 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+pace.Slack)
 	defer cancel()
 	asked := clock.Now()
-	p, err := s.get(ctx, m, url.Values{
+	b, err := s.get(ctx, m, url.Values{
 		"after": {strconv.FormatUint(after, 10)},
 		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10)},
 		"fresh": {strconv.FormatInt(pace.Fresh.Milliseconds(), 10)},
 	})
-	if err != nil {
-		return chestnutstep.Batch{}, err
+	took := clock.Now().Sub(asked)
+	if age := took + b.Age; err == nil && age > pace.Fresh && !(after == 0 && s.Empty()) {
+		err = ErrStale{age}
 	}
-	b := p.batch(s.Decoder)
-	if age := clock.Now().Sub(asked) + b.Age; age > pace.Fresh && !(after == 0 && s.Empty()) {
-		return b, ErrStale{age}
-	}
-	return b, nil
+	s.onRead(Read{Peer: m.ID, After: after, Batch: b, Took: took, Err: err})
+	return b, err
 }
 
-func (s *Source) get(ctx context.Context, m Member, query url.Values) (*page, error) {
+func (s *Source) get(ctx context.Context, m Member, query url.Values) (b chestnutstep.Batch, err error) {
 	u := url.URL{Scheme: "http", Host: m.Feed.String(), Path: Path, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
-		return nil, err
+		return b, err
 	}
+	began := time.Now()
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return nil, err
+		return b, err
 	}
 	defer resp.Body.Close()
+	b.First = time.Since(began)
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, pageMost))
+	b.Bytes = len(raw)
 	if err != nil {
-		return nil, err
+		return b, errors.Wrapf(err, "after %d bytes", len(raw))
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("status %d", resp.StatusCode)
+		return b, errors.Newf("status %d", resp.StatusCode)
+	}
+	p, err := decode(resp.Header, raw)
+	if err != nil {
+		return b, err
+	}
+	p.fill(&b, s.Decoder)
+	return b, nil
+}
+
+// onRead reports a call, unless it found that nothing has changed.
+func (s *Source) onRead(r Read) {
+	if s.OnRead != nil && (r.Err != nil || len(r.Batch.Facts) > 0) {
+		s.OnRead(r)
 	}
-	return decode(resp.Header, raw)
 }
 
 // setParent notes whom the entry follows.
--- a/meter/catalog.go
+++ b/meter/catalog.go
@@ -33,6 +33,7 @@
 	labelResult    = "result"
 	labelKind      = "kind"
 	labelWay       = "way"
+	labelFrom      = "from"
 	labelService   = "service"
 )
 
--- a/node/advice.go
+++ b/node/advice.go
@@ -71,12 +71,13 @@
 	if len(c.Out)+len(c.In) > 0 {
 		n.log.Emit(event.DomainsChanged, event.Str("out", strings.Join(c.Out, " ")), event.Str("back", strings.Join(c.In, " ")))
 	}
-	if len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Back) == 0 {
+	if len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Kept)+len(c.Back) == 0 {
 		return
 	}
 	n.log.Emit(event.TargetsChanged,
 		event.Str("joined", strings.Join(c.Joined, " ")), event.Str("left", strings.Join(c.Left, " ")),
-		event.Str("leaving", strings.Join(c.Leaving, " ")), event.Str("back", strings.Join(c.Back, " ")))
+		event.Str("leaving", strings.Join(c.Leaving, " ")), event.Str("kept", strings.Join(c.Kept, " ")),
+		event.Str("back", strings.Join(c.Back, " ")))
 	if v := n.roster.View(); v != nil {
 		n.board.Keep(v)
 	}
--- a/node/feed.go
+++ b/node/feed.go
@@ -43,6 +43,7 @@
 		Informed: n.informed,
 		CopyWait: n.copyWait,
 		OnParent: n.logParent,
+		OnRead:   n.logRead,
 	}
 }
 
@@ -99,6 +100,37 @@
 	n.log.Emit(event.FeedParent, event.Str("peer", name), event.Err(err), event.Dur("proof", n.proofAge()))
 }
 
+// logRead logs a call that brought changes or failed. Its gap is how old the last proof is: no
+// change that the call brought is older.
+func (n *Direct) logRead(r feed.Read) {
+	peer := ""
+	if r.Peer.IsValid() {
+		peer = r.Peer.String()
+	}
+	n.log.Emit(event.FactsRead,
+		event.Str("peer", peer), event.Uint("after", r.After), event.Uint("revision", r.Batch.Revision),
+		event.Int("facts", int64(len(r.Batch.Facts))), event.Int("bytes", int64(r.Batch.Bytes)),
+		event.Dur("first", r.Batch.First), event.Dur("took", r.Took), event.Dur("age", r.Batch.Age),
+		event.Dur("settle", r.Batch.Settle), event.Dur("gap", n.proofAge()), event.Err(r.Err))
+	n.countRead(r)
+}
+
+// countRead counts a call for the metrics.
+func (n *Direct) countRead(r feed.Read) {
+	m, from, result := &n.meters.Relay, "source", "ok"
+	if r.Peer.IsValid() {
+		from = "peer"
+	}
+	if r.Err != nil {
+		result = "failed"
+	}
+	m.Reads.Add(1, from, result)
+	m.ReadBytes.Add(int64(r.Batch.Bytes), from, result)
+	if r.Err == nil {
+		m.ReadGap.Observe(n.proofAge(), from)
+	}
+}
+
 // proofAge is the age of the proof that the configuration is current.
 func (n *Direct) proofAge() time.Duration { return clock.Now().Sub(n.roster.Proof()) }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -23,7 +23,7 @@
 		event.Float("running", c.Running), event.Int("own", int64(c.Held)), event.Int("held", int64(c.Cached())),
 		event.Int("shared", int64(c.Ask.Shared)), event.Uint("prefix", c.Ask.Key), event.Float("cost", c.Cost),
 		event.Int("of", int64(c.Of)), event.Bool("cold", c.Cold), event.Str("fetch", c.Donor.Address), event.Bool("fresh", c.Fresh),
-		event.Uint("version", q.view.Routing.Version))
+		event.Uint("version", q.view.Routing.Version), event.Dur("proof", clock.Now().Sub(q.Roster.Proof())))
 }
 
 // kind names the kind of the request's route in metrics.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -82,6 +82,8 @@
 	Joined  []string
 	Left    []string
 	Leaving []string
+	// Kept are targets that are no longer listed and stay usable while the source settles.
+	Kept []string
 	// Back are targets that can be used again.
 	Back []string
 	// Out and In are failure domains that were taken out of service and back.
@@ -91,7 +93,7 @@
 
 // Empty says that nothing changed.
 func (c Change) Empty() bool {
-	return c.Version == 0 && len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Back)+len(c.Out)+len(c.In) == 0
+	return c.Version == 0 && len(c.Joined)+len(c.Left)+len(c.Leaving)+len(c.Kept)+len(c.Back)+len(c.Out)+len(c.In) == 0
 }
 
 // View returns what is known now; nil before the configuration is known.
@@ -309,6 +311,7 @@
 	kept := *t
 	kept.missing = true
 	r.targets[id] = &kept
+	c.Kept = append(c.Kept, id)
 }
 
 func (r *Roster) expire(now clock.Stamp, c *Change) {
--- a/source.go
+++ b/source.go
@@ -43,6 +43,9 @@
 	// Settle is for how much longer instances that are missing may still come back, after
 	// the source was lost.
 	Settle time.Duration
+	// Bytes is the size of the answer, and First how long it took to begin.
+	Bytes int
+	First time.Duration
 }
 
 // Source is where facts are published. Nothing is ever written there.
