feed: three tests of changes that come late, known red

On the code as landed each fails: a target's leaving is read only after the large configuration that was published before it, and neither of them ever over a link of 200 KB/s, as reads are given up and begun anew; a target whose entry was removed stays in use at entries that were turned away.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -38,6 +39,8 @@
 	entries []*entry
 	// seeds is how many entries list the store at once when all start; 0 for all.
 	seeds int
+	// dial opens connections; link.Dial if nil.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // entry is what an entry of a fleet needs to read facts.
@@ -117,10 +120,14 @@
 
 func (f *fleet) start(t *testing.T, e *entry) {
 	t.Helper()
-	store := platform.NewStore(e.door.Address(), link.Dial)
+	dial := f.dial
+	if dial == nil {
+		dial = link.Dial
+	}
+	store := platform.NewStore(e.door.Address(), dial)
 	pace := feed.NewPace(bound)
 	source := &feed.Source{
-		Source: store, Decoder: store, Dial: link.Dial, Self: e.id,
+		Source: store, Decoder: store, Dial: dial, Self: e.id,
 		Members:  func() []feed.Member { return f.others(e) },
 		Pace:     func() feed.Pace { return pace },
 		Empty:    func() bool { return e.roster.View() == nil },
--- /dev/null
+++ b/feed/late_test.go
@@ -0,0 +1,108 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/stand"
+)
+
+const (
+	// slowRate is that of an entry's link, in bytes a second.
+	slowRate = 200 << 10
+	// largeRoutes make a configuration of a megabyte.
+	largeRoutes = 4500
+)
+
+// slowConn takes in no more than slowRate.
+type slowConn struct{ net.Conn }
+
+func (c slowConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(len(b), slowRate/50)])
+	time.Sleep(time.Duration(n) * time.Second / slowRate)
+	return n, err
+}
+
+func dialSlow(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := link.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return slowConn{c}, nil
+}
+
+// newSlowFleet is a fleet whose links are slow.
+func newSlowFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{store: stand.NewStore(), dial: dialSlow}
+	f.publish(1)
+	f.begin(t, n)
+	return f
+}
+
+// publishLarge publishes a configuration that takes each entry's link for seconds.
+func (f *fleet) publishLarge(version int) {
+	routes := make([]map[string]any, largeRoutes)
+	for i := range routes {
+		routes[i] = map[string]any{
+			"name": fmt.Sprintf("r-%016x", rand.Uint64()), "host": "a.example",
+			"prefix": fmt.Sprintf("/%016x%016x/", rand.Uint64(), rand.Uint64()), "service": "s", "type": "safe",
+			"timeoutMs": 800, "latencyTargetMs": 150, "maxAttempts": 2, "priority": 2,
+		}
+	}
+	f.store.Put("op/config", map[string]any{"version": version, "services": []any{map[string]any{"name": "s"}}, "routes": routes})
+}
+
+// TestLargeConfigurationHoldsUpNoTarget guards against a target's leaving that is read only after a large configuration
+// which was published before it.
+func TestLargeConfigurationHoldsUpNoTarget(t *testing.T) {
+	f := newSlowFleet(t, 12)
+	f.target("i-a", "ready")
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
+	}
+	f.publishLarge(2)
+	f.target("i-a", "draining")
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.View().ByID["i-a"].Leaving }, "the target's leaving is known")
+		assert.Equal(t, e.roster.Version(), uint64(1), "the configuration came first")
+	}
+}
+
+// TestLargeConfigurationArrives guards against a transfer that is given up while bytes arrive, and begun anew for ever.
+func TestLargeConfigurationArrives(t *testing.T) {
+	f := newSlowFleet(t, 6)
+	f.publishLarge(2)
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.Version() == 2 }, "the configuration is in force")
+	}
+}
+
+// TestRemovedTargetIsDroppedThoughReadersAreTurnedAway guards against entries that take the loss of their readers, or
+// their own, for an outage in which entries of sound targets lapse: a target that is gone goes on getting requests.
+func TestRemovedTargetIsDroppedThoughReadersAreTurnedAway(t *testing.T) {
+	f := newFleet(t, 12)
+	f.target("i-a", "ready")
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
+	}
+	for _, e := range f.readers() {
+		e.door.Set(stand.Busy)
+	}
+	for _, e := range f.entries[:4] {
+		e.door.Set(stand.Busy)
+	}
+	f.store.Remove("servers/i-a")
+	f.target("i-later", "ready")
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.View().ByID["i-later"] != nil }, "what changed later is known")
+		assert.Assert(t, e.roster.View().ByID["i-a"] == nil, "%s still uses the removed target", e.id)
+	}
+}
