fetch, feed, platform: a transfer is given up for silence, not for its length

Cause: a read of a reader might take 0.9 s and one of the source 2.4 s in all. A configuration of a megabyte takes 1.3 s of a link of 10 Mbit/s, more where others use it. A read that was given up began anew from nothing, on the same full link, and its giver was avoided for three seconds. A peer's report of a newer version broke off the very transfer that brought it, and counted as a failure of the source for a second. An answer that was whole and too old was thrown away with its news.

Ruled out: decoding, 6 ms between the end of the read and the configuration in force.

Now the limits are on the time to the beginning of an answer and on a pause within it, in one place for the source and for peers; the end of the caller's context ends only the wait for an answer; news are taken whatever their age, which only bounds the proof.

--- a/feed/source.go
+++ b/feed/source.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/fetch"
 )
 
 const (
@@ -36,6 +38,8 @@
 	pageMost = 8 << 20
 	// idleTime is how long a connection to a reader is kept between two calls.
 	idleTime = 5 * time.Second
+	// idleLimit is the longest pause in the middle of a reader's answer.
+	idleLimit = time.Second
 )
 
 // Source reads facts from a reader or from the source of all; it implements
@@ -132,7 +136,7 @@
 		return b, chestnutstep.ErrSource{Err: err}
 	}
 	b, err = s.readSource(ctx, after, source)
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		s.sourceAt = clock.Now().Add(sourceAfter)
 	}
 	return b, err
@@ -207,6 +211,9 @@
 		}
 		s.failure = errors.Wrapf(err, "reader %s", m.ID)
 		s.avoid(m, err)
+		if len(b.Facts) > 0 {
+			return b, nil // old, and yet news here
+		}
 	}
 	return b, err
 }
@@ -226,47 +233,43 @@
 // Error states the age.
 func (err ErrStale) Error() string { return "facts are " + err.Age.String() + " old" }
 
-// ask reads from one reader. Facts that are too old are an error.
+// ErrStatus is the error of a reader that has no answer.
+type ErrStatus struct {
+	Status int
+	Reason string
+}
+
+// Error states the status and the reason.
+func (err ErrStatus) Error() string { return fmt.Sprintf("status %d: %s", err.Status, err.Reason) }
+
+// ask reads from one reader. Facts that are too old are an error, and are returned.
 func (s *Source) ask(ctx context.Context, m Member, after uint64, wait time.Duration) (chestnutstep.Batch, error) {
 	pace := s.Pace()
-	ctx, cancel := context.WithTimeout(ctx, wait+pace.Slack)
-	defer cancel()
 	asked := clock.Now()
-	b, err := s.get(ctx, m, url.Values{
-		"after": {strconv.FormatUint(after, 10)},
-		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10)},
-		"fresh": {strconv.FormatInt(pace.Fresh.Milliseconds(), 10)},
-	})
-	took := clock.Now().Sub(asked)
-	if age := took + b.Age; err == nil && age > pace.Fresh && !(after == 0 && s.Empty()) {
+	b, err := s.get(ctx, m, after, wait, pace)
+	if age := clock.Now().Sub(asked) + b.Age; err == nil && age > pace.Fresh && !(after == 0 && s.Empty()) {
 		err = ErrStale{age}
 	}
-	s.onRead(Read{Peer: m.ID, After: after, Batch: b, Took: took, Err: err})
+	s.onRead(Read{Peer: m.ID, After: after, Batch: b, Took: clock.Now().Sub(asked), Err: err})
 	return b, err
 }
 
-func (s *Source) get(ctx context.Context, m Member, query url.Values) (b chestnutstep.Batch, err error) {
-	u := url.URL{Scheme: "http", Host: m.Feed.String(), Path: Path, RawQuery: query.Encode()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
-	if err != nil {
-		return b, err
+func (s *Source) get(ctx context.Context, m Member, after uint64, wait time.Duration, pace Pace) (b chestnutstep.Batch, err error) {
+	values := url.Values{
+		"after": {strconv.FormatUint(after, 10)},
+		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"fresh": {strconv.FormatInt(pace.Fresh.Milliseconds(), 10)},
 	}
-	began := time.Now()
-	resp, err := s.client.Do(req)
+	u := url.URL{Scheme: "http", Host: m.Feed.String(), Path: Path, RawQuery: values.Encode()}
+	a, err := fetch.Get(ctx, s.client, u.String(), fetch.Limits{First: wait + pace.Slack, Idle: idleLimit, Most: pageMost})
+	b.First, b.Bytes = a.First, len(a.Body)
 	if err != nil {
 		return b, err
 	}
-	defer resp.Body.Close()
-	b.First = time.Since(began)
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, pageMost))
-	b.Bytes = len(raw)
-	if err != nil {
-		return b, errors.Wrapf(err, "after %d bytes", len(raw))
-	}
-	if resp.StatusCode != http.StatusOK {
-		return b, errors.Newf("status %d", resp.StatusCode)
+	if a.Status != http.StatusOK {
+		return b, ErrStatus{a.Status, strings.TrimSpace(string(a.Body))}
 	}
-	p, err := decode(resp.Header, raw)
+	p, err := decode(a.Header, a.Body)
 	if err != nil {
 		return b, err
 	}
--- /dev/null
+++ b/fetch/fetch_test.go
@@ -0,0 +1,116 @@
+package fetch_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/fetch"
+)
+
+// never is a limit that no test reaches.
+const never = time.Minute
+
+// drip answers with bytes one by one, each when it is released; nothing more is sent once the
+// channel is closed.
+func drip(t *testing.T, begin bool, bytes <-chan struct{}) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if begin {
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+		}
+		for range bytes {
+			_, _ = w.Write([]byte("x"))
+			_ = http.NewResponseController(w).Flush()
+		}
+		if r.URL.Path == "/whole" {
+			return
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
+}
+
+// TestSlowBodyIsReadToItsEnd guards against a limit on the whole of a transfer, which a large answer over a slow link
+// never meets.
+func TestSlowBodyIsReadToItsEnd(t *testing.T) {
+	const idle, count = 2 * time.Second, 10
+	bytes := make(chan struct{})
+	url := drip(t, true, bytes)
+	go func() {
+		defer close(bytes)
+		for range count {
+			time.Sleep(idle / 8)
+			bytes <- struct{}{}
+		}
+	}()
+	a, err := fetch.Get(context.Background(), http.DefaultClient, url+"/whole", fetch.Limits{First: idle, Idle: idle, Most: count})
+	assert.NilError(t, err)
+	assert.Equal(t, len(a.Body), count)
+}
+
+// TestSilenceIsGivenUp guards against a peer that is waited for without end, before or in the middle of its answer.
+func TestSilenceIsGivenUp(t *testing.T) {
+	const limit = 50 * time.Millisecond
+	for name, begin := range map[string]bool{"no answer": false, "cut short": true} {
+		t.Run(name, func(t *testing.T) {
+			bytes := make(chan struct{}, 1)
+			l := fetch.Limits{First: limit, Idle: never, Most: 9}
+			if begin {
+				bytes <- struct{}{}
+				l = fetch.Limits{First: never, Idle: limit, Most: 9}
+			}
+			close(bytes)
+			a, err := fetch.Get(context.Background(), http.DefaultClient, drip(t, begin, bytes), l)
+			var silent fetch.ErrSilent
+			assert.Assert(t, errors.As(err, &silent), "%v", err)
+			assert.Equal(t, silent.Bytes, len(a.Body))
+			assert.Equal(t, len(a.Body) == 1, begin)
+		})
+	}
+}
+
+// TestEndOfContextEndsNoTransfer guards against a transfer that is broken off by news of what it brings.
+func TestEndOfContextEndsNoTransfer(t *testing.T) {
+	bytes := make(chan struct{})
+	url := drip(t, true, bytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(bytes)
+		bytes <- struct{}{}
+		cancel()
+		bytes <- struct{}{}
+	}()
+	a, err := fetch.Get(ctx, http.DefaultClient, url+"/whole", fetch.Limits{First: never, Idle: never, Most: 9})
+	assert.NilError(t, err)
+	assert.Equal(t, len(a.Body), 2)
+}
+
+// TestEndOfContextEndsTheWait guards against a call that goes on after its owner has stopped.
+func TestEndOfContextEndsTheWait(t *testing.T) {
+	bytes := make(chan struct{})
+	close(bytes)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := fetch.Get(ctx, http.DefaultClient, drip(t, false, bytes), fetch.Limits{First: never, Idle: never, Most: 9})
+	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+}
+
+// TestLargeBodyIsRefused guards against an answer that takes all memory.
+func TestLargeBodyIsRefused(t *testing.T) {
+	bytes := make(chan struct{}, 9)
+	for range 9 {
+		bytes <- struct{}{}
+	}
+	close(bytes)
+	_, err := fetch.Get(context.Background(), http.DefaultClient, drip(t, true, bytes)+"/whole", fetch.Limits{First: never, Idle: never, Most: 3})
+	var size fetch.ErrSize
+	assert.Assert(t, errors.As(err, &size), "%v", err)
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -75,7 +75,8 @@
 	} else {
 		b, err = w.watch(ctx)
 	}
-	if w.woken.Swap(false) {
+	woken := w.woken.Swap(false)
+	if err != nil && woken {
 		return nil
 	}
 	if err != nil {
