roster, feed, watch: only a loss of the source keeps targets that are no longer listed

A request reached a target up to 4.2 s after its entry had been removed from the store (bound 3 s); the removal was known to all entries after 2.4 s at the latest, and the last one acted on it after 8.7 s.

Cause: entries of sound targets lapse while the source is away, so that a target that is missing after the source's return stays in use for two seconds. An entry whose readers were turned away, or that was turned away itself, took that for a loss of the source, and each further failure began the two seconds anew. The source was there all the while, and the removal meant that the target had left. i-7a598d3bfc of the users' record is such a target: it never says that it leaves, its entry goes.

Ruled out: a gap in what a reader hands on. Three entries that read the source dropped the target at once, all others had it in kept, not missing from their answers.

Now only a failed call of the source raises the doubt, only a loss of a second or more can let entries lapse, and an entry that gets its facts from a peer takes the peer's word on how long entries may still come back: that peer may have read the source without a break.

--- a/feed/source.go
+++ b/feed/source.go
@@ -133,7 +133,7 @@
 		return b, err
 	}
 	if clock.Now() < s.sourceAt {
-		return b, chestnutstep.ErrSource{Err: err}
+		return b, err
 	}
 	b, err = s.readSource(ctx, after, source)
 	if err != nil && ctx.Err() == nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -14,11 +14,16 @@
 	"chestnutstep.example/chestnutstep/clock"
 )
 
-// settle is how long after the source's return an instance that is missing is
-// still kept. Entries lapse while the source is away; those of live
-// targets are back within about two seconds. Dropped at once, a whole fleet of
-// sound targets would get no work.
-const settle = 2 * time.Second
+const (
+	// settle is how long after the source's return an instance that is missing is
+	// still kept. Entries lapse while the source is away; those of live
+	// targets are back within about two seconds. Dropped at once, a whole fleet of
+	// sound targets would get no work.
+	settle = 2 * time.Second
+	// lapseLeast is the shortest loss of the source in which entries may lapse: they live
+	// for three heartbeats of their targets.
+	lapseLeast = time.Second
+)
 
 // Target is an instance with what this process knows of it.
 type Target struct {
@@ -64,10 +69,14 @@
 	targets  map[string]*Target
 	out      map[string]bool
 	routing  *chestnutstep.Routing
-	doubt    bool
-	settled  clock.Stamp
-	proof    atomic.Int64
-	heard    bool
+	// doubt says that the source has not answered since the last read, and settled until
+	// when targets that are missing are kept.
+	doubt   bool
+	settled clock.Stamp
+	// read is when the last answer came.
+	read  clock.Stamp
+	proof atomic.Int64
+	heard bool
 }
 
 // entry names a published entry.
@@ -145,11 +154,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin()
-	if r.doubt {
-		r.doubt = false
-		r.settled = now.Add(settle)
-	}
-	r.settled = max(r.settled, now.Add(b.Settle))
+	r.extendSettled(now, b)
+	r.read = now
 	var c Change
 	seen := make(map[entry]bool, len(b.Facts))
 	for _, f := range b.Facts {
@@ -172,6 +178,16 @@
 	return c
 }
 
+// extendSettled decides for how long targets that are missing may have lapsed. A peer says so
+// itself: it may have read the source all the while that this entry could not.
+func (r *Roster) extendSettled(now clock.Stamp, b chestnutstep.Batch) {
+	if r.doubt && b.Direct() && now.Sub(r.read) > lapseLeast {
+		r.settled = now.Add(settle)
+	}
+	r.doubt = false
+	r.settled = max(r.settled, now.Add(b.Settle))
+}
+
 // Tick drops instances that did not come back in time.
 func (r *Roster) Tick(now clock.Stamp) Change {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -49,7 +49,24 @@
 	case "tick":
 		s.roster.Tick(s.now)
 	case "read", "full":
-		s.roster.Learn(s.now, batch(t, d), d.Cmd == "full")
+		b := batch(t, d)
+		for _, name := range []string{"age", "settle"} {
+			if !d.HasArg(name) {
+				continue
+			}
+			var text string
+			d.ScanArgs(t, name, &text)
+			value, err := time.ParseDuration(text)
+			if err != nil {
+				d.Fatalf(t, "%s: %v", name, err)
+			}
+			if name == "age" {
+				b.Age = value
+			} else {
+				b.Settle = value
+			}
+		}
+		s.roster.Learn(s.now, b, d.Cmd == "full")
 	default:
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
--- a/source.go
+++ b/source.go
@@ -48,6 +48,9 @@
 	First time.Duration
 }
 
+// Direct says that the source itself answered.
+func (b *Batch) Direct() bool { return b.Age == 0 }
+
 // Source is where facts are published. Nothing is ever written there.
 type Source interface {
 	// List reads all facts. The error is ErrSource.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -131,9 +131,12 @@
 
 // failed pauses, a little longer after each failure in a row.
 func (w *Watcher) failed(ctx context.Context, err error) {
-	w.Roster.Doubt()
 	var e chestnutstep.ErrSource
-	if errors.As(err, &e) && e.Gap {
+	isSource := errors.As(err, &e)
+	if isSource {
+		w.Roster.Doubt()
+	}
+	if isSource && e.Gap {
 		w.revision = 0
 	}
 	if !w.lost {
