--- a/cmd/chestnutstep/serve.go
+++ b/cmd/chestnutstep/serve.go
@@ -47,7 +47,7 @@
 	store := platform.NewStore(s.Store, link.Dial)
 	n := &node.Direct{
 		Settings: s,
-		Source:   store,
+		Source:   store.Topic,
 		Facts:    store,
 		Wire:     platform.Wire{},
 		Caches:   platform.NewTargets(),
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/feed"
 	"chestnutstep.example/chestnutstep/link"
@@ -74,13 +75,13 @@
 
 func (e *entry) Changed(roster.Change, clock.Stamp) {}
 
-func (e *entry) Lost(error) {
+func (e *entry) Lost(chestnutstep.Topic, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lost++
 }
 
-func (e *entry) Regained() {}
+func (e *entry) Regained(chestnutstep.Topic) {}
 
 func (e *entry) losses() int {
 	e.mu.Lock()
@@ -125,25 +126,28 @@
 		dial = link.Dial
 	}
 	store := platform.NewStore(e.door.Address(), dial)
-	pace := feed.NewPace(bound)
-	source := &feed.Source{
-		Source: store, Decoder: store, Dial: dial, Self: e.id,
-		Members:  func() []feed.Member { return f.others(e) },
-		Pace:     func() feed.Pace { return pace },
-		Empty:    func() bool { return e.roster.View() == nil },
-		OnParent: func(netip.AddrPort, error) {},
-	}
-	if f.seeds > 0 {
-		source.Informed = func() (feed.Member, bool) { return f.informed(e) }
-		source.CopyWait = func() time.Duration { return f.copyWait(e) }
-	}
-	w := &watch.Watcher{
-		Source: source, Roster: e.roster, Notify: e,
-		Wait: func() time.Duration { return pace.Wait }, Rest: func() time.Duration { return pace.Rest },
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go w.Run(ctx)
+	pace, gate, pauses := feed.NewPace(bound), &feed.Gate{}, &watch.Pauses{}
+	for topic := range chestnutstep.TopicCount {
+		source := &feed.Source{
+			Topic: topic, Source: store.Topic(topic), Decoder: store, Dial: dial, Self: e.id,
+			Members:  func() []feed.Member { return f.others(e) },
+			Pace:     func() feed.Pace { return pace },
+			Empty:    func() bool { return !e.roster.Heard(topic) },
+			OnParent: func(netip.AddrPort, error) {},
+			Gate:     gate,
+		}
+		if f.seeds > 0 {
+			source.Informed = func() (feed.Member, bool) { return f.informed(e) }
+			source.CopyWait = func() time.Duration { return f.copyWait(e) }
+		}
+		w := &watch.Watcher{
+			Topic: topic, Source: source, Roster: e.roster, Notify: e, Pauses: pauses,
+			Wait: func() time.Duration { return pace.Wait }, Rest: func() time.Duration { return pace.Rest },
+		}
+		go w.Run(ctx)
+	}
 }
 
 func (f *fleet) others(e *entry) []feed.Member {
@@ -266,18 +270,18 @@
 	for range 2 {
 		all.Go(func() {
 			w := &heldWriter{ResponseRecorder: httptest.NewRecorder(), held: held, release: release}
-			f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?after=0", nil))
+			f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?topic=targets&after=0", nil))
 		})
 	}
 	<-held
 	<-held
 	w := httptest.NewRecorder()
-	f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?after=0", nil))
+	f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?topic=targets&after=0", nil))
 	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
 	close(release)
 	all.Wait()
 	w = httptest.NewRecorder()
-	f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?after=0", nil))
+	f.entries[0].feed.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.Path+"?topic=targets&after=0", nil))
 	assert.Equal(t, w.Code, http.StatusOK)
 }
 
@@ -352,7 +356,10 @@
 	f.publish(2)
 	time.Sleep(bound)
 	for _, e := range f.entries {
-		assert.Assert(t, e.roster.Proof() <= cut, "proved %s after the store fell silent", e.roster.Proof().Sub(cut))
+		for topic := range chestnutstep.TopicCount {
+			proof := e.roster.Proof(topic)
+			assert.Assert(t, proof <= cut, "%s proved %s after the store fell silent", topic, proof.Sub(cut))
+		}
 		assert.Equal(t, e.roster.Version(), uint64(1))
 	}
 	for _, e := range f.entries {
--- a/feed/late_test.go
+++ b/feed/late_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/stand"
 )
@@ -106,3 +107,29 @@
 		assert.Assert(t, e.roster.View().ByID["i-a"] == nil, "%s still uses the removed target", e.id)
 	}
 }
+
+// TestReportsOfTheVersionProveNoTargets guards against a reader that is cut off from the source, and whose targets pass
+// for known because other entries report its version of the configuration.
+func TestReportsOfTheVersionProveNoTargets(t *testing.T) {
+	f := newFleet(t, 12)
+	f.target("i-a", "ready")
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
+	}
+	readers := f.readers()
+	for _, e := range readers {
+		e.door.Set(stand.Silent)
+	}
+	f.target("i-a", "draining")
+	for _, e := range f.entries {
+		if isOneOf(e, readers) {
+			continue
+		}
+		until(t, func() bool {
+			for _, x := range f.entries {
+				x.roster.Confirm(clock.Now())
+			}
+			return e.roster.View().ByID["i-a"].Leaving
+		}, "the target's leaving is known")
+	}
+}
--- a/feed/page.go
+++ b/feed/page.go
@@ -10,6 +10,7 @@
 	"compress/flate"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -23,14 +24,15 @@
 	"chestnutstep.example/chestnutstep/roster"
 )
 
-// Path of the watch that an entry serves to its peers. Its query holds "after", a revision
-// (0 for all facts), "wait" and "fresh", both in milliseconds.
+// Path of the watch that an entry serves to its peers. Its query holds "topic", "after", a
+// revision (0 for all facts), "wait" and "fresh", both in milliseconds.
 const Path = "/feed"
 
 // Headers of an answer, beside a body of published facts.
 const (
-	// headerAge is the age of the facts, and headerSettle the time for which missing
-	// instances may come back, in milliseconds.
+	// headerAge is the age that the facts had when the request came, if nothing changed
+	// since, and headerSettle the time for which missing instances may come back, in
+	// milliseconds.
 	headerAge    = "Feed-Age"
 	headerSettle = "Feed-Settle"
 	// headerRevision is that up to which the facts are.
@@ -69,8 +71,8 @@
 
 	copies atomic.Int32
 	mu     sync.Mutex
-	// last is the newest body, which most followers ask for.
-	last body
+	// last is the newest body of each topic, which most followers ask for.
+	last [chestnutstep.TopicCount]body
 }
 
 // body is an encoded list of facts.
@@ -80,20 +82,38 @@
 	packed          bool
 }
 
+// request is what a peer asks for.
+type request struct {
+	topic       chestnutstep.Topic
+	after       uint64
+	wait, fresh time.Duration
+}
+
+func parseRequest(q url.Values) (r request, err error) {
+	var ok bool
+	if r.topic, ok = chestnutstep.TopicNamed(q.Get("topic")); !ok {
+		return r, errors.Newf("topic: %q is not known", q.Get("topic"))
+	}
+	if r.after, err = strconv.ParseUint(q.Get("after"), 10, 64); err != nil {
+		return r, errors.Wrap(err, "after")
+	}
+	r.wait, r.fresh = milliseconds(q.Get("wait")), milliseconds(q.Get("fresh"))
+	return r, nil
+}
+
 // ServeHTTP answers with the facts after a revision as soon as there are any. It answers
 // 503 while nothing is known or too many ask for all, and 410 where the revision is too old.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	req, err := parseRequest(r.URL.Query())
 	if err != nil {
-		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if s.Roster.View() == nil {
+	if !s.Roster.Heard(req.topic) {
 		http.Error(w, "no facts yet", http.StatusServiceUnavailable)
 		return
 	}
-	if after == 0 {
+	if req.after == 0 {
 		if s.copies.Add(1) > copiesMost {
 			s.copies.Add(-1)
 			http.Error(w, "busy", http.StatusServiceUnavailable)
@@ -101,15 +121,21 @@
 		}
 		defer s.copies.Add(-1)
 	}
-	wait := min(milliseconds(query.Get("wait")), milliseconds(query.Get("fresh"))-s.age())
-	s.Roster.Await(after, wait, r.Context().Done())
-	age := s.age()
-	b, ok := s.Roster.Since(clock.Now(), after)
+	asked := clock.Now()
+	wait := min(req.wait, req.fresh-s.age(asked, req.topic))
+	s.Roster.Await(req.topic, req.after, wait, r.Context().Done())
+	s.answer(w, req, asked)
+}
+
+// answer writes what is known.
+func (s *Server) answer(w http.ResponseWriter, req request, asked clock.Stamp) {
+	age := max(s.age(asked, req.topic), time.Millisecond)
+	b, ok := s.Roster.Since(clock.Now(), req.topic, req.after)
 	if !ok {
 		http.Error(w, "history is gone", http.StatusGone)
 		return
 	}
-	encoded, err := s.encode(after, b)
+	encoded, err := s.encode(req, b)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -126,14 +152,15 @@
 }
 
 // encode returns the body of an answer. It is the same for all followers that are as far.
-func (s *Server) encode(after uint64, b chestnutstep.Batch) (body, error) {
+func (s *Server) encode(req request, b chestnutstep.Batch) (body, error) {
 	if len(b.Facts) == 0 {
 		return body{}, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.last.revision == b.Revision && s.last.after == after && s.last.raw != nil {
-		return s.last, nil
+	last := &s.last[req.topic]
+	if last.revision == b.Revision && last.after == req.after && last.raw != nil {
+		return *last, nil
 	}
 	list := make([]published, 0, len(b.Facts))
 	for _, f := range b.Facts {
@@ -143,11 +170,11 @@
 	if err != nil {
 		return body{}, errors.Wrap(err, "encode facts")
 	}
-	s.last = body{after: after, revision: b.Revision, raw: raw}
+	*last = body{after: req.after, revision: b.Revision, raw: raw}
 	if len(raw) >= packLeast {
-		s.last.raw, s.last.packed = pack(raw), true
+		last.raw, last.packed = pack(raw), true
 	}
-	return s.last, nil
+	return *last, nil
 }
 
 // pack compresses.
@@ -183,7 +210,10 @@
 	return p, errors.Wrap(cbor.Unmarshal(raw, &p.facts), "decode facts")
 }
 
-func (s *Server) age() time.Duration { return clock.Now().Sub(s.Roster.Proof()) }
+// age is how old the facts of a topic were at a moment.
+func (s *Server) age(at clock.Stamp, t chestnutstep.Topic) time.Duration {
+	return at.Sub(s.Roster.Proof(t))
+}
 
 // milliseconds reads a number of a query; 0 for one that can't be read.
 func milliseconds(text string) time.Duration {
--- a/feed/page_test.go
+++ b/feed/page_test.go
@@ -16,7 +16,7 @@
 func TestDecodeAnything(t *testing.T) {
 	s := &Server{Roster: &roster.Roster{}}
 	facts := []chestnutstep.Fact{{Kind: chestnutstep.FactRouting, Revision: 7, Raw: []byte(strings.Repeat("configuration ", 1000))}}
-	b, err := s.encode(3, chestnutstep.Batch{Revision: 7, Facts: facts})
+	b, err := s.encode(request{topic: chestnutstep.TopicRouting, after: 3}, chestnutstep.Batch{Revision: 7, Facts: facts})
 	assert.NilError(t, err)
 	assert.Assert(t, b.packed && len(b.raw) < 1000, "%d bytes", len(b.raw))
 	good := http.Header{headerAge: {"12"}, headerSettle: {"0"}, headerRevision: {"7"}, headerPacked: {"1"}}
--- a/feed/source.go
+++ b/feed/source.go
@@ -26,9 +26,6 @@
 	avoidStale = time.Second
 	// parentsTried bounds the readers that are asked before the source is.
 	parentsTried = 2
-	// sourceAfter is how long an entry that others can keep up to date leaves the source
-	// alone after a failure: all entries together would keep a source busy that is down.
-	sourceAfter = time.Second
 	// copyTick is how often an entry without facts looks for a peer that has some.
 	copyTick = 10 * time.Millisecond
 	// listLimit bounds the fetching of all facts.
@@ -42,9 +39,10 @@
 	idleLimit = time.Second
 )
 
-// Source reads facts from a reader or from the source of all; it implements
+// Source reads the facts of a topic from a reader or from the source of all; it implements
 // chestnutstep.Source. Set the fields before the first call.
 type Source struct {
+	Topic   chestnutstep.Topic
 	Source  chestnutstep.Source
 	Decoder chestnutstep.Decoder
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
@@ -53,7 +51,7 @@
 	Members func() []Member
 	// Pace in force.
 	Pace func() Pace
-	// Empty reports whether this entry holds no facts at all: old ones are better.
+	// Empty reports whether this entry holds no facts of the topic: old ones are better.
 	Empty func() bool
 	// Informed returns a peer that holds facts, and CopyWait is for how long after its start an
 	// entry without facts waits for one before it lists the source. Nil for never.
@@ -64,15 +62,15 @@
 	OnParent func(parent netip.AddrPort, err error)
 	// OnRead is called for each call that brought changes or failed.
 	OnRead func(Read)
+	// Gate to the source; shared by the topics of one source.
+	Gate *Gate
 
 	once   sync.Once
 	client *http.Client
 	// avoided gives until when a peer is not asked.
 	avoided map[netip.AddrPort]clock.Stamp
-	// sourceAt is when the source may be asked again.
-	sourceAt clock.Stamp
-	parent   netip.AddrPort
-	failure  error
+	parent  netip.AddrPort
+	failure error
 	// waited says that the wait for a peer's copy is over.
 	waited bool
 }
@@ -116,28 +114,25 @@
 	}
 	now := clock.Now()
 	c := Choose(s.Self, s.members(now))
-	if (c.Reader || s.Empty()) && now >= s.sourceAt {
+	if (c.Reader || s.Empty()) && s.Gate.open(now) {
 		b, err := s.readSource(ctx, after, source)
 		if err == nil || isGap(err) || ctx.Err() != nil {
 			return b, err
 		}
-		b, followed := s.follow(ctx, c.Parents, after, wait)
+		b, followed := s.follow(ctx, c, after, wait)
 		if followed != nil {
 			return b, err
 		}
-		s.sourceAt = clock.Now().Add(sourceAfter)
+		s.Gate.shut(clock.Now())
 		return b, nil
 	}
-	b, err := s.follow(ctx, c.Parents, after, wait)
-	if err == nil || ctx.Err() != nil {
-		return b, err
-	}
-	if clock.Now() < s.sourceAt {
+	b, err := s.follow(ctx, c, after, wait)
+	if err == nil || ctx.Err() != nil || !s.Gate.open(clock.Now()) {
 		return b, err
 	}
 	b, err = s.readSource(ctx, after, source)
 	if err != nil && ctx.Err() == nil {
-		s.sourceAt = clock.Now().Add(sourceAfter)
+		s.Gate.shut(clock.Now())
 	}
 	return b, err
 }
@@ -148,7 +143,7 @@
 func (s *Source) copy(ctx context.Context) (chestnutstep.Batch, bool) {
 	for began := clock.Now(); ctx.Err() == nil; clock.Sleep(ctx, copyTick) {
 		if m, ok := s.Informed(); ok {
-			b, err := s.ask(ctx, m, 0, listLimit)
+			b, err := s.ask(ctx, m, query{wait: listLimit})
 			if err == nil {
 				s.setParent(m.ID)
 				return b, true
@@ -198,10 +193,10 @@
 }
 
 // follow asks the first few readers. The error is that of the last one.
-func (s *Source) follow(ctx context.Context, parents []Member, after uint64, wait time.Duration) (b chestnutstep.Batch, err error) {
+func (s *Source) follow(ctx context.Context, c Choice, after uint64, wait time.Duration) (b chestnutstep.Batch, err error) {
 	err = errors.New("no reader is known")
-	for _, m := range parents[:min(parentsTried, len(parents))] {
-		b, err = s.ask(ctx, m, after, wait)
+	for _, m := range c.Parents[:min(parentsTried, len(c.Parents))] {
+		b, err = s.ask(ctx, m, query{after: after, wait: wait})
 		if err == nil {
 			s.setParent(m.ID)
 			return b, nil
@@ -221,7 +216,8 @@
 func (s *Source) avoid(m Member, err error) {
 	d := avoidFor
 	var stale ErrStale
-	if errors.As(err, &stale) {
+	var status ErrStatus
+	if errors.As(err, &stale) || errors.As(err, &status) {
 		d = avoidStale
 	}
 	s.avoided[m.ID] = clock.Now().Add(d)
@@ -242,26 +238,33 @@
 // Error states the status and the reason.
 func (err ErrStatus) Error() string { return fmt.Sprintf("status %d: %s", err.Status, err.Reason) }
 
+// query is what a reader is asked for.
+type query struct {
+	after uint64
+	wait  time.Duration
+}
+
 // ask reads from one reader. Facts that are too old are an error, and are returned.
-func (s *Source) ask(ctx context.Context, m Member, after uint64, wait time.Duration) (chestnutstep.Batch, error) {
+func (s *Source) ask(ctx context.Context, m Member, q query) (chestnutstep.Batch, error) {
 	pace := s.Pace()
 	asked := clock.Now()
-	b, err := s.get(ctx, m, after, wait, pace)
-	if age := clock.Now().Sub(asked) + b.Age; err == nil && age > pace.Fresh && !(after == 0 && s.Empty()) {
+	b, err := s.get(ctx, m, q, pace)
+	if age := clock.Now().Sub(asked) + b.Age; err == nil && age > pace.Fresh && !(q.after == 0 && s.Empty()) {
 		err = ErrStale{age}
 	}
-	s.onRead(Read{Peer: m.ID, After: after, Batch: b, Took: clock.Now().Sub(asked), Err: err})
+	s.onRead(Read{Peer: m.ID, After: q.after, Batch: b, Took: clock.Now().Sub(asked), Err: err})
 	return b, err
 }
 
-func (s *Source) get(ctx context.Context, m Member, after uint64, wait time.Duration, pace Pace) (b chestnutstep.Batch, err error) {
+func (s *Source) get(ctx context.Context, m Member, q query, pace Pace) (b chestnutstep.Batch, err error) {
 	values := url.Values{
-		"after": {strconv.FormatUint(after, 10)},
-		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10)},
+		"topic": {s.Topic.String()},
+		"after": {strconv.FormatUint(q.after, 10)},
+		"wait":  {strconv.FormatInt(q.wait.Milliseconds(), 10)},
 		"fresh": {strconv.FormatInt(pace.Fresh.Milliseconds(), 10)},
 	}
 	u := url.URL{Scheme: "http", Host: m.Feed.String(), Path: Path, RawQuery: values.Encode()}
-	a, err := fetch.Get(ctx, s.client, u.String(), fetch.Limits{First: wait + pace.Slack, Idle: idleLimit, Most: pageMost})
+	a, err := fetch.Get(ctx, s.client, u.String(), fetch.Limits{First: q.wait + pace.Slack, Idle: idleLimit, Most: pageMost})
 	b.First, b.Bytes = a.First, len(a.Body)
 	if err != nil {
 		return b, err
--- a/meter/catalog.go
+++ b/meter/catalog.go
@@ -33,6 +33,7 @@
 	labelResult    = "result"
 	labelKind      = "kind"
 	labelWay       = "way"
+	labelTopic     = "topic"
 	labelFrom      = "from"
 	labelService   = "service"
 )
--- a/meter/set.go
+++ b/meter/set.go
@@ -90,7 +90,7 @@
 	Taken     Gauge     // part of a service's places that was taken at the last request
 	Kept      Gauge     // part of them that is kept for requests within their share
 	Callers   Gauge     // connections of callers
-	Reads     Counter   // reads of facts, by giver and result
+	Reads     Counter   // reads of facts, by topic and giver
 	ReadBytes Counter   // bytes of these reads
 	ReadGap   Histogram // age of the last proof when changes came
 }
@@ -176,9 +176,9 @@
 		{&s.Relay.Refused, entry{"relay_refused_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests that found no place at a target: full, or share where only those within their share got one."}},
 		{&s.Relay.Taken, entry{"relay_places_taken", kindGauge, "share", []string{labelService}, "Part of the places of a service's targets that was taken when a request last asked for one; 1 and more for all."}},
 		{&s.Relay.Kept, entry{"relay_places_kept", kindGauge, "share", []string{labelService}, "Part of the places of a service's targets that is kept for requests within their share."}},
-		{&s.Relay.Reads, entry{"relay_reads_total", kindCounter, "calls", []string{labelFrom, labelResult}, "Reads of published facts that brought changes or failed, from a peer or the source."}},
-		{&s.Relay.ReadBytes, entry{"relay_read_bytes_total", kindCounter, "bytes", []string{labelFrom, labelResult}, "Bytes of these reads."}},
-		{&s.Relay.ReadGap, entry{"relay_read_gap_seconds", kindHistogram, "seconds", []string{labelFrom}, "Age of the last proof when changes were read: no change that was read is older."}},
+		{&s.Relay.Reads, entry{"relay_reads_total", kindCounter, "calls", []string{labelTopic, labelFrom}, "Reads of published facts that brought changes, from a peer or the source, and those that failed."}},
+		{&s.Relay.ReadBytes, entry{"relay_read_bytes_total", kindCounter, "bytes", []string{labelTopic, labelFrom}, "Bytes of these reads."}},
+		{&s.Relay.ReadGap, entry{"relay_read_gap_seconds", kindHistogram, "seconds", []string{labelTopic, labelFrom}, "Age of the last proof when changes were read: no change that was read is older."}},
 		{&s.Relay.Callers, entry{"relay_callers", kindGauge, "connections", nil, "Connections of callers that are held."}},
 		{&s.Workspaces.Requests, entry{"workspace_requests_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests of a workspace: ok, refused, broken or canceled."}},
 		{&s.Workspaces.Tokens, entry{"workspace_tokens_total", kindCounter, "tokens", []string{labelWorkspace}, "Estimated work that the target did for a workspace."}},
--- a/node/advice.go
+++ b/node/advice.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
@@ -16,7 +17,7 @@
 	r.Version = n.roster.Version()
 	r.HasIndex = n.knows.Load()
 	r.Age = -1
-	if at := n.roster.Proof(); at != 0 {
+	if at := n.roster.Confirmed(); at != 0 {
 		r.Age = now.Sub(at).Milliseconds() + 1
 	}
 	r.Loads = n.board.Loads()
@@ -37,7 +38,7 @@
 	own := n.roster.Version()
 	switch {
 	case r.Version == own && own != 0 && r.Age >= 0 && asked != 0:
-		n.roster.Prove(asked.Add(-time.Duration(r.Age) * time.Millisecond))
+		n.roster.Confirm(asked.Add(-time.Duration(r.Age) * time.Millisecond))
 	case r.Version > own && r.Version == n.newest.Load():
 		n.newestAt.Store(int64(now))
 	case r.Version > own && (r.Version > n.newest.Load() || !n.behind()):
@@ -83,10 +84,12 @@
 	}
 }
 
-// Lost logs that the source does not answer.
-func (n *Direct) Lost(err error) {
-	n.log.Emit(event.SourceLost, event.Err(err), event.Dur("proof", n.proofAge()))
+// Lost logs that a topic can't be read.
+func (n *Direct) Lost(t chestnutstep.Topic, err error) {
+	n.log.Emit(event.SourceLost, event.Str("topic", t.String()), event.Err(err), event.Dur("proof", n.factsAge(t)))
 }
 
-// Regained logs that the source answers again.
-func (n *Direct) Regained() { n.log.Emit(event.SourceRegained) }
+// Regained logs that a topic can be read again.
+func (n *Direct) Regained(t chestnutstep.Topic) {
+	n.log.Emit(event.SourceRegained, event.Str("topic", t.String()))
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -21,12 +21,14 @@
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/feed"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
+	"chestnutstep.example/chestnutstep/watch"
 )
 
 const (
@@ -56,8 +58,9 @@
 // fields before Run.
 type Direct struct {
 	Settings *config.Direct
-	Source   chestnutstep.Source
-	Wire     chestnutstep.Wire
+	// Source of each topic.
+	Source func(chestnutstep.Topic) chestnutstep.Source
+	Wire   chestnutstep.Wire
 	// Facts reads what a peer's copy holds; nil takes no copies.
 	Facts chestnutstep.Decoder
 	// Caches asks targets what they hold; nil for never.
@@ -80,8 +83,11 @@
 	delays   *delays
 	pool     *link.Pool
 	peers    *share.Peers
-	// wake ends the present watch.
+	// wake ends the present watch of the configuration.
 	wake chan struct{}
+	// gate and pauses hold back calls of a source that fails.
+	gate   feed.Gate
+	pauses watch.Pauses
 	// newest is the newest version that a peer named, and newestAt when.
 	newest   atomic.Uint64
 	newestAt atomic.Int64
@@ -145,7 +151,8 @@
 
 // begin starts what runs beside the servers.
 func (n *Direct) begin(work context.Context) {
-	start(work, n.loop, n.learn, n.peers.Loop, n.watcher().Run, n.delays.loop)
+	start(work, n.loop, n.learn, n.peers.Loop, n.delays.loop,
+		n.watcher(chestnutstep.TopicTargets).Run, n.watcher(chestnutstep.TopicRouting).Run)
 	if n.Reloader != nil {
 		n.Reloader.Changed, n.Reloader.Refused = n.reload, n.refuse
 		start(work, n.Reloader.Loop)
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -80,7 +80,7 @@
 	t.Cleanup(d.stop)
 	source := platform.NewStore(d.door.Address(), link.Dial)
 	n := &node.Direct{
-		Settings: d.settings, Source: source, Wire: platform.Wire{}, Out: d.out, Reloader: reloader, Facts: source,
+		Settings: d.settings, Source: source.Topic, Wire: platform.Wire{}, Out: d.out, Reloader: reloader, Facts: source,
 	}
 	go func() { d.done <- n.Run(ctx) }()
 	waitFor(t, func() bool { return d.ready() == http.StatusOK }, "the entry is ready")
@@ -268,13 +268,22 @@
 	assert.Equal(t, status(d.ask("/book/1", "k", "a")), http.StatusOK)
 }
 
-// slowList is a source whose list comes late.
+// slowList is a source whose list of targets comes late.
 type slowList struct {
 	chestnutstep.Source
 	asked   chan struct{}
 	release chan struct{}
 }
 
+func (s *slowList) topic(store *platform.Store) func(chestnutstep.Topic) chestnutstep.Source {
+	return func(t chestnutstep.Topic) chestnutstep.Source {
+		if t == chestnutstep.TopicTargets {
+			return s
+		}
+		return store.Topic(t)
+	}
+}
+
 func (s *slowList) List(ctx context.Context) (chestnutstep.Batch, error) {
 	close(s.asked)
 	<-s.release
@@ -289,9 +298,9 @@
 	door := store.Open()
 	t.Cleanup(door.Close)
 	source := platform.NewStore(door.Address(), link.Dial)
-	slow := &slowList{Source: source, asked: make(chan struct{}), release: make(chan struct{})}
+	slow := &slowList{Source: source.Topic(chestnutstep.TopicTargets), asked: make(chan struct{}), release: make(chan struct{})}
 	d := &direct{settings: directSettings(t, door.Address()), door: door, out: &pausable{}}
-	n := &node.Direct{Settings: d.settings, Source: slow, Wire: platform.Wire{}, Out: d.out}
+	n := &node.Direct{Settings: d.settings, Source: slow.topic(source), Wire: platform.Wire{}, Out: d.out}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go func() { _ = n.Run(ctx) }()
--- a/node/feed.go
+++ b/node/feed.go
@@ -16,34 +16,41 @@
 	"chestnutstep.example/chestnutstep/watch"
 )
 
-// watcher follows the source, through peers where there are any.
-func (n *Direct) watcher() *watch.Watcher {
-	return &watch.Watcher{
-		Source: n.source(),
+// watcher follows a topic of the source, through peers where there are any.
+func (n *Direct) watcher(t chestnutstep.Topic) *watch.Watcher {
+	w := &watch.Watcher{
+		Topic:  t,
+		Source: n.source(t),
 		Roster: n.roster,
 		Notify: n,
 		Wait:   func() time.Duration { return n.pace().Wait },
 		Rest:   func() time.Duration { return n.pace().Rest },
-		Wake:   n.wake,
+		Pauses: &n.pauses,
 	}
+	if t == chestnutstep.TopicRouting {
+		w.Wake = n.wake
+	}
+	return w
 }
 
-func (n *Direct) source() chestnutstep.Source {
+func (n *Direct) source(t chestnutstep.Topic) chestnutstep.Source {
 	if n.Facts == nil {
-		return n.Source
+		return n.Source(t)
 	}
 	return &feed.Source{
-		Source:   n.Source,
+		Topic:    t,
+		Source:   n.Source(t),
 		Decoder:  n.Facts,
 		Dial:     link.Dial,
 		Self:     n.peers.Self,
 		Members:  n.members,
 		Pace:     n.pace,
-		Empty:    func() bool { return n.roster.View() == nil },
+		Empty:    func() bool { return !n.roster.Heard(t) },
 		Informed: n.informed,
 		CopyWait: n.copyWait,
-		OnParent: n.logParent,
-		OnRead:   n.logRead,
+		OnParent: func(parent netip.AddrPort, err error) { n.logParent(t, parent, err) },
+		OnRead:   func(r feed.Read) { n.logRead(t, r) },
+		Gate:     &n.gate,
 	}
 }
 
@@ -92,47 +99,53 @@
 	return list
 }
 
-func (n *Direct) logParent(parent netip.AddrPort, err error) {
+func (n *Direct) logParent(t chestnutstep.Topic, parent netip.AddrPort, err error) {
 	name := ""
 	if parent.IsValid() {
 		name = parent.String()
 	}
-	n.log.Emit(event.FeedParent, event.Str("peer", name), event.Err(err), event.Dur("proof", n.proofAge()))
+	n.log.Emit(event.FeedParent, event.Str("topic", t.String()), event.Str("peer", name), event.Err(err),
+		event.Dur("proof", n.factsAge(t)))
 }
 
 // logRead logs a call that brought changes or failed. Its gap is how old the last proof is: no
 // change that the call brought is older.
-func (n *Direct) logRead(r feed.Read) {
+func (n *Direct) logRead(t chestnutstep.Topic, r feed.Read) {
 	peer := ""
 	if r.Peer.IsValid() {
 		peer = r.Peer.String()
 	}
 	n.log.Emit(event.FactsRead,
-		event.Str("peer", peer), event.Uint("after", r.After), event.Uint("revision", r.Batch.Revision),
+		event.Str("topic", t.String()), event.Str("peer", peer), event.Uint("after", r.After), event.Uint("revision", r.Batch.Revision),
 		event.Int("facts", int64(len(r.Batch.Facts))), event.Int("bytes", int64(r.Batch.Bytes)),
 		event.Dur("first", r.Batch.First), event.Dur("took", r.Took), event.Dur("age", r.Batch.Age),
-		event.Dur("settle", r.Batch.Settle), event.Dur("gap", n.proofAge()), event.Err(r.Err))
-	n.countRead(r)
+		event.Dur("settle", r.Batch.Settle), event.Dur("gap", n.factsAge(t)), event.Err(r.Err))
+	n.countRead(t, r)
 }
 
 // countRead counts a call for the metrics.
-func (n *Direct) countRead(r feed.Read) {
-	m, from, result := &n.meters.Relay, "source", "ok"
-	if r.Peer.IsValid() {
+func (n *Direct) countRead(t chestnutstep.Topic, r feed.Read) {
+	m, from := &n.meters.Relay, "source"
+	switch {
+	case r.Err != nil:
+		from = "failed"
+	case r.Peer.IsValid():
 		from = "peer"
 	}
-	if r.Err != nil {
-		result = "failed"
-	}
-	m.Reads.Add(1, from, result)
-	m.ReadBytes.Add(int64(r.Batch.Bytes), from, result)
+	m.Reads.Add(1, t.String(), from)
+	m.ReadBytes.Add(int64(r.Batch.Bytes), t.String(), from)
 	if r.Err == nil {
-		m.ReadGap.Observe(n.proofAge(), from)
+		m.ReadGap.Observe(n.factsAge(t), t.String(), from)
 	}
 }
 
 // proofAge is the age of the proof that the configuration is current.
-func (n *Direct) proofAge() time.Duration { return clock.Now().Sub(n.roster.Proof()) }
+func (n *Direct) proofAge() time.Duration { return clock.Now().Sub(n.roster.Confirmed()) }
+
+// factsAge is the age of the proof that all facts of a topic are known.
+func (n *Direct) factsAge(t chestnutstep.Topic) time.Duration {
+	return clock.Now().Sub(n.roster.Proof(t))
+}
 
 // wakeWatch ends the present watch.
 func (n *Direct) wakeWatch() {
--- a/node/learn_test.go
+++ b/node/learn_test.go
@@ -46,7 +46,7 @@
 	}
 	source := platform.NewStore(d.door.Address(), link.Dial)
 	n := &node.Direct{
-		Settings: d.settings, Source: source, Wire: platform.Wire{}, Out: d.out, Facts: source, Caches: platform.NewTargets(),
+		Settings: d.settings, Source: source.Topic, Wire: platform.Wire{}, Out: d.out, Facts: source, Caches: platform.NewTargets(),
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -36,7 +36,7 @@
 			Instance: &chestnutstep.Instance{ID: name, Service: "llm", Address: "127.0.0.1:1", Domain: "d", Slots: 8},
 		})
 	}
-	ros.Learn(clock.Now(), list, true)
+	ros.Learn(clock.Now(), chestnutstep.TopicTargets, list, true)
 	c := &chestnutstep.Routing{
 		Version: 1, Keyed: true, Services: map[string]*chestnutstep.Service{"llm": {Name: "llm", Engine: true}},
 		Workspaces: []*chestnutstep.Client{{Name: "ws", Keys: []string{key}}},
@@ -46,10 +46,10 @@
 		}},
 	}
 	c.Index()
-	ros.Learn(clock.Now(), chestnutstep.Batch{Facts: []chestnutstep.Fact{{
+	ros.Learn(clock.Now(), chestnutstep.TopicRouting, chestnutstep.Batch{Facts: []chestnutstep.Fact{{
 		Kind: chestnutstep.FactRouting, Revision: 1, Routing: c,
 	}}}, false)
-	ros.Prove(clock.Now())
+	ros.Confirm(clock.Now())
 	bounds := config.Bounds{Revoke: time.Hour}
 	set, err := meter.NewSet()
 	assert.NilError(b, err)
--- a/relay/log.go
+++ b/relay/log.go
@@ -23,7 +23,7 @@
 		event.Float("running", c.Running), event.Int("own", int64(c.Held)), event.Int("held", int64(c.Cached())),
 		event.Int("shared", int64(c.Ask.Shared)), event.Uint("prefix", c.Ask.Key), event.Float("cost", c.Cost),
 		event.Int("of", int64(c.Of)), event.Bool("cold", c.Cold), event.Str("fetch", c.Donor.Address), event.Bool("fresh", c.Fresh),
-		event.Uint("version", q.view.Routing.Version), event.Dur("proof", clock.Now().Sub(q.Roster.Proof())))
+		event.Uint("version", q.view.Routing.Version), event.Dur("listed", clock.Now().Sub(q.Roster.Proof(chestnutstep.TopicTargets))))
 }
 
 // kind names the kind of the request's route in metrics.
@@ -58,7 +58,7 @@
 	fields := []event.Field{
 		event.Int("status", int64(f.status)), event.Str("reason", string(f.reason)), event.Str("run", string(run)),
 		event.Int("tries", int64(q.tally.Tries)), event.Dur("took", time.Since(q.began)),
-		event.Dur("proof", clock.Now().Sub(q.Roster.Proof())),
+		event.Dur("proof", clock.Now().Sub(q.Roster.Confirmed())),
 	}
 	if q.room != nil {
 		fields = append(fields, event.Str("workspace", q.who().Workspace), event.Float("taken", q.room.Taken),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -188,7 +188,7 @@
 		return true
 	}
 	limit := time.Duration(keySafe * float64(revoke))
-	return clock.Now().Sub(q.Roster.Proof()) <= limit
+	return clock.Now().Sub(q.Roster.Confirmed()) <= limit
 }
 
 // split picks a service of the route by its weights, the same one for all tries.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -66,9 +66,9 @@
 			Instance: &chestnutstep.Instance{ID: name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8},
 		})
 	}
-	g.roster.Learn(clock.Now(), b, true)
+	g.roster.Learn(clock.Now(), chestnutstep.TopicTargets, b, true)
 	g.publish(1, key)
-	g.roster.Prove(clock.Now())
+	g.roster.Confirm(clock.Now())
 	bounds := config.Bounds{Revoke: revokeIn}
 	g.relay = newRelay(g.roster, bounds, 1)
 	g.server = httptest.NewServer(g.relay)
@@ -124,7 +124,7 @@
 		c.Routes = append(c.Routes, r)
 	}
 	c.Index()
-	g.roster.Learn(clock.Now(), chestnutstep.Batch{Facts: []chestnutstep.Fact{{
+	g.roster.Learn(clock.Now(), chestnutstep.TopicRouting, chestnutstep.Batch{Facts: []chestnutstep.Fact{{
 		Kind: chestnutstep.FactRouting, Revision: version, Routing: c,
 	}}}, false)
 }
@@ -229,5 +229,5 @@
 			})
 		}
 	}
-	g.roster.Learn(clock.Now(), b, false)
+	g.roster.Learn(clock.Now(), chestnutstep.TopicTargets, b, false)
 }
--- a/relay/silent_test.go
+++ b/relay/silent_test.go
@@ -40,7 +40,7 @@
 	t.Cleanup(func() { l.Close() })
 	d := &deaf{Listener: l}
 	go d.run(t)
-	g.roster.Learn(clock.Now(), chestnutstep.Batch{Facts: []chestnutstep.Fact{{
+	g.roster.Learn(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Facts: []chestnutstep.Fact{{
 		Kind: chestnutstep.FactInstance, Name: "i-deaf", Revision: 9,
 		Instance: &chestnutstep.Instance{ID: "i-deaf", Service: "shop", Address: l.Addr().String(), Domain: "d", Slots: 8},
 	}}}, false)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -60,23 +60,29 @@
 	// known is the revision of each entry, gone ones included.
 	known map[entry]uint64
 	// held are the entries as they were published, for peers.
-	held map[entry]chestnutstep.Fact
-	// revision up to which facts were read, and floor that of the last full read: of what
-	// was removed before it nothing is known.
-	revision uint64
-	floor    uint64
-	changed  chan struct{}
-	targets  map[string]*Target
-	out      map[string]bool
-	routing  *chestnutstep.Routing
-	// doubt says that the source has not answered since the last read, and settled until
-	// when targets that are missing are kept.
+	held    map[entry]chestnutstep.Fact
+	topics  [chestnutstep.TopicCount]topic
+	targets map[string]*Target
+	out     map[string]bool
+	routing *chestnutstep.Routing
+	// doubt says that the source of targets has not answered since the last read, and
+	// settled until when targets that are missing are kept.
 	doubt   bool
 	settled clock.Stamp
-	// read is when the last answer came.
-	read  clock.Stamp
-	proof atomic.Int64
-	heard bool
+	// confirmed is when a peer's report last proved the version in force.
+	confirmed stamp
+}
+
+// stamp is a moment that only moves forward.
+type stamp struct{ atomic.Int64 }
+
+func (s *stamp) advance(at clock.Stamp) {
+	for {
+		old := s.Load()
+		if int64(at) <= old || s.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
 }
 
 // entry names a published entry.
@@ -108,18 +114,22 @@
 // View returns what is known now; nil before the configuration is known.
 func (r *Roster) View() *View { return r.view.Load() }
 
-// Proof is the moment as of which the configuration is known to be current; 0
-// for never.
-func (r *Roster) Proof() clock.Stamp { return clock.Stamp(r.proof.Load()) }
+// Proof is the moment as of which all facts of a topic are known; 0 for never.
+func (r *Roster) Proof(t chestnutstep.Topic) clock.Stamp {
+	return clock.Stamp(r.topics[t].proof.Load())
+}
 
-// Prove says that the configuration was current at a moment.
-func (r *Roster) Prove(at clock.Stamp) {
-	for {
-		old := r.proof.Load()
-		if int64(at) <= old || r.proof.CompareAndSwap(old, int64(at)) {
-			return
-		}
-	}
+// Prove says that all facts of a topic as of a moment are known.
+func (r *Roster) Prove(t chestnutstep.Topic, at clock.Stamp) { r.topics[t].proof.advance(at) }
+
+// Confirm says that the version in force was the newest at a moment. It proves nothing about
+// failure domains or targets.
+func (r *Roster) Confirm(at clock.Stamp) { r.confirmed.advance(at) }
+
+// Confirmed is the moment as of which the version in force is known to be the newest; 0 for
+// never.
+func (r *Roster) Confirmed() clock.Stamp {
+	return max(clock.Stamp(r.confirmed.Load()), r.Proof(chestnutstep.TopicRouting))
 }
 
 // Version of the configuration in force, 0 for none.
@@ -130,7 +140,7 @@
 	return 0
 }
 
-// Doubt records that the source does not answer.
+// Doubt records that the source of targets does not answer.
 func (r *Roster) Doubt() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -143,19 +153,23 @@
 	}
 	r.known = make(map[entry]uint64)
 	r.held = make(map[entry]chestnutstep.Fact)
-	r.changed = make(chan struct{})
+	for i := range r.topics {
+		r.topics[i].changed = make(chan struct{})
+	}
 	r.targets = make(map[string]*Target)
 	r.out = make(map[string]bool)
 }
 
-// Learn takes the facts of one read that was asked at a moment. With full they
+// Learn takes the facts of one read of a topic that was asked at a moment. With full they
 // are all that there are: what is not among them is gone.
-func (r *Roster) Learn(now clock.Stamp, b chestnutstep.Batch, full bool) Change {
+func (r *Roster) Learn(now clock.Stamp, topic chestnutstep.Topic, b chestnutstep.Batch, full bool) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin()
-	r.extendSettled(now, b)
-	r.read = now
+	t := &r.topics[topic]
+	if topic == chestnutstep.TopicTargets {
+		r.extendSettled(now, b, t.read)
+	}
 	var c Change
 	seen := make(map[entry]bool, len(b.Facts))
 	for _, f := range b.Facts {
@@ -163,25 +177,19 @@
 		r.take(now, f, &c)
 	}
 	if full {
-		r.retire(now, seen, b.Revision, &c)
-		r.floor = b.Revision
+		r.retire(now, topic, seen, b.Revision, &c)
 	}
 	r.expire(now, &c)
-	if b.Revision > r.revision {
-		r.revision = b.Revision
-		close(r.changed)
-		r.changed = make(chan struct{})
-	}
-	first := full && !r.heard
-	r.heard = r.heard || first
+	first := full && topic == chestnutstep.TopicTargets && !t.heard
+	t.learn(now, b, full)
 	r.publish(c, first)
 	return c
 }
 
 // extendSettled decides for how long targets that are missing may have lapsed. A peer says so
 // itself: it may have read the source all the while that this entry could not.
-func (r *Roster) extendSettled(now clock.Stamp, b chestnutstep.Batch) {
-	if r.doubt && b.Direct() && now.Sub(r.read) > lapseLeast {
+func (r *Roster) extendSettled(now clock.Stamp, b chestnutstep.Batch, read clock.Stamp) {
+	if r.doubt && b.Direct() && now.Sub(read) > lapseLeast {
 		r.settled = now.Add(settle)
 	}
 	r.doubt = false
@@ -249,7 +257,7 @@
 	old := r.targets[in.ID]
 	t := &Target{Instance: *in, ColdUntil: now.Add(in.Cold)}
 	fresh := old == nil || old.Born != in.Born || old.Address != in.Address
-	if fresh && r.heard && !r.aged(in) {
+	if fresh && r.topics[chestnutstep.TopicTargets].heard && !r.aged(in) {
 		// One that appears while we watch has just started, whatever it says.
 		t.ColdUntil = max(t.ColdUntil, now.Add(r.coldStart(in.Service)))
 	}
@@ -295,17 +303,19 @@
 	return s.ColdStart
 }
 
-// retire removes what a full read no longer lists.
-func (r *Roster) retire(now clock.Stamp, seen map[entry]bool, revision uint64, c *Change) {
+// retire removes what a full read of a topic no longer lists.
+func (r *Roster) retire(now clock.Stamp, topic chestnutstep.Topic, seen map[entry]bool, revision uint64, c *Change) {
+	gone := func(kind chestnutstep.FactKind, name string) bool {
+		key := entry{kind, name}
+		return kind.Topic() == topic && !seen[key] && r.known[key] <= revision
+	}
 	for id := range r.targets {
-		key := entry{chestnutstep.FactInstance, id}
-		if !seen[key] && r.known[key] <= revision {
+		if gone(chestnutstep.FactInstance, id) {
 			r.miss(now, id, c)
 		}
 	}
 	for domain := range r.out {
-		key := entry{chestnutstep.FactOut, domain}
-		if !seen[key] && r.known[key] <= revision {
+		if gone(chestnutstep.FactOut, domain) {
 			r.takeOut(domain, false, c)
 		}
 	}
@@ -350,7 +360,7 @@
 	}
 	v := &View{
 		Routing:  r.routing,
-		Listed:   r.heard,
+		Listed:   r.topics[chestnutstep.TopicTargets].heard,
 		Services: make(map[string][]*Target),
 		ByID:     maps.Clone(r.targets),
 		Out:      maps.Clone(r.out),
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -66,13 +66,27 @@
 				b.Settle = value
 			}
 		}
-		s.roster.Learn(s.now, b, d.Cmd == "full")
+		s.learn(b, d.Cmd == "full")
 	default:
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
 	return s.view()
 }
 
+// learn gives the roster the facts of both topics, the configuration first.
+func (s *script) learn(b chestnutstep.Batch, full bool) {
+	for _, topic := range []chestnutstep.Topic{chestnutstep.TopicRouting, chestnutstep.TopicTargets} {
+		part := b
+		part.Facts = nil
+		for _, f := range b.Facts {
+			if f.Kind.Topic() == topic {
+				part.Facts = append(part.Facts, f)
+			}
+		}
+		s.roster.Learn(s.now, topic, part, full)
+	}
+}
+
 // batch reads lines such as "target a rev=3 leaving born=7 cold=2s",
 // "gone a rev=4", "version 3 rev=9", "out zone rev=2" and "back zone rev=3".
 func batch(t *testing.T, d *datadriven.TestData) chestnutstep.Batch {
--- a/roster/since.go
+++ b/roster/since.go
@@ -7,26 +7,30 @@
 	"chestnutstep.example/chestnutstep/clock"
 )
 
-// Since returns the facts that changed after a revision, as they were published; removed
-// ones have no content. It reports false where it can't name all of them: the revision is
-// older than the last full read. Revision 0 asks for all facts in force.
-func (r *Roster) Since(now clock.Stamp, after uint64) (chestnutstep.Batch, bool) {
+// Since returns the facts of a topic that changed after a revision, as they were published;
+// removed ones have no content. It reports false where it can't name all of them: the revision
+// is older than the last full read. Revision 0 asks for all facts in force.
+func (r *Roster) Since(now clock.Stamp, topic chestnutstep.Topic, after uint64) (chestnutstep.Batch, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin()
-	b := chestnutstep.Batch{Revision: r.revision, Settle: max(r.settled.Sub(now), 0)}
+	t := &r.topics[topic]
+	b := chestnutstep.Batch{Revision: t.revision}
+	if topic == chestnutstep.TopicTargets {
+		b.Settle = max(r.settled.Sub(now), 0)
+	}
 	if after == 0 {
-		b.Facts = r.all()
+		b.Facts = r.all(topic)
 		return b, true
 	}
-	if after < r.floor {
+	if after < t.floor {
 		return b, false
 	}
-	if after >= r.revision {
+	if after >= t.revision {
 		return b, true
 	}
 	for key, revision := range r.known {
-		if revision <= after || key.kind == chestnutstep.FactUnknown {
+		if revision <= after || key.kind == chestnutstep.FactUnknown || key.kind.Topic() != topic {
 			continue
 		}
 		f, ok := r.held[key]
@@ -38,11 +42,14 @@
 	return b, true
 }
 
-// all lists the facts in force, as the source would: without instances that it no longer
-// lists. The caller holds the lock.
-func (r *Roster) all() []chestnutstep.Fact {
-	list := make([]chestnutstep.Fact, 0, len(r.held))
+// all lists the facts of a topic in force, as the source would: without instances that it no
+// longer lists. The caller holds the lock.
+func (r *Roster) all(topic chestnutstep.Topic) []chestnutstep.Fact {
+	var list []chestnutstep.Fact
 	for key, f := range r.held {
+		if key.kind.Topic() != topic {
+			continue
+		}
 		if t := r.targets[key.name]; key.kind == chestnutstep.FactInstance && t != nil && t.missing {
 			continue
 		}
@@ -51,20 +58,21 @@
 	return list
 }
 
-// Await returns once the facts were read up to a later revision, or the wait is over.
-func (r *Roster) Await(after uint64, wait time.Duration, done <-chan struct{}) {
+// Await returns once facts of a topic were read up to a later revision, or the wait is over.
+func (r *Roster) Await(topic chestnutstep.Topic, after uint64, wait time.Duration, done <-chan struct{}) {
 	r.mu.Lock()
 	r.begin()
-	changed, newer := r.changed, r.revision > after
+	t := &r.topics[topic]
+	changed, now := t.changed, t.revision > after
 	r.mu.Unlock()
-	if newer || wait <= 0 {
+	if now || wait <= 0 {
 		return
 	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	select {
 	case <-changed:
-	case <-t.C:
+	case <-timer.C:
 	case <-done:
 	}
 }
--- a/source.go
+++ b/source.go
@@ -17,6 +17,46 @@
 	FactInstance                 // a target
 )
 
+// Topic is a part of the facts that is read on its own, so that a large configuration holds
+// up no change of targets.
+type Topic uint8
+
+// The topics.
+const (
+	TopicTargets Topic = iota // the targets
+	TopicRouting              // the configuration, and failure domains out of service
+	// TopicCount is the number of topics.
+	TopicCount
+)
+
+var topicNames = [TopicCount]string{"targets", "routing"}
+
+// String returns the name of the topic in logs and between entries.
+func (t Topic) String() string {
+	if t < TopicCount {
+		return topicNames[t]
+	}
+	return fmt.Sprintf("topic %d", uint8(t))
+}
+
+// TopicNamed returns the topic of a name, and whether there is one.
+func TopicNamed(name string) (Topic, bool) {
+	for t := range TopicCount {
+		if topicNames[t] == name {
+			return t, true
+		}
+	}
+	return 0, false
+}
+
+// Topic returns the topic that facts of this kind belong to.
+func (k FactKind) Topic() Topic {
+	if k == FactInstance {
+		return TopicTargets
+	}
+	return TopicRouting
+}
+
 // Fact is one published entry as of one revision.
 type Fact struct {
 	Kind FactKind
@@ -51,7 +91,7 @@
 // Direct says that the source itself answered.
 func (b *Batch) Direct() bool { return b.Age == 0 }
 
-// Source is where facts are published. Nothing is ever written there.
+// Source is where the facts of one topic are published. Nothing is ever written there.
 type Source interface {
 	// List reads all facts. The error is ErrSource.
 	List(ctx context.Context) (Batch, error)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -15,21 +14,15 @@
 	"chestnutstep.example/chestnutstep/roster"
 )
 
-const (
-	// pauseLeast and pauseMost bound the pause after a failure. The least lets a
-	// lost answer be asked for at once; the most keeps a fleet of 350 under
-	// 1,200 calls a second while the source refuses them.
-	pauseLeast = 30 * time.Millisecond
-	pauseMost  = 300 * time.Millisecond
-	// lostWait is how long a watch waits after the source was lost. What is missing
-	// counts as gone two seconds after its return, and a watch that waits long notices
-	// the return with the next change only: a target that is removed meanwhile
-	// would pass for one whose entry only lapsed, and still get requests.
-	lostWait = 50 * time.Millisecond
-)
+// lostWait is how long a watch waits after the source was lost. What is missing
+// counts as gone two seconds after its return, and a watch that waits long notices
+// the return with the next change only: a target that is removed meanwhile
+// would pass for one whose entry only lapsed, and still get requests.
+const lostWait = 50 * time.Millisecond
 
-// Watcher follows a source. Set the fields before Run.
+// Watcher follows the source of a topic. Set the fields before Run.
 type Watcher struct {
+	Topic  chestnutstep.Topic
 	Source chestnutstep.Source
 	Roster *roster.Roster
 	// Notify is called for each change, and for each loss and return of the source.
@@ -41,9 +34,11 @@
 	Rest func() time.Duration
 	// Wake ends the present watch, so that the next one begins; nil for never.
 	Wake chan struct{}
+	// Pauses between calls that fail; shared by the watchers of one source, so that two
+	// topics cost a source that is down no more calls than one.
+	Pauses *Pauses
 
 	revision uint64
-	pause    time.Duration
 	lost     bool
 	woken    atomic.Bool
 }
@@ -51,8 +46,8 @@
 // Notify is what a watcher reports.
 type Notify interface {
 	Changed(c roster.Change, asked clock.Stamp)
-	Lost(err error)
-	Regained()
+	Lost(t chestnutstep.Topic, err error)
+	Regained(t chestnutstep.Topic)
 }
 
 // Run follows the source until ctx ends.
@@ -82,16 +77,16 @@
 	if err != nil {
 		return err
 	}
-	w.pause = 0
+	w.Pauses.reset()
 	if w.lost {
 		w.lost = false
-		w.Notify.Regained()
+		w.Notify.Regained(w.Topic)
 	}
 	if b.Revision > w.revision || full {
 		w.revision = b.Revision
 	}
-	c := w.Roster.Learn(clock.Now(), b, full)
-	w.Roster.Prove(asked.Add(-b.Age))
+	c := w.Roster.Learn(clock.Now(), w.Topic, b, full)
+	w.Roster.Prove(w.Topic, asked.Add(-b.Age))
 	if !c.Empty() {
 		w.Notify.Changed(c, asked)
 	}
@@ -129,11 +124,11 @@
 	}
 }
 
-// failed pauses, a little longer after each failure in a row.
+// failed records a failure, and pauses.
 func (w *Watcher) failed(ctx context.Context, err error) {
 	var e chestnutstep.ErrSource
 	isSource := errors.As(err, &e)
-	if isSource {
+	if isSource && w.Topic == chestnutstep.TopicTargets {
 		w.Roster.Doubt()
 	}
 	if isSource && e.Gap {
@@ -141,8 +136,7 @@
 	}
 	if !w.lost {
 		w.lost = true
-		w.Notify.Lost(err)
+		w.Notify.Lost(w.Topic, err)
 	}
-	w.pause = min(max(2*w.pause, pauseLeast), pauseMost)
-	clock.Sleep(ctx, w.pause/2+rand.N(w.pause))
+	clock.Sleep(ctx, w.Pauses.next(clock.Now()))
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -27,7 +27,7 @@
 	wait   time.Duration
 
 	mu             sync.Mutex
-	lost, regained int
+	lost, regained [chestnutstep.TopicCount]int
 }
 
 func follow(t *testing.T, store *stand.Store, wait time.Duration) *follower {
@@ -37,25 +37,37 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	source := platform.NewStore(f.door.Address(), link.Dial)
-	w := &watch.Watcher{Source: source, Roster: f.roster, Notify: f, Wait: func() time.Duration { return f.wait }, Rest: rest, Wake: f.wake}
-	go w.Run(ctx)
+	pauses := &watch.Pauses{}
+	for topic := range chestnutstep.TopicCount {
+		w := &watch.Watcher{
+			Topic: topic, Source: source.Topic(topic), Roster: f.roster, Notify: f,
+			Wait: func() time.Duration { return f.wait }, Rest: rest, Pauses: pauses,
+		}
+		if topic == chestnutstep.TopicRouting {
+			w.Wake = f.wake
+		}
+		go w.Run(ctx)
+	}
 	return f
 }
 
+// once is that each topic is lost or regained one time.
+var once = [chestnutstep.TopicCount]int{1, 1}
+
 func rest() time.Duration { return 300 * time.Millisecond }
 
 func (f *follower) Changed(roster.Change, clock.Stamp) {}
 
-func (f *follower) Lost(error) {
+func (f *follower) Lost(t chestnutstep.Topic, _ error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lost++
+	f.lost[t]++
 }
 
-func (f *follower) Regained() {
+func (f *follower) Regained(t chestnutstep.Topic) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.regained++
+	f.regained[t]++
 }
 
 // until waits for a condition with a generous limit.
@@ -138,7 +150,7 @@
 func TestHistoryIsGone(t *testing.T) {
 	f := start(t)
 	f.door.Set(stand.Busy)
-	until(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.lost == 1 }, "the watch is lost")
+	until(t, func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.lost == once }, "the watches are lost")
 	f.store.Put("op/config", config(9))
 	f.store.Remove("servers/c")
 	f.store.Put("servers/a", server("draining"))
@@ -148,7 +160,7 @@
 	until(t, f.has("a", "b", "d", "e"), "what is still missing after the return is gone")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assert.Equal(t, f.regained, 1)
+	assert.Equal(t, f.regained, once)
 }
 
 // The store turns one host away in each of its ways and serves another. The host
@@ -185,7 +197,7 @@
 	until(t, f.version(4), "the newer version is in force")
 	f.store.Put("op/config", config(5))
 	until(t, f.version(5), "the newer version is in force")
-	assert.Assert(t, f.roster.Proof() >= at)
+	assert.Assert(t, f.roster.Proof(chestnutstep.TopicRouting) >= at)
 }
 
 // moody is a source whose first watch fails, and that notes how long each is to wait.
@@ -216,7 +228,7 @@
 	s := &moody{waits: make(chan time.Duration)}
 	f := &follower{roster: &roster.Roster{}}
 	w := &watch.Watcher{
-		Source: s, Roster: f.roster, Notify: f, Wait: func() time.Duration { return long }, Rest: rest,
+		Source: s, Roster: f.roster, Notify: f, Wait: func() time.Duration { return long }, Rest: rest, Pauses: &watch.Pauses{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -226,5 +238,5 @@
 	assert.Equal(t, <-s.waits, long)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	assert.Equal(t, f.regained, 1)
+	assert.Equal(t, f.regained[chestnutstep.TopicTargets], 1)
 }
