feed, roster, watch: a reader that has lost the source says so

Entries stood still for two seconds and more before anyone noticed that their readers were turned away by the store.

Cause: a reader that can't read the source any more went on answering with facts of growing age, until its followers found them too old (2.1 s at a bound of 3 s).

Now an entry whose reads fail ends the waits of its followers at once with 503, unless it has news for them; they turn to the next reader or the source. A reader that can't read the source asks for an entry that does, so that two never wait for each other. TestLostReaderKeepsNobodyWaiting, TestReadersDoNotFollowEachOther.

--- a/feed/page.go
+++ b/feed/page.go
@@ -25,7 +25,8 @@
 )
 
 // Path of the watch that an entry serves to its peers. Its query holds "topic", "after", a
-// revision (0 for all facts), "wait" and "fresh", both in milliseconds.
+// revision (0 for all facts), "wait" and "fresh", both in milliseconds, and "direct", which
+// asks for the facts of an entry that reads the source itself.
 const Path = "/feed"
 
 // Headers of an answer, beside a body of published facts.
@@ -87,6 +88,7 @@
 	topic       chestnutstep.Topic
 	after       uint64
 	wait, fresh time.Duration
+	direct      bool
 }
 
 func parseRequest(q url.Values) (r request, err error) {
@@ -98,11 +100,13 @@
 		return r, errors.Wrap(err, "after")
 	}
 	r.wait, r.fresh = milliseconds(q.Get("wait")), milliseconds(q.Get("fresh"))
+	r.direct = q.Get("direct") != ""
 	return r, nil
 }
 
 // ServeHTTP answers with the facts after a revision as soon as there are any. It answers
-// 503 while nothing is known or too many ask for all, and 410 where the revision is too old.
+// 503 while nothing is known, too many ask for all, or this entry has no news and can't follow
+// the source itself; and 410 where the revision is too old.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req, err := parseRequest(r.URL.Query())
 	if err != nil {
@@ -123,6 +127,9 @@
 	}
 	asked := clock.Now()
 	wait := min(req.wait, req.fresh-s.age(asked, req.topic))
+	if req.direct && !s.Roster.Follows(req.topic, true) {
+		wait = 0
+	}
 	s.Roster.Await(req.topic, req.after, wait, r.Context().Done())
 	s.answer(w, req, asked)
 }
@@ -135,6 +142,10 @@
 		http.Error(w, "history is gone", http.StatusGone)
 		return
 	}
+	if len(b.Facts) == 0 && !s.Roster.Follows(req.topic, req.direct) {
+		http.Error(w, "the source is lost", http.StatusServiceUnavailable)
+		return
+	}
 	encoded, err := s.encode(req, b)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/feed/page_test.go
+++ b/feed/page_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/roster"
 )
 
@@ -35,3 +38,37 @@
 		_, _ = decode(header, rapid.SliceOf(rapid.Byte()).Draw(t, "bytes"))
 	})
 }
+
+// askTargets asks a server for targets and returns the status.
+func askTargets(s *Server, query string) int {
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path+"?topic=targets&"+query, nil))
+	return w.Code
+}
+
+// TestLostReaderKeepsNobodyWaiting guards against followers that wait for news from a reader that gets none itself.
+func TestLostReaderKeepsNobodyWaiting(t *testing.T) {
+	s := &Server{Roster: &roster.Roster{}}
+	s.Roster.Learn(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Revision: 3}, true)
+	s.Roster.Prove(chestnutstep.TopicTargets, clock.Now())
+	answered := make(chan int)
+	go func() { answered <- askTargets(s, "after=3&wait=3600000&fresh=7200000") }()
+	time.Sleep(20 * time.Millisecond)
+	s.Roster.Lose(chestnutstep.TopicTargets)
+	assert.Equal(t, <-answered, http.StatusServiceUnavailable)
+	assert.Equal(t, askTargets(s, "after=3&wait=3600000&fresh=7200000"), http.StatusServiceUnavailable)
+	news := chestnutstep.Fact{Kind: chestnutstep.FactInstance, Name: "i-a", Revision: 4, Gone: true}
+	s.Roster.Learn(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Revision: 4, Facts: []chestnutstep.Fact{news}}, false)
+	s.Roster.Lose(chestnutstep.TopicTargets)
+	assert.Equal(t, askTargets(s, "after=3&wait=3600000&fresh=7200000"), http.StatusOK, "news are given all the same")
+}
+
+// TestReadersDoNotFollowEachOther guards against readers that have lost the source and wait for each other's news.
+func TestReadersDoNotFollowEachOther(t *testing.T) {
+	s := &Server{Roster: &roster.Roster{}}
+	follower := chestnutstep.Batch{Revision: 3, Age: time.Millisecond}
+	s.Roster.Learn(clock.Now(), chestnutstep.TopicTargets, follower, true)
+	s.Roster.Prove(chestnutstep.TopicTargets, clock.Now())
+	assert.Equal(t, askTargets(s, "after=3&wait=3600000&fresh=7200000&direct=1"), http.StatusServiceUnavailable)
+	assert.Equal(t, askTargets(s, "after=3&wait=1&fresh=7200000"), http.StatusOK)
+}
--- a/feed/source.go
+++ b/feed/source.go
@@ -192,11 +192,12 @@
 	return b, err
 }
 
-// follow asks the first few readers. The error is that of the last one.
+// follow asks the first few readers. The error is that of the last one. A reader that can't
+// read the source itself follows one that can: two that follow each other would wait in vain.
 func (s *Source) follow(ctx context.Context, c Choice, after uint64, wait time.Duration) (b chestnutstep.Batch, err error) {
 	err = errors.New("no reader is known")
 	for _, m := range c.Parents[:min(parentsTried, len(c.Parents))] {
-		b, err = s.ask(ctx, m, query{after: after, wait: wait})
+		b, err = s.ask(ctx, m, query{after: after, wait: wait, direct: c.Reader})
 		if err == nil {
 			s.setParent(m.ID)
 			return b, nil
@@ -240,8 +241,9 @@
 
 // query is what a reader is asked for.
 type query struct {
-	after uint64
-	wait  time.Duration
+	after  uint64
+	wait   time.Duration
+	direct bool
 }
 
 // ask reads from one reader. Facts that are too old are an error, and are returned.
@@ -263,6 +265,9 @@
 		"wait":  {strconv.FormatInt(q.wait.Milliseconds(), 10)},
 		"fresh": {strconv.FormatInt(pace.Fresh.Milliseconds(), 10)},
 	}
+	if q.direct {
+		values.Set("direct", "1")
+	}
 	u := url.URL{Scheme: "http", Host: m.Feed.String(), Path: Path, RawQuery: values.Encode()}
 	a, err := fetch.Get(ctx, s.client, u.String(), fetch.Limits{First: q.wait + pace.Slack, Idle: idleLimit, Most: pageMost})
 	b.First, b.Bytes = a.First, len(a.Body)
--- a/roster/since.go
+++ b/roster/since.go
@@ -58,12 +58,13 @@
 	return list
 }
 
-// Await returns once facts of a topic were read up to a later revision, or the wait is over.
+// Await returns once facts of a topic were read up to a later revision, none can be expected,
+// or the wait is over.
 func (r *Roster) Await(topic chestnutstep.Topic, after uint64, wait time.Duration, done <-chan struct{}) {
 	r.mu.Lock()
 	r.begin()
 	t := &r.topics[topic]
-	changed, now := t.changed, t.revision > after
+	changed, now := t.changed, t.revision > after || t.lost
 	r.mu.Unlock()
 	if now || wait <= 0 {
 		return
--- a/roster/topic.go
+++ b/roster/topic.go
@@ -13,21 +13,38 @@
 	// read is when the last answer came, and proof as of when all facts are known.
 	read  clock.Stamp
 	proof stamp
-	// heard says that all facts were read once.
-	heard bool
-	// changed is closed when news come.
+	// heard says that all facts were read once, direct that the last answer was the
+	// source's own, lost that none comes at present.
+	heard, direct, lost bool
+	// changed is closed when news come, or none can be expected.
 	changed chan struct{}
 }
 
 func (t *topic) learn(now clock.Stamp, b chestnutstep.Batch, full bool) {
-	t.read = now
+	t.read, t.direct, t.lost = now, b.Direct(), false
 	if full {
 		t.floor, t.heard = max(t.floor, b.Revision), true
 	}
 	if b.Revision > t.revision {
 		t.revision = b.Revision
-		close(t.changed)
-		t.changed = make(chan struct{})
+		t.wake()
+	}
+}
+
+// wake ends the waits of those who follow this entry.
+func (t *topic) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Lose records that a topic can't be read at present, from the source or from peers.
+func (r *Roster) Lose(topic chestnutstep.Topic) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begin()
+	if t := &r.topics[topic]; !t.lost {
+		t.lost, t.direct = true, false
+		t.wake()
 	}
 }
 
@@ -37,3 +54,12 @@
 	defer r.mu.Unlock()
 	return r.topics[topic].heard
 }
+
+// Follows says whether changes of a topic reach this entry at present: with direct, from the
+// source itself.
+func (r *Roster) Follows(topic chestnutstep.Topic, direct bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := &r.topics[topic]
+	return !t.lost && (t.direct || !direct)
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -126,6 +126,7 @@
 
 // failed records a failure, and pauses.
 func (w *Watcher) failed(ctx context.Context, err error) {
+	w.Roster.Lose(w.Topic)
 	var e chestnutstep.ErrSource
 	isSource := errors.As(err, &e)
 	if isSource && w.Topic == chestnutstep.TopicTargets {
