feed: an old copy of all facts ends no gap, and a gap is no failure of the source

Cause: after the store had dropped its history, a follower asked its peers for all facts; one that was as far behind gave an old copy, which counted as news. The follower went on from its revision, found the gap again, and so on. And a follower's call that found the gap held the next one back for a second, as if the source had failed.

TestOldCopyEndsNoGap fails before and passes now.

--- a/feed/source.go
+++ b/feed/source.go
@@ -131,7 +131,7 @@
 		return b, err
 	}
 	b, err = s.readSource(ctx, after, source)
-	if err != nil && ctx.Err() == nil {
+	if err != nil && !isGap(err) && ctx.Err() == nil {
 		s.Gate.shut(clock.Now())
 	}
 	return b, err
@@ -207,7 +207,7 @@
 		}
 		s.failure = errors.Wrapf(err, "reader %s", m.ID)
 		s.avoid(m, err)
-		if len(b.Facts) > 0 {
+		if after > 0 && len(b.Facts) > 0 {
 			return b, nil // old, and yet news here
 		}
 	}
--- /dev/null
+++ b/feed/source_test.go
@@ -0,0 +1,79 @@
+package feed_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/feed"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+// forgetful is a source that has dropped its history.
+type forgetful struct{}
+
+func (forgetful) List(context.Context) (chestnutstep.Batch, error) {
+	return chestnutstep.Batch{Revision: 9}, nil
+}
+
+func (forgetful) Watch(context.Context, uint64, time.Duration) (chestnutstep.Batch, error) {
+	return chestnutstep.Batch{}, chestnutstep.ErrSource{Status: 410, Gap: true}
+}
+
+// followerOf returns the ID of an entry that reads the source neither itself nor first.
+func followerOf(members []feed.Member) netip.AddrPort {
+	for port := uint16(7000); ; port++ {
+		id := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 9, 9}), port)
+		if !feed.Choose(id, members).Reader {
+			return id
+		}
+	}
+}
+
+// TestOldCopyEndsNoGap guards against an entry that takes old facts from a peer again and again after the source has
+// dropped its history, and never reads what it missed.
+func TestOldCopyEndsNoGap(t *testing.T) {
+	var members []feed.Member
+	for i := range 2 {
+		r := &roster.Roster{}
+		out := chestnutstep.Fact{Kind: chestnutstep.FactOut, Name: "z", Revision: 3}
+		r.Learn(clock.Now(), chestnutstep.TopicRouting, chestnutstep.Batch{Revision: 3, Facts: []chestnutstep.Fact{out}}, true)
+		r.Prove(chestnutstep.TopicRouting, clock.Now().Add(-time.Minute))
+		server := httptest.NewServer(&feed.Server{Roster: r})
+		t.Cleanup(server.Close)
+		members = append(members, feed.Member{
+			ID:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(i)}), 7000),
+			Feed: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+		})
+	}
+	s := &feed.Source{
+		Topic: chestnutstep.TopicRouting, Source: forgetful{}, Decoder: decoder{}, Dial: link.Dial, Self: followerOf(members),
+		Members:  func() []feed.Member { return members },
+		Pace:     func() feed.Pace { return feed.NewPace(bound) },
+		Empty:    func() bool { return false },
+		OnParent: func(netip.AddrPort, error) {},
+		Gate:     &feed.Gate{},
+	}
+	_, err := s.Watch(context.Background(), 3, time.Millisecond)
+	var gap chestnutstep.ErrSource
+	assert.Assert(t, errors.As(err, &gap) && gap.Gap, "%v", err)
+	b, err := s.List(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, b.Revision, uint64(9))
+}
+
+// decoder takes facts as they are.
+type decoder struct{}
+
+func (decoder) Decode(kind chestnutstep.FactKind, name string, revision uint64, raw []byte) chestnutstep.Fact {
+	return chestnutstep.Fact{Kind: kind, Name: name, Revision: revision, Raw: raw}
+}
