feed, share, config: hosts with the fastest links read the source for the others

A configuration of a megabyte was in force at the last entry up to 4.0 s after the first one, and callers of those entries got late answers while their link of 10 Mbit/s was full.

Cause: readers were drawn by a hash alone.

Entries report the rate of their links, from the settings, to each other; readers are drawn among the fastest, links within a factor of about four alike.

TestFastHostsRead.

--- a/config/direct.go
+++ b/config/direct.go
@@ -32,6 +32,8 @@
 	// for as many as the system allows.
 	Files  int
 	Memory int64
+	// Link is the rate of the host's link in Mbit/s; 0 for an unknown one.
+	Link int
 	// First says that the whole fleet starts for the first time.
 	First bool
 	// Unknown are fields of the settings file that this version does not know.
@@ -105,6 +107,9 @@
 	if s.Memory < 0 {
 		add("memory", "must not be below 0")
 	}
+	if s.Link < 0 {
+		add("link", "must not be below 0")
+	}
 	if s.Bounds.Grace <= 0 {
 		add("grace", "must be above 0")
 	}
--- a/feed/choice.go
+++ b/feed/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"net/netip"
 	"slices"
 
@@ -14,6 +15,8 @@
 	ID netip.AddrPort
 	// Feed is the address at which it serves its facts.
 	Feed netip.AddrPort
+	// Link is the rate of its host's link in Mbit/s; 0 for an unknown one.
+	Link int
 }
 
 // Choice says where an entry reads.
@@ -24,37 +27,46 @@
 	Parents []Member
 }
 
-// Choose picks the readers of a fleet by hash, so that entries that know the same members
+// Choose picks the readers of a fleet, so that entries that know the same members
 // choose the same ones, and orders them differently for each follower. Entries that know
 // different members choose too many readers or follow a follower: that costs calls and
-// age, and the age is checked.
-func Choose(self netip.AddrPort, members []Member) Choice {
+// age, and the age is checked. Hosts with the fastest links read: a reader passes each
+// configuration on to some 25 others, and one on a slow link keeps them waiting for seconds.
+func Choose(self Member, members []Member) Choice {
 	n := Readers(len(members) + 1)
-	own, before := rank(self), 0
-	ranked := sorted(members, rank)
-	for before < len(ranked) && rank(ranked[before].ID) < own {
-		before++
-	}
+	ranked := sorted(append([]Member{self}, members...), byLink)
+	before := slices.IndexFunc(ranked, func(m Member) bool { return m.ID == self.ID })
+	ranked = slices.Delete(ranked, before, before+1)
 	c := Choice{Reader: before < n}
 	if c.Reader {
 		n--
 	}
-	near := func(id netip.AddrPort) uint64 { return distance(self, id) }
+	near := func(m Member) (int, uint64) { return 0, distance(self.ID, m.ID) }
 	c.Parents = sorted(ranked[:min(n, len(ranked))], near)
 	return c
 }
 
-// sorted returns the members in the order of a hash.
-func sorted(members []Member, hash func(netip.AddrPort) uint64) []Member {
-	type hashed struct {
+// byLink orders members by the class of their links, the fastest first, and by a hash in each.
+func byLink(m Member) (class int, hash uint64) { return -linkClass(m.Link), rank(m.ID) }
+
+// linkClass is the same for links whose rates differ by less than a factor of four or so.
+func linkClass(rate int) int { return bits.Len(uint(max(rate, 0))) / 2 }
+
+// sorted returns the members in the order of a class and a hash.
+func sorted(members []Member, order func(Member) (class int, hash uint64)) []Member {
+	type ordered struct {
 		Member
-		hash uint64
+		class int
+		hash  uint64
 	}
-	list := make([]hashed, 0, len(members))
+	list := make([]ordered, 0, len(members))
 	for _, m := range members {
-		list = append(list, hashed{m, hash(m.ID)})
+		class, hash := order(m)
+		list = append(list, ordered{m, class, hash})
 	}
-	slices.SortFunc(list, func(a, b hashed) int { return cmp.Compare(a.hash, b.hash) })
+	slices.SortFunc(list, func(a, b ordered) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.hash, b.hash))
+	})
 	out := make([]Member, 0, len(list))
 	for _, m := range list {
 		out = append(out, m.Member)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -131,7 +131,7 @@
 	pace, gate, pauses := feed.NewPace(bound), &feed.Gate{}, &watch.Pauses{}
 	for topic := range chestnutstep.TopicCount {
 		source := &feed.Source{
-			Topic: topic, Source: store.Topic(topic), Decoder: store, Dial: dial, Self: e.id,
+			Topic: topic, Source: store.Topic(topic), Decoder: store, Dial: dial, Self: feed.Member{ID: e.id},
 			Members:  func() []feed.Member { return f.others(e) },
 			Pace:     func() feed.Pace { return pace },
 			Empty:    func() bool { return !e.roster.Heard(topic) },
@@ -190,7 +190,7 @@
 func (f *fleet) readers() []*entry {
 	var list []*entry
 	for _, e := range f.entries {
-		if feed.Choose(e.id, f.others(e)).Reader {
+		if feed.Choose(feed.Member{ID: e.id}, f.others(e)).Reader {
 			list = append(list, e)
 		}
 	}
@@ -433,10 +433,10 @@
 		readers, followers := 0, make(map[netip.AddrPort]int)
 		for i, m := range all {
 			others := append(append([]feed.Member(nil), all[:i]...), all[i+1:]...)
-			c := feed.Choose(m.ID, others)
+			c := feed.Choose(m, others)
 			if c.Reader {
 				readers++
-				few := feed.Choose(m.ID, others[:len(others)/2])
+				few := feed.Choose(m, others[:len(others)/2])
 				assert.Assert(t, few.Reader || n > 25, "a reader that knows half of the others reads")
 				continue
 			}
@@ -449,6 +449,30 @@
 	})
 }
 
+// TestFastHostsRead guards against a reader whose link keeps all that follow it waiting.
+func TestFastHostsRead(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 180).Draw(t, "entries")
+		fast := rapid.IntRange(0, n).Draw(t, "fast")
+		all := make([]feed.Member, n)
+		for i := range all {
+			all[i].ID = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7000)
+			all[i].Link = rapid.IntRange(8, 15).Draw(t, "rate")
+			if i < fast {
+				all[i].Link = 200
+			}
+		}
+		fastReaders := 0
+		for i, m := range all {
+			c := feed.Choose(m, append(append([]feed.Member(nil), all[:i]...), all[i+1:]...))
+			if c.Reader && m.Link == 200 {
+				fastReaders++
+			}
+		}
+		assert.Equal(t, fastReaders, min(fast, feed.Readers(n)))
+	})
+}
+
 // TestPace guards against times that leave no room for a reader's failure within the bound,
 // and against calls that grow with the fleet.
 func TestPace(t *testing.T) {
--- a/feed/source.go
+++ b/feed/source.go
@@ -46,8 +46,8 @@
 	Source  chestnutstep.Source
 	Decoder chestnutstep.Decoder
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
-	// Self is this entry's ID, and Members the other entries.
-	Self    netip.AddrPort
+	// Self is this entry, and Members the others.
+	Self    Member
 	Members func() []Member
 	// Pace in force.
 	Pace func() Pace
--- a/feed/source_test.go
+++ b/feed/source_test.go
@@ -33,7 +33,7 @@
 func followerOf(members []feed.Member) netip.AddrPort {
 	for port := uint16(7000); ; port++ {
 		id := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 9, 9}), port)
-		if !feed.Choose(id, members).Reader {
+		if !feed.Choose(feed.Member{ID: id}, members).Reader {
 			return id
 		}
 	}
@@ -56,7 +56,7 @@
 		})
 	}
 	s := &feed.Source{
-		Topic: chestnutstep.TopicRouting, Source: forgetful{}, Decoder: decoder{}, Dial: link.Dial, Self: followerOf(members),
+		Topic: chestnutstep.TopicRouting, Source: forgetful{}, Decoder: decoder{}, Dial: link.Dial, Self: feed.Member{ID: followerOf(members)},
 		Members:  func() []feed.Member { return members },
 		Pace:     func() feed.Pace { return feed.NewPace(bound) },
 		Empty:    func() bool { return false },
--- a/node/direct.go
+++ b/node/direct.go
@@ -208,7 +208,7 @@
 	if err != nil {
 		return errors.Wrap(err, "peer")
 	}
-	n.peers = &share.Peers{Self: self, Run: drawRun(), Knowledge: n, Conn: conn, OnError: n.datagramFailed}
+	n.peers = &share.Peers{Self: self, Run: drawRun(), Knowledge: n, Conn: conn, OnError: n.datagramFailed, Link: uint32(n.Settings.Link)}
 	if a, err := netip.ParseAddrPort(n.Settings.Control); err == nil && n.Facts != nil {
 		n.peers.Control = a.Port()
 	}
--- a/node/feed.go
+++ b/node/feed.go
@@ -42,7 +42,7 @@
 		Source:   n.Source(t),
 		Decoder:  n.Facts,
 		Dial:     link.Dial,
-		Self:     n.peers.Self,
+		Self:     feed.Member{ID: n.peers.Self, Link: n.Settings.Link},
 		Members:  n.members,
 		Pace:     n.pace,
 		Empty:    func() bool { return !n.roster.Heard(t) },
@@ -57,7 +57,7 @@
 // informed returns a peer that holds facts, if one is known.
 func (n *Direct) informed() (feed.Member, bool) {
 	m, ok := n.peers.PeerWithFacts()
-	return feed.Member{ID: m.Addr, Feed: m.Control}, ok
+	return feedMember(m), ok
 }
 
 const (
@@ -90,11 +90,15 @@
 	return feed.NewPace(bound)
 }
 
+func feedMember(m share.Member) feed.Member {
+	return feed.Member{ID: m.Addr, Feed: m.Control, Link: m.Link}
+}
+
 // members are the other entries that serve their facts.
 func (n *Direct) members() []feed.Member {
 	var list []feed.Member
 	for _, m := range n.peers.Members(clock.Now()) {
-		list = append(list, feed.Member{ID: m.Addr, Feed: m.Control})
+		list = append(list, feedMember(m))
 	}
 	return list
 }
--- a/share/peers.go
+++ b/share/peers.go
@@ -58,6 +58,8 @@
 	Conn net.PacketConn
 	// OnError is called for each datagram that could not be read or sent.
 	OnError func(err error)
+	// Link is the rate of this host's link in Mbit/s, for the peers.
+	Link uint32
 
 	mu     sync.Mutex
 	peers  map[netip.AddrPort]*peer
@@ -86,6 +88,7 @@
 	hasIndex bool
 	// version of the configuration in force there; 0 for none.
 	version uint64
+	link    int
 	news    cursor
 }
 
@@ -103,6 +106,8 @@
 type Member struct {
 	// Addr is the address of its datagrams, Control that of its calls.
 	Addr, Control netip.AddrPort
+	// Link is the rate of its host's link in Mbit/s; 0 for an unknown one.
+	Link int
 }
 
 // Members returns the peers from which a datagram came of late and that are not stopping.
@@ -114,7 +119,7 @@
 		if x.lastSeen == 0 || now.Sub(x.lastSeen) > memberFor || x.leaving || x.control == 0 {
 			continue
 		}
-		list = append(list, Member{Addr: a, Control: netip.AddrPortFrom(a.Addr(), x.control)})
+		list = append(list, x.member(a))
 	}
 	return list
 }
@@ -139,7 +144,7 @@
 	now := clock.Now()
 	for a, x := range p.peers { // in random order: restarted entries don't all ask the same one
 		if x.live(now) && x.version > 0 && x.control != 0 && !x.leaving {
-			return Member{Addr: a, Control: netip.AddrPortFrom(a.Addr(), x.control)}, true
+			return x.member(a), true
 		}
 	}
 	return Member{}, false
@@ -191,6 +196,10 @@
 }
 
 // quiet is the pause between datagrams to a silent peer.
+func (x *peer) member(a netip.AddrPort) Member {
+	return Member{Addr: a, Control: netip.AddrPortFrom(a.Addr(), x.control), Link: x.link}
+}
+
 func (x *peer) quiet() time.Duration {
 	return min(quietFirst<<min(max(x.unanswered-1, 0), 8), quietEvery)
 }
--- a/share/report.go
+++ b/share/report.go
@@ -58,6 +58,8 @@
 	// Domains what it has seen of the ways from there.
 	Domain  uint32
 	Domains []Domain
+	// Link is the rate of the sender's link in Mbit/s; 0 for an unknown one.
+	Link uint32
 }
 
 // Domain is what an entry has seen of the way to a failure domain of late.
--- a/share/talk.go
+++ b/share/talk.go
@@ -83,7 +83,7 @@
 // round sends one datagram to each peer, or to some of many, and returns the
 // bytes.
 func (p *Peers) round(now clock.Stamp) int {
-	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
+	r := &Report{From: p.Self, Run: p.Run, Control: p.Control, Link: p.Link}
 	p.Knowledge.FillReport(now, r)
 	p.addNews()
 	targets := p.choose(now, r)
@@ -199,6 +199,7 @@
 	x.run, x.number, x.lastSeen, x.unanswered = r.Run, r.Number, now, 0
 	if len(r.Lists) == 0 {
 		x.echo, x.control, x.leaving, x.hasIndex, x.version = r.Sent, r.Control, r.Leaving, r.HasIndex, r.Version
+		x.link = int(r.Link)
 	}
 	if r.EchoRun == p.Run {
 		x.news.confirm(r.Echo)
