roster: an old list brings nothing back that a newer one no longer had

Found by a model in which facts travel every way they can: lists with changes between their pages, watches, forgotten history, copies between entries, restarts.

Cause: what a full read does not list leaves no record behind. An entry that had listed the store at revision 5 and then, after a gap, took a copy from a peer as of revision 1 got a target back that was removed at revision 3, and handed it on as of 5: a state that counts as whole and mixes two. The same held for a failure domain out of service: back, or out for ever.

Now an entry that is not held is superseded by everything up to the last full read, and what a full read drops counts as known to be gone as of it.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -211,7 +211,7 @@
 // answer that was held up may come after a newer one.
 func (r *Roster) take(now clock.Stamp, f chestnutstep.Fact, c *Change) {
 	key := entry{f.Kind, f.Name}
-	if f.Revision < r.known[key] {
+	if r.supersedes(key, f.Revision) {
 		return
 	}
 	r.known[key] = f.Revision
@@ -230,6 +230,16 @@
 	}
 }
 
+// supersedes says whether something newer than a revision is known of an entry. One that a full
+// read did not list was removed before it.
+func (r *Roster) supersedes(key entry, revision uint64) bool {
+	known := r.known[key]
+	if _, ok := r.held[key]; ok {
+		return revision < known
+	}
+	return revision <= max(known, r.topics[key.kind.Topic()].floor)
+}
+
 // takeRouting never goes back: a request that was handled under a version must
 // not be followed by one under an older version.
 func (r *Roster) takeRouting(f chestnutstep.Fact, c *Change) {
@@ -307,7 +317,11 @@
 func (r *Roster) retire(now clock.Stamp, topic chestnutstep.Topic, seen map[entry]bool, revision uint64, c *Change) {
 	gone := func(kind chestnutstep.FactKind, name string) bool {
 		key := entry{kind, name}
-		return kind.Topic() == topic && !seen[key] && r.known[key] <= revision
+		if kind.Topic() != topic || seen[key] || r.known[key] > revision {
+			return false
+		}
+		r.known[key] = revision // an older answer must not bring it back
+		return true
 	}
 	for id := range r.targets {
 		if gone(chestnutstep.FactInstance, id) {
--- /dev/null
+++ b/roster/whole_test.go
@@ -0,0 +1,210 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/roster"
+	seeds "chestnutstep.example/chestnutstep/script"
+)
+
+func TestMain(m *testing.M) { seeds.Main(m, 4000) }
+
+// states of a target in the model's store, in the order in which they follow each other.
+const (
+	absent = iota
+	ready
+	draining
+)
+
+// modelStore is the source of targets: each change is an event, and events may be forgotten.
+type modelStore struct {
+	revision, since uint64
+	now             map[string]int
+	events          []chestnutstep.Fact
+	// history of each target's states: the revision from which on each holds.
+	history map[string][]change
+}
+
+type change struct {
+	revision uint64
+	state    int
+}
+
+func (s *modelStore) set(id string, state int) {
+	s.revision++
+	s.now[id] = state
+	s.history[id] = append(s.history[id], change{s.revision, state})
+	s.events = append(s.events, s.fact(id))
+}
+
+// fact is the newest one of a target.
+func (s *modelStore) fact(id string) chestnutstep.Fact {
+	list := s.history[id]
+	last := list[len(list)-1]
+	f := chestnutstep.Fact{Kind: chestnutstep.FactInstance, Name: id, Revision: last.revision, Gone: last.state == absent}
+	if last.state != absent {
+		f.Instance = &chestnutstep.Instance{ID: id, Service: "s", Address: id + ":1", Leaving: last.state == draining}
+	}
+	return f
+}
+
+// isOrWas says whether a target has had a state at a revision or at a later one.
+func (s *modelStore) isOrWas(id string, state int, revision uint64) bool {
+	at := absent
+	for _, c := range s.history[id] {
+		if c.revision <= revision {
+			at = c.state
+		} else if c.state == state {
+			return true
+		}
+	}
+	return at == state
+}
+
+// modelEntry is an entry that reads the store or another entry.
+type modelEntry struct {
+	roster   *roster.Roster
+	revision uint64
+}
+
+func (e *modelEntry) learn(now clock.Stamp, b chestnutstep.Batch) {
+	full := e.revision == 0
+	e.revision = max(b.Revision, e.revision)
+	e.roster.Learn(now, chestnutstep.TopicTargets, b, full)
+}
+
+// wholeModel is a fleet in which facts travel every way that they can.
+type wholeModel struct {
+	store   *modelStore
+	entries []*modelEntry
+	now     clock.Stamp
+}
+
+func newEntry() *modelEntry {
+	e := &modelEntry{roster: &roster.Roster{}}
+	routing := chestnutstep.Fact{Kind: chestnutstep.FactRouting, Revision: 1, Routing: &chestnutstep.Routing{Version: 1}}
+	e.roster.Learn(0, chestnutstep.TopicRouting, chestnutstep.Batch{Revision: 1, Facts: []chestnutstep.Fact{routing}}, true)
+	return e
+}
+
+func (m *wholeModel) draw(t *rapid.T, label string) *modelEntry {
+	return m.entries[rapid.IntRange(0, len(m.entries)-1).Draw(t, label)]
+}
+
+// change lets a target go one state on, or leave without a word.
+func (m *wholeModel) change(t *rapid.T) {
+	id := fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target"))
+	m.store.set(id, rapid.SampledFrom([]int{absent, ready, draining}).Draw(t, "state"))
+}
+
+// list reads all from the store, with changes between its pages.
+func (m *wholeModel) list(t *rapid.T) {
+	e := m.draw(t, "entry")
+	e.revision = 0
+	b := chestnutstep.Batch{Revision: m.store.revision}
+	for i := range 6 {
+		id := fmt.Sprint("t", i)
+		if rapid.IntRange(0, 4).Draw(t, "meanwhile") == 0 {
+			m.change(t)
+		}
+		if m.store.now[id] != absent {
+			b.Facts = append(b.Facts, m.store.fact(id))
+		}
+	}
+	e.learn(m.now, b)
+}
+
+// watch reads changes from the store, or finds that they are forgotten.
+func (m *wholeModel) watch(t *rapid.T) {
+	e := m.draw(t, "entry")
+	if e.revision == 0 || e.revision < m.store.since {
+		e.revision = 0
+		return
+	}
+	b := chestnutstep.Batch{Revision: m.store.revision}
+	for _, f := range m.store.events {
+		if f.Revision > e.revision {
+			b.Facts = append(b.Facts, f)
+		}
+	}
+	e.learn(m.now, b)
+}
+
+// follow reads from another entry, whatever that one has read last.
+func (m *wholeModel) follow(t *rapid.T) {
+	e, giver := m.draw(t, "entry"), m.draw(t, "giver")
+	if e == giver || !giver.roster.Heard(chestnutstep.TopicTargets) {
+		return
+	}
+	b, ok := giver.roster.Since(m.now, chestnutstep.TopicTargets, e.revision)
+	if !ok {
+		return
+	}
+	b.Age = time.Millisecond
+	for i, f := range b.Facts {
+		if !f.Gone {
+			b.Facts[i] = m.decode(f)
+		}
+	}
+	e.learn(m.now, b)
+}
+
+// decode stands in for reading what was published.
+func (m *wholeModel) decode(f chestnutstep.Fact) chestnutstep.Fact {
+	for _, c := range m.store.history[f.Name] {
+		if c.revision == f.Revision {
+			f.Instance = &chestnutstep.Instance{ID: f.Name, Service: "s", Address: f.Name + ":1", Leaving: c.state == draining}
+		}
+	}
+	return f
+}
+
+// check compares each entry with the store as of the revision up to which the entry claims to
+// know all.
+func (m *wholeModel) check(t *rapid.T) {
+	for i, e := range m.entries {
+		if !e.roster.Heard(chestnutstep.TopicTargets) || e.revision == 0 {
+			continue
+		}
+		for j := range 6 {
+			id, state := fmt.Sprint("t", j), absent
+			if x := e.roster.View().ByID[id]; x != nil && x.Leaving {
+				state = draining
+			} else if x != nil {
+				state = ready
+			}
+			if !m.store.isOrWas(id, state, e.revision) {
+				t.Fatalf("entry %d has %s in state %d at revision %d: %v", i, id, state, e.revision, m.store.history[id])
+			}
+		}
+	}
+}
+
+// TestStateIsWhole guards against a change that is missing from a state which counts as complete, whoever handed it on.
+func TestStateIsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &wholeModel{store: &modelStore{now: map[string]int{}, history: map[string][]change{}}, now: clock.Stamp(time.Hour)}
+		for range 4 {
+			m.entries = append(m.entries, newEntry())
+		}
+		m.change(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":       m.check,
+			"change": m.change,
+			"list":   m.list,
+			"watch":  m.watch,
+			"follow": m.follow,
+			"forget": func(*rapid.T) { m.store.since, m.store.events = m.store.revision, nil },
+			"tick": func(t *rapid.T) {
+				m.now = m.now.Add(rapid.SampledFrom([]time.Duration{time.Millisecond, 3 * time.Second}).Draw(t, "time"))
+			},
+			"restart": func(t *rapid.T) { m.entries[rapid.IntRange(0, 3).Draw(t, "entry")] = newEntry() },
+		})
+	})
+}
