share, platform, node: copies of what targets hold are given up for silence, too; learning waits for the list of targets

The same fault as in reads of facts: a peer's copy of what targets hold, above a megabyte on a large site, might take two seconds in all, two at a time over a link of 10 to 20 Mbit/s, and began anew when it took longer; a target's own listing 0.8 s.

Since targets are read apart from the configuration, an entry could count as knowing what targets hold before it knew any: TestLearningWaitsForTheList failed on the commit before.

--- a/node/learn.go
+++ b/node/learn.go
@@ -63,7 +63,7 @@
 		n.known(began)
 		return
 	}
-	for n.roster.View() == nil {
+	for v := n.roster.View(); v == nil || !v.Listed; v = n.roster.View() {
 		if !clock.Sleep(ctx, learnTick) {
 			return
 		}
--- a/node/learn_test.go
+++ b/node/learn_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/node"
 	"chestnutstep.example/chestnutstep/platform"
@@ -162,3 +163,28 @@
 	d.talk(t, "a")
 	assert.Assert(t, d.held(), d.out.text())
 }
+
+// TestLearningWaitsForTheList guards against an entry that counts as knowing what targets hold before it knows any target.
+func TestLearningWaitsForTheList(t *testing.T) {
+	store, x := newHolder(t)
+	door := store.Open()
+	t.Cleanup(door.Close)
+	source := platform.NewStore(door.Address(), link.Dial)
+	slow := &slowList{Source: source.Topic(chestnutstep.TopicTargets), asked: make(chan struct{}), release: make(chan struct{})}
+	d := &direct{settings: directSettings(t, door.Address()), door: door, out: &pausable{}}
+	d.settings.First = false
+	n := &node.Direct{
+		Settings: d.settings, Source: slow.topic(source), Wire: platform.Wire{}, Out: d.out, Caches: platform.NewTargets(),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	go func() { _ = n.Run(ctx) }()
+	known := func() bool { return strings.Contains(d.out.text(), "caches_known") }
+	<-slow.asked
+	waitFor(t, func() bool { return strings.Contains(d.out.text(), "routing_in_force") }, "the configuration is in force")
+	time.Sleep(time.Second)
+	assert.Assert(t, !known())
+	close(slow.release)
+	waitFor(t, known, "what the target holds is known")
+	assert.Equal(t, x.Listed(), 1)
+}
--- a/share/copy.go
+++ b/share/copy.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,18 +9,17 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
-)
 
-const (
-	// cachesLimit bounds the fetching of a peer's lists.
-	cachesLimit = 2 * time.Second
-	// cachesMost bounds them in bytes.
-	cachesMost = 8 << 20
-	// copiesMost is how many peers are answered at a time: a copy may take seconds of a host's
-	// link, and whoever has one can give it to the others.
-	copiesMost = 2
+	"chestnutstep.example/chestnutstep/fetch"
 )
 
+// copiesMost is how many peers are answered at a time: a copy may take seconds of a host's
+// link, and whoever has one can give it to the others.
+const copiesMost = 2
+
+// cachesLimits bound the fetching of a peer's lists.
+var cachesLimits = fetch.Limits{First: time.Second, Idle: time.Second, Most: 8 << 20}
+
 // CachesPath is the path at which an entry serves what it knows of targets' caches.
 const CachesPath = "/caches"
 
@@ -55,24 +53,13 @@
 
 // FetchCaches asks a peer what targets hold, and returns the size of the answer in bytes.
 func FetchCaches(ctx context.Context, address string, dial Dial) (lists []List, n int, err error) {
-	ctx, cancel := context.WithTimeout(ctx, cachesLimit)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+CachesPath, nil)
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "caches")
-	}
 	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "caches")
-	}
-	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, cachesMost))
+	a, err := fetch.Get(ctx, client, "http://"+address+CachesPath, cachesLimits)
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "caches")
+		return nil, len(a.Body), errors.Wrap(err, "caches")
 	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, 0, errors.Newf("caches: status %d of %s", resp.StatusCode, address)
+	if a.Status != http.StatusOK {
+		return nil, 0, errors.Newf("caches: status %d of %s", a.Status, address)
 	}
-	return lists, len(raw), errors.Wrap(cbor.Unmarshal(raw, &lists), "caches")
+	return lists, len(a.Body), errors.Wrap(cbor.Unmarshal(a.Body, &lists), "caches")
 }
