--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -88,12 +88,12 @@
 		timer.Stop()
 		body = append(body, buffer[:n]...)
 		switch {
+		case len(body) > l.Most:
+			return body, ErrSize{l.Most}
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
 			return body, err
-		case len(body) > l.Most:
-			return body, ErrSize{l.Most}
 		}
 	}
 }
--- a/fetch/fetch_test.go
+++ b/fetch/fetch_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,18 +79,40 @@
 	}
 }
 
+// onRead is a transport that calls a function before the first byte of a body is read.
+type onRead struct {
+	io.ReadCloser
+	call func()
+}
+
+func (r *onRead) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err == nil {
+		r.ReadCloser, resp.Body = resp.Body, r
+	}
+	return resp, err
+}
+
+func (r *onRead) Read(b []byte) (int, error) {
+	r.call()
+	return r.ReadCloser.Read(b)
+}
+
 // TestEndOfContextEndsNoTransfer guards against a transfer that is broken off by news of what it brings.
 func TestEndOfContextEndsNoTransfer(t *testing.T) {
 	bytes := make(chan struct{})
 	url := drip(t, true, bytes)
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		defer close(bytes)
-		bytes <- struct{}{}
+	begin := sync.OnceFunc(func() {
 		cancel()
-		bytes <- struct{}{}
-	}()
-	a, err := fetch.Get(ctx, http.DefaultClient, url+"/whole", fetch.Limits{First: never, Idle: never, Most: 9})
+		go func() {
+			defer close(bytes)
+			bytes <- struct{}{}
+			bytes <- struct{}{}
+		}()
+	})
+	client := &http.Client{Transport: &onRead{call: begin}}
+	a, err := fetch.Get(ctx, client, url+"/whole", fetch.Limits{First: never, Idle: never, Most: 9})
 	assert.NilError(t, err)
 	assert.Equal(t, len(a.Body), 2)
 }
