matrix: an order that stands at its step is released when its play fails

A whole play of the matrix hung for five minutes and more beside load, until it was ended by a signal. Stacks: Stack.Close waits for the stand-in engine's handler, which stands in Halt.Reach; the play had returned early, as an order had not come in time in a naive version, and released nothing.

--- a/matrix/order_test.go
+++ b/matrix/order_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,8 @@
 	n := p.stack.node(orderNode)
 	n.Engine.Fenced = !unfenced
 	p.stack.Halt.Arm(StepOrder)
+	release := sync.OnceFunc(p.stack.Halt.Release)
+	defer release() // the stack can't be closed while an order stands at the step
 	if err := p.tell("first"); err != nil {
 		return err
 	}
@@ -51,7 +54,7 @@
 			return err
 		}
 	}
-	p.stack.Halt.Release()
+	release()
 	return p.judgeOrder(n)
 }
 
