roster: a failure domain that came back while this entry had a gap is not handed on as out of service

A full read that no longer lists the domain put it back in service here, and left the published entry among those that peers copy: an entry that started then left a sound domain alone until the domain changed again. TestDomainBackInServiceIsNotHandedOnAsOut failed before.

--- a/roster/missing.go
+++ b/roster/missing.go
@@ -45,6 +45,7 @@
 	}
 	for domain := range r.out {
 		if gone(chestnutstep.FactOut, domain) {
+			delete(r.held, entry{chestnutstep.FactOut, domain})
 			r.takeOut(domain, false, c)
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
@@ -159,3 +160,14 @@
 	}
 	return out + "\n"
 }
+
+// TestDomainBackInServiceIsNotHandedOnAsOut guards against an entry that starts and leaves a failure domain alone which came
+// back while the entry that it copies from had a gap.
+func TestDomainBackInServiceIsNotHandedOnAsOut(t *testing.T) {
+	r := &roster.Roster{}
+	out := chestnutstep.Fact{Kind: chestnutstep.FactOut, Name: "z", Revision: 2}
+	r.Learn(0, chestnutstep.TopicRouting, chestnutstep.Batch{Revision: 2, Facts: []chestnutstep.Fact{out}}, true)
+	r.Learn(0, chestnutstep.TopicRouting, chestnutstep.Batch{Revision: 5}, true)
+	b, ok := r.Since(0, chestnutstep.TopicRouting, 0)
+	assert.Assert(t, ok && len(b.Facts) == 0, "%v", b.Facts)
+}
