--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -134,7 +134,7 @@
 			Topic: topic, Source: store.Topic(topic), Decoder: store, Dial: dial, Self: feed.Member{ID: e.id},
 			Members:  func() []feed.Member { return f.others(e) },
 			Pace:     func() feed.Pace { return pace },
-			Empty:    func() bool { return !e.roster.Heard(topic) },
+			Empty:    func() bool { return !e.roster.Listed(topic) },
 			OnParent: func(netip.AddrPort, error) {},
 			Gate:     gate,
 		}
--- a/feed/page.go
+++ b/feed/page.go
@@ -113,7 +113,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !s.Roster.Heard(req.topic) {
+	if !s.Roster.Listed(req.topic) {
 		http.Error(w, "no facts yet", http.StatusServiceUnavailable)
 		return
 	}
--- a/node/feed.go
+++ b/node/feed.go
@@ -45,7 +45,7 @@
 		Self:     feed.Member{ID: n.peers.Self, Link: n.Settings.Link},
 		Members:  n.members,
 		Pace:     n.pace,
-		Empty:    func() bool { return !n.roster.Heard(t) },
+		Empty:    func() bool { return !n.roster.Listed(t) },
 		Informed: n.informed,
 		CopyWait: n.copyWait,
 		OnParent: func(parent netip.AddrPort, err error) { n.logParent(t, parent, err) },
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -169,7 +169,7 @@
 		r.retire(now, topic, seen, b.Revision, &c)
 	}
 	r.expire(now, &c)
-	first := full && topic == chestnutstep.TopicTargets && !t.heard
+	first := full && topic == chestnutstep.TopicTargets && !t.listed
 	t.learn(now, b, full)
 	r.publish(c, first)
 	return c
@@ -246,7 +246,7 @@
 	old := r.targets[in.ID]
 	t := &Target{Instance: *in, ColdUntil: now.Add(in.Cold)}
 	fresh := old == nil || old.Born != in.Born || old.Address != in.Address
-	if fresh && r.topics[chestnutstep.TopicTargets].heard && !r.aged(in) {
+	if fresh && r.topics[chestnutstep.TopicTargets].listed && !r.aged(in) {
 		// One that appears while we watch has just started, whatever it says.
 		t.ColdUntil = max(t.ColdUntil, now.Add(r.coldStart(in.Service)))
 	}
@@ -299,7 +299,7 @@
 	}
 	v := &View{
 		Routing:  r.routing,
-		Listed:   r.topics[chestnutstep.TopicTargets].heard,
+		Listed:   r.topics[chestnutstep.TopicTargets].listed,
 		Services: make(map[string][]*Target),
 		ByID:     maps.Clone(r.targets),
 		Out:      maps.Clone(r.out),
--- a/roster/topic.go
+++ b/roster/topic.go
@@ -13,9 +13,9 @@
 	// read is when the last answer came, and proof as of when all facts are known.
 	read  clock.Stamp
 	proof stamp
-	// heard says that all facts were read once, direct that the last answer was the
+	// listed says that all facts were read once, direct that the last answer was the
 	// source's own, lost that none comes at present.
-	heard, direct, lost bool
+	listed, direct, lost bool
 	// changed is closed when news come, or none can be expected.
 	changed chan struct{}
 }
@@ -23,7 +23,7 @@
 func (t *topic) learn(now clock.Stamp, b chestnutstep.Batch, full bool) {
 	t.read, t.direct, t.lost = now, b.Direct(), false
 	if full {
-		t.floor, t.heard = max(t.floor, b.Revision), true
+		t.floor, t.listed = max(t.floor, b.Revision), true
 	}
 	if b.Revision > t.revision {
 		t.revision = b.Revision
@@ -55,11 +55,11 @@
 	return r.topics[topic].revision > after
 }
 
-// Heard says whether all facts of a topic were read once.
-func (r *Roster) Heard(topic chestnutstep.Topic) bool {
+// Listed says whether all facts of a topic were read once.
+func (r *Roster) Listed(topic chestnutstep.Topic) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.topics[topic].heard
+	return r.topics[topic].listed
 }
 
 // Follows says whether changes of a topic reach this entry at present: with direct, from the
--- a/roster/whole_test.go
+++ b/roster/whole_test.go
@@ -97,7 +97,7 @@
 	return m.entries[rapid.IntRange(0, len(m.entries)-1).Draw(t, label)]
 }
 
-// change lets a target go one state on, or leave without a word.
+// change lets a target go one state on, or leave without notice.
 func (m *wholeModel) change(t *rapid.T) {
 	id := fmt.Sprint("t", rapid.IntRange(0, 5).Draw(t, "target"))
 	m.store.set(id, rapid.SampledFrom([]int{absent, ready, draining}).Draw(t, "state"))
@@ -139,7 +139,7 @@
 // follow reads from another entry, whatever that one has read last.
 func (m *wholeModel) follow(t *rapid.T) {
 	e, giver := m.draw(t, "entry"), m.draw(t, "giver")
-	if e == giver || !giver.roster.Heard(chestnutstep.TopicTargets) {
+	if e == giver || !giver.roster.Listed(chestnutstep.TopicTargets) {
 		return
 	}
 	b, ok := giver.roster.Since(m.now, chestnutstep.TopicTargets, e.revision)
@@ -169,7 +169,7 @@
 // know all.
 func (m *wholeModel) check(t *rapid.T) {
 	for i, e := range m.entries {
-		if !e.roster.Heard(chestnutstep.TopicTargets) || e.revision == 0 {
+		if !e.roster.Listed(chestnutstep.TopicTargets) || e.revision == 0 {
 			continue
 		}
 		for j := range 6 {
