agent: a stream is whole with its last event, however late or badly its connection ends

What callers saw: a broken answer, or none, and on coming back the same draft generated anew by the same target (matrix chat lost cut and middle cut: "ran 2 times, wanted 1 at most", chat-a order 1 to 2: done, chat-a order 3 to 4: done). Besides, a whole stream was not ended for its caller until the target's connection was.

Cause: the agent looked for a stream's last event only after a read without an error. Where the end of the connection comes late, the request's deadline or the cancel of a caller who lost the link ends that read; the run was noted as failed, and a repeat of a failed run removes it and runs anew, although the whole answer stood in the log.

Why it works: nothing follows a stream's last event, so the answer is whole once its blank line has come. The log is finished there and the job counts as served whatever ends the read afterwards. The event is looked for as a line of its own at the end of what came: the same text inside a token's data ends nothing (TestLastEventEndsTheStream). The connection gets 100 ms to end, so that it is used again. Plain answers are as before: with a Content-Length net/http gives the end along with the last byte; without one only the end of the connection tells.

Same fault elsewhere: link and relay read to the end of the body; streams of the platform have no last event, only the end of the body says that they are whole, so nothing can be known sooner there. A plain answer with a length is given to its caller also when the deadline passes behind its last byte (relay.collect asks for no context after it).

--- a/agent/call_test.go
+++ b/agent/call_test.go
@@ -75,3 +75,34 @@
 	assert.Assert(t, !res.unsent, "%+v", res)
 	assert.Equal(t, res.run, chestnutstep.RunMaybe)
 }
+
+// TestLastEventEndsTheStream guards against a whole answer that counts as failed because its connection ended late or
+// badly, and against half an answer that counts as whole.
+func TestLastEventEndsTheStream(t *testing.T) {
+	for _, c := range []struct {
+		wanted, text string
+		ended        bool
+	}{
+		{"event: done", "data: a\n\nevent: done\ndata: {}\n\n", true},
+		{"event: done", "data: a\r\n\r\nevent: done\r\ndata: {}\r\n\r\n", true},
+		{"event: done", "event: done\ndata: {}\n\n", true},
+		{"data: [DONE]\n\n", "data: a\n\ndata: [DONE]\n\n", true},
+		{"event: done", "data: a\n\nevent: done\ndata: {}\n", false},
+		{"event: done", "data: a\n\nevent: done\n", false},
+		{"event: done", "data: event: done\n\n", false},
+		{"event: done", "data: a\n\n: event: done\n\n", false},
+		{"event: done", "event: done\ndata: {}\n\ndata: a\n\n", false},
+		{"event: done", "", false},
+		{"", "data: a\n\n", false},
+	} {
+		for _, piece := range []int{1, 7, len(c.text) + 1} {
+			tail := tail{wanted: c.wanted}
+			for rest := []byte(c.text); len(rest) > 0; {
+				n := min(piece, len(rest))
+				tail.add(rest[:n])
+				rest = rest[n:]
+			}
+			assert.Equal(t, tail.ended(), c.ended, "%q in pieces of %d", c.text, piece)
+		}
+	}
+}
--- a/agent/copy.go
+++ b/agent/copy.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +20,9 @@
 	// resumes is how often a stream that broke is continued at a target that
 	// still lives. A third break in one answer is no passing fault.
 	resumes = 2
+	// endLimit is how long the end of the connection may take after a stream's
+	// last event. The target is on the same host and has nothing left to send.
+	endLimit = 100 * time.Millisecond
 )
 
 // copy moves the answer into the log, and continues a stream that breaks
@@ -28,8 +32,9 @@
 	tail := &tail{wanted: j.agent.ending(rs)}
 	for try := 0; ; try++ {
 		err := j.drain(body, tail)
-		if err == nil && tail.complete() {
+		if tail.ended() || err == nil && tail.complete() {
 			j.log.Finish()
+			j.readEnd(body)
 			return served
 		}
 		if err == nil {
@@ -51,6 +56,15 @@
 	return result{outcome: chestnutstep.Failed, reason: chestnutstep.ReasonShort, run: chestnutstep.RunYes}
 }
 
+// readEnd reads a whole answer's body to its end, as the connection is only used again then. An error costs that
+// connection and nothing else.
+func (j *job) readEnd(body io.Reader) {
+	limit := time.AfterFunc(endLimit, j.abort)
+	defer limit.Stop()
+	_, _ = io.Copy(io.Discard, body)
+}
+
+// drain moves what comes into the log, up to the stream's last event or the end of the body.
 func (j *job) drain(body io.Reader, t *tail) error {
 	buf := make([]byte, pieceSize)
 	for {
@@ -61,7 +75,7 @@
 				return err
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) || t.ended() {
 			return nil
 		}
 		if err != nil {
--- a/matrix/hook.go
+++ b/matrix/hook.go
@@ -23,6 +23,8 @@
 	target string
 	// acceptDelay keeps the agent's accepts back.
 	acceptDelay time.Duration
+	// endDelay keeps the end of the target's answers back, behind their last byte.
+	endDelay time.Duration
 	// probes counts what the agent asked of the target's controls.
 	probes atomic.Int64
 	// busy counts the requests and orders that the target has not seen the end of.
@@ -138,6 +140,7 @@
 	t.halt.Reach(StepStart, t.target)
 	if !t.whole {
 		t.Handler.ServeHTTP(w, r)
+		t.delayEnd(w)
 		return
 	}
 	held := &heldAnswer{ResponseWriter: w}
@@ -146,6 +149,15 @@
 	_, _ = w.Write(held.body.Bytes())
 }
 
+// delayEnd sends what the answer has so far and keeps its end back.
+func (t *hookedTarget) delayEnd(w http.ResponseWriter) {
+	if t.endDelay == 0 {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(t.endDelay)
+}
+
 // arrive waits for all of a request: one that is stopped here is late or its
 // answer is lost, but it is not cut as well.
 func arrive(r *http.Request) {
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -216,6 +216,26 @@
 	}
 }
 
+// TestLateEndRunsNothingTwice guards against a whole answer that is taken for a failed one because the end of its
+// connection is late: the caller's repeat would run it again.
+func TestLateEndRunsNothingTwice(t *testing.T) {
+	for _, c := range readCells(t) {
+		if c.profile != ProfileChat || c.wanted[0] == elsewhere || c.wanted[0] == notRun {
+			continue
+		}
+		if s := Step(c.step); s != StepMiddle && s != StepLast && s != StepLost {
+			continue
+		}
+		if slices.Contains(c.faults, "cold") {
+			continue // its many warming requests would each wait for their end
+		}
+		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, c.play(func() *Stack { return &Stack{EndDelay: tryTime + tryTime/10} }))
+		})
+	}
+}
+
 // TestLateAcceptStartsNothing guards against a target that starts before its accept is read: a fault between the two has
 // the request run again elsewhere.
 func TestLateAcceptStartsNothing(t *testing.T) {
--- a/matrix/stack.go
+++ b/matrix/stack.go
@@ -97,8 +97,10 @@
 	Naive bool
 	// AcceptDelay keeps each agent's accept back, as a busy machine does.
 	AcceptDelay time.Duration
-	Halt        Halt
-	Nodes       []*Node
+	// EndDelay keeps the end of each engine's answer back, behind its last byte.
+	EndDelay time.Duration
+	Halt     Halt
+	Nodes    []*Node
 	// Fronts are the ways from callers to each entry.
 	Fronts [Entries]*pipe.Relay
 
@@ -189,7 +191,7 @@
 }
 
 func (s *Stack) addNode(n *Node) error {
-	n.hooks = &hooks{halt: &s.Halt, target: n.Name, acceptDelay: s.AcceptDelay}
+	n.hooks = &hooks{halt: &s.Halt, target: n.Name, acceptDelay: s.AcceptDelay, endDelay: s.EndDelay}
 	n.back = httptest.NewServer(&hookedTarget{Handler: n.handler(), hooks: n.hooks, plain: s.Naive, whole: n.Service != nil})
 	s.onClose(n.back.Close)
 	addr, err := s.startAgent(n)
