entry: an answer that is read behind its time limit is silence, not an accept on a link that has ended

For a booking that is four seconds of the caller's time and an outcome that nobody tells, though nothing ran.

Cause: the time limit of an offer ends its link. Where the entry itself is held up, the answer and the end of the limit both wait for it, and it read the answer of a link that it had just ended. It took that for an accept: the body could not be sent, the next read failed, and four attempts to join the run at a silent agent, with their pauses, were 3.5 s. The agent meanwhile had seen the link end and dropped the offer.

Ruled out: keepalive (finds a dead link after 13 s), an agent that restarted (it answers at once).

Why it works: the timer decides. If it has fired, the link counts as silent whatever was read; nothing was sent on it but the offer, so that "not run" of a chat stays true. The same in openLink, where a stream that opened at its limit was used though ended.

Same fault elsewhere: attachOnce uses the same read. mint bounds its call by a context, whose reply is whole or an error. relay and link bound a dial by its own timeout; a request's context ends a connection, and what was read whole before is delivered.

--- a/entry/link.go
+++ b/entry/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -28,8 +27,6 @@
 	cancel context.CancelFunc
 	// opened is when the link was asked for.
 	opened time.Time
-	// silent is set when the agent did not answer within answerLimit.
-	silent atomic.Bool
 	// mu guards the sending side of the stream.
 	mu sync.Mutex
 }
@@ -43,37 +40,33 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{target: t, cancel: cancel, opened: e.Clock()}
-	timer := time.AfterFunc(answerLimit, l.expire)
-	defer timer.Stop()
+	timer := time.AfterFunc(answerLimit, cancel)
 	l.stream, err = wire.NewAgentClient(conn).Run(ctx)
+	if !timer.Stop() {
+		return nil, l.expired()
+	}
 	if err != nil {
 		cancel()
-		return nil, l.cause(err)
+		return nil, err
 	}
 	return l, nil
 }
 
 // first waits for the agent's answer to an offer, for a limited time. The error
-// is ErrSilent where that has passed.
+// is ErrSilent where that has passed, also if an answer was read right after:
+// the stream has been ended by then, and its agent has given the offer up.
 func (l *link) first() (*wire.Down, error) {
-	timer := time.AfterFunc(answerLimit, l.expire)
-	defer timer.Stop()
+	timer := time.AfterFunc(answerLimit, l.cancel)
 	down, err := l.stream.Recv()
-	return down, l.cause(err)
-}
-
-// cause turns the error of a link that expired into ErrSilent.
-func (l *link) cause(err error) error {
-	if err != nil && l.silent.Load() {
-		return &ErrSilent{Target: l.target.Name, Limit: answerLimit}
+	if !timer.Stop() {
+		return nil, l.expired()
 	}
-	return err
+	return down, err
 }
 
-// expire ends a link whose agent did not answer in time.
-func (l *link) expire() {
-	l.silent.Store(true)
-	l.cancel()
+// expired is the error of a link whose agent did not answer in time.
+func (l *link) expired() error {
+	return &ErrSilent{Target: l.target.Name, Limit: answerLimit}
 }
 
 // next waits for the next message, until ctx ends.
