agent: a booking whose link broke before its body came gives its ticket back instead of dropping it

What callers saw: 503 down, run maybe, and on coming back with the same ticket 409 dropped; with a new ticket the same again, for up to 24 s, although nothing ran and there was room (matrix book offer cut and delay, "ended refused, wanted [whole]").

Cause: an entry that gives up on an offer ends its link. The agent then ended the job like one that it refuses and wrote a tombstone for the ticket, so that the caller's next try, which was told "maybe" and rightly came with the same ticket, was refused for good. Each new offer was dropped for the one before.

Evidence: agent/testdata/lost failed before with "refused dropped run=no" for the second offer.

Why it works: a tombstone makes a "not run" true for ever, and nobody hears one here: the job has no link left, and an entry that gave up says "maybe". The ticket goes back to fresh, as its chart has it, and the repeat is decided anew. The first offer can't run late: its body comes on its own link or not at all, and a job that was withdrawn takes none (the script plays it).

A job that is refused, stalls for two seconds with its link open, or whose caller cancels is dropped as before: there somebody may hear "not run".

--- a/agent/job.go
+++ b/agent/job.go
@@ -212,6 +212,25 @@
 	if j.offer.Ticket != "" {
 		a.dropTicket(now, j.offer, j.refusal)
 	}
+	a.withdraw(now, j, d)
+}
+
+// abandon ends a job that has not run and that nobody follows. As nobody hears
+// of it, its ticket stays good: the caller may come back with it.
+func (a *Agent) abandon(now time.Time, j *job) {
+	if j.state >= running {
+		return
+	}
+	j.refusal = refusal(chestnutstep.ReasonLink, chestnutstep.RunNo)
+	if j.offer.Ticket != "" {
+		a.Issuer.Release(now, j.offer.Ticket)
+		j.refusal.Run = string(chestnutstep.RunMaybe)
+	}
+	a.withdraw(now, j, chestnutstep.Decision{Reason: chestnutstep.ReasonLink})
+}
+
+// withdraw takes a job that has not run out of the gate; its refusal is set.
+func (a *Agent) withdraw(now time.Time, j *job, d chestnutstep.Decision) {
 	if j.state == waiting {
 		close(j.placed)
 	}
--- a/agent/link.go
+++ b/agent/link.go
@@ -224,8 +224,8 @@
 	l.job.links--
 	now := a.Clock()
 	l.job.lost = now
-	if l.job.links == 0 && l.job.state < running {
-		a.drop(now, l.job, chestnutstep.ReasonLink)
+	if l.job.links == 0 {
+		a.abandon(now, l.job)
 	}
 }
 
