entry: an agent that alone may run an action gets half of the time that is left to answer, two seconds at most

Cause: an entry waits 500 ms for an agent's answer, which suits a request that another target can serve. A ticket binds its request to one agent: given up sooner, the caller can only come back to the same agent, and while that answers later than the limit, it never gets past it.

Evidence: TestLateAcceptIsAwaitedWithATicket keeps each accept back for 700 ms, in 22 cells of book offer.

Why it works: the wait ends with half of the caller's time left, so that it still hears "down" in time to come back; two seconds are what the agent itself grants an offer whose body does not come. A host that is frozen costs a caller of an action up to 1.5 s more than before until it hears so. It could do nothing else with them: only that agent can tell what became of its ticket.

Not changed: tickets themselves are asked for at the next target after 500 ms, as any target can mint them.

--- a/entry/attach.go
+++ b/entry/attach.go
@@ -67,7 +67,7 @@
 
 // attachOnce returns false when the agent could not be reached.
 func (k *walk) attachOnce(ctx context.Context, t *chestnutstep.Target) (step, bool) {
-	l, err := k.entry.openLink(t)
+	l, err := k.entry.openLink(t, answerLimit)
 	if err != nil {
 		return step{}, false
 	}
@@ -76,7 +76,7 @@
 		l.cancel()
 		return step{}, false
 	}
-	down, err := l.first()
+	down, err := l.first(answerLimit)
 	if err != nil {
 		l.cancel()
 		return step{}, false
--- a/entry/link.go
+++ b/entry/link.go
@@ -16,6 +16,10 @@
 	// in microseconds; a longer silence is a frozen host or a cut, and the
 	// caller's time is better spent at the next target.
 	answerLimit = 500 * time.Millisecond
+	// ownerLimit is the same for an agent that alone may have the request: no
+	// other target can be asked meanwhile. It gives up an offer whose body has
+	// not come for as long.
+	ownerLimit = 2 * time.Second
 	// cancelLimit is how long an agent may take to hear that a caller gave up.
 	cancelLimit = time.Second
 )
@@ -31,19 +35,19 @@
 	mu sync.Mutex
 }
 
-// openLink starts a stream. Its life is not tied to the caller's: a cancel must
+// openLink starts a stream within a time limit. Its life is not tied to the caller's: a cancel must
 // still reach the agent after the caller has gone.
-func (e *Entry) openLink(t *chestnutstep.Target) (*link, error) {
+func (e *Entry) openLink(t *chestnutstep.Target, limit time.Duration) (*link, error) {
 	conn, err := e.Links.Conn(t.Agent)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{target: t, cancel: cancel, opened: e.Clock()}
-	timer := time.AfterFunc(answerLimit, cancel)
+	timer := time.AfterFunc(limit, cancel)
 	l.stream, err = wire.NewAgentClient(conn).Run(ctx)
 	if !timer.Stop() {
-		return nil, l.expired()
+		return nil, &ErrSilent{Target: t.Name, Limit: limit}
 	}
 	if err != nil {
 		cancel()
@@ -55,20 +59,15 @@
 // first waits for the agent's answer to an offer, for a limited time. The error
 // is ErrSilent where that has passed, also if an answer was read right after:
 // the stream has been ended by then, and its agent has given the offer up.
-func (l *link) first() (*wire.Down, error) {
-	timer := time.AfterFunc(answerLimit, l.cancel)
+func (l *link) first(limit time.Duration) (*wire.Down, error) {
+	timer := time.AfterFunc(limit, l.cancel)
 	down, err := l.stream.Recv()
 	if !timer.Stop() {
-		return nil, l.expired()
+		return nil, &ErrSilent{Target: l.target.Name, Limit: limit}
 	}
 	return down, err
 }
 
-// expired is the error of a link whose agent did not answer in time.
-func (l *link) expired() error {
-	return &ErrSilent{Target: l.target.Name, Limit: answerLimit}
-}
-
 // next waits for the next message, until ctx ends.
 func (l *link) next(ctx context.Context) (*wire.Down, error) {
 	stop := context.AfterFunc(ctx, l.giveUp)
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -29,6 +29,6 @@
 func TestAnswerBehindTheLimitIsSilence(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	l := &link{target: &chestnutstep.Target{Name: "t"}, cancel: cancel, stream: &lateStream{ctx: ctx}}
-	down, err := l.first()
+	down, err := l.first(answerLimit)
 	assert.Assert(t, IsErrSilent(err), "%v %v", down, err)
 }
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -127,7 +127,7 @@
 	}
 	k.offers++
 	began := k.entry.Clock()
-	l, err := k.entry.openLink(t)
+	l, err := k.entry.openLink(t, k.silence())
 	if err != nil {
 		k.fail(t, began, err)
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
@@ -135,7 +135,7 @@
 	o := k.ask.offer(k.entry.Clock(), patience)
 	o.Source = k.source
 	o.Crashed = k.crashed
-	down, err := k.offer(l, o)
+	down, err := k.offer(l, o, k.silence())
 	if err != nil {
 		defer l.cancel()
 		k.fail(t, began, err)
@@ -145,6 +145,17 @@
 	return k.follow(ctx, l, down)
 }
 
+// silence is how long an agent may take to answer. One that alone may run the
+// request gets half of the time that is left, up to ownerLimit: given up sooner,
+// its caller could only come back to the same agent.
+func (k *walk) silence() time.Duration {
+	if k.ask.ticket == "" {
+		return answerLimit
+	}
+	left := k.ask.deadline.Sub(k.entry.Clock())
+	return max(answerLimit, min(left/2, ownerLimit))
+}
+
 // fail notes that a target's agent did not answer.
 func (k *walk) fail(t *chestnutstep.Target, began time.Time, err error) {
 	now := k.entry.Clock()
@@ -165,16 +176,16 @@
 }
 
 // offer sends the offer and waits for its answer.
-func (k *walk) offer(l *link, o *wire.Offer) (*wire.Down, error) {
+func (k *walk) offer(l *link, o *wire.Offer, limit time.Duration) (*wire.Down, error) {
 	if err := l.send(&wire.Up{Kind: &wire.Up_Offer{Offer: o}}); err != nil {
 		return nil, err
 	}
-	return l.first()
+	return l.first(limit)
 }
 
 // lost decides after an offer without an answer: the body was not sent, so that
 // nothing ran. A ticket has only the one agent to go to, and a link that broke
-// is opened again; one that is silent would take the caller's time.
+// is opened again; one that is silent has had its time.
 func (k *walk) lost(ctx context.Context, t *chestnutstep.Target, err error) step {
 	if k.ask.ticket != "" && !IsErrSilent(err) {
 		return k.again(ctx, t)
--- a/entry/warn.go
+++ b/entry/warn.go
@@ -29,7 +29,7 @@
 
 func (w *warning) run(all *sync.WaitGroup) {
 	defer all.Done()
-	l, err := w.walk.entry.openLink(w.target)
+	l, err := w.walk.entry.openLink(w.target, answerLimit)
 	if err != nil {
 		return
 	}
@@ -37,5 +37,5 @@
 	o := w.walk.ask.offer(w.walk.entry.Clock(), 0)
 	o.Remain = 0
 	o.Crashed = w.walk.crashed
-	_, _ = w.walk.offer(l, o)
+	_, _ = w.walk.offer(l, o, answerLimit)
 }
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -216,6 +216,20 @@
 	}
 }
 
+// TestLateAcceptIsAwaitedWithATicket guards against callers of actions who go round between "down" and "dropped" while the one
+// agent that may run them is slow: each of its accepts comes later than an entry waits for a target that has others beside it.
+func TestLateAcceptIsAwaitedWithATicket(t *testing.T) {
+	for _, c := range readCells(t) {
+		if c.profile != ProfileBook || c.step != string(StepOffer) || c.wanted[0] != "whole" || len(c.wanted) > 1 {
+			continue
+		}
+		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, c.play(func() *Stack { return &Stack{AcceptDelay: tryTime * 7 / 20} }))
+		})
+	}
+}
+
 // TestLateEndRunsNothingTwice guards against a whole answer that is taken for a failed one because the end of its
 // connection is late: the caller's repeat would run it again.
 func TestLateEndRunsNothingTwice(t *testing.T) {
