agent, entry: content in quarantine is refused with "not run", as nothing is passed on for it

A caller who hears "maybe" of a request that never left the entry or was turned away by the agent has to look up what became of it.

Cause: the agent's check and the entry's own look both said "maybe", with the thought that the content had run under this name or another. Without a ticket "no" speaks of this attempt (docs/CALLERS.md), and each other refusal before the offer says so. The cells passed as long as the caller's last try came while the crashed targets were down (503, run no); load only moved that try behind the agent's next probe, a second later.

Evidence: TestPoisonIsRefusedAsNotRun, the cells with 600 ms between tries, so that each ends after the targets are back.

Why it works: the words follow what happened in this attempt: an attempt that had passed the request on before still says maybe (walk.maybe), and with a ticket the agent's record of it decides, at the entry "maybe" as before. 422 stays final: no Retry-After, not tried elsewhere.

--- a/agent/offer.go
+++ b/agent/offer.go
@@ -99,8 +99,7 @@
 	case o.Remain <= 0:
 		return refusal(chestnutstep.ReasonTimeout, chestnutstep.RunNo)
 	case a.Detector.Judge(now, o.Fingerprint) == chestnutstep.Condemned:
-		// It ran where it crashed, under this name or another.
-		return refusal(chestnutstep.ReasonCondemned, chestnutstep.RunMaybe)
+		return refusal(chestnutstep.ReasonCondemned, chestnutstep.RunNo)
 	}
 	return nil
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -205,7 +205,7 @@
 	e.accuse(crash.Fingerprint("desk", "/v1/chat", []byte(body)), []string{"u", "v"})
 	rs, text = p.ask(0, "/v1/chat", body, ask...)
 	assert.Equal(t, rs.StatusCode, 422, text)
-	assert.Equal(t, rs.Header.Get(chestnutstep.HeaderRun), "maybe")
+	assert.Equal(t, rs.Header.Get(chestnutstep.HeaderRun), "no")
 	rs, text = p.ask(0, "/v1/chat", `{"prompt":10,"output":5,"note":"good"}`, ask...)
 	assert.Equal(t, rs.StatusCode, 200, text)
 }
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -55,7 +55,7 @@
 func (k *walk) run(ctx context.Context) error {
 	defer k.closeRefused()
 	if k.entry.condemned(k.ask.fingerprint) {
-		return &ErrRefused{Reason: chestnutstep.ReasonCondemned, Run: chestnutstep.RunMaybe}
+		return &ErrRefused{Reason: chestnutstep.ReasonCondemned, Run: k.ask.unrun()}
 	}
 	if k.ask.ticket != "" {
 		return k.runTicket(ctx)
--- a/matrix/caller.go
+++ b/matrix/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -58,6 +59,8 @@
 	Timeout time.Duration
 	// Tries is the most that are made.
 	Tries int
+	// Pause between tries; as short as a target's restart when 0.
+	Pause time.Duration
 	// Tried is told of each try's end.
 	Tried func(int)
 
@@ -82,7 +85,7 @@
 	var list []Attempt
 	for i := range c.Tries {
 		if i > 0 {
-			time.Sleep(pause)
+			time.Sleep(cmp.Or(c.Pause, pause))
 		}
 		a := c.try(min(i, Entries-1))
 		list = append(list, a)
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -230,6 +230,23 @@
 	}
 }
 
+// TestPoisonIsRefusedAsNotRun guards against a "maybe" for content that is in quarantine: its caller comes back when the targets
+// it crashed are up again, and nothing was passed on for it.
+func TestPoisonIsRefusedAsNotRun(t *testing.T) {
+	const untilProbed = 600 * time.Millisecond // two tries later each agent has found its target up
+	for _, c := range readCells(t) {
+		if !slices.Contains(c.faults, "poison") {
+			continue
+		}
+		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, restage(func() *play {
+				return &play{cell: c, stack: &Stack{}, pause: untilProbed}
+			}))
+		})
+	}
+}
+
 // TestLateEndRunsNothingTwice guards against a whole answer that is taken for a failed one because the end of its
 // connection is late: the caller's repeat would run it again.
 func TestLateEndRunsNothingTwice(t *testing.T) {
--- a/matrix/play_test.go
+++ b/matrix/play_test.go
@@ -30,6 +30,8 @@
 	tries  []Attempt
 	// awaitAccept keeps the faults back until the entry has read the accept.
 	awaitAccept bool
+	// pause is that of the caller.
+	pause time.Duration
 	// late keeps the request at its step until the caller's first try is over.
 	late bool
 	// lossy says that links lost bytes and have to be broken at the end.
@@ -92,7 +94,7 @@
 	first := make(chan struct{})
 	p.caller = &Caller{
 		Stack: p.stack, Profile: p.profile, Chat: "c", Name: "n", Large: at == StepBody,
-		Timeout: tryTime, Tries: tries,
+		Timeout: tryTime, Tries: tries, Pause: p.pause,
 		Tried: func(i int) {
 			if i == 0 {
 				close(first)
