entry: the agents that rank for a content hear of a single crash, too, before its caller does

Cause: an entry warned the other agents only once a second target had crashed. After a first crash at the last target of the walk the caller got 502, and the target that was asked next knew nothing: it ran the content as an unsuspected one, and again after its own crash, which was the first it knew of.

Evidence: the trace of the play. First try: the link to chat-a broke, chat-b crashed, 502. Second: chat-a crashed, chat-b was told and is down. Third: chat-a knows one crash, its own. Gossip would have told it within a second or so; the matrix has none, and a caller may be faster.

Why it works: the agent asked next runs the content alone, as a suspect, and a crash of what runs alone is enough for quarantine (crash.Detector).

--- a/entry/step.go
+++ b/entry/step.go
@@ -68,7 +68,6 @@
 		k.noteCrash(ref.Reason)
 	}
 	if len(k.crashed) >= crashesMost {
-		k.warn()
 		ref.Reason = chestnutstep.ReasonCondemned
 	}
 	return k.decide(ref)
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -54,6 +54,15 @@
 // run serves the request, or returns the final word on it.
 func (k *walk) run(ctx context.Context) error {
 	defer k.closeRefused()
+	err := k.serve(ctx)
+	if err != nil && len(k.crashed) > 0 {
+		k.warn()
+	}
+	return err
+}
+
+// serve takes the request down the ranking.
+func (k *walk) serve(ctx context.Context) error {
 	if k.entry.condemned(k.ask.fingerprint) {
 		return &ErrRefused{Reason: chestnutstep.ReasonCondemned, Run: k.ask.unrun()}
 	}
--- a/entry/warn.go
+++ b/entry/warn.go
@@ -6,11 +6,10 @@
 	"chestnutstep.example/chestnutstep"
 )
 
-// warn tells the agents that rank for this content that it has crashed targets,
-// before its caller hears of it. The caller's repeat goes to the same agents
-// through whatever entry, often at once, and gossip takes a second: without the
-// warning it took down a third target in one of some ten runs of the fault
-// matrix. The warning is an offer without time or body, which never runs.
+// warn tells the agents that rank for this content which targets it has crashed,
+// before its caller gets the final answer. The caller's repeat goes to the same
+// agents through whatever entry, often at once, and gossip takes a second. The
+// warning is an offer without time or body, which never runs.
 func (k *walk) warn() {
 	var all sync.WaitGroup
 	for _, t := range k.targets {
