entry, agent: the agent that is asked next knows where a request runs, and a repeat waits for the one that has it

What callers saw: a broken answer, and on coming back the draft generated anew by another target, both runs done (matrix chat middle restart, "ran 2 times, wanted 1 at most"; users' trials with late answers: chat middle and lost, cut, delay and restart).

Cause: the entry of the first try is gone, so its repeat comes through another one, which asks the targets in their order. The agent that has the run answers later than 500 ms; that reads as "down, not run", and the next target runs the request. A silent agent proves that it was not reached in time. It does not prove that the request does not run there, and nobody else knew.

Evidence: TestRunIsJoinedThoughItsAgentIsLate keeps accepts that join a run back for 700 ms, in the cells of body, start, first, middle, last, lost and drain.

The change: once an offer is accepted, the entry notes at the first other target of its ranking which one has the request, where the caller named it (Idempotency-Key); a request without a name can't come again. The next entry that asks there is sent to the run, and gives its agent half of the time that is left, two seconds at most. If the agent says that it does not have the request, is gone or stays silent that long, the target with the note takes the request over, out of the budget for what may have run.

Ways weighed: to wait longer at each first target costs every request 1.5 s where a host is frozen, to save those that come again; to hold the second target's start until the first has had more time does the same, and helps nothing once the silent host is left out of the ranking; to let agents tell each other costs the same messages from the process that is late. The note costs one stream of some 300 bytes for each named request, 2 KB/s at an entry at the size we design for (7 requests a second), and its connections: computed from 24.5 KB for both ends, some 400 more of them in a minute are 5 MB at an entry. Not measured at that size.

Why it works: the note is sent with the accept, before the target starts, so it is there before a repeat can come. A frozen host costs a caller's repeat up to two seconds more (TestSilentOwnerIsLeftInTime), a dead one nothing (TestTargetThatIsGoneIsNotAsked); first tries cost the same as before. A target that is out of service and still runs the request is found now, too (TestRepeatIsJoinedAtItsOwner: it ran again before). Event 4018 run_noted.

What is left: both agents late, the note lost, or an agent silent for longer than half of the caller's time run it again.

--- a/agent/chats.go
+++ b/agent/chats.go
@@ -101,8 +101,9 @@
 	c.order.Init()
 }
 
-// movedNotes remembers where requests went that this agent refused, so that a
-// repeat through another entry finds the run instead of starting a second one.
+// movedNotes remembers where requests run for which this agent would be asked
+// next, so that a repeat through another entry finds the run instead of starting
+// a second one.
 type movedNotes struct {
 	at    map[string]movedNote
 	order []string
@@ -127,6 +128,13 @@
 	}
 }
 
+// end forgets the target of a request. Its place in the order stays.
+func (m *movedNotes) end(key string) {
+	if _, known := m.at[key]; known {
+		m.at[key] = movedNote{}
+	}
+}
+
 // get returns the target, or "" when there is no note or it is too old.
 func (m *movedNotes) get(key string, now time.Time) string {
 	n, ok := m.at[key]
--- a/agent/link.go
+++ b/agent/link.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"io"
+
+	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 
 	"chestnutstep.example/chestnutstep"
@@ -32,19 +35,28 @@
 	return &service{Agent: a}
 }
 
-// Run carries one request: its offer, its answer, its body and its frames.
+// Run carries one request: its offer, its answer, its body and its frames. Notes
+// of where requests run may come before the offer, or alone.
 func (s *service) Run(st stream) error {
-	up, err := st.Recv()
-	if err != nil {
-		return err
-	}
-	switch k := up.Kind.(type) {
-	case *wire.Up_Offer:
-		return s.serveOffer(st, k.Offer)
-	case *wire.Up_Attach:
-		return s.serveAttach(st, k.Attach)
+	for {
+		up, err := st.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		switch k := up.Kind.(type) {
+		case *wire.Up_Offer:
+			return s.serveOffer(st, k.Offer)
+		case *wire.Up_Attach:
+			return s.serveAttach(st, k.Attach)
+		case *wire.Up_Moved:
+			s.noteMoved(k.Moved)
+		default:
+			return nil
+		}
 	}
-	return nil
 }
 
 func (a *Agent) serveOffer(st stream, o *wire.Offer) error {
@@ -105,13 +117,17 @@
 	return nil
 }
 
+// noteMoved notes the target that runs a request; a note that names this one
+// ends the note before.
 func (a *Agent) noteMoved(m *wire.Moved) {
-	if m.Target == a.Name {
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.moved.put(jobKey(m.Workspace, m.Id), m.Target, a.Clock())
+	key := jobKey(m.Workspace, m.Id)
+	if m.Target == a.Name {
+		a.moved.end(key)
+	} else {
+		a.moved.put(key, m.Target, a.Clock())
+	}
 	a.Notify(Notice{Kind: NoticeMoved, Subject: m.Id, Before: a.Name, After: m.Target})
 }
 
--- a/agent/notice.go
+++ b/agent/notice.go
@@ -53,7 +53,7 @@
 	NoticeWithdrawn NoticeKind = "withdrawn" // an offer that was taken will not run
 	NoticeImported  NoticeKind = "imported"  // a chat's KV cache was imported
 	NoticeMinted    NoticeKind = "minted"    // tickets were handed out
-	NoticeMoved     NoticeKind = "moved"     // a chat's request went elsewhere
+	NoticeMoved     NoticeKind = "moved"     // another target runs a request
 	NoticeLimits    NoticeKind = "limits"    // a publication changed the limits
 	NoticeLeaving   NoticeKind = "leaving"   // the target takes no new work
 	NoticeOrder     NoticeKind = "order"     // an order was passed on or refused
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -208,7 +208,9 @@
 		// target a higher number.
 		s.target.high = 1 << 63
 	case "moved":
-		s.agent.noteMoved(&wire.Moved{Id: id, Workspace: "w", Target: "other"})
+		to := "other"
+		d.MaybeScanArgs(s.t, "to", &to)
+		s.agent.noteMoved(&wire.Moved{Id: id, Workspace: "w", Target: to})
 	case "ask":
 		return s.outcome(id)
 	case "notices":
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -32,12 +32,14 @@
 	workspace *chestnutstep.Workspace
 	profile   *chestnutstep.Profile
 	id        string
-	chat      string
-	hint      string
-	ticket    string
-	deadline  time.Time
-	body      []byte
-	request   *http.Request
+	// named says that the caller gave the id: it may come again under it.
+	named    bool
+	chat     string
+	hint     string
+	ticket   string
+	deadline time.Time
+	body     []byte
+	request  *http.Request
 	// fingerprint names the content, for crash suspicion.
 	fingerprint uint64
 }
@@ -102,6 +104,7 @@
 		return err
 	}
 	a.deadline = now.Add(limit)
+	a.named = a.id != ""
 	if a.id == "" {
 		a.id = a.ticket
 	}
--- a/entry/attach.go
+++ b/entry/attach.go
@@ -15,19 +15,6 @@
 	attachPause = 100 * time.Millisecond
 )
 
-// joinMoved goes where an earlier try of this request went. It offers instead
-// of attaching: a run that goes on there is joined, but one that failed is run
-// anew. Attached, a caller would hear the recorded failure again and again for
-// as long as the note of the move lives.
-func (k *walk) joinMoved(ctx context.Context, name string) step {
-	t := k.ask.view.Targets[name]
-	// Notes of two agents may point at each other.
-	if t == nil || k.offers >= triesMost {
-		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonMoved, Run: chestnutstep.RunMaybe})
-	}
-	return k.try(ctx, t, 0)
-}
-
 // again offers a ticketed request once more to the one agent that may run it.
 // Whether the first offer arrived is not known here and need not be: the ticket
 // makes the second one join it.
@@ -41,7 +28,7 @@
 		return k.outOfTime(ctx)
 	case <-time.After(attachPause << k.reoffers):
 	}
-	return k.try(ctx, t, k.ask.deadline.Sub(k.entry.Clock()))
+	return k.try(ctx, attempt{target: t, patience: k.left(), owner: true})
 }
 
 // attach joins the request again at its agent after the link broke: the run
--- a/entry/link.go
+++ b/entry/link.go
@@ -97,12 +97,6 @@
 	l.finish(&wire.Up{Kind: &wire.Up_Cancel{Cancel: &wire.Cancel{}}})
 }
 
-// noteMoved tells the agent that refused where the request went instead.
-func (l *link) noteMoved(a *ask, target string) {
-	m := &wire.Moved{Id: a.id, Workspace: a.workspace.Name, Target: target}
-	l.finish(&wire.Up{Kind: &wire.Up_Moved{Moved: m}})
-}
-
 // sendBody sends the body; an empty one is one empty last piece.
 func (l *link) sendBody(body []byte) error {
 	for {
--- /dev/null
+++ b/entry/moved.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/wire"
+)
+
+// noteLimit is how long a note may take to reach an agent that is slow or busy.
+const noteLimit = 2 * time.Second
+
+// moved is the note that a target runs the request.
+func (a *ask) moved(target string) *wire.Up {
+	m := &wire.Moved{Id: a.id, Workspace: a.workspace.Name, Target: target}
+	return &wire.Up{Kind: &wire.Up_Moved{Moved: m}}
+}
+
+// noteRefused tells the first agent that refused where the request went instead,
+// and returns its target, if there is one.
+func (k *walk) noteRefused(t *chestnutstep.Target) *chestnutstep.Target {
+	if k.refused == nil || k.refused.target == t {
+		return nil
+	}
+	l := k.refused
+	k.refused = nil
+	l.finish(k.ask.moved(t.Name))
+	return l.target
+}
+
+// noteNext tells the agent that is asked before or after this target who runs
+// the request. The caller's repeat comes through another entry when this one
+// dies, and where the target's agent is late to answer then, the next one would
+// run the request again.
+func (k *walk) noteNext(t, noted *chestnutstep.Target) {
+	if !k.ask.named || k.ask.ticket != "" {
+		return
+	}
+	i := slices.IndexFunc(k.targets, func(o *chestnutstep.Target) bool { return o.Name != t.Name })
+	if i < 0 || k.targets[i] == noted {
+		return
+	}
+	go (&note{entry: k.entry, target: k.targets[i], message: k.ask.moved(t.Name)}).run()
+}
+
+// note is on its way to one agent.
+type note struct {
+	entry   *Entry
+	target  *chestnutstep.Target
+	message *wire.Up
+}
+
+// run sends the note. One that does not arrive costs a second run at worst.
+func (n *note) run() {
+	l, err := n.entry.openLink(n.target, noteLimit)
+	if err == nil {
+		l.finish(n.message)
+	}
+}
+
+// joinMoved goes where an earlier try of this request went. It offers instead
+// of attaching: a run that goes on there is joined, but one that failed is run
+// anew. Attached, a caller would hear the recorded failure again and again for
+// as long as the note of the move lives.
+//
+// Where that target is gone, has answered that it does not have the request, or
+// stays silent, the one that gave the note takes the request over.
+func (k *walk) joinMoved(ctx context.Context, from *chestnutstep.Target, name string) step {
+	t := k.ask.view.Targets[name]
+	known := slices.Contains(k.answered, name)
+	k.answered = append(k.answered, from.Name)
+	if t != nil && !known && k.offers < triesMost {
+		s := k.try(ctx, attempt{target: t, owner: true})
+		if !s.done && !slices.Contains(k.answered, name) {
+			s = k.mayRunElsewhere()
+		}
+		if s.done {
+			return s
+		}
+	}
+	if k.offers >= triesMost {
+		return k.mayRunElsewhere()
+	}
+	return k.try(ctx, attempt{target: from, over: true})
+}
+
+// mayRunElsewhere decides on a request whose target is noted and can't be asked.
+func (k *walk) mayRunElsewhere() step {
+	return k.decide(&ErrRefused{Reason: chestnutstep.ReasonMoved, Run: chestnutstep.RunMaybe})
+}
--- /dev/null
+++ b/entry/moved_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/fake"
+)
+
+// again serves a request at the target that is asked first, which changes then as the test wants, and sends it again
+// through another entry. It returns what became of the offers of the repeat.
+func again(t *testing.T, change func(p *path, first string)) string {
+	t.Helper()
+	p := newPath(t)
+	p.addAgent("label-2", "label", &fake.Engine{})
+	var got offers
+	p.onOffer = got.add
+	p.addEntry()
+	ask := []string{
+		chestnutstep.HeaderProfile, "quick", chestnutstep.HeaderChat, "c", chestnutstep.HeaderIdempotency, "id",
+		chestnutstep.HeaderTimeout, "8s",
+	}
+	rs, body := p.ask(0, "/v1/chat", `{"prompt":1,"output":1}`, ask...)
+	assert.Equal(t, rs.StatusCode, http.StatusOK, body)
+	first := rs.Header.Get(chestnutstep.HeaderHint)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if p.hasNote("id", first) {
+			return poll.Success()
+		}
+		return poll.Continue("no agent has the note")
+	})
+	change(p, first)
+	rs, body = p.ask(2, "/v1/chat", `{"prompt":1,"output":1}`, ask...)
+	assert.Equal(t, rs.StatusCode, http.StatusOK, body)
+	got.mu.Lock()
+	defer got.mu.Unlock()
+	var list []string
+	for _, o := range got.list {
+		name := "next"
+		if o.Target == first {
+			name = "first"
+		}
+		list = append(list, strings.TrimSpace(fmt.Sprintf("%s %s %s", name, o.Answer, o.Reason)))
+	}
+	return strings.Join(list, ", ")
+}
+
+// TestSilentOwnerIsLeftInTime guards against callers who wait for a frozen host because an earlier try ran there.
+func TestSilentOwnerIsLeftInTime(t *testing.T) {
+	got := again(t, func(p *path, first string) {
+		for i := range p.pub.Targets {
+			if p.pub.Targets[i].Name == first {
+				p.pub.Targets[i].Agent = startMuteAgent(t)
+			}
+		}
+		p.publish()
+	})
+	assert.Equal(t, got, "first silent, next refuse moved, first silent, next accept")
+}
+
+// TestTargetThatIsGoneIsNotAsked guards against a note that outlives its target.
+func TestTargetThatIsGoneIsNotAsked(t *testing.T) {
+	got := again(t, func(p *path, first string) {
+		for i := range p.pub.Targets {
+			if p.pub.Targets[i].Name == first {
+				p.pub.Targets = append(p.pub.Targets[:i], p.pub.Targets[i+1:]...)
+				break
+			}
+		}
+		p.publish()
+	})
+	assert.Equal(t, got, "next refuse moved, next accept")
+}
+
+// TestRepeatIsJoinedAtItsOwner guards against a second run at the target that is asked first because another is out.
+func TestRepeatIsJoinedAtItsOwner(t *testing.T) {
+	got := again(t, func(p *path, first string) {
+		for i := range p.pub.Targets {
+			p.pub.Targets[i].Out = p.pub.Targets[i].Name == first
+		}
+		p.publish()
+	})
+	assert.Equal(t, got, "next refuse moved, first accept")
+}
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -45,6 +45,8 @@
 	agents  []*agent.Agent
 	targets []string
 	entries []*httptest.Server
+	// noted are the notes that agents took, each a request and its target.
+	noted []string
 	// onOffer is that of the entries that are added from now on.
 	onOffer func(Offer)
 }
@@ -116,7 +118,7 @@
 	a := &agent.Agent{
 		Name: name, URL: back.URL, Incarnation: "1", View: p.current,
 		Gate: &gate.Gate{}, Detector: &crash.Detector{Target: name}, Issuer: &ticket.Issuer{Target: name},
-		Answers: &answer.Store{}, Reuse: reuse, Single: single, Ranker: ranker,
+		Answers: &answer.Store{}, Reuse: reuse, Single: single, Ranker: ranker, Notify: p.notice,
 		Dial: func(addr string) (wire.AgentClient, error) {
 			conn, err := p.pool.Conn(addr)
 			return wire.NewAgentClient(conn), err
@@ -137,6 +139,22 @@
 	p.agents = append(p.agents, a)
 }
 
+func (p *path) notice(n agent.Notice) {
+	if n.Kind != agent.NoticeMoved {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noted = append(p.noted, n.Subject+" at "+n.After)
+}
+
+// hasNote says whether an agent has noted the target that runs a request.
+func (p *path) hasNote(id, target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Contains(p.noted, id+" at "+target)
+}
+
 func (p *path) addEntry() {
 	e := &Entry{
 		Name: "e", Region: "r", View: p.current, Hosts: noHosts{},
--- a/entry/step.go
+++ b/entry/step.go
@@ -29,8 +29,9 @@
 func (k *walk) refuse(ctx context.Context, l *link, r *wire.Refuse) step {
 	k.keepRefused(l)
 	if r.Moved != "" {
-		return k.joinMoved(ctx, r.Moved)
+		return k.joinMoved(ctx, l.target, r.Moved)
 	}
+	k.answered = append(k.answered, l.target.Name)
 	if r.Home {
 		k.source = l.target.Agent
 	}
@@ -59,6 +60,7 @@
 	if ctx.Err() != nil {
 		return k.outOfTime(ctx)
 	}
+	k.answered = append(k.answered, k.served)
 	ref := &ErrRefused{
 		Reason: chestnutstep.Reason(b.Reason),
 		Run:    chestnutstep.Run(b.Run),
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -49,6 +49,9 @@
 	crashed []string
 	// source is the agent that holds the chat's KV cache and refused.
 	source string
+	// answered lists the targets whose agent has answered an offer other than by
+	// an accept, or has ended the run: none of them has the request any more.
+	answered []string
 }
 
 // run serves the request, or returns the final word on it.
@@ -79,7 +82,7 @@
 		if i > 0 && !k.spend() {
 			break
 		}
-		if s := k.try(ctx, k.targets[i], k.patience(i)); s.done {
+		if s := k.try(ctx, attempt{target: k.targets[i], patience: k.patience(i)}); s.done {
 			return s.final()
 		}
 	}
@@ -122,29 +125,46 @@
 	if k.full == nil || k.maybe {
 		return k.giveUp()
 	}
-	s := k.try(ctx, k.full, k.ask.deadline.Sub(k.entry.Clock()))
+	s := k.try(ctx, attempt{target: k.full, patience: k.left()})
 	if s.done {
 		return s.final()
 	}
 	return k.giveUp()
 }
 
+// attempt is one offer of the request to a target.
+type attempt struct {
+	target *chestnutstep.Target
+	// patience is how long the request may wait in the target's queue.
+	patience time.Duration
+	// owner says that only this target may run the request, or that it runs it
+	// already: its agent gets more time to answer.
+	owner bool
+	// over ends the agent's note that another target runs the request.
+	over bool
+}
+
 // try offers the request to one target and follows it to the end.
-func (k *walk) try(ctx context.Context, t *chestnutstep.Target, patience time.Duration) step {
+func (k *walk) try(ctx context.Context, a attempt) step {
 	if ctx.Err() != nil {
 		return k.outOfTime(ctx)
 	}
 	k.offers++
+	t := a.target
 	began := k.entry.Clock()
-	l, err := k.entry.openLink(t, k.silence())
+	l, err := k.entry.openLink(t, k.silence(a.owner))
 	if err != nil {
 		k.fail(t, began, err)
 		return k.decide(&ErrRefused{Reason: chestnutstep.ReasonDown, Run: k.ask.unrun()})
 	}
-	o := k.ask.offer(k.entry.Clock(), patience)
+	if a.over {
+		// A send that fails shows in the next receive, with the reason.
+		_ = l.send(k.ask.moved(t.Name))
+	}
+	o := k.ask.offer(k.entry.Clock(), a.patience)
 	o.Source = k.source
 	o.Crashed = k.crashed
-	down, err := k.offer(l, o, k.silence())
+	down, err := k.offer(l, o, k.silence(a.owner))
 	if err != nil {
 		defer l.cancel()
 		k.fail(t, began, err)
@@ -154,17 +174,19 @@
 	return k.follow(ctx, l, down)
 }
 
-// silence is how long an agent may take to answer. One that alone may run the
+// silence is how long an agent may take to answer. One that alone may have the
 // request gets half of the time that is left, up to ownerLimit: given up sooner,
-// its caller could only come back to the same agent.
-func (k *walk) silence() time.Duration {
-	if k.ask.ticket == "" {
+// its caller could only come back to the same agent, or have it run again.
+func (k *walk) silence(owner bool) time.Duration {
+	if !owner {
 		return answerLimit
 	}
-	left := k.ask.deadline.Sub(k.entry.Clock())
-	return max(answerLimit, min(left/2, ownerLimit))
+	return max(answerLimit, min(k.left()/2, ownerLimit))
 }
 
+// left is the time until the request's deadline.
+func (k *walk) left() time.Duration { return k.ask.deadline.Sub(k.entry.Clock()) }
+
 // fail notes that a target's agent did not answer.
 func (k *walk) fail(t *chestnutstep.Target, began time.Time, err error) {
 	now := k.entry.Clock()
@@ -234,17 +256,15 @@
 	}
 }
 
-// accepted sends the body, which lets the agent start, and notes at the first
-// target that refused where the request is.
+// accepted sends the body, which lets the agent start, and notes at another
+// target where the request is.
 func (k *walk) accepted(l *link, acc *wire.Accept) step {
 	k.served = l.target.Name
-	if k.refused != nil && k.refused.target != l.target {
-		k.refused.noteMoved(k.ask, l.target.Name)
-		k.refused = nil
-	}
+	noted := k.noteRefused(l.target)
 	if acc.Joined {
 		return step{}
 	}
+	k.noteNext(l.target, noted)
 	// A send that fails shows in the next receive, with the reason.
 	_ = l.sendBody(k.ask.body)
 	return step{}
@@ -291,7 +311,7 @@
 		return &ErrRefused{Reason: chestnutstep.ReasonForged, Run: chestnutstep.RunMaybe}
 	}
 	k.earn()
-	s := k.try(ctx, t, k.ask.deadline.Sub(k.entry.Clock()))
+	s := k.try(ctx, attempt{target: t, patience: k.left(), owner: true})
 	if s.done {
 		return s.final()
 	}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -52,6 +52,7 @@
 	AcceptSent       ID = 4015
 	RunStarted       ID = 4016
 	RunEnded         ID = 4017
+	RunNoted         ID = 4018
 
 	TicketsMinted ID = 5001
 	TicketRefused ID = 5002
@@ -387,6 +388,12 @@
 		Cause:   "The normal course.",
 		Action:  "Nothing; see reason.",
 	},
+	{
+		ID: RunNoted, Name: "run_noted", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "An entry noted here which target runs a request: an offer of it is sent there, as long as that target does not say that it is over.",
+		Cause:   "The normal course: this target is the one that would be asked next.",
+		Action:  "Nothing; field target says where to look on.",
+	},
 	{
 		ID: TicketsMinted, Name: "tickets_minted", Level: Debug, Often: true,
 		Meaning: "Tickets were minted for a workspace.",
--- a/matrix/hook.go
+++ b/matrix/hook.go
@@ -23,6 +23,8 @@
 	target string
 	// acceptDelay keeps the agent's accepts back.
 	acceptDelay time.Duration
+	// joinDelay keeps those back that join a run.
+	joinDelay time.Duration
 	// endDelay keeps the end of the target's answers back, behind their last byte.
 	endDelay time.Duration
 	// probes counts what the agent asked of the target's controls.
@@ -70,6 +72,9 @@
 	down, _ := m.(*wire.Down)
 	if down.GetAccept() != nil {
 		time.Sleep(s.acceptDelay)
+		if down.GetAccept().Joined {
+			time.Sleep(s.joinDelay)
+		}
 		s.halt.Reach(StepAccept, s.target)
 	}
 	if down.GetLast() != nil {
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -230,6 +230,27 @@
 	}
 }
 
+// TestRunIsJoinedThoughItsAgentIsLate guards against a second run of a request whose first one is at an agent that answers later
+// than an entry waits for a target that has others beside it.
+func TestRunIsJoinedThoughItsAgentIsLate(t *testing.T) {
+	for _, c := range readCells(t) {
+		if c.profile != ProfileChat || c.wanted[0] == elsewhere || c.wanted[0] == notRun {
+			continue
+		}
+		switch Step(c.step) {
+		case StepBody, StepStart, StepFirst, StepMiddle, StepLast, StepLost, StepDrain:
+		default:
+			continue
+		}
+		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
+			assert.NilError(t, restage(func() *play {
+				return &play{cell: c, stack: &Stack{JoinDelay: tryTime * 7 / 20}, limit: 2 * tryTime}
+			}))
+		})
+	}
+}
+
 // TestPoisonIsRefusedAsNotRun guards against a "maybe" for content that is in quarantine: its caller comes back when the targets
 // it crashed are up again, and nothing was passed on for it.
 func TestPoisonIsRefusedAsNotRun(t *testing.T) {
--- a/matrix/play_test.go
+++ b/matrix/play_test.go
@@ -1,6 +1,7 @@
 package matrix
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -30,7 +31,8 @@
 	tries  []Attempt
 	// awaitAccept keeps the faults back until the entry has read the accept.
 	awaitAccept bool
-	// pause is that of the caller.
+	// limit is that of each of the caller's tries, tryTime when 0; pause is between them.
+	limit time.Duration
 	pause time.Duration
 	// late keeps the request at its step until the caller's first try is over.
 	late bool
@@ -94,7 +96,7 @@
 	first := make(chan struct{})
 	p.caller = &Caller{
 		Stack: p.stack, Profile: p.profile, Chat: "c", Name: "n", Large: at == StepBody,
-		Timeout: tryTime, Tries: tries, Pause: p.pause,
+		Timeout: cmp.Or(p.limit, tryTime), Tries: tries, Pause: p.pause,
 		Tried: func(i int) {
 			if i == 0 {
 				close(first)
--- a/matrix/stack.go
+++ b/matrix/stack.go
@@ -97,6 +97,8 @@
 	Naive bool
 	// AcceptDelay keeps each agent's accept back, as a busy machine does.
 	AcceptDelay time.Duration
+	// JoinDelay keeps back those that join a run.
+	JoinDelay time.Duration
 	// EndDelay keeps the end of each engine's answer back, behind its last byte.
 	EndDelay time.Duration
 	Halt     Halt
@@ -191,7 +193,7 @@
 }
 
 func (s *Stack) addNode(n *Node) error {
-	n.hooks = &hooks{halt: &s.Halt, target: n.Name, acceptDelay: s.AcceptDelay, endDelay: s.EndDelay}
+	n.hooks = &hooks{halt: &s.Halt, target: n.Name, acceptDelay: s.AcceptDelay, joinDelay: s.JoinDelay, endDelay: s.EndDelay}
 	n.back = httptest.NewServer(&hookedTarget{Handler: n.handler(), hooks: n.hooks, plain: s.Naive, whole: n.Service != nil})
 	s.onClose(n.back.Close)
 	addr, err := s.startAgent(n)
--- a/node/notice.go
+++ b/node/notice.go
@@ -58,6 +58,8 @@
 		n.refusedOffer(m, event.OfferRefused)
 	case agent.NoticeWithdrawn:
 		n.refusedOffer(m, 0)
+	case agent.NoticeMoved:
+		n.log.Emit(event.RunNoted, event.Request(m.Subject), event.Target(m.After))
 	case agent.NoticeMinted:
 		n.log.Emit(event.TicketsMinted, event.Workspace(m.Workspace), event.Int("count", int64(m.Count)))
 		n.meters.Agent.Tickets.Add(int64(m.Count), "fresh")
