entry: an agent that is late to be joined is asked long enough, not often

What callers saw: 504 after their whole time, a broken stream, or for a booking 502 unknown after 3.5 s, although their run went on and its agent answered, only later than 500 ms; then the same wait again at the next try.

Cause: after a broken link an entry asked the agent four times, 500 ms each, with 1.5 s of pauses, and dropped each question for the next one. An agent that takes 600 ms never gets an answer through. The four tries are longer than a short caller's time, and an idempotent request was run elsewhere after them.

That nobody listens at the agent's address still ends after four attempts, some 1.5 s: its process is gone.

--- a/entry/moved.go
+++ b/entry/moved.go
@@ -42,7 +42,8 @@
 	if i < 0 || k.targets[i] == noted {
 		return
 	}
-	go (&note{entry: k.entry, target: k.targets[i], message: k.ask.moved(t.Name)}).run()
+	n := &note{entry: k.entry, target: k.targets[i], message: k.ask.moved(t.Name)}
+	go n.run()
 }
 
 // note is on its way to one agent.
@@ -69,11 +70,12 @@
 // stays silent, the one that gave the note takes the request over.
 func (k *walk) joinMoved(ctx context.Context, from *chestnutstep.Target, name string) step {
 	t := k.ask.view.Targets[name]
-	known := slices.Contains(k.answered, name)
-	k.answered = append(k.answered, from.Name)
-	if t != nil && !known && k.offers < triesMost {
+	ask := t != nil && !slices.Contains(k.ruledOut, name)
+	k.ruleOut(from)
+	if ask && k.offers < triesMost {
 		s := k.try(ctx, attempt{target: t, owner: true})
-		if !s.done && !slices.Contains(k.answered, name) {
+		if !s.done && !slices.Contains(k.ruledOut, name) {
+			k.ruleOut(t)
 			s = k.mayRunElsewhere()
 		}
 		if s.done {
@@ -86,6 +88,8 @@
 	return k.try(ctx, attempt{target: from, over: true})
 }
 
+func (k *walk) ruleOut(t *chestnutstep.Target) { k.ruledOut = append(k.ruledOut, t.Name) }
+
 // mayRunElsewhere decides on a request whose target is noted and can't be asked.
 func (k *walk) mayRunElsewhere() step {
 	return k.decide(&ErrRefused{Reason: chestnutstep.ReasonMoved, Run: chestnutstep.RunMaybe})
--- a/entry/walk.go
+++ b/entry/walk.go
@@ -49,9 +49,9 @@
 	crashed []string
 	// source is the agent that holds the chat's KV cache and refused.
 	source string
-	// answered lists the targets whose agent has answered an offer other than by
-	// an accept, or has ended the run: none of them has the request any more.
-	answered []string
+	// ruledOut lists the targets that are not asked again who runs the request:
+	// they don't have it, or their agent was silent for as long as it may be.
+	ruledOut []string
 }
 
 // run serves the request, or returns the final word on it.
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -251,6 +251,30 @@
 	}
 }
 
+// TestBrokenLinkIsTakenUpAtALateAgent guards against an entry that asks an agent for a run again and again, each time too briefly
+// for it to answer, until the caller's time has passed.
+func TestBrokenLinkIsTakenUpAtALateAgent(t *testing.T) {
+	for _, c := range readCells(t) {
+		if c.profile == profileOrder || c.faults[0] != "break" || len(c.faults) > 1 {
+			continue
+		}
+		switch Step(c.step) {
+		case StepStart, StepSpent, StepFirst, StepMiddle, StepLast:
+		default:
+			continue
+		}
+		t.Run(c.name(), func(t *testing.T) {
+			t.Parallel()
+			var last *play
+			assert.NilError(t, restage(func() *play {
+				last = &play{cell: c, stack: &Stack{JoinDelay: tryTime * 7 / 20}, limit: 2 * tryTime}
+				return last
+			}))
+			assert.Equal(t, len(last.tries), 1, "%v", last.tries)
+		})
+	}
+}
+
 // TestPoisonIsRefusedAsNotRun guards against a "maybe" for content that is in quarantine: its caller comes back when the targets
 // it crashed are up again, and nothing was passed on for it.
 func TestPoisonIsRefusedAsNotRun(t *testing.T) {
