entry: the note of who runs a request leaves before the request's body

Seen: TestRunIsJoinedThoughItsAgentIsLate, start restart, once in three plays of the whole package: "ran 2 times, wanted 1 at most", chat-a, then chat-b. No agent had a note.

Cause: the note went out beside the body. The target had begun before the note's stream was open, and the entry died in between.

Why it works: the body waits until the note has left, five milliseconds at most; over an open connection that is at once, and a connection that has to be made first takes about that long. To wait until the note has arrived would cost each named request a round trip, some 3 ms between failure domains; without it an entry that dies in the milliseconds between leaves no note, which costs a second run only where the agent is late as well.

--- a/entry/moved.go
+++ b/entry/moved.go
@@ -9,8 +9,13 @@
 	"chestnutstep.example/chestnutstep/wire"
 )
 
-// noteLimit is how long a note may take to reach an agent that is slow or busy.
-const noteLimit = 2 * time.Second
+const (
+	// noteLimit is how long a note may take to reach an agent that is slow or busy.
+	noteLimit = 2 * time.Second
+	// noteWait is how long the body waits for the note to leave: over an open
+	// connection that is at once, and nothing runs that is not noted.
+	noteWait = 5 * time.Millisecond
+)
 
 // moved is the note that a target runs the request.
 func (a *ask) moved(target string) *wire.Up {
@@ -42,8 +47,12 @@
 	if i < 0 || k.targets[i] == noted {
 		return
 	}
-	n := &note{entry: k.entry, target: k.targets[i], message: k.ask.moved(t.Name)}
+	n := &note{entry: k.entry, target: k.targets[i], message: k.ask.moved(t.Name), sent: make(chan struct{})}
 	go n.run()
+	select {
+	case <-n.sent:
+	case <-time.After(noteWait):
+	}
 }
 
 // note is on its way to one agent.
@@ -51,10 +60,13 @@
 	entry   *Entry
 	target  *chestnutstep.Target
 	message *wire.Up
+	// sent is closed when there is nothing left to do.
+	sent chan struct{}
 }
 
 // run sends the note. One that does not arrive costs a second run at worst.
 func (n *note) run() {
+	defer close(n.sent)
 	l, err := n.entry.openLink(n.target, noteLimit)
 	if err == nil {
 		l.finish(n.message)
