agent, node: a booking that was abandoned is not logged as one whose ticket was dropped

Read: since an offer whose entry left gives its ticket back, the line 5004 ticket_dropped and its counter said the opposite for it.

--- a/agent/job.go
+++ b/agent/job.go
@@ -213,6 +213,7 @@
 		a.dropTicket(now, j.offer, j.refusal)
 	}
 	a.withdraw(now, j, d)
+	a.Notify(j.notice(NoticeWithdrawn, d.Reason))
 }
 
 // abandon ends a job that has not run and that nobody follows. As nobody hears
@@ -227,6 +228,7 @@
 		j.refusal.Run = string(chestnutstep.RunMaybe)
 	}
 	a.withdraw(now, j, chestnutstep.Decision{Reason: chestnutstep.ReasonLink})
+	a.Notify(j.notice(NoticeAbandoned, chestnutstep.ReasonLink))
 }
 
 // withdraw takes a job that has not run out of the gate; its refusal is set.
@@ -239,7 +241,6 @@
 	a.Gate.End(now, j.key, chestnutstep.Withdraw)
 	a.remove(j)
 	a.advance(now)
-	a.Notify(j.notice(NoticeWithdrawn, d.Reason))
 }
 
 // remove forgets a job that never ran, so that a repeat is decided afresh.
--- a/agent/notice.go
+++ b/agent/notice.go
@@ -51,6 +51,7 @@
 	NoticeSent      NoticeKind = "sent"      // the accept of an offer was written
 	NoticeStarted   NoticeKind = "started"   // the target was called
 	NoticeWithdrawn NoticeKind = "withdrawn" // an offer that was taken will not run
+	NoticeAbandoned NoticeKind = "abandoned" // the same, as its entry left; its ticket stays good
 	NoticeImported  NoticeKind = "imported"  // a chat's KV cache was imported
 	NoticeMinted    NoticeKind = "minted"    // tickets were handed out
 	NoticeMoved     NoticeKind = "moved"     // another target runs a request
--- a/node/notice.go
+++ b/node/notice.go
@@ -35,6 +35,7 @@
 	agent.NoticeSent:      event.AcceptSent,
 	agent.NoticeStarted:   event.RunStarted,
 	agent.NoticeWithdrawn: event.OfferExpired,
+	agent.NoticeAbandoned: event.OfferExpired,
 	agent.NoticeEnded:     event.RunEnded,
 }
 
@@ -60,6 +61,8 @@
 		n.refusedOffer(m, 0)
 	case agent.NoticeMoved:
 		n.log.Emit(event.RunNoted, event.Request(m.Subject), event.Target(m.After))
+	case agent.NoticeAbandoned:
+		n.meters.Agent.Offers.Add(1, m.Profile, string(m.Reason))
 	case agent.NoticeMinted:
 		n.log.Emit(event.TicketsMinted, event.Workspace(m.Workspace), event.Int("count", int64(m.Count)))
 		n.meters.Agent.Tickets.Add(int64(m.Count), "fresh")
