--- a/agent/job.go
+++ b/agent/job.go
@@ -216,8 +216,8 @@
 	a.Notify(j.notice(NoticeWithdrawn, d.Reason))
 }
 
-// abandon ends a job that has not run and that nobody follows. As nobody hears
-// of it, its ticket stays good: the caller may come back with it.
+// abandon ends a job that has not run and that no entry follows. No caller gets
+// a "not run" for it, so its ticket stays valid for a retry.
 func (a *Agent) abandon(now time.Time, j *job) {
 	if j.state >= running {
 		return
--- a/agent/link.go
+++ b/agent/link.go
@@ -36,7 +36,7 @@
 }
 
 // Run carries one request: its offer, its answer, its body and its frames. Notes
-// of where requests run may come before the offer, or alone.
+// of where requests run may come before the offer, or without one.
 func (s *service) Run(st stream) error {
 	for {
 		up, err := st.Recv()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -50,9 +50,9 @@
 	return k.follow(ctx, l, down)
 }
 
-// silence is how long an agent may take to answer. One that alone may have the
-// request gets half of the time that is left, up to ownerLimit: given up sooner,
-// its caller could only come back to the same agent, or have it run again.
+// silence is how long an agent may take to answer. The only one that may have
+// the request gets half of the time that is left, up to ownerLimit: after a
+// shorter wait the caller could only retry at the same agent, or run it again.
 func (k *walk) silence(owner bool) time.Duration {
 	if !owner {
 		return answerLimit
--- a/entry/link.go
+++ b/entry/link.go
@@ -16,7 +16,7 @@
 	// in microseconds; a longer silence is a frozen host or a cut, and the
 	// caller's time is better spent at the next target.
 	answerLimit = 500 * time.Millisecond
-	// ownerLimit is the same for an agent that alone may have the request: no
+	// ownerLimit is the same for the only agent that may have the request: no
 	// other target can be asked meanwhile. It gives up an offer whose body has
 	// not come for as long.
 	ownerLimit = 2 * time.Second
--- a/entry/link_test.go
+++ b/entry/link_test.go
@@ -25,7 +25,7 @@
 }
 
 // TestAnswerBehindTheLimitIsSilence guards against an offer that counts as accepted on a link which its time limit has
-// ended: the agent has dropped it, and the caller would hear "unknown" of a request that never ran.
+// ended: the agent has dropped it, and the caller would get "unknown" for a request that never ran.
 func TestAnswerBehindTheLimitIsSilence(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	l := &link{target: &chestnutstep.Target{Name: "t"}, cancel: cancel, stream: &lateStream{ctx: ctx}}
--- a/entry/moved.go
+++ b/entry/moved.go
@@ -23,8 +23,8 @@
 	return &wire.Up{Kind: &wire.Up_Moved{Moved: m}}
 }
 
-// noteRefused tells the first agent that refused where the request went instead,
-// and returns its target, if there is one.
+// noteRefused sends the note to the first agent that refused the request, and
+// returns its target, if there is one.
 func (k *walk) noteRefused(t *chestnutstep.Target) *chestnutstep.Target {
 	if k.refused == nil || k.refused.target == t {
 		return nil
@@ -35,8 +35,8 @@
 	return l.target
 }
 
-// noteNext tells the agent that is asked before or after this target who runs
-// the request. The caller's repeat comes through another entry when this one
+// noteNext sends the note to the agent that is asked before or after this
+// target. The caller's retry comes through another entry when this one
 // dies, and where the target's agent is late to answer then, the next one would
 // run the request again.
 func (k *walk) noteNext(t, noted *chestnutstep.Target) {
@@ -75,8 +75,8 @@
 
 // joinMoved goes where an earlier try of this request went. It offers instead
 // of attaching: a run that goes on there is joined, but one that failed is run
-// anew. Attached, a caller would hear the recorded failure again and again for
-// as long as the note of the move lives.
+// anew. Attached, a caller would get the recorded failure again and again for
+// as long as the note is kept.
 //
 // Where that target is gone, has answered that it does not have the request, or
 // stays silent, the one that gave the note takes the request over.
--- a/entry/warn.go
+++ b/entry/warn.go
@@ -6,8 +6,8 @@
 	"chestnutstep.example/chestnutstep"
 )
 
-// warn tells the agents that rank for this content which targets it has crashed,
-// before its caller gets the final answer. The caller's repeat goes to the same
+// warn reports the targets that this content has crashed to the agents that rank
+// for it, before its caller gets the final answer. The caller's retry goes to the same
 // agents through whatever entry, often at once, and gossip takes a second. The
 // warning is an offer without time or body, which never runs.
 func (k *walk) warn() {
--- a/feed/gate.go
+++ b/feed/gate.go
@@ -7,8 +7,8 @@
 	"chestnutstep.example/chestnutstep/clock"
 )
 
-// sourceAfter is how long an entry that others can keep up to date leaves the source
-// alone after a failure: all entries together would keep a source busy that is down.
+// sourceAfter is how long an entry that its peers can keep up to date makes no call of the
+// source after a failure: all entries together would keep a source busy that is down.
 const sourceAfter = time.Second
 
 // Gate holds back calls of a source that has failed. It is safe for concurrent use, and its
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -161,7 +161,7 @@
 	return out + "\n"
 }
 
-// TestDomainBackInServiceIsNotHandedOnAsOut guards against an entry that starts and leaves a failure domain alone which came
+// TestDomainBackInServiceIsNotHandedOnAsOut guards against an entry that starts and sends nothing to a failure domain which came
 // back while the entry that it copies from had a gap.
 func TestDomainBackInServiceIsNotHandedOnAsOut(t *testing.T) {
 	r := &roster.Roster{}
