--- a/entry/moved.go
+++ b/entry/moved.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/wire"
 )
@@ -12,9 +15,10 @@
 const (
 	// noteLimit is how long a note may take to reach an agent that is slow or busy.
 	noteLimit = 2 * time.Second
-	// noteWait is how long the body waits for the note to leave: over an open
-	// connection that is at once, and nothing runs that is not noted.
-	noteWait = 5 * time.Millisecond
+	// noteWait is how long the body waits until the note is taken, so that nothing
+	// runs that is not noted. The callers of an agent that is down pay it until
+	// its host is left out of the ranking.
+	noteWait = 50 * time.Millisecond
 )
 
 // moved is the note that a target runs the request.
@@ -47,11 +51,13 @@
 	if i < 0 || k.targets[i] == noted {
 		return
 	}
-	n := &note{entry: k.entry, target: k.targets[i], message: k.ask.moved(t.Name), sent: make(chan struct{})}
+	n := &note{entry: k.entry, target: k.targets[i], message: k.ask.moved(t.Name), done: make(chan struct{})}
 	go n.run()
+	limit := time.NewTimer(noteWait)
+	defer limit.Stop()
 	select {
-	case <-n.sent:
-	case <-time.After(noteWait):
+	case <-n.done:
+	case <-limit.C:
 	}
 }
 
@@ -60,17 +66,36 @@
 	entry   *Entry
 	target  *chestnutstep.Target
 	message *wire.Up
-	// sent is closed when there is nothing left to do.
-	sent chan struct{}
+	// done is closed when the agent has taken the note, or can't be reached.
+	done chan struct{}
 }
 
-// run sends the note. One that does not arrive costs a second run at worst.
+// run sends the note and waits until it is taken. One that does not arrive costs
+// a second run at worst.
 func (n *note) run() {
-	defer close(n.sent)
+	defer close(n.done)
+	if err := n.send(); err != nil {
+		n.entry.Hosts.Fail(n.entry.Clock(), n.target.Host)
+	}
+}
+
+// send returns nil once the agent has taken the note, which ends the stream.
+func (n *note) send() error {
 	l, err := n.entry.openLink(n.target, noteLimit)
-	if err == nil {
-		l.finish(n.message)
+	if err != nil {
+		return err
+	}
+	defer l.cancel()
+	if err := l.send(n.message); err != nil {
+		return err
+	}
+	if err := l.stream.CloseSend(); err != nil {
+		return err
+	}
+	if _, err := l.first(noteLimit); !errors.Is(err, io.EOF) {
+		return err
 	}
+	return nil
 }
 
 // joinMoved goes where an earlier try of this request went. It offers instead
--- a/matrix/halt.go
+++ b/matrix/halt.go
@@ -32,8 +32,6 @@
 	release chan struct{}
 	// accepted lists the targets whose accept an entry has read since Arm.
 	accepted map[string]bool
-	// noted says that an agent has noted who runs the request.
-	noted bool
 }
 
 // afterAccept says that the step comes after the agent's accept.
@@ -53,7 +51,6 @@
 	h.reached = make(chan struct{})
 	h.release = make(chan struct{})
 	h.accepted = make(map[string]bool)
-	h.noted = false
 }
 
 // Accept is called when an entry has read a target's accept.
@@ -65,20 +62,6 @@
 	}
 }
 
-// Note is called when an agent has noted who runs a request.
-func (h *Halt) Note() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.noted = true
-}
-
-// Noted reports whether Note was called since Arm.
-func (h *Halt) Noted() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.noted
-}
-
 // Accepted reports whether an entry has read the target's accept since Arm.
 func (h *Halt) Accepted(target string) bool {
 	h.mu.Lock()
--- a/matrix/stack.go
+++ b/matrix/stack.go
@@ -231,7 +231,7 @@
 		Name: n.Name, URL: "http://" + n.Back.Addr(), Incarnation: strconv.Itoa(n.lives), Uptime: time.Since(s.began),
 		View: func() *chestnutstep.View { return s.View(agentView) },
 		Gate: &gate.Gate{}, Detector: &crash.Detector{Target: n.Name}, Issuer: &ticket.Issuer{Target: n.Name},
-		Answers: &answer.Store{}, Reuse: reuse, Single: single, Notify: s.notice,
+		Answers: &answer.Store{}, Reuse: reuse, Single: single,
 	}
 	srv := grpc.NewServer(grpc.StreamInterceptor(n.hooks.stream), grpc.UnaryInterceptor(n.hooks.unary))
 	wire.RegisterAgentServer(srv, n.Agent.Service())
@@ -370,13 +370,6 @@
 	return err
 }
 
-// notice passes on that an agent has noted who runs a request.
-func (s *Stack) notice(n agent.Notice) {
-	if n.Kind == agent.NoticeMoved {
-		s.Halt.Note()
-	}
-}
-
 // accept notes that an entry has read the accept of the agent behind a link.
 func (s *Stack) accept(addr string) {
 	for _, n := range s.Nodes {
