--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -186,6 +186,15 @@
 	f.store.Put("servers/"+id, map[string]any{"service": "s", "address": "127.0.0.1:1", "zone": "z", "slots": 4, "state": state})
 }
 
+// ready lets a target join and waits until all entries know it.
+func (f *fleet) ready(t *testing.T, id string) {
+	t.Helper()
+	f.target(id, "ready")
+	for _, e := range f.entries {
+		until(t, func() bool { return e.roster.View().ByID[id] != nil }, "the target is known")
+	}
+}
+
 // readers are the entries that read the store.
 func (f *fleet) readers() []*entry {
 	var list []*entry
@@ -314,10 +323,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 12)
-			f.target("i-a", "ready")
-			for _, e := range f.entries {
-				until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
-			}
+			f.ready(t, "i-a")
 			readers := f.readers()
 			for _, e := range readers {
 				fail(e)
--- a/feed/late_test.go
+++ b/feed/late_test.go
@@ -65,10 +65,7 @@
 // which was published before it.
 func TestLargeConfigurationHoldsUpNoTarget(t *testing.T) {
 	f := newSlowFleet(t, 12)
-	f.target("i-a", "ready")
-	for _, e := range f.entries {
-		until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
-	}
+	f.ready(t, "i-a")
 	f.publishLarge(2)
 	f.target("i-a", "draining")
 	for _, e := range f.entries {
@@ -90,10 +87,7 @@
 // their own, for an outage in which entries of sound targets lapse: a target that is gone goes on getting requests.
 func TestRemovedTargetIsDroppedThoughReadersAreTurnedAway(t *testing.T) {
 	f := newFleet(t, 12)
-	f.target("i-a", "ready")
-	for _, e := range f.entries {
-		until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
-	}
+	f.ready(t, "i-a")
 	for _, e := range f.readers() {
 		e.door.Set(stand.Busy)
 	}
@@ -112,10 +106,7 @@
 // for known because other entries report its version of the configuration.
 func TestReportsOfTheVersionProveNoTargets(t *testing.T) {
 	f := newFleet(t, 12)
-	f.target("i-a", "ready")
-	for _, e := range f.entries {
-		until(t, func() bool { return e.roster.View().ByID["i-a"] != nil }, "the target is known")
-	}
+	f.ready(t, "i-a")
 	readers := f.readers()
 	for _, e := range readers {
 		e.door.Set(stand.Silent)
