--- a/entry/attach.go
+++ b/entry/attach.go
@@ -61,7 +61,7 @@
 		return k.outOfTime(ctx)
 	}
 	k.maybe = true
-	k.ruleOut(t)
+	k.ruleOut(t.Name)
 	return k.decide(&ErrRefused{Reason: chestnutstep.ReasonUnknown, Run: chestnutstep.RunMaybe})
 }
 
--- a/entry/moved.go
+++ b/entry/moved.go
@@ -108,11 +108,11 @@
 func (k *walk) joinMoved(ctx context.Context, from *chestnutstep.Target, name string) step {
 	t := k.ask.view.Targets[name]
 	ask := t != nil && !slices.Contains(k.ruledOut, name)
-	k.ruleOut(from)
+	k.ruleOut(from.Name)
 	if ask && k.offers < triesMost {
 		s := k.try(ctx, attempt{target: t, owner: true})
 		if !s.done && !slices.Contains(k.ruledOut, name) {
-			k.ruleOut(t)
+			k.ruleOut(name)
 			s = k.mayRunElsewhere()
 		}
 		if s.done {
@@ -125,7 +125,8 @@
 	return k.try(ctx, attempt{target: from, over: true})
 }
 
-func (k *walk) ruleOut(t *chestnutstep.Target) { k.ruledOut = append(k.ruledOut, t.Name) }
+// ruleOut adds a target to those that are not asked again who runs the request.
+func (k *walk) ruleOut(target string) { k.ruledOut = append(k.ruledOut, target) }
 
 // mayRunElsewhere decides on a request whose target is noted and can't be asked.
 func (k *walk) mayRunElsewhere() step {
--- a/entry/step.go
+++ b/entry/step.go
@@ -31,7 +31,7 @@
 	if r.Moved != "" {
 		return k.joinMoved(ctx, l.target, r.Moved)
 	}
-	k.ruleOut(l.target)
+	k.ruleOut(l.target.Name)
 	if r.Home {
 		k.source = l.target.Agent
 	}
@@ -60,7 +60,7 @@
 	if ctx.Err() != nil {
 		return k.outOfTime(ctx)
 	}
-	k.ruledOut = append(k.ruledOut, k.served)
+	k.ruleOut(k.served)
 	ref := &ErrRefused{
 		Reason: chestnutstep.Reason(b.Reason),
 		Run:    chestnutstep.Run(b.Run),
