relay: a line for each crash that is noted, and the content's name in lines of failures

Which of three hypotheses on the requests that crash twenty targets holds could not be told from the logs: whether a crash was noted at all, of which content, and what that made of it. 7035 crash_noted says so; 7003 and refusals of quarantined content name the content. No decision changed.

--- a/decide.go
+++ b/decide.go
@@ -184,6 +184,9 @@
 	Condemned           // crashed a target while it ran alone, or two targets
 )
 
+// String returns the judgement's name in logs.
+func (j Judgement) String() string { return [...]string{"clear", "suspect", "condemned"}[j] }
+
 // Suspicion is a content fingerprint that was running when targets crashed.
 type Suspicion struct {
 	Fingerprint uint64
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -97,6 +97,7 @@
 	EntryFull       ID = 7032
 	EntryFree       ID = 7033
 	FactsRead       ID = 7034
+	CrashNoted      ID = 7035
 )
 
 // requestLines bounds the lines a second of each event about single requests of
@@ -640,4 +641,10 @@
 		Cause:   "Something was published; with an error, the peer or the source did not answer in time, or had facts that were too old.",
 		Action:  "A gap above the bound on changes: look at bytes and took for a link that is too slow, at errors before it for peers that were given up.",
 	},
+	{
+		ID: CrashNoted, Name: "crash_noted", Level: Warn, Often: true, Lines: requestLines,
+		Meaning: "A target is thought to have died under a content. Judged is what that makes of the content: clear, suspect or condemned.",
+		Cause:   "A connection broke while the target ran the content; with from peer, another entry reported it.",
+		Action:  "Look for 7003 with the same content, and for 7012 of the target.",
+	},
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -7,6 +7,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/share"
 )
 
@@ -17,6 +18,9 @@
 // connection that breaks while a target runs a content counts as its crash. It is
 // safe for concurrent use.
 type Crashes struct {
+	// Log receives a line for each crash that is noted; nil for none.
+	Log *event.Log
+
 	mu       sync.Mutex
 	detector crash.Detector
 	news     []share.Crash
@@ -41,7 +45,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	news := share.Crash{Target: target, Fingerprint: content}
-	c.detector.Learn(now, []chestnutstep.Suspicion{suspicion(now, news)})
+	c.note(now, news, "own")
 	if len(c.news) < newsMost {
 		c.news = append(c.news, news)
 	}
@@ -56,10 +60,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range list {
-		c.detector.Learn(now, []chestnutstep.Suspicion{suspicion(now, x)})
+		c.note(now, x, "peer")
 	}
 }
 
+// note takes one crash, and logs what that makes of the content.
+func (c *Crashes) note(now time.Time, x share.Crash, from string) {
+	c.detector.Learn(now, []chestnutstep.Suspicion{suspicion(now, x)})
+	c.Log.Emit(event.CrashNoted,
+		event.Uint("content", x.Fingerprint), event.Str("target", fmt.Sprintf("%08x", x.Target)), event.Str("from", from),
+		event.Str("judged", c.detector.Judge(now, x.Fingerprint).String()))
+}
+
 func suspicion(now time.Time, x share.Crash) chestnutstep.Suspicion {
 	return chestnutstep.Suspicion{Fingerprint: x.Fingerprint, Crashed: []string{fmt.Sprintf("%08x", x.Target)}, Seen: now}
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -64,6 +64,9 @@
 		fields = append(fields, event.Str("workspace", q.who().Workspace), event.Float("taken", q.room.Taken),
 			event.Float("kept", q.room.Kept), event.Int("yield", int64(q.room.Yield)), event.Dur("after", f.after))
 	}
+	if f.reason == chestnutstep.ReasonCondemned {
+		fields = append(fields, event.Uint("content", q.content))
+	}
 	if q.route != nil {
 		fields = append(fields, event.Str("route", q.route.Name))
 	}
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -57,7 +57,7 @@
 	q.Meters.Tries.Add(1, q.service.Name, string(e.Reason))
 	q.log(event.RelayFailed,
 		event.Str("target", t.ID), event.Str("reason", string(e.Reason)), event.Str("run", string(e.Run)),
-		event.Bool("reused", e.Reused), event.Int("last", q.stream.last), event.Err(e.Err))
+		event.Bool("reused", e.Reused), event.Int("last", q.stream.last), event.Uint("content", q.content), event.Err(e.Err))
 }
 
 // outcome is what a failure says of the target's health.
