--- /dev/null
+++ b/relay/deadly_test.go
@@ -0,0 +1,162 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/relay"
+	"chestnutstep.example/chestnutstep/share"
+	"chestnutstep.example/chestnutstep/stand"
+)
+
+const (
+	// poison is in the body of deadly content.
+	poison = "poison"
+	// floorTargets is how many targets a floor has, and floorEntries how many entries.
+	floorTargets = 12
+	floorEntries = 3
+	// gossipEvery is how often the entries of a floor report to each other.
+	gossipEvery = 50 * time.Millisecond
+	// lostMost is how many targets one content may end, one more where its repeat was on the way.
+	lostMost = 2
+)
+
+// floor is several entries before the targets of one rig, which report crashes to each other.
+type floor struct {
+	*rig
+	relays  []*relay.Relay
+	entries []*httptest.Server
+	stop    chan struct{}
+	done    sync.WaitGroup
+}
+
+func newFloor(t *testing.T) *floor {
+	t.Helper()
+	var names []string
+	for i := range floorTargets {
+		names = append(names, fmt.Sprintf("i-%d", i))
+	}
+	f := &floor{rig: newRigOf(t, standstill, names...), stop: make(chan struct{})}
+	f.relays, f.entries = []*relay.Relay{f.relay}, []*httptest.Server{f.server}
+	for len(f.entries) < floorEntries {
+		f.addEntry(t)
+	}
+	f.done.Add(1)
+	go f.loop()
+	t.Cleanup(func() {
+		close(f.stop)
+		f.done.Wait()
+	})
+	return f
+}
+
+// addEntry starts one more entry. It has heard nothing of the others.
+func (f *floor) addEntry(t *testing.T) {
+	t.Helper()
+	e := newRelay(f.roster, config.Bounds{Revoke: revokeIn}, 1)
+	s := httptest.NewServer(e)
+	t.Cleanup(s.Close)
+	f.relays, f.entries = append(f.relays, e), append(f.entries, s)
+}
+
+// loop passes reports on between the entries.
+func (f *floor) loop() {
+	defer f.done.Done()
+	tick := time.NewTicker(gossipEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-tick.C:
+		}
+		f.exchange()
+	}
+}
+
+func (f *floor) exchange() {
+	news := make([][]share.Crash, len(f.relays))
+	for i, e := range f.relays {
+		news[i] = e.Crashes.News()
+	}
+	for i, e := range f.relays {
+		for j := range news {
+			if i != j {
+				e.Crashes.Merge(time.Now(), news[j])
+			}
+		}
+	}
+}
+
+// deadly has all targets end by the content, at a step.
+func (f *floor) deadly(step stand.Step, byReset bool) {
+	for _, x := range f.targets {
+		x.Events = 8
+		x.Deadly = &stand.Deadly{Text: poison, Step: step, Reset: byReset}
+	}
+}
+
+// lost counts the targets that have ended.
+func (f *floor) lost() int {
+	n := 0
+	for _, x := range f.targets {
+		if x.Dead() {
+			n++
+		}
+	}
+	return n
+}
+
+// visit sends content to an entry under a new id.
+func (f *floor) visit(t *testing.T, entry int, kind, body string) string {
+	t.Helper()
+	f.asked++
+	return send(t, f.entries[entry%len(f.entries)], kind, fmt.Sprintf("visit-%d", f.asked), body)
+}
+
+// TestDeadlyContentIsStopped guards against a content that ends target after target, whatever of its answers had come by then.
+func TestDeadlyContentIsStopped(t *testing.T) {
+	for _, kind := range []string{"unsafe", "safe", "stream", "resume"} {
+		for _, step := range stand.Steps {
+			for _, byReset := range []bool{false, true} {
+				name := fmt.Sprintf("%s/%s/reset=%t", kind, step, byReset)
+				t.Run(name, func(t *testing.T) {
+					f := newFloor(t)
+					f.deadly(step, byReset)
+					last := ""
+					for n := range 10 {
+						last = f.visit(t, n, kind, poison)
+						assert.Assert(t, strings.HasPrefix(f.visit(t, n, "safe", fmt.Sprint("other ", n)), "200"), "another request failed")
+						time.Sleep(3 * gossipEvery)
+					}
+					assert.Assert(t, f.lost() <= lostMost, "%d targets lost", f.lost())
+					assert.Equal(t, last, "503 come-back")
+				})
+			}
+		}
+	}
+}
+
+// TestContentThatSoundTargetsBreakOffIsServed guards against a content that is refused as deadly for faults of targets which live on.
+func TestContentThatSoundTargetsBreakOffIsServed(t *testing.T) {
+	for _, kind := range []string{"unsafe", "safe", "stream", "resume"} {
+		for _, manner := range []stand.Manner{stand.Resets, stand.Cuts} {
+			t.Run(fmt.Sprintf("%s/%s", kind, manner), func(t *testing.T) {
+				f := newFloor(t)
+				f.order.Set(manner, manner, manner, manner)
+				for range 4 {
+					f.visit(t, 0, kind, "a fair question")
+				}
+				got := f.visit(t, 0, kind, "a fair question")
+				assert.Assert(t, strings.HasPrefix(got, "200 signed"), got)
+			})
+		}
+	}
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -55,10 +55,16 @@
 
 // newRigWith is a rig whose routes have a time limit.
 func newRigWith(t *testing.T, limit time.Duration) *rig {
+	t.Helper()
+	return newRigOf(t, limit, "i-a", "i-b", "i-c")
+}
+
+// newRigOf is a rig before these targets.
+func newRigOf(t *testing.T, limit time.Duration, names ...string) *rig {
 	t.Helper()
 	g := &rig{order: &stand.Order{}, roster: &roster.Roster{}, limit: limit}
 	b := chestnutstep.Batch{Revision: 1}
-	for _, name := range []string{"i-a", "i-b", "i-c"} {
+	for _, name := range names {
 		x := stand.NewTarget(name)
 		x.Order = g.order
 		t.Cleanup(x.Close)
@@ -136,15 +142,20 @@
 	t.Helper()
 	g.asked++
 	id := fmt.Sprintf("req-%d", g.asked)
+	return send(t, g.server, kind, id, "the body of "+id, headers...)
+}
+
+// send sends one request to an entry, on a connection of its own, and says what came.
+func send(t *testing.T, entry *httptest.Server, kind, id, body string, headers ...string) string {
+	t.Helper()
 	path := "/" + kind + "/x"
 	if kind == "stream" || kind == "resume" {
 		path = "/" + kind + "/stream/x"
 	}
-	c, err := net.Dial("tcp", g.server.Listener.Addr().String())
+	c, err := net.Dial("tcp", entry.Listener.Addr().String())
 	assert.NilError(t, err)
 	defer c.Close()
 	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	body := "the body of " + id
 	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nCredential: %s\r\nDeadline-Ms: 3000\r\n%sContent-Length: %d\r\n\r\n%s",
 		path, host, id, key, strings.Join(headers, ""), len(body), body)
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/stand/target.go
+++ b/stand/target.go
@@ -86,6 +86,8 @@
 	Pause time.Duration
 	// Order goes before the target's own manners; several may share one.
 	Order *Order
+	// Deadly is the content that ends the target; nil for none.
+	Deadly *Deadly
 
 	server  *httptest.Server
 	mu      sync.Mutex
@@ -97,19 +99,15 @@
 	held    []string
 	listed  int
 	stop    chan struct{}
+	conns   map[net.Conn]bool
+	dead    bool
 }
 
 // NewTarget starts a target under an instance name. Close it.
 func NewTarget(name string) *Target {
 	t := &Target{Name: name, Events: 4, usual: Fine, stop: make(chan struct{})}
 	t.server = httptest.NewUnstartedServer(t)
-	t.server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
-		if s == http.StateNew {
-			t.mu.Lock()
-			t.opened++
-			t.mu.Unlock()
-		}
-	}
+	t.server.Config.ConnState = t.track
 	t.server.Start()
 	return t
 }
@@ -221,6 +219,10 @@
 	t.mu.Lock()
 	t.runs = append(t.runs, run)
 	t.mu.Unlock()
+	if t.Deadly.matches(run) {
+		t.kill(w, r, run)
+		return
+	}
 	t.work(w, r, m, run)
 	t.mu.Lock()
 	run.Left = r.Context().Err() != nil
