relay, crash, link: what ends a target is found by its end, not by the step of the answer at which a connection broke

Cause: an entry without agents noted a crash where a connection broke before the answer's head, and only there. Behind the head the same end of a target had another reason (short instead of link), and nothing was noted. The reason says when a connection broke, not why: so it missed the targets that ended, and counted sound ones that reset a connection.

Now a connection that breaks is a suspicion, whatever had come. The entry opens a connection to the target: refused proves that it ended; so does the list of targets, and a peer's report.

TestCrashingContentIsStopped played targets that reset a connection and live on, which proves no crash and is what the second test forbids; its targets end now, its check is the same.

--- a/board/peers.go
+++ b/board/peers.go
@@ -126,7 +126,7 @@
 	if len(b.peers)+1 >= b.most {
 		b.most, b.mostAt = len(b.peers)+1, now
 	}
-	if len(r.Lists) > 0 {
+	if r.Partial {
 		b.mergeLists(now, r.Lists)
 		return
 	}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -98,6 +98,9 @@
 	EntryFree       ID = 7033
 	FactsRead       ID = 7034
 	CrashNoted      ID = 7035
+	TargetEnded     ID = 7036
+	TargetLives     ID = 7037
+	CrashCleared    ID = 7038
 )
 
 // requestLines bounds the lines a second of each event about single requests of
@@ -643,8 +646,26 @@
 	},
 	{
 		ID: CrashNoted, Name: "crash_noted", Level: Warn, Often: true, Lines: requestLines,
-		Meaning: "A target is thought to have died under a content. Judged is what that makes of the content: clear, suspect or condemned.",
-		Cause:   "A connection broke while the target ran the content; with from peer, another entry reported it.",
-		Action:  "Look for 7003 with the same content, and for 7012 of the target.",
+		Meaning: "A target ended while it ran a content. Losses is how many did since the content was last served, refused for how long it is refused from now on; events is how far the answer had come, age how long ago it was. With cleared a peer has served the content since.",
+		Cause:   "From own: a connection broke, and 7036 proves that the target has ended. From peer: another entry reported it.",
+		Action:  "With two losses or more see docs/operate/suspect.md.",
+	},
+	{
+		ID: TargetEnded, Name: "target_ended", Level: Warn,
+		Meaning: "A target ended without notice while requests ran on it. Proof is refused where it refuses connections, list where the list of targets lost it, peer where another entry reported it, known where that was known before; contents is how many requests broke off, after the time since the first of them.",
+		Cause:   "Its process crashed, or a request ended it: see 7035.",
+		Action:  "Many targets one after the other: look for a content with two losses or more at 7035.",
+	},
+	{
+		ID: TargetLives, Name: "target_lives", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "A connection broke in the middle of an answer, and the target takes new ones: its content is not suspected.",
+		Cause:   "A fault of the target or the network.",
+		Action:  "Many of one target: look there.",
+	},
+	{
+		ID: CrashCleared, Name: "crash_cleared", Level: Info, Often: true, Lines: requestLines,
+		Meaning: "A content under which targets ended was served: it is cleared of these losses.",
+		Cause:   "It ran beside whatever ended the targets.",
+		Action:  "Nothing.",
 	},
 }
--- a/link/call.go
+++ b/link/call.go
@@ -65,7 +65,10 @@
 	Reused bool
 	// Silent says that the target's host did not acknowledge the request.
 	Silent bool
-	Err    error
+	// Broke says that the target's side ended the connection before the answer was whole,
+	// whatever of it had come.
+	Broke bool
+	Err   error
 }
 
 // Error says what happened.
@@ -157,7 +160,10 @@
 			reason = chestnutstep.ReasonTimeout
 		}
 	}
-	return ErrCall{Run: chestnutstep.RunMaybe, Reason: reason, Reused: c.Reused, Silent: silent, Err: err}
+	return ErrCall{
+		Run: chestnutstep.RunMaybe, Reason: reason, Reused: c.Reused, Silent: silent,
+		Broke: reason == chestnutstep.ReasonLink && !silent, Err: err,
+	}
 }
 
 // Read reads the body; io.EOF says that it is whole.
--- a/link/pool.go
+++ b/link/pool.go
@@ -105,6 +105,11 @@
 	if call.Dial > 0 {
 		limit = min(call.Dial, dialLimit)
 	}
+	return p.open(ctx, address, limit)
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, address string, limit time.Duration) (*Conn, error) {
 	raw, err := dial(ctx, "tcp", address, limit)
 	if err != nil {
 		return nil, err
--- a/meter/catalog.go
+++ b/meter/catalog.go
@@ -35,6 +35,7 @@
 	labelWay       = "way"
 	labelTopic     = "topic"
 	labelFrom      = "from"
+	labelProof     = "proof"
 	labelService   = "service"
 )
 
--- a/meter/set.go
+++ b/meter/set.go
@@ -93,6 +93,8 @@
 	Reads     Counter   // reads of facts, by topic and giver
 	ReadBytes Counter   // bytes of these reads
 	ReadGap   Histogram // age of the last proof when changes came
+	Ended     Counter   // targets that ended while requests ran on them, by proof
+	CrashAge  Histogram // age of a crash when a peer reported it
 }
 
 // Workspaces is what a report of fairness between workspaces is made of, summed
@@ -179,6 +181,8 @@
 		{&s.Relay.Reads, entry{"relay_reads_total", kindCounter, "calls", []string{labelTopic, labelFrom}, "Reads of published facts that brought changes, from a peer or the source, and those that failed."}},
 		{&s.Relay.ReadBytes, entry{"relay_read_bytes_total", kindCounter, "bytes", []string{labelTopic, labelFrom}, "Bytes of these reads."}},
 		{&s.Relay.ReadGap, entry{"relay_read_gap_seconds", kindHistogram, "seconds", []string{labelTopic, labelFrom}, "Age of the last proof when changes were read: no change that was read is older."}},
+		{&s.Relay.Ended, entry{"relay_targets_ended_total", kindCounter, "targets", []string{labelProof}, "Targets that ended without notice while requests ran on them, by what proved it: refused, list or peer."}},
+		{&s.Relay.CrashAge, entry{"relay_crash_age_seconds", kindHistogram, "seconds", nil, "Age of a crash when a peer's report of it came, less the time on the way."}},
 		{&s.Relay.Callers, entry{"relay_callers", kindGauge, "connections", nil, "Connections of callers that are held."}},
 		{&s.Workspaces.Requests, entry{"workspace_requests_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests of a workspace: ok, refused, broken or canceled."}},
 		{&s.Workspaces.Tokens, entry{"workspace_tokens_total", kindCounter, "tokens", []string{labelWorkspace}, "Estimated work that the target did for a workspace."}},
--- a/node/advice.go
+++ b/node/advice.go
@@ -34,7 +34,10 @@
 // here is current saves this entry when it can't reach the source itself.
 func (n *Direct) MergeReport(now clock.Stamp, r *share.Report, asked clock.Stamp) {
 	n.board.MergeReport(now, r)
-	n.crashes.Merge(time.Now(), r.Crashes)
+	n.crashes.Merge(now, r.Crashes)
+	if r.Partial {
+		return
+	}
 	own := n.roster.Version()
 	switch {
 	case r.Version == own && own != 0 && r.Age >= 0 && asked != 0:
@@ -81,6 +84,7 @@
 		event.Str("back", strings.Join(c.Back, " ")))
 	if v := n.roster.View(); v != nil {
 		n.board.Keep(v)
+		n.crashes.Review(clock.Now(), v)
 	}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -39,7 +39,7 @@
 	}
 	a.Close(err == nil)
 	if err != nil {
-		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: q.cut(), Err: err}
+		return q.cut(err)
 	}
 	answer := &whole{a.Status, a.Header, b.Bytes()}
 	if a.Status >= http.StatusInternalServerError {
@@ -50,12 +50,12 @@
 	return nil
 }
 
-// cut is the reason of a body that ended early.
-func (q *request) cut() chestnutstep.Reason {
+// cut is the failure of a body that ended early.
+func (q *request) cut(err error) link.ErrCall {
 	if q.ctx.Err() != nil {
-		return chestnutstep.ReasonTimeout
+		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonTimeout, Err: err}
 	}
-	return chestnutstep.ReasonShort
+	return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonShort, Broke: true, Err: err}
 }
 
 // write gives the answer to the caller as it came.
--- a/relay/caller_test.go
+++ b/relay/caller_test.go
@@ -155,7 +155,7 @@
 		return resp.StatusCode
 	}
 	for _, x := range g.targets {
-		x.Behave(stand.Resets)
+		x.Deadly = &stand.Deadly{Text: "poison", Step: stand.AtAccept, Reset: true}
 	}
 	statuses := ""
 	for i := range 6 {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -32,8 +32,8 @@
 	if q.workspace != nil && !q.current() {
 		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonVersion, retryUnready}
 	}
-	if q.Crashes.Quarantined(time.Now(), q.content) {
-		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, retryCondemned}
+	if wait := q.quarantined(now); wait > 0 {
+		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, wait}
 	}
 	need := board.Need{
 		Parts: q.ask.Parts, Domain: q.Domain, Skip: q.skip, Allowed: q.allowed, Cap: q.Bounds().Cap,
@@ -52,6 +52,15 @@
 	return c, nil
 }
 
+// quarantined is how long the content is refused from now on, as targets ended under it.
+func (q *request) quarantined(now clock.Stamp) (wait time.Duration) {
+	if q.trial {
+		return q.Crashes.Wait(now, q.content)
+	}
+	wait, q.trial = q.Crashes.Admit(now, q.content)
+	return wait
+}
+
 // refuseFull refuses a request for which the targets have no place left, with the time after
 // which it may find one.
 func (q *request) refuseFull(room board.Room) *refusal {
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/share"
@@ -89,7 +90,7 @@
 	for i, e := range f.relays {
 		for j := range news {
 			if i != j {
-				e.Crashes.Merge(time.Now(), news[j])
+				e.Crashes.Merge(clock.Now(), news[j])
 			}
 		}
 	}
@@ -128,6 +129,7 @@
 			for _, byReset := range []bool{false, true} {
 				name := fmt.Sprintf("%s/%s/reset=%t", kind, step, byReset)
 				t.Run(name, func(t *testing.T) {
+					t.Parallel()
 					f := newFloor(t)
 					f.deadly(step, byReset)
 					last := ""
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -78,6 +78,9 @@
 	stream stream
 	// gone reports that the caller was found to have closed its connection.
 	gone bool
+	// trial says that the content has ended targets and that no other of this entry's requests
+	// may run it meanwhile.
+	trial bool
 	// room is what was known of the targets' places when none was left; nil before.
 	room *board.Room
 }
@@ -98,9 +101,16 @@
 	defer cancel()
 	q.ctx = ctx
 	q.await()
+	defer q.endTrial()
 	q.run()
 }
 
+func (q *request) endTrial() {
+	if q.trial {
+		q.Crashes.Release(q.content)
+	}
+}
+
 // refusal is an answer of the relay's own.
 type refusal struct {
 	status int
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -90,7 +90,7 @@
 	return &relay.Relay{
 		Domain: "d", Bounds: func() config.Bounds { return bounds },
 		Roster: ros, Board: &board.Board{}, Pool: &link.Pool{}, Wire: platform.Wire{},
-		Crashes: &relay.Crashes{}, Meters: &meter.Relay{}, Behind: func() bool { return false },
+		Crashes: &relay.Crashes{Meters: &meter.Relay{}}, Meters: &meter.Relay{}, Behind: func() bool { return false },
 		Budgets: &retry.Budgets{
 			Bounds:  func() retry.Bounds { return retry.Bounds{Share: retries, Slack: 100 * retries, Window: time.Second} },
 			Entries: func() int { return 1 },
--- a/relay/run.go
+++ b/relay/run.go
@@ -11,6 +11,7 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/place"
@@ -88,6 +89,7 @@
 	if q.tally.Tries+q.tally.Unreached == 0 {
 		q.Budgets.Earn(time.Now(), q.service.Name)
 	}
+	q.stream.events = 0
 	run := q.Board.Start(now, t, q.service, q.ask.Parts, c.Cached(), q.who())
 	q.logSend(c)
 	q.countTokens(c)
@@ -118,7 +120,7 @@
 	}
 	run.End(clock.Now(), board.Served)
 	q.tally.Add(chestnutstep.RunYes)
-	q.Crashes.Served(time.Now(), q.content)
+	q.Crashes.Served(clock.Now(), q.content)
 	q.done(t)
 	return true, nil
 }
@@ -225,13 +227,7 @@
 // fingerprint names the content, so that one that crashes targets is known
 // again when its caller repeats it under another id.
 func (q *request) fingerprint() uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(q.r.Method)
-	_, _ = d.WriteString(q.r.RequestURI)
-	_, _ = d.WriteString("\x00" + q.ask.Key + "\x00")
-	_, _ = d.Write(q.body)
-	return d.Sum64()
+	return crash.Fingerprint(q.ask.Key, q.r.Method+" "+q.r.RequestURI, q.body)
 }
 
 func uniform(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -23,6 +23,8 @@
 type stream struct {
 	begun bool
 	last  int64
+	// events counts those of the present target.
+	events int64
 }
 
 // forward passes events on as they come, each whole. A target may break off in
@@ -39,9 +41,10 @@
 		}
 		if err != nil {
 			a.Close(false)
-			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: q.cut(), Err: err}
+			return q.cut(err)
 		}
 		run.First(clock.Now())
+		q.stream.events++
 		if err := q.check(id); err != nil {
 			a.Close(false)
 			return err
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -48,9 +48,6 @@
 	} else {
 		q.tally.Add(e.Run)
 	}
-	if e.Reason == chestnutstep.ReasonLink && !left && !e.Silent {
-		q.Crashes.Record(time.Now(), q.content, board.Key(&t.Instance))
-	}
 	if e.Reason == chestnutstep.ReasonDown || e.Reason == chestnutstep.ReasonDead {
 		q.Pool.Drop(t.Address)
 	}
@@ -58,6 +55,25 @@
 	q.log(event.RelayFailed,
 		event.Str("target", t.ID), event.Str("reason", string(e.Reason)), event.Str("run", string(e.Run)),
 		event.Bool("reused", e.Reused), event.Int("last", q.stream.last), event.Uint("content", q.content), event.Err(e.Err))
+	if e.Broke && !left {
+		q.findEnd(t)
+	}
+}
+
+// findEnd finds out whether a target has ended whose connection broke. Its caller's next try must
+// not be faster than that.
+func (q *request) findEnd(t *roster.Target) {
+	if listed := q.Roster.View().ByID[t.ID]; listed == nil || listed.Leaving || listed.Born != t.Born {
+		return // it ends as planned, or has ended before
+	}
+	proven := q.Crashes.Broken(clock.Now(), q.Pool, t, q.content, q.stream.events)
+	limit := time.NewTimer(provenWait)
+	defer limit.Stop()
+	select {
+	case <-proven:
+	case <-limit.C:
+	case <-q.ctx.Done():
+	}
 }
 
 // outcome is what a failure says of the target's health.
--- a/share/news.go
+++ b/share/news.go
@@ -1,5 +1,7 @@
 package share
 
+import "chestnutstep.example/chestnutstep/clock"
+
 const (
 	// newsKept bounds the events that are kept for peers that have not got them: twenty
 	// seconds of a heavy load.
@@ -36,10 +38,12 @@
 	gone   *uint32
 	silent *uint32
 	crash  *Crash
+	// at is when a crash was added.
+	at clock.Stamp
 }
 
 // add appends events, and drops the oldest half where they are too many.
-func (l *newsLog) add(n News) {
+func (l *newsLog) add(now clock.Stamp, n News) {
 	for i := range n.Holds {
 		l.events = append(l.events, newsEvent{hold: &n.Holds[i]})
 	}
@@ -50,7 +54,7 @@
 		l.events = append(l.events, newsEvent{silent: &n.Suspected[i]})
 	}
 	for i := range n.Crashes {
-		l.events = append(l.events, newsEvent{crash: &n.Crashes[i]})
+		l.events = append(l.events, newsEvent{crash: &n.Crashes[i], at: now})
 	}
 	if extra := len(l.events) - newsKept; extra > 0 {
 		extra += newsKept / 2
@@ -64,7 +68,7 @@
 
 // fill puts at most so many events from a number on into a report, and returns the number
 // of the first one that it does not hold.
-func (l *newsLog) fill(r *Report, from uint64, most int) uint64 {
+func (l *newsLog) fill(now clock.Stamp, r *Report, from uint64, most int) uint64 {
 	from = min(max(from, l.first), l.end())
 	events := l.events[from-l.first:]
 	events = events[:min(len(events), most)]
@@ -78,7 +82,9 @@
 		case e.silent != nil:
 			r.Suspected = append(r.Suspected, *e.silent)
 		case e.crash != nil:
-			r.Crashes = append(r.Crashes, *e.crash)
+			c := *e.crash
+			c.Age += uint32(max(now.Sub(e.at), 0).Milliseconds())
+			r.Crashes = append(r.Crashes, c)
 		}
 	}
 	return from + uint64(len(events))
--- a/share/news_test.go
+++ b/share/news_test.go
@@ -125,15 +125,15 @@
 func TestNewsAreBounded(t *testing.T) {
 	var l newsLog
 	for i := range uint32(3 * newsKept) {
-		l.add(News{Gone: []uint32{i}})
+		l.add(0, News{Gone: []uint32{i}})
 		assert.Assert(t, len(l.events) <= newsKept)
 	}
 	assert.Equal(t, l.end(), uint64(3*newsKept))
 	var r Report
-	next := l.fill(&r, 0, newsTold)
+	next := l.fill(0, &r, 0, newsTold)
 	assert.Equal(t, len(r.Gone), newsTold)
 	assert.Equal(t, uint64(r.Gone[newsTold-1])+1, next)
-	assert.Equal(t, l.fill(&r, next+newsKept*9, newsTold), l.end())
+	assert.Equal(t, l.fill(0, &r, next+newsKept*9, newsTold), l.end())
 	assert.Equal(t, len(r.Gone), 0)
 }
 
--- a/share/report.go
+++ b/share/report.go
@@ -50,6 +50,8 @@
 	Crashes []Crash
 	// Lists are whole caches, as targets named them.
 	Lists []List
+	// Partial says that the report has nothing but Lists or Crashes.
+	Partial bool
 	// Kept are the places that the sender keeps free.
 	Kept []Kept
 	// Suspected are targets whose hosts did not answer the sender.
@@ -140,11 +142,17 @@
 	Ready bool
 }
 
-// Crash says that content was running at a target when it died.
+// Crash says that content was running at a target when it ended.
 type Crash struct {
 	_           struct{} `cbor:",toarray"`
 	Target      uint32
 	Fingerprint uint64
+	// Events is how many events of the answer had come.
+	Events uint16
+	// Age is how long ago it was, in milliseconds.
+	Age uint32
+	// Cleared says that the content was served since.
+	Cleared bool
 }
 
 // datagramMost bounds a datagram: one packet on any network.
--- a/share/talk.go
+++ b/share/talk.go
@@ -63,9 +63,9 @@
 func (p *Peers) Spread(lists ...List) {
 	now := clock.Now()
 	for _, l := range lists {
-		r := &Report{From: p.Self, Run: p.Run, Lists: []List{l}, Age: -1}
+		r := &Report{From: p.Self, Run: p.Run, Lists: []List{l}, Partial: true, Age: -1}
 		for _, to := range p.choose(now, r) {
-			p.sendLists(r, to)
+			p.sendPartial(r, to)
 		}
 	}
 }
@@ -85,7 +85,7 @@
 func (p *Peers) round(now clock.Stamp) int {
 	r := &Report{From: p.Self, Run: p.Run, Control: p.Control, Link: p.Link}
 	p.Knowledge.FillReport(now, r)
-	p.addNews()
+	p.addNews(now)
 	targets := p.choose(now, r)
 	sum := 0
 	for _, to := range targets {
@@ -110,7 +110,7 @@
 	x.unanswered++
 	r.Echo, r.EchoRun = x.echo, x.run
 	r.Sent = int64(clock.Now()) / int64(time.Millisecond)
-	b, next, err := p.fit(r, x.news.has)
+	b, next, err := p.fit(now, r, x.news.has)
 	if err == nil {
 		x.news.sent(r.Sent, next)
 		p.size = len(b)
@@ -121,9 +121,9 @@
 
 // fit encodes a report with as much of the news as a datagram holds, and returns the number
 // of the first event that it doesn't hold. The caller holds the lock.
-func (p *Peers) fit(r *Report, from uint64) (b []byte, next uint64, err error) {
+func (p *Peers) fit(now clock.Stamp, r *Report, from uint64) (b []byte, next uint64, err error) {
 	for most := newsTold; ; most /= 2 {
-		next = p.news.fill(r, from, most)
+		next = p.news.fill(now, r, from, most)
 		b, err = encode(r)
 		if err != nil || len(b) <= datagramMost || most == 0 {
 			return b, next, err
@@ -132,15 +132,15 @@
 }
 
 // addNews takes up what happened since the last round.
-func (p *Peers) addNews() {
+func (p *Peers) addNews(now clock.Stamp) {
 	n := p.Knowledge.News()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.news.add(n)
+	p.news.add(now, n)
 }
 
-// sendLists sends a report that has nothing but lists.
-func (p *Peers) sendLists(r *Report, to netip.AddrPort) {
+// sendPartial sends a report that has nothing but lists or crashes.
+func (p *Peers) sendPartial(r *Report, to netip.AddrPort) {
 	b, err := encode(r)
 	n := p.send(b, err, to)
 	p.mu.Lock()
@@ -197,7 +197,7 @@
 		p.forget(x)
 	}
 	x.run, x.number, x.lastSeen, x.unanswered = r.Run, r.Number, now, 0
-	if len(r.Lists) == 0 {
+	if !r.Partial {
 		x.echo, x.control, x.leaving, x.hasIndex, x.version = r.Sent, r.Control, r.Leaving, r.HasIndex, r.Version
 		x.link = int(r.Link)
 	}
@@ -225,7 +225,7 @@
 func (p *Peers) answerNew(now clock.Stamp, to netip.AddrPort) {
 	r := &Report{From: p.Self, Run: p.Run, Control: p.Control}
 	p.Knowledge.FillReport(now, r)
-	p.addNews()
+	p.addNews(now)
 	p.mu.Lock()
 	p.number++
 	r.Number, r.Leaving = p.number, p.leaving
