share, node: a crash is reported at once, and passed on by those who did not know it

What callers saw: a request that ends targets, sent again at once, ended a target for each of the first repeats at other entries, and all streams on it.

Cause: crashes waited for the next round of reports, 50 ms and more, and went from the entry that saw them to eight peers a round: seconds in a fleet of 300.

An entry sends a crash to eight peers drawn at random as soon as it is proven, before its caller has the final answer. A peer to which it is news does the same, where the fleet is larger than that. The rounds still bring what a lost datagram did not.

--- a/node/advice.go
+++ b/node/advice.go
@@ -30,11 +30,14 @@
 	return share.News{Holds: n.board.Holds(), Gone: n.board.Gone(), Suspected: n.board.Suspicions(), Crashes: n.crashes.News()}
 }
 
+// spreadCrashes reports crashes without waiting for the next round.
+func (n *Direct) spreadCrashes(list []share.Crash) { n.peers.SpreadCrashes(clock.Now(), list) }
+
 // MergeReport takes a peer's report. One that proves that the configuration in force
 // here is current saves this entry when it can't reach the source itself.
 func (n *Direct) MergeReport(now clock.Stamp, r *share.Report, asked clock.Stamp) {
 	n.board.MergeReport(now, r)
-	n.crashes.Merge(now, r.Crashes)
+	n.peers.ForwardCrashes(now, n.crashes.Merge(now, r.Crashes))
 	if r.Partial {
 		return
 	}
--- a/node/direct.go
+++ b/node/direct.go
@@ -181,7 +181,7 @@
 	n.settled = make(chan struct{})
 	n.roster = &roster.Roster{}
 	n.pool = &link.Pool{}
-	n.crashes = &relay.Crashes{Log: n.log, Meters: &n.meters.Relay}
+	n.crashes = &relay.Crashes{Log: n.log, Meters: &n.meters.Relay, OnLoss: n.spreadCrashes}
 	self, err := netip.ParseAddrPort(n.Settings.Peer)
 	if err != nil {
 		return errors.Wrap(err, "peer address")
--- /dev/null
+++ b/share/crashes.go
@@ -0,0 +1,54 @@
+package share
+
+import (
+	"math/rand/v2"
+	"net/netip"
+
+	"chestnutstep.example/chestnutstep/clock"
+)
+
+// crashesTold bounds the crashes of one datagram.
+const crashesTold = 48
+
+// SpreadCrashes reports crashes at once, to as many peers as one round reaches, drawn at random.
+// Each of them that did not know them does the same: the repeat of a request that ends targets
+// may come to any entry within a second, and the rounds of a large fleet take several.
+func (p *Peers) SpreadCrashes(now clock.Stamp, list []Crash) {
+	p.sendCrashes(list, p.draw(now, fanout)...)
+}
+
+// ForwardCrashes reports crashes that a peer reported, where one round does not reach all entries.
+func (p *Peers) ForwardCrashes(now clock.Stamp, list []Crash) {
+	if to := p.draw(now, fanout+1); len(to) > fanout {
+		p.sendCrashes(list, to[:fanout]...)
+	}
+}
+
+// sendCrashes sends datagrams that have nothing but crashes.
+func (p *Peers) sendCrashes(list []Crash, to ...netip.AddrPort) {
+	for len(list) > 0 {
+		n := min(len(list), crashesTold)
+		for _, a := range to {
+			p.mu.Lock()
+			p.number++
+			r := &Report{From: p.Self, Run: p.Run, Number: p.number, Crashes: list[:n], Partial: true, Age: -1}
+			p.mu.Unlock()
+			p.sendPartial(r, a)
+		}
+		list = list[n:]
+	}
+}
+
+// draw returns at most n live peers at random.
+func (p *Peers) draw(now clock.Stamp, n int) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []netip.AddrPort
+	for a, x := range p.peers {
+		if x.live(now) {
+			list = append(list, a)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), n)]
+}
--- a/share/news_test.go
+++ b/share/news_test.go
@@ -19,12 +19,19 @@
 	loss    float64
 	bytes   int
 	now     clock.Stamp
+	// held keeps datagrams back until the next call of deliver.
+	held    bool
+	pending []func()
 }
 
 // collector collects the events that reach one entry.
 type collector struct {
 	news News
 	got  map[Hold]int
+	// crashes are those that came.
+	crashes map[Crash]bool
+	// peers is the entry itself, which forwards what is new to it.
+	peers *Peers
 }
 
 func (c *collector) FillReport(_ clock.Stamp, r *Report) { r.Age = -1 }
@@ -35,10 +42,19 @@
 	return n
 }
 
-func (c *collector) MergeReport(_ clock.Stamp, r *Report, _ clock.Stamp) {
+func (c *collector) MergeReport(now clock.Stamp, r *Report, _ clock.Stamp) {
 	for _, h := range r.Holds {
 		c.got[h]++
 	}
+	var changed []Crash
+	for _, x := range r.Crashes {
+		x.Age = 0
+		if !c.crashes[x] {
+			c.crashes[x] = true
+			changed = append(changed, x)
+		}
+	}
+	c.peers.ForwardCrashes(now, changed)
 }
 
 // meshConn is the socket of one entry.
@@ -57,10 +73,23 @@
 	if err != nil {
 		return 0, err
 	}
+	if m.held {
+		m.pending = append(m.pending, func() { m.entries[to.String()].take(m.now, r, len(b)) })
+		return len(b), nil
+	}
 	m.entries[to.String()].take(m.now, r, len(b))
 	return len(b), nil
 }
 
+// deliver delivers the datagrams that were kept back.
+func (m *mesh) deliver() {
+	list := m.pending
+	m.pending = nil
+	for _, f := range list {
+		f()
+	}
+}
+
 func newMesh(n int, loss float64) *mesh {
 	m := &mesh{entries: make(map[string]*Peers), rand: rand.New(rand.NewPCG(1, 2)), loss: loss, now: clock.Now()}
 	addrs := make([]netip.AddrPort, n)
@@ -68,7 +97,7 @@
 		addrs[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7)
 	}
 	for i, a := range addrs {
-		k := &collector{got: make(map[Hold]int)}
+		k := &collector{got: make(map[Hold]int), crashes: make(map[Crash]bool)}
 		m.knowers = append(m.knowers, k)
 		m.entries[a.String()] = &Peers{
 			Self: a, Seeds: addrs, Run: uint32(i + 1), Knowledge: k, Conn: &meshConn{mesh: m}, OnError: func(error) {},
@@ -76,13 +105,17 @@
 	}
 	for _, p := range m.entries {
 		p.begin()
+		p.Knowledge.(*collector).peers = p
 	}
 	return m
 }
 
 // sweep lets each entry send as many rounds as it takes to reach each peer once.
-func (m *mesh) sweep() {
-	for range (len(m.entries) + fanout - 1) / fanout {
+func (m *mesh) sweep() { m.rounds((len(m.entries) + fanout - 1) / fanout) }
+
+// rounds lets each entry send some rounds.
+func (m *mesh) rounds(n int) {
+	for range n {
 		m.now = m.now.Add(fast)
 		for _, p := range m.entries {
 			p.round(m.now)
