share, node: an entry that starts, or hears from peers again, asks for the contents that are refused

What callers saw: the same request ended further targets through an entry that had been replaced, or was cut off while the others learned of it.

Cause: a peer that starts is sent the last 60 events of each entry's news, and one that was cut off what is left of 4,096; both are mostly about caches, and a crash falls out of them within seconds of load. Found by reading, while looking for who forgets.

Evidence: TestEntryThatStartsRefusesDeadlyContent (a hundred prompts between): the new entry never learned of it; TestEntryAsksForWhatItMissed.

For 300 ms after its start, or after the first datagram that follows a silence, an entry's reports say that it missed what came before; who gets one answers with the losses of all contents that are refused.

--- a/node/advice.go
+++ b/node/advice.go
@@ -30,6 +30,9 @@
 	return share.News{Holds: n.board.Holds(), Gone: n.board.Gone(), Suspected: n.board.Suspicions(), Crashes: n.crashes.News()}
 }
 
+// Losses returns what an entry has to know of contents that end targets.
+func (n *Direct) Losses(now clock.Stamp) []share.Crash { return n.crashes.Losses(now) }
+
 // spreadCrashes reports crashes without waiting for the next round.
 func (n *Direct) spreadCrashes(list []share.Crash) { n.peers.SpreadCrashes(clock.Now(), list) }
 
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -44,6 +45,18 @@
 	return status(resp, err)
 }
 
+// read sends a request with a prompt of its own, which is news for the peers.
+func (d *direct) read(t *testing.T, n int) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+d.settings.Callers+"/look/x", strings.NewReader("harmless"))
+	assert.NilError(t, err)
+	r.Host = "shop.example"
+	r.Header.Set("Attempt-Id", fmt.Sprint("read-", n))
+	r.Header.Set("Credential", "k")
+	r.Header.Set("Prefix-Hash", fmt.Sprintf("%x:10,ff:1", 1000+n))
+	assert.Equal(t, status(http.DefaultClient.Do(r)), http.StatusOK)
+}
+
 // TestRepeatAtAnotherEntryIsRefused guards against a caller who sends a request that ends targets again at once, to the next entry.
 func TestRepeatAtAnotherEntryIsRefused(t *testing.T) {
 	store, targets := newDeadlyTargets(t)
@@ -59,3 +72,20 @@
 	assert.Equal(t, got, "502 502 503 503 503 503 ", one.out.text()+two.out.text())
 	assert.Equal(t, countDead(targets), 2)
 }
+
+// TestEntryThatStartsRefusesDeadlyContent guards against an entry that was replaced and ends a target of its own.
+func TestEntryThatStartsRefusesDeadlyContent(t *testing.T) {
+	store, targets := newDeadlyTargets(t)
+	one := startDirect(t, store)
+	for n := range 3 {
+		one.repeat(fmt.Sprint("r-", n))
+	}
+	assert.Equal(t, countDead(targets), 2)
+	for n := range 100 {
+		one.read(t, n)
+	}
+	late := startDirect(t, store, one.settings.Peer)
+	waitFor(t, func() bool { return strings.Contains(late.out.text(), "crash_noted") }, "the new entry knows")
+	assert.Equal(t, late.repeat("late"), http.StatusServiceUnavailable)
+	assert.Equal(t, countDead(targets), 2)
+}
--- a/share/crashes.go
+++ b/share/crashes.go
@@ -3,12 +3,27 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"chestnutstep.example/chestnutstep/clock"
 )
 
-// crashesTold bounds the crashes of one datagram.
-const crashesTold = 48
+const (
+	// crashesTold bounds the crashes of one datagram.
+	crashesTold = 48
+	// missedFor is for how long after a start, or the end of a cut, an entry asks those to whom it
+	// reports for what it missed: several rounds, as datagrams may be lost.
+	missedFor = 300 * time.Millisecond
+)
+
+// noteHeard notes that a datagram came. The first after a silence ends a cut. The caller holds
+// the lock.
+func (p *Peers) noteHeard(now clock.Stamp) {
+	if now.Sub(p.heardAt) > liveFor {
+		p.missedUntil = now.Add(missedFor)
+	}
+	p.heardAt = now
+}
 
 // SpreadCrashes reports crashes at once, to as many peers as one round reaches, drawn at random.
 // Each of them that did not know them does the same: the repeat of a request that ends targets
--- a/share/crashes_test.go
+++ b/share/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -33,3 +34,21 @@
 	assert.Assert(t, know >= entries*99/100, "%d of %d entries know", know, entries)
 	assert.Assert(t, m.bytes <= entries*fanout*150, "%d bytes an entry", m.bytes/entries)
 }
+
+// TestEntryAsksForWhatItMissed guards against an entry that has just started, or was cut off, and sends a request to targets which
+// all others refuse.
+func TestEntryAsksForWhatItMissed(t *testing.T) {
+	m := newMesh(4, 0)
+	m.sweep()
+	crash := Crash{Target: 1, Fingerprint: 2}
+	for _, k := range m.knowers[1:] {
+		k.losses = []Crash{crash}
+	}
+	m.now = m.now.Add(time.Second)
+	m.sweep()
+	assert.Assert(t, !m.knowers[0].crashes[crash], "it missed nothing, and asks")
+	m.now = m.now.Add(2 * liveFor)
+	m.sweep()
+	m.sweep()
+	assert.Assert(t, m.knowers[0].crashes[crash])
+}
--- a/share/news_test.go
+++ b/share/news_test.go
@@ -28,14 +28,17 @@
 type collector struct {
 	news News
 	got  map[Hold]int
-	// crashes are those that came.
+	// crashes are those that came, and losses what is reported to entries that missed it.
 	crashes map[Crash]bool
+	losses  []Crash
 	// peers is the entry itself, which forwards what is new to it.
 	peers *Peers
 }
 
 func (c *collector) FillReport(_ clock.Stamp, r *Report) { r.Age = -1 }
 
+func (c *collector) Losses(clock.Stamp) []Crash { return c.losses }
+
 func (c *collector) News() News {
 	n := c.news
 	c.news = News{}
--- a/share/peers.go
+++ b/share/peers.go
@@ -41,6 +41,9 @@
 	FillReport(now clock.Stamp, r *Report)
 	// News returns what happened since the last call.
 	News() News
+	// Losses returns the crashes that an entry has to know which has just started or was cut
+	// off.
+	Losses(now clock.Stamp) []Crash
 	// MergeReport takes a peer's report. Asked is a moment of this process's clock
 	// before which the peer can't have made it; 0 where that is not known.
 	MergeReport(now clock.Stamp, r *Report, asked clock.Stamp)
@@ -69,6 +72,9 @@
 	size    int
 	leaving bool
 	out, in int64
+	// heardAt is when any datagram last came, and missedUntil until when peers are asked for what
+	// was missed.
+	heardAt, missedUntil clock.Stamp
 }
 
 // peer is another entry.
@@ -169,6 +175,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers = make(map[netip.AddrPort]*peer)
+	p.missedUntil = clock.Now().Add(missedFor)
 	for _, s := range p.Seeds {
 		p.addPeer(s)
 	}
@@ -211,7 +218,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.number++
-	r.Number, r.Leaving = p.number, p.leaving
+	r.Number, r.Leaving, r.Missed = p.number, p.leaving, now < p.missedUntil
 	type candidate struct {
 		addr netip.AddrPort
 		sent clock.Stamp
--- a/share/report.go
+++ b/share/report.go
@@ -50,6 +50,8 @@
 	Crashes []Crash
 	// Lists are whole caches, as targets named them.
 	Lists []List
+	// Missed says that the sender has just started or was cut off: it lacks what was reported before.
+	Missed bool
 	// Partial says that the report has nothing but Lists or Crashes.
 	Partial bool
 	// Kept are the places that the sender keeps free.
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -42,6 +42,8 @@
 	return n
 }
 
+func (k *knower) Losses(clock.Stamp) []Crash { return nil }
+
 func (k *knower) MergeReport(_ clock.Stamp, r *Report, asked clock.Stamp) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/share/talk.go
+++ b/share/talk.go
@@ -186,6 +186,7 @@
 // take passes a report on unless a later one of the same run came first.
 func (p *Peers) take(now clock.Stamp, r *Report, n int) {
 	p.mu.Lock()
+	p.noteHeard(now)
 	p.in += int64(n + overhead)
 	x := p.addPeer(r.From)
 	if x == nil || x.run == r.Run && r.Number <= x.number {
@@ -217,6 +218,9 @@
 	if started {
 		p.answerNew(now, r.From)
 	}
+	if r.Missed {
+		p.sendCrashes(p.Knowledge.Losses(now), r.From)
+	}
 }
 
 // answerNew reports at once to an entry that was not known before, or has restarted. In a large
@@ -228,7 +232,7 @@
 	p.addNews(now)
 	p.mu.Lock()
 	p.number++
-	r.Number, r.Leaving = p.number, p.leaving
+	r.Number, r.Leaving, r.Missed = p.number, p.leaving, now < p.missedUntil
 	r.Peers = p.some(now, to)
 	p.mu.Unlock()
 	n := p.tell(now, r, to)
