relay: a content keeps its name when its workspace takes another key into use

A content that ends targets was known by the caller's key: with each new key it would end two more.

Evidence: TestNewKeyLiftsNoQuarantine: 502 after the key changed, 503 now.

The name is made with the workspace, as on the agents' path, by the same function.

--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -162,3 +162,16 @@
 		}
 	}
 }
+
+// TestNewKeyLiftsNoQuarantine guards against a content that ends two more targets with each key that its workspace takes into use.
+func TestNewKeyLiftsNoQuarantine(t *testing.T) {
+	f := newFloor(t)
+	f.deadly(stand.AtHead, false)
+	for n := range 3 {
+		f.visit(t, 0, "stream", poison)
+		assert.Assert(t, f.lost() <= lostMost, "visit %d", n)
+	}
+	f.publish(2, "another")
+	assert.Equal(t, sendAs(t, f.server, "another", "stream", "again", poison), "503 come-back")
+	assert.Equal(t, f.lost(), lostMost)
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -147,6 +147,12 @@
 
 // send sends one request to an entry, on a connection of its own, and says what came.
 func send(t *testing.T, entry *httptest.Server, kind, id, body string, headers ...string) string {
+	t.Helper()
+	return sendAs(t, entry, key, kind, id, body, headers...)
+}
+
+// sendAs is send with a key.
+func sendAs(t *testing.T, entry *httptest.Server, key, kind, id, body string, headers ...string) string {
 	t.Helper()
 	path := "/" + kind + "/x"
 	if kind == "stream" || kind == "resume" {
--- a/relay/run.go
+++ b/relay/run.go
@@ -225,9 +225,9 @@
 }
 
 // fingerprint names the content, so that one that crashes targets is known
-// again when its caller repeats it under another id.
+// again when its caller repeats it under another id or key.
 func (q *request) fingerprint() uint64 {
-	return crash.Fingerprint(q.ask.Key, q.r.Method+" "+q.r.RequestURI, q.body)
+	return crash.Fingerprint(q.who().Workspace, q.r.Method+" "+q.r.RequestURI, q.body)
 }
 
 func uniform(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
