crash: answers that a reset cut short count as broken off at the same step; tests of bystanders and of repeats at once

What callers saw: a third target lost, as a content counted as one that was there by chance.

Cause: a reset drops the events that are on their way, so that the same end of a target shows after three events at one time and after none at another; the steps had to be equal.

--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -14,6 +14,9 @@
 	// doubtPause is how long a content is refused after two targets where something else may
 	// have ended them. Peers' reports of the same moment come within a fraction of it.
 	doubtPause = 3 * time.Second
+	// stepSlack is by how many events two answers may differ that broke off at one step: a reset
+	// loses those that were on their way.
+	stepSlack = 4
 	// togetherFor is how far apart targets end that were lost to one failure, such as that of a
 	// failure domain.
 	togetherFor = 2 * time.Second
@@ -185,7 +188,13 @@
 
 // sure reports whether nothing but the content explains two losses.
 func (q *Quarantine) sure(fingerprint uint64, two []Loss) bool {
-	return two[0].Events == two[1].Events && q.others(two) < togetherAt && !q.hasRival(fingerprint, two)
+	return sameStep(two) && q.others(two) < togetherAt && !q.hasRival(fingerprint, two)
+}
+
+// sameStep reports whether a content ended two targets after about as many events.
+func sameStep(two []Loss) bool {
+	a, b := int(two[0].Events), int(two[1].Events)
+	return max(a, b)-min(a, b) <= stepSlack
 }
 
 // others counts the targets that ended about when these did, without the content.
@@ -214,7 +223,7 @@
 				at = append(at, l)
 			}
 		}
-		if len(at) == len(two) && at[0].Events == at[1].Events {
+		if len(at) == len(two) && sameStep(at) {
 			return true
 		}
 	}
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -25,6 +25,8 @@
 	floorEntries = 3
 	// gossipEvery is how often the entries of a floor report to each other.
 	gossipEvery = 50 * time.Millisecond
+	// oneWay is what a report takes from one entry to another.
+	oneWay = 2 * time.Millisecond
 	// lostMost is how many targets one content may end, one more where its repeat was on the way.
 	lostMost = 2
 )
@@ -96,6 +98,21 @@
 	}
 }
 
+// spread has the entries report losses at once, over links with a delay.
+func (f *floor) spread(delay time.Duration) {
+	for i, e := range f.relays {
+		e.Crashes.OnLoss = func(list []share.Crash) {
+			time.AfterFunc(delay, func() {
+				for j, other := range f.relays {
+					if i != j {
+						other.Crashes.Merge(clock.Now(), list)
+					}
+				}
+			})
+		}
+	}
+}
+
 // deadly has all targets end by the content, at a step.
 func (f *floor) deadly(step stand.Step, byReset bool) {
 	for _, x := range f.targets {
@@ -175,3 +192,99 @@
 	assert.Equal(t, sendAs(t, f.server, "another", "stream", "again", poison), "503 come-back")
 	assert.Equal(t, f.lost(), lostMost)
 }
+
+// bystander is a content that runs beside a deadly one, and comes again until it is served.
+type bystander struct {
+	floor *floor
+	n     int
+	kind  string
+	// refused is how often it was refused as deadly, and served when it was served.
+	refused int
+	served  time.Duration
+}
+
+func (b *bystander) run(t *testing.T, done *sync.WaitGroup) {
+	defer done.Done()
+	began := time.Now()
+	for visit := range 200 {
+		entry := b.floor.entries[(b.n+visit)%len(b.floor.entries)]
+		got := send(t, entry, b.kind, fmt.Sprintf("by-%d-%d", b.n, visit), fmt.Sprint("bystander ", b.n))
+		if strings.HasPrefix(got, "200") && !strings.HasSuffix(got, "cut") {
+			b.served = time.Since(began)
+			return
+		}
+		if strings.HasPrefix(got, "503") {
+			b.refused++
+		}
+		time.Sleep(gossipEvery)
+	}
+}
+
+// TestBystandersAreServed guards against contents that are refused as deadly since they ran on the targets which another one ended.
+func TestBystandersAreServed(t *testing.T) {
+	const (
+		contents = 60
+		visits   = 20
+	)
+	for _, kind := range []string{"stream", "resume"} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			f := newFloor(t)
+			f.deadly(stand.AtFirst, true)
+			for _, x := range f.targets {
+				x.Events, x.Pause = 60, 10*time.Millisecond
+			}
+			var done sync.WaitGroup
+			list := make([]*bystander, contents)
+			for n := range list {
+				list[n] = &bystander{floor: f, n: n, kind: kind}
+				done.Add(1)
+				go list[n].run(t, &done)
+			}
+			for n := range visits {
+				time.Sleep(2 * gossipEvery)
+				f.visit(t, n, kind, poison)
+			}
+			done.Wait()
+			refused := 0
+			for _, b := range list {
+				assert.Assert(t, b.served > 0, "bystander %d was never served", b.n)
+				assert.Assert(t, b.served < standstill, "bystander %d was served after %s", b.n, b.served)
+				if b.refused > 0 {
+					refused++
+				}
+			}
+			t.Logf("%d of %d bystanders were refused for a while, %d targets lost", refused, contents, f.lost())
+			assert.Assert(t, f.lost() <= lostMost+1, "%d targets lost", f.lost())
+		})
+	}
+}
+
+// TestDeadlyContentAtOnce guards against a target lost for each entry that gets the repeat of a request at once.
+func TestDeadlyContentAtOnce(t *testing.T) {
+	for _, step := range stand.Steps {
+		t.Run(string(step), func(t *testing.T) {
+			t.Parallel()
+			f := newFloor(t)
+			f.spread(oneWay)
+			f.deadly(step, false)
+			for n := range 12 {
+				f.visit(t, n, "stream", poison)
+				time.Sleep(10 * oneWay)
+			}
+			assert.Assert(t, f.lost() <= lostMost+1, "%d targets lost", f.lost())
+		})
+	}
+}
+
+// TestTwoDeadlyContents guards against two contents that shield each other, as each explains the losses of the other.
+func TestTwoDeadlyContents(t *testing.T) {
+	f := newFloor(t)
+	f.deadly(stand.AtFirst, true)
+	for n := range 12 {
+		f.visit(t, n, "stream", poison+" one")
+		f.visit(t, n, "stream", poison+" two")
+		time.Sleep(2 * gossipEvery)
+	}
+	assert.Assert(t, f.lost() <= 2*(lostMost+1), "%d targets lost", f.lost())
+}
