relay: tests of targets that end as planned, and of those that listen again at once

With the list of targets not asked: 502 where 503 is wanted. With planned ends counted: a content that ran on two targets which left is refused.

--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/relay"
@@ -38,6 +39,8 @@
 	entries []*httptest.Server
 	stop    chan struct{}
 	done    sync.WaitGroup
+	// revision of the list of targets.
+	revision uint64
 }
 
 func newFloor(t *testing.T) *floor {
@@ -46,7 +49,7 @@
 	for i := range floorTargets {
 		names = append(names, fmt.Sprintf("i-%d", i))
 	}
-	f := &floor{rig: newRigOf(t, standstill, names...), stop: make(chan struct{})}
+	f := &floor{rig: newRigOf(t, standstill, names...), stop: make(chan struct{}), revision: 1}
 	f.relays, f.entries = []*relay.Relay{f.relay}, []*httptest.Server{f.server}
 	for len(f.entries) < floorEntries {
 		f.addEntry(t)
@@ -288,3 +291,61 @@
 	}
 	assert.Assert(t, f.lost() <= 2*(lostMost+1), "%d targets lost", f.lost())
 }
+
+// list publishes a target anew.
+func (f *floor) list(i int, born int64, leaving bool) {
+	x := f.targets[i]
+	f.revision++
+	f.roster.Learn(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Revision: f.revision, Facts: []chestnutstep.Fact{{
+		Kind: chestnutstep.FactInstance, Name: x.Name, Revision: f.revision,
+		Instance: &chestnutstep.Instance{
+			ID: x.Name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8, Born: born, Leaving: leaving,
+		},
+	}}}, false)
+	for _, e := range f.relays {
+		e.Crashes.Review(clock.Now(), f.roster.View())
+	}
+}
+
+// TestTargetThatStartsAgainAtOnceHasEnded guards against a content that ends targets which listen again before anyone looks.
+func TestTargetThatStartsAgainAtOnceHasEnded(t *testing.T) {
+	f := newFloor(t)
+	f.order.Set(stand.Resets, stand.Resets)
+	for n := range lostMost {
+		f.visit(t, 0, "unsafe", poison)
+		for i, x := range f.targets {
+			if x.Arrived() > 0 {
+				f.list(i, int64(1+n), false)
+			}
+		}
+	}
+	assert.Equal(t, f.visit(t, 0, "unsafe", poison), "503 come-back")
+}
+
+// TestPlannedEndProvesNothing guards against contents that are refused as they ran on targets which ended as planned.
+func TestPlannedEndProvesNothing(t *testing.T) {
+	f := newFloor(t)
+	for i, x := range f.targets {
+		x.Events, x.Pause = 100, 10*time.Millisecond
+		if i > 1 {
+			f.list(i, 0, true)
+		}
+	}
+	for range 2 {
+		var done sync.WaitGroup
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			f.visit(t, 0, "stream", "a fair question")
+		}()
+		f.waitArrived(t, 1)
+		for i, x := range f.targets {
+			if x.Arrived() > 0 && !x.Dead() {
+				f.list(i, 0, true)
+				x.Die(true)
+			}
+		}
+		done.Wait()
+	}
+	assert.Equal(t, len(f.relay.Crashes.Losses(clock.Now())), 0)
+}
