--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -331,14 +331,14 @@
 			f.list(i, 0, true)
 		}
 	}
-	for range 2 {
+	for n := range 2 {
 		var done sync.WaitGroup
 		done.Add(1)
 		go func() {
 			defer done.Done()
 			f.visit(t, 0, "stream", "a fair question")
 		}()
-		f.waitArrived(t, 1)
+		f.waitArrived(t, n+1)
 		for i, x := range f.targets {
 			if x.Arrived() > 0 && !x.Dead() {
 				f.list(i, 0, true)
