--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -20,7 +20,7 @@
 	// togetherFor is how far apart targets end that were lost to one failure, such as that of a
 	// failure domain.
 	togetherFor = 2 * time.Second
-	// togetherAt is how many other targets end at the time before that is more likely.
+	// togetherAt is how many other targets end at the time before that explains one loss of a content.
 	togetherAt = 2
 	// keepFew is how long a content is remembered under which one target ended, or that was
 	// served since; keepMany the same for one that was refused.
@@ -56,9 +56,9 @@
 // contents are found at one loss and a few, by chance, at two.
 //
 // A content under which two targets ended is refused. Where its answers broke off at the same step and
-// nothing else explains the losses, the pause is long at once; otherwise it is short, and the
-// next run shows whether the content was the cause. A content that is served is cleared of all
-// losses before.
+// no other content was found at both, the pause is long at once; otherwise it is short, and the
+// next run shows whether the content was the cause. Where other targets end as well, it takes
+// one more. A content that is served is cleared of all losses before.
 //
 // Losses merge in any order to the same state. A Quarantine is not safe for concurrent use.
 type Quarantine struct {
@@ -179,51 +179,54 @@
 	if len(open) < quarantineAt {
 		return 0, len(open)
 	}
-	pause := pauses[min(len(open)-quarantineAt, len(pauses)-1)]
-	if len(open) == quarantineAt && !q.sure(fingerprint, open) {
-		pause = doubtPause
-	}
-	return max(open[len(open)-1].At.Add(pause).Sub(now), 0), len(open)
+	return max(open[len(open)-1].At.Add(q.pause(fingerprint, open)).Sub(now), 0), len(open)
 }
 
-// sure reports whether nothing but the content explains two losses.
-func (q *Quarantine) sure(fingerprint uint64, two []Loss) bool {
-	return sameStep(two) && q.others(two) < togetherAt && !q.hasRival(fingerprint, two)
+// pause is for how long a content is refused after its last loss.
+func (q *Quarantine) pause(fingerprint uint64, open []Loss) time.Duration {
+	n := len(open)
+	if q.others(open) >= togetherAt {
+		n--
+	}
+	switch {
+	case n < quarantineAt:
+		return 0
+	case n == quarantineAt && !(sameStep(open) && !q.hasRival(fingerprint, open)):
+		return doubtPause
+	default:
+		return pauses[min(n-quarantineAt, len(pauses)-1)]
+	}
 }
 
-// sameStep reports whether a content ended two targets after about as many events.
-func sameStep(two []Loss) bool {
-	a, b := int(two[0].Events), int(two[1].Events)
-	return max(a, b)-min(a, b) <= stepSlack
+// sameStep reports whether the targets ended after about as many events of a content.
+func sameStep(losses []Loss) bool {
+	byEvents := func(a, b Loss) int { return cmp.Compare(a.Events, b.Events) }
+	return slices.MaxFunc(losses, byEvents).Events-slices.MinFunc(losses, byEvents).Events <= stepSlack
 }
 
 // others counts the targets that ended about when these did, without the content.
-func (q *Quarantine) others(two []Loss) int {
+func (q *Quarantine) others(losses []Loss) int {
 	n := 0
 	for target, at := range q.ends {
-		if target == two[0].Target || target == two[1].Target {
-			continue
-		}
-		if at.Sub(two[0].At).Abs() <= togetherFor || at.Sub(two[1].At).Abs() <= togetherFor {
+		own := slices.ContainsFunc(losses, func(l Loss) bool { return l.Target == target })
+		near := slices.ContainsFunc(losses, func(l Loss) bool { return at.Sub(l.At).Abs() <= togetherFor })
+		if near && !own {
 			n++
 		}
 	}
 	return n
 }
 
-// hasRival reports whether another content was found at both losses, and at the same step.
-func (q *Quarantine) hasRival(fingerprint uint64, two []Loss) bool {
+// hasRival reports whether another content was found at all these losses, and at the same step.
+func (q *Quarantine) hasRival(fingerprint uint64, losses []Loss) bool {
 	for other, c := range q.cases {
 		if other == fingerprint {
 			continue
 		}
-		var at []Loss
-		for _, l := range c.open() {
-			if l.Target == two[0].Target || l.Target == two[1].Target {
-				at = append(at, l)
-			}
-		}
-		if len(at) == len(two) && sameStep(at) {
+		shared := slices.DeleteFunc(c.open(), func(l Loss) bool {
+			return !slices.ContainsFunc(losses, func(own Loss) bool { return own.Target == l.Target })
+		})
+		if len(shared) == len(losses) && sameStep(shared) {
 			return true
 		}
 	}
