agent: a repeat of a run that was given up gets the answer that the engine has kept

Cause: an answer that reaches its agent behind the deadline of its try counts as failed, and a repeat of a failed run runs anew. The engine has the stream.

The agent asks the engine for the stream from its beginning before it runs the request again, and serves it where it is whole, of the same content, and nothing else ran under the id since: notes of what ran last stand beside those of requests that moved, as one type.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -79,7 +79,12 @@
 	jobs map[string]*job
 	// taken counts the offers that became jobs.
 	taken uint64
-	moved movedNotes
+	// moved notes where requests run for which this agent would be asked next, so
+	// that a repeat through another entry finds the run.
+	moved notes
+	// ran notes the job that was the last to run under an id: the target tells
+	// answers apart by their id alone, and two workspaces may use the same.
+	ran   notes
 	chats chatCache
 	// view is the publication that was applied last, version its version. Two
 	// operators may publish different content under one version; the view tells
--- a/agent/call.go
+++ b/agent/call.go
@@ -145,6 +145,9 @@
 	if !j.agent.Clock().Before(j.deadline) {
 		return result{outcome: chestnutstep.Withdraw, reason: chestnutstep.ReasonTimeout, unsent: true}
 	}
+	if j.replay(ctx) {
+		return served
+	}
 	rs, err := client.Do(rq)
 	if err != nil {
 		return j.callError(ctx, err, connected.Load())
--- a/agent/chats.go
+++ b/agent/chats.go
@@ -9,10 +9,6 @@
 	// chatsKept bounds the chats whose prompt prefix is thought to be at the
 	// target. 10 million chats over 2,700 targets are 3,700 each.
 	chatsKept = 8192
-	// notesKept bounds the notes of requests that went elsewhere, and noteLife
-	// is how long one helps: a caller whose entry died repeats within seconds.
-	notesKept = 4096
-	noteLife  = time.Minute
 )
 
 // chat names a chat of a workspace.
@@ -100,46 +96,3 @@
 	c.at = nil
 	c.order.Init()
 }
-
-// movedNotes remembers where requests run for which this agent would be asked
-// next, so that a repeat through another entry finds the run instead of starting
-// a second one.
-type movedNotes struct {
-	at    map[string]movedNote
-	order []string
-}
-
-type movedNote struct {
-	target string
-	until  time.Time
-}
-
-func (m *movedNotes) put(key, target string, now time.Time) {
-	if m.at == nil {
-		m.at = make(map[string]movedNote)
-	}
-	if _, known := m.at[key]; !known {
-		m.order = append(m.order, key)
-	}
-	m.at[key] = movedNote{target: target, until: now.Add(noteLife)}
-	if len(m.order) > notesKept {
-		delete(m.at, m.order[0])
-		m.order = m.order[1:]
-	}
-}
-
-// end forgets the target of a request. Its place in the order stays.
-func (m *movedNotes) end(key string) {
-	if _, known := m.at[key]; known {
-		m.at[key] = movedNote{}
-	}
-}
-
-// get returns the target, or "" when there is no note or it is too old.
-func (m *movedNotes) get(key string, now time.Time) string {
-	n, ok := m.at[key]
-	if !ok || now.After(n.until) {
-		return ""
-	}
-	return n.target
-}
--- a/agent/copy.go
+++ b/agent/copy.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/answer"
 )
 
 const (
@@ -23,6 +24,10 @@
 	// endLimit is how long the end of the connection may take after a stream's
 	// last event. The target is on the same host and has nothing left to send.
 	endLimit = 100 * time.Millisecond
+	// replayLimit bounds the reading of an answer that the engine has kept, half
+	// of the time that is left does as well. An engine that is slow to send it
+	// would be as slow to answer a new run.
+	replayLimit = 2 * time.Second
 )
 
 // copy moves the answer into the log, and continues a stream that breaks
@@ -87,7 +92,66 @@
 // resume asks an engine that still has the same boot id to go on from an
 // offset. A target that restarted has forgotten the stream.
 func (j *job) resume(ctx context.Context, rs *http.Response, offset int64) io.ReadCloser {
-	boot := rs.Header.Get(chestnutstep.HeaderBoot)
+	next := j.askStream(ctx, rs.Header.Get(chestnutstep.HeaderBoot), offset)
+	if next == nil {
+		return nil
+	}
+	return next.Body
+}
+
+// replay serves the answer of an earlier run that the engine still has: one that
+// came too late for its caller is done, and need not be run again. It returns
+// false unless that answer is whole, and its own.
+func (j *job) replay(ctx context.Context) bool {
+	if !j.again {
+		return false
+	}
+	left := j.deadline.Sub(j.agent.Clock())
+	ctx, cancel := context.WithTimeout(ctx, min(left/2, replayLimit))
+	defer cancel()
+	rs := j.askStream(ctx, j.agent.boot(), 0)
+	if rs == nil {
+		return false
+	}
+	defer rs.Body.Close()
+	tail := &tail{wanted: j.agent.ending(rs)}
+	// An error shows in a tail that has not ended.
+	body, _ := io.ReadAll(io.LimitReader(rs.Body, answer.DefaultMost))
+	tail.add(body)
+	if !tail.ended() || !j.isLastRun() {
+		return false
+	}
+	h := head(rs)
+	j.seeHead(h)
+	j.log.SetHead(h)
+	if err := j.log.Append(body); err != nil {
+		return false
+	}
+	j.log.Finish()
+	return true
+}
+
+// isLastRun says that nothing else has run under the job's id since it started.
+func (j *job) isLastRun() bool {
+	j.agent.mu.Lock()
+	defer j.agent.mu.Unlock()
+	return j.agent.ranLast(j.agent.Clock(), j)
+}
+
+// ranLast says that the job, or an earlier one of the same request, was the last
+// to run under its id.
+func (a *Agent) ranLast(now time.Time, j *job) bool { return a.ran.get(j.offer.Id, now) == j.key }
+
+// boot is the target's boot id as it was last seen.
+func (a *Agent) boot() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.health.boot
+}
+
+// askStream asks an engine for a stream of the job's id from an offset on, or
+// returns nil where that is not to be had.
+func (j *job) askStream(ctx context.Context, boot string, offset int64) *http.Response {
 	if boot == "" || j.agent.kind() != chestnutstep.KindEngine {
 		return nil
 	}
@@ -104,7 +168,7 @@
 		next.Body.Close()
 		return nil
 	}
-	return next.Body
+	return next
 }
 
 // stop tells an engine that nobody wants the answer any more. The place at the
--- a/agent/job.go
+++ b/agent/job.go
@@ -54,6 +54,8 @@
 	// failed is how an idempotent run ended without a whole answer: a repeat
 	// runs anew instead of hearing of the failure again.
 	failed *wire.Broken
+	// again says that the target may still have the answer of an earlier run.
+	again bool
 	// crashes is the target's count when the job started.
 	crashes int
 	// abort ends the call to the target.
@@ -165,6 +167,8 @@
 	}
 	j.state = running
 	j.begun = now
+	j.again = j.again && a.ranLast(now, j)
+	a.ran.put(j.offer.Id, j.key, now)
 	j.crashes = a.health.crashes
 	a.Detector.Start(now, j.offer.Fingerprint)
 	a.Notify(j.notice(NoticeStarted, ""))
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -23,7 +23,8 @@
 	if len(o.Crashed) > 0 {
 		a.Detector.Learn(now, []chestnutstep.Suspicion{{Fingerprint: o.Fingerprint, Crashed: o.Crashed, Seen: now}})
 	}
-	if adm, known := a.join(o); known {
+	adm, known, again := a.join(now, o)
+	if known {
 		return adm
 	}
 	if r := a.check(now, o); r != nil {
@@ -33,33 +34,38 @@
 		a.Notify(Notice{Kind: NoticeRefused, Subject: o.Id, Reason: chestnutstep.Reason(r.Reason), Workspace: o.Workspace, Profile: o.Profile, Ticket: true})
 		return admission{refuse: r}
 	}
-	return a.decide(now, o)
+	return a.decide(now, o, again)
 }
 
-// join finds the request if it is known here already.
-func (a *Agent) join(o *wire.Offer) (admission, bool) {
+// join finds the request if it is known here already; again says that a run of
+// it has failed here.
+func (a *Agent) join(now time.Time, o *wire.Offer) (adm admission, known, again bool) {
 	j := a.jobs[jobKey(o.Workspace, o.Id)]
 	if j != nil && j.failed != nil {
+		again = j.sameContent(o)
 		a.remove(j)
 		j = nil
 	}
 	if j != nil {
-		if j.offer.Fingerprint != o.Fingerprint || j.offer.Chat != o.Chat {
-			return admission{refuse: a.otherContent(j)}, true
+		if !j.sameContent(o) {
+			return admission{refuse: a.otherContent(j)}, true, false
 		}
-		if j.whole || !j.isWaitingFor(o) {
-			return a.follow(j, true), true
+		if !j.whole && j.isWaitingFor(o) {
+			// The first link never sent the body; this one brought it along.
+			a.supply(now, j, o.Small)
 		}
-		// The first link never sent the body; this one brought it along.
-		a.supply(a.Clock(), j, o.Small)
-		return a.follow(j, true), true
+		return a.follow(j, true), true, false
 	}
-	if target := a.moved.get(jobKey(o.Workspace, o.Id), a.Clock()); target != "" {
+	if target := a.moved.get(jobKey(o.Workspace, o.Id), now); target != "" {
 		r := refusal(chestnutstep.ReasonMoved, chestnutstep.RunNo)
 		r.Moved = target
-		return admission{refuse: r}, true
+		return admission{refuse: r}, true, false
 	}
-	return admission{}, false
+	return admission{}, false, again
+}
+
+func (j *job) sameContent(o *wire.Offer) bool {
+	return j.offer.Fingerprint == o.Fingerprint && j.offer.Chat == o.Chat
 }
 
 // otherContent refuses a request under a name that belongs to another one. It
@@ -157,9 +163,10 @@
 }
 
 // decide asks the gate.
-func (a *Agent) decide(now time.Time, o *wire.Offer) admission {
+func (a *Agent) decide(now time.Time, o *wire.Offer, again bool) admission {
 	log, _ := a.Answers.Put(now, o.Workspace, o.Id)
 	j := newJob(a, now, o, log)
+	j.again = again
 	if o.Ticket != "" {
 		log.Prefer()
 	}
