relay: a run that was given up counts, too, where its target ends by it

What callers saw: nothing on record; found by going through what is no evidence. Targets that go on for a while after their caller has left end behind his back: callers who leave early and come again take down target after target.

Cause: only a connection that broke under a waiting caller was evidence. A run that was canceled, that timed out or whose host fell silent was forgotten at once, and a refused connection, which proves the end of a target, was used for that target's next rest alone.

Runs that were given up wait for proof as well: for a second where the caller left, for as long as it takes the list of targets to lose one where the target was silent. Any refused connection proves an end, and is reported to the peers, who may know what ran there.

--- a/relay/crash.go
+++ b/relay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,10 @@
 	// breakKeep is how long a broken connection may wait for the proof that its target has
 	// ended: longer than it takes the list of targets to lose one.
 	breakKeep = 6 * time.Second
+	// leftKeep is the same for a run whose caller has left: a target may work on it for a while.
+	leftKeep = time.Second
+	// expireEvery is how often what is old is looked for.
+	expireEvery = time.Second
 	// endKeep is how long it is remembered that a target has ended.
 	endKeep = 30 * time.Second
 	// newsMost bounds what waits to be reported.
@@ -30,8 +35,8 @@
 
 // Crashes finds contents that end targets. Without agents nobody sees a target end: a
 // connection that breaks raises a suspicion, whatever of the answer had come, and what proves it is
-// that the target refuses a new connection, that the list of targets no longer has it, or a
-// peer's report. It is safe for concurrent use. Set the fields before use.
+// that the target refuses a connection, that the list of targets no longer has it, or a peer's
+// report. It is safe for concurrent use. Set the fields before use.
 type Crashes struct {
 	// Log receives a line for each loss; nil for none.
 	Log *event.Log
@@ -43,26 +48,48 @@
 	mu         sync.Mutex
 	quarantine crash.Quarantine
 	targets    map[uint32]*brokenTarget
+	expiredAt  clock.Stamp
 	news       []share.Crash
 }
 
-// brokenTarget is a target whose connections broke of late.
+// brokenTarget is a target that did not finish all its runs of late.
 type brokenTarget struct {
 	key   uint32
 	id    string
+	born  int64
 	at    clock.Stamp
 	ended bool
-	// breaks wait for proof.
+	// breaks are its runs that wait for proof.
 	breaks []contentBreak
 	// proven is closed once the present probe has an answer; nil without one.
 	proven chan struct{}
 }
 
-// contentBreak is a content whose answer broke off.
+// contentBreak is a run that was not finished.
 type contentBreak struct {
 	content uint64
 	events  uint16
 	at      clock.Stamp
+	// keep is how long it waits for proof.
+	keep time.Duration
+}
+
+// Unfinished is a run that ended without a whole answer.
+type Unfinished struct {
+	Target  *roster.Target
+	Content uint64
+	// Events is how many events of the answer had come.
+	Events int64
+	// Left says that its caller has left.
+	Left bool
+}
+
+func (u Unfinished) at(now clock.Stamp) contentBreak {
+	b := contentBreak{content: u.Content, events: uint16(min(u.Events, 1<<16-1)), at: now, keep: breakKeep}
+	if u.Left {
+		b.keep = leftKeep
+	}
+	return b
 }
 
 // Admit says whether a content may be sent to a target, or how long it is refused. With trial
@@ -107,23 +134,47 @@
 
 // Broken takes note of a connection that broke while a target ran a content, and finds out
 // whether the target has ended. The channel is closed once that is known, or can't be found out.
-func (c *Crashes) Broken(now clock.Stamp, pool *link.Pool, t *roster.Target, content uint64, events int64) <-chan struct{} {
+func (c *Crashes) Broken(now clock.Stamp, pool *link.Pool, u Unfinished) <-chan struct{} {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	x := c.target(now, board.Key(&t.Instance))
-	x.id = t.ID
-	x.breaks = append(x.breaks, contentBreak{content, uint16(min(events, 1<<16-1)), now})
+	x := c.target(now, u.Target)
+	x.breaks = append(x.breaks, u.at(now))
 	if x.ended {
-		defer c.settle(now, x, "known")()
+		tell := c.settle(now, x, "known")
+		c.mu.Unlock()
+		tell()
 		return closedChan
 	}
+	defer c.mu.Unlock()
 	if x.proven == nil {
 		x.proven = make(chan struct{})
-		go (&probe{crashes: c, pool: pool, target: x, address: t.Address, proven: x.proven}).run()
+		go (&probe{crashes: c, pool: pool, target: x, address: u.Target.Address, proven: x.proven}).run()
 	}
 	return x.proven
 }
 
+// GivenUp takes note of a run that was given up, as its caller has left or its target did not answer.
+// The target may still end by it.
+func (c *Crashes) GivenUp(now clock.Stamp, u Unfinished) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.target(now, u.Target)
+	x.breaks = append(x.breaks, u.at(now))
+}
+
+// Refused takes note of a target that refuses connections: it has ended, also for the peers, which
+// may know what it ran.
+func (c *Crashes) Refused(now clock.Stamp, t *roster.Target) {
+	c.mu.Lock()
+	x := c.target(now, t)
+	known := x.ended
+	tell := c.settle(now, x, "refused")
+	c.mu.Unlock()
+	tell()
+	if !known {
+		c.announce([]share.Crash{{Target: x.key}})
+	}
+}
+
 // closedChan is closed.
 var closedChan = func() chan struct{} {
 	ch := make(chan struct{})
@@ -131,20 +182,13 @@
 	return ch
 }()
 
-// target returns what is known of a target, and forgets what is old. The caller holds the lock.
-func (c *Crashes) target(now clock.Stamp, key uint32) *brokenTarget {
-	for k, x := range c.targets {
-		keep := breakKeep
-		if x.ended {
-			keep = endKeep
-		}
-		if now.Sub(x.at) > keep {
-			delete(c.targets, k)
-		}
-	}
+// target returns what is known of a target. The caller holds the lock.
+func (c *Crashes) target(now clock.Stamp, t *roster.Target) *brokenTarget {
+	c.expire(now)
+	key := board.Key(&t.Instance)
 	x := c.targets[key]
 	if x == nil {
-		x = &brokenTarget{key: key, id: fmt.Sprintf("%08x", key)}
+		x = &brokenTarget{key: key, id: t.ID, born: t.Born}
 		if c.targets == nil {
 			c.targets = make(map[uint32]*brokenTarget)
 		}
@@ -154,11 +198,31 @@
 	return x
 }
 
+// expire forgets what is old. The caller holds the lock.
+func (c *Crashes) expire(now clock.Stamp) {
+	if now.Sub(c.expiredAt) < expireEvery {
+		return
+	}
+	c.expiredAt = now
+	for key, x := range c.targets {
+		keep := breakKeep
+		if x.ended {
+			keep = endKeep
+		}
+		if now.Sub(x.at) > keep {
+			delete(c.targets, key)
+			continue
+		}
+		x.breaks = slices.DeleteFunc(x.breaks, func(b contentBreak) bool { return now.Sub(b.at) > b.keep })
+	}
+}
+
 // settle turns the breaks of a target that has ended into losses. The caller holds the lock, and
 // calls what it returns without it.
 func (c *Crashes) settle(now clock.Stamp, x *brokenTarget, proof string) (tell func()) {
 	first := !x.ended
 	x.ended = true
+	x.breaks = slices.DeleteFunc(x.breaks, func(b contentBreak) bool { return now.Sub(b.at) > b.keep })
 	var list []share.Crash
 	for _, b := range x.breaks {
 		l := crash.Loss{Fingerprint: b.content, Target: x.key, Events: b.events, At: b.at}
@@ -198,15 +262,10 @@
 // connections to them broke.
 func (c *Crashes) Review(now clock.Stamp, v *roster.View) {
 	c.mu.Lock()
-	listed := make(map[uint32]bool, len(v.ByID))
 	var tells []func()
-	if len(c.targets) > 0 {
-		for _, t := range v.ByID {
-			listed[board.Key(&t.Instance)] = true
-		}
-	}
-	for key, x := range c.targets {
-		if listed[key] || x.ended || len(x.breaks) == 0 || now.Sub(x.at) > breakKeep {
+	for _, x := range c.targets {
+		t := v.ByID[x.id]
+		if x.ended || len(x.breaks) == 0 || t != nil && t.Born == x.born {
 			continue
 		}
 		tells = append(tells, c.settle(now, x, "list"))
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -1,7 +1,9 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -349,3 +351,46 @@
 	}
 	assert.Equal(t, len(f.relay.Crashes.Losses(clock.Now())), 0)
 }
+
+// TestDeadlyContentOfCallersWhoLeave guards against a content that ends target after target behind the back of its callers, as
+// they leave before it does.
+func TestDeadlyContentOfCallersWhoLeave(t *testing.T) {
+	const (
+		patience = 20 * time.Millisecond
+		visits   = 10
+	)
+	f := newFloor(t)
+	f.spread(oneWay)
+	f.deadly(stand.AtAccept, false)
+	for _, x := range f.targets {
+		x.Deadly.After = 3 * patience
+	}
+	for n := range visits {
+		f.glance(t, n, patience)
+		time.Sleep(3 * patience)
+		// What others send meets the end of the target.
+		for i := range 2 * floorTargets {
+			f.visit(t, n+i, "safe", fmt.Sprintf("other %d %d", n, i))
+		}
+		time.Sleep(gossipEvery)
+	}
+	assert.Assert(t, f.lost() <= lostMost+1, "%d targets lost", f.lost())
+}
+
+// glance sends the deadly content and leaves.
+func (f *floor) glance(t *testing.T, entry int, patience time.Duration) {
+	t.Helper()
+	f.asked++
+	e := f.entries[entry%len(f.entries)]
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, e.URL+"/stream/stream/x", strings.NewReader(poison))
+	assert.NilError(t, err)
+	r.Host = host
+	r.Header.Set("Attempt-Id", fmt.Sprintf("glance-%d", f.asked))
+	r.Header.Set("Credential", key)
+	resp, err := http.DefaultClient.Do(r)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,18 +56,31 @@
 	q.log(event.RelayFailed,
 		event.Str("target", t.ID), event.Str("reason", string(e.Reason)), event.Str("run", string(e.Run)),
 		event.Bool("reused", e.Reused), event.Int("last", q.stream.last), event.Uint("content", q.content), event.Err(e.Err))
-	if e.Broke && !left {
-		q.findEnd(t)
-	}
+	q.noteEnd(t, e, left)
 }
 
-// findEnd finds out whether a target has ended whose connection broke. Its caller's next try must
-// not be faster than that.
-func (q *request) findEnd(t *roster.Target) {
+// noteEnd takes note of what a failure says of whether its target has ended.
+func (q *request) noteEnd(t *roster.Target, e link.ErrCall, left bool) {
 	if listed := q.Roster.View().ByID[t.ID]; listed == nil || listed.Leaving || listed.Born != t.Born {
 		return // it ends as planned, or has ended before
 	}
-	proven := q.Crashes.Broken(clock.Now(), q.Pool, t, q.content, q.stream.events)
+	u := Unfinished{Target: t, Content: q.content, Events: q.stream.events, Left: left}
+	switch {
+	case e.Reason == chestnutstep.ReasonDown:
+		if errors.Is(e.Err, syscall.ECONNREFUSED) {
+			q.Crashes.Refused(clock.Now(), t)
+		}
+	case left || e.Silent || e.Reason == chestnutstep.ReasonTimeout:
+		q.Crashes.GivenUp(clock.Now(), u)
+	case e.Broke:
+		q.findEnd(u)
+	}
+}
+
+// findEnd finds out whether a target has ended whose connection broke. Its caller's next try must
+// not be faster than that.
+func (q *request) findEnd(u Unfinished) {
+	proven := q.Crashes.Broken(clock.Now(), q.Pool, u)
 	limit := time.NewTimer(provenWait)
 	defer limit.Stop()
 	select {
--- a/stand/deadly.go
+++ b/stand/deadly.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Step is how far an answer gets before its target ends.
@@ -31,6 +32,8 @@
 	Step Step
 	// Reset has connections reset rather than closed.
 	Reset bool
+	// After is how long the target takes to end, whether or not its caller has left meanwhile.
+	After time.Duration
 }
 
 // matches reports whether a request is deadly.
@@ -78,6 +81,7 @@
 // kill answers up to the step, and ends the target.
 func (t *Target) kill(w http.ResponseWriter, r *http.Request, run *Run) {
 	defer t.Die(t.Deadly.Reset)
+	time.Sleep(t.Deadly.After)
 	step := t.Deadly.Step
 	if step == AtAccept {
 		return
