--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -57,7 +57,7 @@
 	assert.Equal(t, status(http.DefaultClient.Do(r)), http.StatusOK)
 }
 
-// TestRepeatAtAnotherEntryIsRefused guards against a caller who sends a request that ends targets again at once, to the next entry.
+// TestRepeatAtAnotherEntryIsRefused guards against a request that ends two targets for each entry that it comes to.
 func TestRepeatAtAnotherEntryIsRefused(t *testing.T) {
 	store, targets := newDeadlyTargets(t)
 	one := startDirect(t, store)
@@ -68,6 +68,9 @@
 	got := ""
 	for n := range 6 {
 		got += fmt.Sprint([]*direct{one, two}[n%2].repeat(fmt.Sprint("r-", n)), " ")
+		for _, d := range []*direct{one, two} {
+			waitFor(t, func() bool { return strings.Count(d.out.text(), "crash_noted") >= countDead(targets) }, "the entry knows of all losses")
+		}
 	}
 	assert.Equal(t, got, "502 502 503 503 503 503 ", one.out.text()+two.out.text())
 	assert.Equal(t, countDead(targets), 2)
