--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -394,3 +394,18 @@
 		_ = resp.Body.Close()
 	}
 }
+
+// TestRefusalProvesNothingForever guards against every later break counting as an end of its target, once it had refused a
+// connection.
+func TestRefusalProvesNothingForever(t *testing.T) {
+	f := newFloor(t)
+	const content = 7
+	crashes := f.relay.Crashes
+	began := clock.Now()
+	for _, x := range f.roster.View().ByID {
+		crashes.Refused(began, x)
+		<-crashes.Broken(began.Add(5*time.Second), f.relay.Pool, relay.Unfinished{Target: x, Content: content})
+	}
+	wait, trial := crashes.Admit(began.Add(5*time.Second), content)
+	assert.Assert(t, wait == 0 && !trial, "refused for %s", wait)
+}
