--- a/crash/among_test.go
+++ b/crash/among_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -22,7 +23,8 @@
 type among struct {
 	rand    *rand.Rand
 	now     clock.Stamp
-	events  []amongEvent
+	events  amongEvents
+	made    int
 	entries [amongEntries]*Quarantine
 	// running lists the runs of each target, and lives counts its starts.
 	running [amongTargets][]*amongRun
@@ -37,7 +39,25 @@
 
 type amongEvent struct {
 	at clock.Stamp
-	do func()
+	// order keeps events of one moment in the order in which they were made.
+	order int
+	do    func()
+}
+
+// amongEvents is a heap by time.
+type amongEvents []amongEvent
+
+func (e amongEvents) Len() int      { return len(e) }
+func (e amongEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e amongEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e *amongEvents) Push(x any) { *e = append(*e, x.(amongEvent)) }
+func (e *amongEvents) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
 }
 
 // amongRun is a run of a content at a target.
@@ -49,20 +69,14 @@
 }
 
 func (a *among) after(d time.Duration, do func()) {
-	a.events = append(a.events, amongEvent{a.now.Add(d), do})
+	a.made++
+	heap.Push(&a.events, amongEvent{a.now.Add(d), a.made, do})
 }
 
 // play runs events in their order until the time is over.
 func (a *among) play() {
 	for len(a.events) > 0 {
-		first := 0
-		for i, e := range a.events {
-			if e.at < a.events[first].at {
-				first = i
-			}
-		}
-		e := a.events[first]
-		a.events = append(a.events[:first], a.events[first+1:]...)
+		e := heap.Pop(&a.events).(amongEvent)
 		if e.at > amongFor {
 			return
 		}
