share, crash: reports of crashes keep to the control rate, and contents push each other out later

What callers saw: nothing on record; found by reading, at the size we design for. A failure domain of sixty targets that ends leaves some 2,400 contents, more than the 1,024 that were kept: those that fell out and came again were news each time, and were passed on again, each to eight entries.

What one entry sends of crashes beside its rounds is bounded: 32 KB at once, 2 KB/s after that; the rounds bring the rest. 8,192 contents are kept.

--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// DefaultContents bounds the contents that are remembered: those of some two hundred targets that end
+	// within ten minutes, in 1.3 MB.
+	DefaultContents = 8192
 	// quarantineAt is how many targets have to end under a content before it is refused.
 	quarantineAt = 2
 	// doubtPause is how long a content is refused after two targets where something else may
@@ -62,7 +65,7 @@
 //
 // Losses merge in any order to the same state. A Quarantine is not safe for concurrent use.
 type Quarantine struct {
-	// Most bounds the contents; DefaultMost when 0.
+	// Most bounds the contents; DefaultContents when 0.
 	Most int
 
 	cases map[uint64]*quarantineCase
@@ -79,6 +82,17 @@
 	trying bool
 }
 
+// count is how many losses the content is not cleared of.
+func (c *quarantineCase) count() int {
+	n := 0
+	for _, l := range c.losses {
+		if !l.Cleared {
+			n++
+		}
+	}
+	return n
+}
+
 // open returns the losses that the content is not cleared of.
 func (c *quarantineCase) open() []Loss {
 	list := make([]Loss, 0, len(c.losses))
@@ -220,7 +234,7 @@
 // hasRival reports whether another content was found at all these losses, and at the same step.
 func (q *Quarantine) hasRival(fingerprint uint64, losses []Loss) bool {
 	for other, c := range q.cases {
-		if other == fingerprint {
+		if other == fingerprint || c.count() < len(losses) {
 			continue
 		}
 		shared := slices.DeleteFunc(c.open(), func(l Loss) bool {
@@ -237,8 +251,8 @@
 func (q *Quarantine) Losses() []Loss {
 	var list []Loss
 	for _, c := range q.cases {
-		if open := c.open(); len(open) >= quarantineAt {
-			list = append(list, open...)
+		if c.count() >= quarantineAt {
+			list = append(list, c.open()...)
 		}
 	}
 	return list
@@ -249,7 +263,7 @@
 		return
 	}
 	if q.Most <= 0 {
-		q.Most = DefaultMost
+		q.Most = DefaultContents
 	}
 	q.cases = make(map[uint64]*quarantineCase)
 	q.ends = make(map[uint32]clock.Stamp)
@@ -268,7 +282,7 @@
 	}
 	for fingerprint, c := range q.cases {
 		keep := keepFew
-		if len(c.open()) >= quarantineAt {
+		if c.count() >= quarantineAt {
 			keep = keepMany
 		}
 		if now.Sub(c.losses[len(c.losses)-1].At) > keep {
@@ -298,7 +312,7 @@
 
 // weaker reports whether less is known against a content than against another.
 func (c *quarantineCase) weaker(other *quarantineCase) bool {
-	if a, b := len(c.open()), len(other.open()); a != b {
+	if a, b := c.count(), other.count(); a != b {
 		return a < b
 	}
 	return c.losses[len(c.losses)-1].At < other.losses[len(other.losses)-1].At
--- a/share/crashes_test.go
+++ b/share/crashes_test.go
@@ -52,3 +52,29 @@
 	m.sweep()
 	assert.Assert(t, m.knowers[0].crashes[crash])
 }
+
+// TestManyCrashesKeepTheControlRate guards against entries that pass on what they know of hundreds of targets that ended at once,
+// each to eight others.
+func TestManyCrashesKeepTheControlRate(t *testing.T) {
+	const seconds = 10
+	m := newMesh(fanout+2, 0)
+	m.sweep()
+	m.bytes = 0
+	sender := m.knowers[0].peers
+	began := m.now
+	for n := range uint32(seconds * 100) {
+		m.now = began.Add(time.Duration(n) * 10 * time.Millisecond)
+		list := make([]Crash, 0, 40)
+		for i := range uint64(40) {
+			list = append(list, Crash{Target: n, Fingerprint: 1<<60 + uint64(n)<<8 + i})
+		}
+		for _, k := range m.knowers[1:] {
+			for _, x := range list {
+				k.crashes[x] = true // known there: nobody passes it on
+			}
+		}
+		sender.SpreadCrashes(m.now, list)
+	}
+	assert.Assert(t, m.bytes <= crashBurst+seconds*crashRate+datagramMost, "%d bytes in %d s", m.bytes, seconds)
+	assert.Assert(t, m.bytes >= crashBurst/2, "%d bytes in %d s: hardly any were sent", m.bytes, seconds)
+}
--- a/share/peers.go
+++ b/share/peers.go
@@ -75,6 +75,9 @@
 	// heardAt is when any datagram last came, and missedUntil until when peers are asked for what
 	// was missed.
 	heardAt, missedUntil clock.Stamp
+	// crashBytes is what may be sent of crashes, as of crashAt.
+	crashBytes float64
+	crashAt    clock.Stamp
 }
 
 // peer is another entry.
--- a/share/talk.go
+++ b/share/talk.go
@@ -219,7 +219,7 @@
 		p.answerNew(now, r.From)
 	}
 	if r.Missed {
-		p.sendCrashes(p.Knowledge.Losses(now), r.From)
+		p.sendCrashes(now, p.Knowledge.Losses(now), r.From)
 	}
 }
 
