--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -10,7 +10,7 @@
 
 const (
 	// DefaultContents bounds the contents that are remembered: those of some two hundred targets that end
-	// within ten minutes, in 1.3 MB.
+	// within ten minutes, in 0.8 MB.
 	DefaultContents = 8192
 	// quarantineAt is how many targets have to end under a content before it is refused.
 	quarantineAt = 2
--- a/crash/quarantine_test.go
+++ b/crash/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/script"
 )
 
 // TestQuarantine plays losses, and what is refused after them.
@@ -118,3 +120,21 @@
 	q.Add(late, Loss{Fingerprint: 5000, Target: 1, At: late})
 	assert.Equal(t, len(q.cases), 1)
 }
+
+// BenchmarkQuarantine prints the cost of a judgement, and what a content takes in memory.
+func BenchmarkQuarantine(b *testing.B) {
+	q := &Quarantine{}
+	before := script.Heap()
+	for n := range uint64(DefaultContents) {
+		q.Add(0, Loss{Fingerprint: n + 1, Target: uint32(n / 40)})
+	}
+	after := script.Heap()
+	q.Add(0, Loss{Fingerprint: 1, Target: 5000})
+	var n uint64
+	for b.Loop() {
+		n++
+		q.Judge(0, n%DefaultContents)
+	}
+	b.ReportMetric((after-before)/DefaultContents, "B/content")
+	runtime.KeepAlive(q)
+}
