--- a/crash/detector.go
+++ b/crash/detector.go
@@ -6,8 +6,10 @@
 // answers of everyone beside it. One would notice targets turning cold one
 // after the other.
 //
-// What was running at a crash becomes suspect and runs alone from then on. The
-// second crash condemns it. What merely ran beside it runs to its end, and is
+// Detector decides at an agent, which sees all that its target runs: what was running
+// at a crash becomes suspect and runs alone from then on, and the second crash condemns
+// it. Quarantine decides at an entry without agents, which sees its own requests and
+// what its peers report. At both, what merely ran beside it runs to its end, and is
 // cleared by that.
 package crash
 
--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -163,7 +163,7 @@
 // Admit says whether a content may be sent to a target now, or how long it is refused. A content
 // that has ended targets runs once at a time; with trial the caller has to call Release.
 func (q *Quarantine) Admit(now clock.Stamp, fingerprint uint64) (wait time.Duration, trial bool) {
-	wait, losses := q.Judge(now, fingerprint)
+	wait, losses := q.Check(now, fingerprint)
 	if wait > 0 || losses < quarantineAt {
 		return wait, false
 	}
@@ -182,9 +182,9 @@
 	}
 }
 
-// Judge returns how long a content is refused from now on, and how many targets ended under it
+// Check returns how long a content is refused from now on, and how many targets ended under it
 // since it was last served.
-func (q *Quarantine) Judge(now clock.Stamp, fingerprint uint64) (wait time.Duration, losses int) {
+func (q *Quarantine) Check(now clock.Stamp, fingerprint uint64) (wait time.Duration, losses int) {
 	c := q.cases[fingerprint]
 	if c == nil {
 		return 0, 0
@@ -205,7 +205,7 @@
 	switch {
 	case n < quarantineAt:
 		return 0
-	case n == quarantineAt && !(sameStep(open) && !q.hasRival(fingerprint, open)):
+	case n == quarantineAt && !(sameStep(open) && !q.hasOtherSuspect(fingerprint, open)):
 		return doubtPause
 	default:
 		return pauses[min(n-quarantineAt, len(pauses)-1)]
@@ -231,8 +231,8 @@
 	return n
 }
 
-// hasRival reports whether another content was found at all these losses, and at the same step.
-func (q *Quarantine) hasRival(fingerprint uint64, losses []Loss) bool {
+// hasOtherSuspect reports whether another content was found at all these losses, and at the same step.
+func (q *Quarantine) hasOtherSuspect(fingerprint uint64, losses []Loss) bool {
 	for other, c := range q.cases {
 		if other == fingerprint || c.count() < len(losses) {
 			continue
--- a/crash/quarantine_test.go
+++ b/crash/quarantine_test.go
@@ -96,8 +96,8 @@
 			other.Add(now, l)
 		}
 		for content := uint64(1); content <= 2; content++ {
-			a, losses := one.Judge(now, content)
-			b, others := other.Judge(now, content)
+			a, losses := one.Check(now, content)
+			b, others := other.Check(now, content)
 			assert.Equal(t, losses, others)
 			assert.Equal(t, a, b)
 		}
@@ -114,7 +114,7 @@
 		q.Add(at, Loss{Fingerprint: 2 + n, Target: uint32(3 + n), At: at})
 		assert.Assert(t, len(q.cases) <= 100)
 	}
-	_, losses := q.Judge(0, 1)
+	_, losses := q.Check(0, 1)
 	assert.Equal(t, losses, 2)
 	late := clock.Stamp(keepMany + time.Hour)
 	q.Add(late, Loss{Fingerprint: 5000, Target: 1, At: late})
@@ -133,7 +133,7 @@
 	var n uint64
 	for b.Loop() {
 		n++
-		q.Judge(0, n%DefaultContents)
+		q.Check(0, n%DefaultContents)
 	}
 	b.ReportMetric((after-before)/DefaultContents, "B/content")
 	runtime.KeepAlive(q)
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -46,7 +46,7 @@
 func (c *Crashes) Wait(now clock.Stamp, content uint64) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wait, _ := c.quarantine.Judge(now, content)
+	wait, _ := c.quarantine.Check(now, content)
 	return wait
 }
 
@@ -76,7 +76,7 @@
 
 // note logs a loss, with what it makes of the content. The caller holds the lock.
 func (c *Crashes) note(now clock.Stamp, l crash.Loss, target, from string) {
-	wait, losses := c.quarantine.Judge(now, l.Fingerprint)
+	wait, losses := c.quarantine.Check(now, l.Fingerprint)
 	c.Log.Emit(event.CrashNoted,
 		event.Uint("content", l.Fingerprint), event.Str("target", target), event.Str("from", from),
 		event.Int("events", int64(l.Events)), event.Dur("age", now.Sub(l.At)), event.Bool("cleared", l.Cleared),
--- a/share/crashes.go
+++ b/share/crashes.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// crashesTold bounds the crashes of one datagram.
-	crashesTold = 48
+	// crashesPerReport bounds the crashes of one datagram.
+	crashesPerReport = 48
 	// crashBytes is the most that a crash takes in a datagram.
 	crashBytes = 24
 	// crashRate and crashBurst bound the bytes of these datagrams, a second and at once: together with
@@ -50,7 +50,7 @@
 // go out comes with the rounds.
 func (p *Peers) sendCrashes(now clock.Stamp, list []Crash, to ...netip.AddrPort) {
 	for len(list) > 0 {
-		n := min(len(list), crashesTold)
+		n := min(len(list), crashesPerReport)
 		for _, a := range to {
 			if r, ok := p.crashReport(now, list[:n]); ok {
 				p.sendPartial(r, a)
