stand, relay: a dead target of a test keeps its port; entries of a floor are set up before they run

TestDeadlyContentIsStopped/stream/middle/reset failed once in 480 cells beside load ("3 targets lost"): the port of a dead target went to a new target of a cell beside it, which looked alive.

--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -44,6 +44,22 @@
 }
 
 func newFloor(t *testing.T) *floor {
+	t.Helper()
+	f := buildFloor(t)
+	f.start(t)
+	return f
+}
+
+// newPromptFloor is a floor whose entries report losses at once, over links without delay.
+func newPromptFloor(t *testing.T) *floor {
+	t.Helper()
+	f := buildFloor(t)
+	f.spread()
+	f.start(t)
+	return f
+}
+
+func buildFloor(t *testing.T) *floor {
 	t.Helper()
 	var names []string
 	for i := range floorTargets {
@@ -54,13 +70,18 @@
 	for len(f.entries) < floorEntries {
 		f.addEntry(t)
 	}
+	return f
+}
+
+// start lets the entries report to each other.
+func (f *floor) start(t *testing.T) {
+	t.Helper()
 	f.done.Add(1)
 	go f.loop()
 	t.Cleanup(func() {
 		close(f.stop)
 		f.done.Wait()
 	})
-	return f
 }
 
 // addEntry starts one more entry. It has heard nothing of the others.
@@ -101,7 +122,7 @@
 	}
 }
 
-// spread has the entries report losses at once, over links without delay.
+// spread has the entries report losses at once.
 func (f *floor) spread() {
 	for i, e := range f.relays {
 		e.Crashes.OnLoss = func(list []share.Crash) {
@@ -266,8 +287,7 @@
 	for _, step := range stand.Steps {
 		t.Run(string(step), func(t *testing.T) {
 			t.Parallel()
-			f := newFloor(t)
-			f.spread()
+			f := newPromptFloor(t)
 			f.deadly(step, false)
 			for n := range 12 {
 				f.visit(t, n, "stream", poison)
@@ -355,8 +375,7 @@
 		visits     = 10
 		leftProven = 900 * time.Millisecond
 	)
-	f := newFloor(t)
-	f.spread()
+	f := newPromptFloor(t)
 	f.deadly(stand.AtAccept, false)
 	for _, x := range f.targets {
 		x.Deadly.After = 3 * patience
--- a/stand/deadly.go
+++ b/stand/deadly.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Step is how far an answer gets before its target ends.
@@ -39,14 +41,20 @@
 // matches reports whether a request is deadly.
 func (d *Deadly) matches(run *Run) bool { return d != nil && strings.Contains(run.Body, d.Text) }
 
-// Die ends the target: nothing listens any more, and all connections end.
+// Die ends the target: nothing listens any more, and all connections end. Its port stays taken:
+// given to another test's target, it would look alive.
 func (t *Target) Die(byReset bool) {
 	t.mu.Lock()
+	if t.dead {
+		t.mu.Unlock()
+		return
+	}
 	t.dead = true
 	conns := t.conns
 	t.conns = nil
-	t.mu.Unlock()
 	_ = t.server.Listener.Close()
+	t.port = takePort(t.server.Listener.Addr())
+	t.mu.Unlock()
 	for c := range conns {
 		if tcp, ok := c.(*net.TCPConn); ok && byReset {
 			_ = tcp.SetLinger(0)
@@ -55,6 +63,33 @@
 	}
 }
 
+// noPort stands for a port that is not taken.
+const noPort = -1
+
+// takePort binds a socket to an address without listening there: connections are refused.
+func takePort(a net.Addr) int {
+	addr, ok := a.(*net.TCPAddr)
+	if !ok || addr.IP.To4() == nil {
+		return noPort
+	}
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return noPort
+	}
+	// An error leaves the port free, as it was before.
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	_ = unix.Bind(fd, &unix.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())})
+	return fd
+}
+
+// freePort gives the port of a dead target back. The caller holds the lock.
+func (t *Target) freePort() {
+	if t.dead && t.port != noPort {
+		_ = unix.Close(t.port)
+		t.port = noPort
+	}
+}
+
 // Dead reports whether the target has ended.
 func (t *Target) Dead() bool {
 	t.mu.Lock()
--- a/stand/target.go
+++ b/stand/target.go
@@ -101,6 +101,8 @@
 	stop    chan struct{}
 	conns   map[net.Conn]bool
 	dead    bool
+	// port is the socket that keeps a dead target's port.
+	port int
 }
 
 // NewTarget starts a target under an instance name. Close it.
@@ -123,6 +125,7 @@
 	default:
 		close(t.stop)
 	}
+	t.freePort()
 	t.mu.Unlock()
 	t.server.CloseClientConnections()
 	t.server.Close()
