relay, platform: the software versions of targets and taken-up streams in the log

Callers got streams that two software versions of a service had written. The log could not tell a continuation by the entry from a caller's return, nor name the versions: the version in a target's published entry was not decoded, Resumes was not read. Now 7001 has the target's build, the event after which the stream goes on and the attempt that it resumes, 7012 counts the targets of each build. No decision uses them yet.

A target without a readable version stays usable, with an unknown build.

--- a/event/catalog.go
+++ b/event/catalog.go
@@ -472,7 +472,7 @@
 	},
 	{
 		ID: RelaySent, Name: "relay_sent", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A request was sent to a target; the fields contain the values that determined the choice.",
+		Meaning: "A request was sent to a target; the fields contain the values that determined the choice. The field build is the software version of the target. If the request continues a stream, after is the last event that the caller has, and resumes the id of the attempt that received the first one.",
 		Cause:   "Normal operation.",
 		Action:  "Nothing.",
 	},
@@ -526,7 +526,7 @@
 	},
 	{
 		ID: TargetsChanged, Name: "targets_changed", Level: Info,
-		Meaning: "Targets joined, left, are leaving, or returned. The field kept counts those that are no longer listed and stay in use for two seconds, because their entries might have expired while the source was unavailable.",
+		Meaning: "Targets joined, left, are leaving, or returned. The field kept counts those that are no longer listed and stay in use for two seconds, because their entries might have expired while the source was unavailable. The field builds counts the targets in use of each software version of a service.",
 		Cause:   "The list of targets changed.",
 		Action:  "Nothing; if many left at once, check the targets' hosts.",
 	},
--- a/header_codec.go
+++ b/header_codec.go
@@ -23,6 +23,9 @@
 	// IsResume reports whether the caller has already received the events up to LastEventID.
 	IsResume    bool
 	LastEventID int64
+	// Resumes is the ID of the caller's attempt that received the first event of the stream; empty
+	// if the caller names none.
+	Resumes string
 }
 
 // UrgencyUnset leaves the order of requests to the target.
--- a/node/delegate.go
+++ b/node/delegate.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -87,7 +89,7 @@
 	n.log.Emit(event.TargetsChanged,
 		event.Str("joined", strings.Join(c.Joined, " ")), event.Str("left", strings.Join(c.Removed, " ")),
 		event.Str("leaving", strings.Join(c.Leaving, " ")), event.Str("kept", strings.Join(c.Kept, " ")),
-		event.Str("back", strings.Join(c.Recovered, " ")))
+		event.Str("back", strings.Join(c.Recovered, " ")), event.Str("builds", countBuilds(n.roster.View())))
 	if v := n.roster.View(); v != nil {
 		n.board.Prune(v)
 		n.crashes.Reconcile(clock.Now(), v)
@@ -103,3 +105,24 @@
 func (n *Direct) OnSourceRegained(t chestnutstep.Topic) {
 	n.log.Emit(event.SourceRegained, event.Str("topic", t.String()))
 }
+
+// countBuilds returns the number of usable targets of each service and build, as text.
+func countBuilds(v *roster.View) string {
+	if v == nil {
+		return ""
+	}
+	var list []string
+	for service, targets := range v.Services {
+		counts := make(map[string]int)
+		for _, t := range targets {
+			if v.Usable(t) {
+				counts[t.Build]++
+			}
+		}
+		for build, n := range counts {
+			list = append(list, fmt.Sprintf("%s/%s:%d", service, build, n))
+		}
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -23,7 +23,16 @@
 		event.Float("running", c.Running), event.Int("own", int64(c.CachedTokens)), event.Int("held", int64(c.ReusableTokens())),
 		event.Int("shared", int64(c.Request.Shared)), event.Uint("prefix", c.Request.Key), event.Float("cost", c.Cost),
 		event.Int("of", int64(c.Eligible)), event.Bool("cold", c.Cold), event.Str("fetch", c.Donor.Address), event.Bool("fresh", c.NewConnection),
-		event.Uint("version", q.view.Routing.Version), event.Dur("listed", clock.Now().Sub(q.Roster.Proof(chestnutstep.TopicTargets))))
+		event.Uint("version", q.view.Routing.Version), event.Dur("listed", clock.Now().Sub(q.Roster.Proof(chestnutstep.TopicTargets))),
+		event.Str("build", c.Target.Build), event.Int("after", q.resumePoint()), event.Str("resumes", q.callerHeaders.Resumes))
+}
+
+// resumePoint returns the number of the event after which the stream continues; 0 if it begins.
+func (q *request) resumePoint() int64 {
+	if q.stream.started {
+		return q.stream.lastID
+	}
+	return q.callerHeaders.LastEventID
 }
 
 // routeKind returns the kind of the request's route for metrics.
--- a/routing.go
+++ b/routing.go
@@ -191,6 +191,9 @@
 	Domain  string
 	// Slots is the number of requests that run concurrently.
 	Slots int
+	// Build is the version of the target's software, which is not the configuration version and not
+	// that of a model. Streams of two builds don't fit together. Empty if the target publishes none.
+	Build string
 	// Leaving reports whether the target takes no new work.
 	Leaving bool
 	// ColdRemaining is how long the target stays cold, counted from the time of its report.
