--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -125,19 +125,20 @@
 func publish(store *stand.Store, version int, keys []string, targets ...*stand.Target) {
 	route := func(name, kind string) map[string]any {
 		return map[string]any{
-			"name": name, "host": "shop.example", "prefix": "/" + name + "/", "type": kind, "service": "s",
+			"resumable": name == "tell/stream",
+			"name":      name, "host": "shop.example", "prefix": "/" + name + "/", "type": kind, "service": "s",
 			"timeoutMs": 4000, "latencyTargetMs": 200, "maxAttempts": 2,
 		}
 	}
 	store.Put("op/config", map[string]any{
 		"version":  version,
-		"routes":   []any{route("book", "unsafe"), route("look", "safe"), route("talk/stream", "stream")},
+		"routes":   []any{route("book", "unsafe"), route("look", "safe"), route("talk/stream", "stream"), route("tell/stream", "stream")},
 		"services": []any{map[string]any{"name": "s", "healthPath": "/healthz", "maxConnections": 100}},
 		"limits":   map[string]any{"maxBodyBytes": 100000, "idleTimeoutMs": 5000},
 		"tenants":  []any{map[string]any{"name": "ws", "apiKeys": keys}},
 	})
 	for _, x := range targets {
-		store.Put("servers/"+x.Name, map[string]any{"service": "s", "address": x.Address(), "zone": "z", "slots": 8, "state": "ready"})
+		store.Put("servers/"+x.Name, map[string]any{"service": "s", "address": x.Address(), "zone": "z", "slots": 8, "state": "ready", "version": x.Build})
 	}
 }
 
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // requestKinds are the names of the routes that callers use.
@@ -101,7 +103,7 @@
 func events(n int) string {
 	var b strings.Builder
 	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+		b.WriteString(stand.Event(i, ""))
 	}
 	return b.String()
 }
--- a/stand/kill.go
+++ b/stand/kill.go
@@ -1,7 +1,6 @@
 package stand
 
 import (
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -145,7 +144,7 @@
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	part := map[KillStep]int{AtFirst: 1, AtMiddle: 3, AtLast: t.EventCount}
 	for id := from + 1; id <= min(from+part[step], t.EventCount); id++ {
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
+		_, _ = io.WriteString(w, Event(id, t.Build))
 	}
 	_ = http.NewResponseController(w).Flush()
 }
--- a/stand/target.go
+++ b/stand/target.go
@@ -81,6 +81,10 @@
 type Target struct {
 	// Name is the instance name.
 	Name string
+	// Build is the version of the target's software. It is part of the data of each event, because
+	// streams of two builds don't fit together. The target does not check which build began a
+	// stream that it continues.
+	Build string
 	// EventCount is the number of events of a stream.
 	EventCount int
 	// EventInterval is the time between two events of a stream.
@@ -351,6 +355,27 @@
 	_, _ = rw.ReadByte()
 }
 
+// Event returns an event of a stream as a target with the given build sends it.
+func Event(id int, build string) string {
+	if build == "" {
+		return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", id, id, build)
+}
+
+// Builds returns the builds of the targets that sent the events of a stream, in order and each
+// named once for events in a row.
+func Builds(text string) []string {
+	var list []string
+	for _, line := range strings.Split(text, "\n") {
+		_, build, ok := strings.Cut(line, " of ")
+		if ok && strings.HasPrefix(line, "data: ") && (len(list) == 0 || list[len(list)-1] != build) {
+			list = append(list, build)
+		}
+	}
+	return list
+}
+
 // stream sends the events that follow Last-Event-Id.
 func (t *Target) stream(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -364,7 +389,7 @@
 		if behaviour == Skips && id == from+2 {
 			continue
 		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
+		_, _ = io.WriteString(w, Event(id, t.Build))
 		_ = http.NewResponseController(w).Flush()
 		if t.EventInterval > 0 {
 			t.wait(r, t.EventInterval)
