relay, board: a broken stream goes on only at the build that began it

Callers got one answer that two software versions had written: after a target crashed in the middle of a stream, the entry continued it at any target.

Cause: targets of a service counted as equivalent, though what two versions write does not fit together.

Now a request keeps the build of the target that sent its first event, and the board chooses among targets of that build only. If none is left, or the build is unknown, the caller's connection is cut at once. The totals of the board are kept by domain and build, so that a choice does not visit all targets; the ceiling stays that of the whole service, as the load of the last target of a build must not count as the mean.

The instances in the tests of relay have a build now, as all targets of the platform do; a stream of unknown build is not continued. The property test of the board draws builds as well.

--- a/board/board_test.go
+++ b/board/board_test.go
@@ -25,7 +25,7 @@
 func newView(n, warm int) *roster.View {
 	v := &roster.View{Services: make(map[string][]*roster.Target), ByID: make(map[string]*roster.Target)}
 	for i := range n {
-		t := &roster.Target{Instance: chestnutstep.Instance{ID: fmt.Sprintf("t%d", i), Service: "s", Domain: "d", Slots: 4}}
+		t := &roster.Target{Instance: chestnutstep.Instance{ID: fmt.Sprintf("t%d", i), Service: "s", Domain: "d", Slots: 4, Build: fmt.Sprint(i % 2)}}
 		if i >= warm {
 			t.ColdUntil = start.Add(time.Minute)
 		}
--- a/board/choose.go
+++ b/board/choose.go
@@ -28,6 +28,8 @@
 	// DomainAllowed reports whether targets of a failure domain can take the request; nil
 	// allows all.
 	DomainAllowed func(domain string) bool
+	// Build restricts the choice to targets of a build; empty allows all.
+	Build string
 	// Skip lists targets that already received the request.
 	Skip []string
 	// IncludeDown includes targets that are marked down, for use if no other is left.
@@ -96,7 +98,7 @@
 	}
 	c := Choice{Request: req, Eligible: l.totals.Targets, Admission: Admission{Admitted: true}}
 	if criteria.Caller != nil {
-		if c.Admission = b.admit(now, service.Name, l.totals.Taken(), *criteria.Caller); !c.Admission.Admitted {
+		if c.Admission = b.admitTo(now, &l); !c.Admission.Admitted {
 			return c
 		}
 	}
@@ -104,7 +106,7 @@
 	if service.IsEngine {
 		donor = b.donor(now, ix, criteria.Parts)
 	}
-	l.ceiling = l.totals.Ceiling(criteria.CapFactor)
+	l.ceiling = b.ceiling(&l, ix)
 	req.Ceiling = l.ceiling
 	list := b.shortlist(&l, ix, &req)
 	picked, ok := place.Pick(list, donor, req)
@@ -130,6 +132,29 @@
 	return l
 }
 
+// ceiling returns the load that no target should exceed. It depends on the mean load of all builds:
+// the load of a build's last target must not count as the mean.
+func (b *Board) ceiling(l *lookup, ix *serviceIndex) float64 {
+	if l.criteria.Build == "" {
+		return l.totals.Ceiling(l.criteria.CapFactor)
+	}
+	all, criteria := *l, *l.criteria
+	criteria.Build, all.criteria = "", &criteria
+	b.computeTotals(&all, ix)
+	b.setAllowedDomains(l, ix)
+	return all.totals.Ceiling(criteria.CapFactor)
+}
+
+// admitTo decides on admission to the targets that can take the request. A stream that goes on at
+// its build had its share of the places when it began: it only needs a free place.
+func (b *Board) admitTo(now clock.Stamp, l *lookup) Admission {
+	taken := l.totals.Taken()
+	if l.criteria.Build != "" {
+		return Admission{Admitted: taken < 1, Taken: taken, Reason: chestnutstep.ReasonFull}
+	}
+	return b.admit(now, l.service.Name, taken, *l.criteria.Caller)
+}
+
 // computeTotals sums up the targets that can take the request.
 func (b *Board) computeTotals(l *lookup, ix *serviceIndex) {
 	l.totals = place.Totals{}
@@ -156,10 +181,11 @@
 	}
 }
 
-// setAllowedDomains marks the failure domains whose targets can take the request.
+// setAllowedDomains marks the failure domains and builds whose targets can take the request.
 func (b *Board) setAllowedDomains(l *lookup, ix *serviceIndex) {
 	for _, d := range ix.totals {
-		allowed := l.criteria.DomainAllowed == nil || l.criteria.DomainAllowed(d.domain)
+		allowed := l.criteria.Build == "" || l.criteria.Build == d.build
+		allowed = allowed && (l.criteria.DomainAllowed == nil || l.criteria.DomainAllowed(d.domain))
 		d.allowed = allowed && (l.criteria.IncludeDown || !b.domains[d.domain].isUnreachable(l.now))
 	}
 }
--- a/board/choose_test.go
+++ b/board/choose_test.go
@@ -43,6 +43,14 @@
 		return true
 	})
 	req.Ceiling = sum.Ceiling(criteria.CapFactor)
+	if criteria.Build != "" {
+		criteria.Build = ""
+		sum = place.Totals{}
+		for _, c := range b.Candidates(now, v, engine, criteria) {
+			sum.Add(&c)
+		}
+		req.Ceiling = sum.Ceiling(criteria.CapFactor)
+	}
 	c, _ := place.Pick(list, b.Donor(now, v, engine, criteria.Parts), req)
 	return c, list
 }
@@ -101,7 +109,7 @@
 		list[i] = &leaving
 	case 2:
 		h.joined++
-		list = append(list, &roster.Target{Instance: chestnutstep.Instance{ID: fmt.Sprint("j", h.joined), Service: "s", Domain: "e", Slots: 4}})
+		list = append(list, &roster.Target{Instance: chestnutstep.Instance{ID: fmt.Sprint("j", h.joined), Service: "s", Domain: "e", Slots: 4, Build: fmt.Sprint(h.joined % 3)}})
 	}
 	v := &roster.View{Services: map[string][]*roster.Target{"s": list}, ByID: make(map[string]*roster.Target)}
 	for _, one := range list {
@@ -120,6 +128,7 @@
 			h.step(t)
 			p := rapid.Uint64Range(1, 6).Draw(t, "asked")
 			criteria := board.Criteria{Parts: parts(p, 2000), Domain: "d", Skip: []string{"t0"}[:rapid.IntRange(0, 1).Draw(t, "skip")]}
+			criteria.Build = rapid.SampledFrom([]string{"", "", "0", "1", "2"}).Draw(t, "build")
 			req := place.Request{Key: p, Tokens: 2000, Shared: 1000}
 			sameTotals(t, h, criteria)
 			want, list := plainChoice(h.b, h.now, h.v, criteria, req)
@@ -133,6 +142,7 @@
 				continue
 			}
 			assert.Equal(t, got.ID, list[want.Index].ID)
+			assert.Assert(t, criteria.Build == "" || got.Target.Build == criteria.Build)
 			assert.Equal(t, got.Donor.ID != "", want.Fetch)
 			assert.Assert(t, math.Abs(got.Cost-want.Cost) < 1e-6)
 		}
@@ -145,6 +155,11 @@
 	for _, c := range h.b.Candidates(h.now, h.v, engine, criteria) {
 		want.Add(&c)
 	}
+	if criteria.Build != "" {
+		for _, c := range h.b.Candidates(h.now, h.v, engine, criteria) {
+			assert.Equal(t, h.v.ByID[c.ID].Build, criteria.Build)
+		}
+	}
 	got := h.b.Totals(h.now, h.v, engine, criteria)
 	assert.Equal(t, got.Targets, want.Targets)
 	assert.Equal(t, got.Warm, want.Warm)
--- a/board/index.go
+++ b/board/index.go
@@ -16,7 +16,7 @@
 	ring    place.Ring
 	// caches holds the members by cache key.
 	caches map[uint32]*indexMember
-	totals map[string]*domainTotals
+	totals map[totalsKey]*domainTotals
 	// individual lists the members that are not in domainTotals.
 	individual []*indexMember
 	// recentlySent lists the members with requests of this entry that peers might not have a
@@ -41,12 +41,17 @@
 	choiceSeq, viewSeq uint64
 }
 
-// domainTotals sums up the members of a failure domain that need no individual evaluation:
-// usable, warm, reachable, and without a binding limit of their own.
+// totalsKey identifies the members that are summed up together.
+type totalsKey struct{ domain, build string }
+
+// domainTotals sums up the members of one build in a failure domain that need no individual
+// evaluation: usable, warm, reachable, and without a binding limit of their own.
 type domainTotals struct {
-	domain string
-	// allowed reports whether the request of the current choice can go to the domain.
+	totalsKey
+	// allowed reports whether the request of the current choice can go to the domain and build.
 	allowed bool
+	// members is the number of targets of the build in the domain, individual ones included.
+	members int
 	targets int
 	running int
 	slots   int
@@ -67,7 +72,7 @@
 func (b *Board) serviceIndex(now clock.Stamp, v *roster.View, service *chestnutstep.Service) *serviceIndex {
 	ix := b.indexes[service.Name]
 	if ix == nil {
-		ix = &serviceIndex{caches: make(map[uint32]*indexMember), totals: make(map[string]*domainTotals)}
+		ix = &serviceIndex{caches: make(map[uint32]*indexMember), totals: make(map[totalsKey]*domainTotals)}
 		b.indexes[service.Name] = ix
 	}
 	if ix.view != v {
@@ -116,11 +121,13 @@
 	key, s := b.instanceState(&t.Instance)
 	m := &indexMember{Target: t, slot: slot, key: key, cacheKey: CacheKey(&t.Instance), state: s, usable: ix.view.Usable(t), viewSeq: ix.viewSeq}
 	s.member = m
-	m.totals = ix.totals[t.Domain]
+	totals := totalsKey{domain: t.Domain, build: t.Build}
+	m.totals = ix.totals[totals]
 	if m.totals == nil {
-		m.totals = &domainTotals{domain: t.Domain}
-		ix.totals[t.Domain] = m.totals
+		m.totals = &domainTotals{totalsKey: totals}
+		ix.totals[totals] = m.totals
 	}
+	m.totals.members++
 	ix.members[slot] = m
 	ix.caches[m.cacheKey] = m
 	if m.canAggregate(now) {
@@ -140,6 +147,9 @@
 	if !m.individual {
 		m.totals.add(m, running, -1)
 	}
+	if m.totals.members--; m.totals.members == 0 {
+		delete(ix.totals, m.totals.totalsKey)
+	}
 	m.individual, m.recentlySent = false, false
 	if m.state.member == m {
 		m.state.member = nil
--- a/chestnutstep.go
+++ b/chestnutstep.go
@@ -82,6 +82,7 @@
 	ReasonDropped   Reason = "dropped"   // the ticket has a tombstone: its request never runs
 	ReasonModel     Reason = "model"     // the target does not serve the model
 	ReasonVersion   Reason = "version"   // the offer was made under a publication that the agent does not have
+	ReasonBuild     Reason = "build"     // no target can continue the stream at the build that began it
 	ReasonDown      Reason = "down"      // the target does not answer
 
 	// Reasons of a broken answer: the request might have run.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -35,7 +35,11 @@
 	if wait := q.quarantineWait(now); wait > 0 {
 		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, wait}
 	}
+	if q.stream.started && q.stream.build == "" {
+		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, 0}
+	}
 	criteria := board.Criteria{
+		Build: q.stream.build,
 		Parts: q.callerHeaders.Parts, Domain: q.Domain, Skip: q.triedTargets, DomainAllowed: q.allowsDomain, CapFactor: q.Bounds().CapFactor,
 		VerifyHost: !q.route.IsIdempotent() || q.attempts.Sent > 0,
 	}
@@ -46,6 +50,8 @@
 	switch {
 	case !c.Admission.Admitted:
 		return c, q.refuseFull(c.Admission)
+	case c.Target == nil && criteria.Build != "":
+		return c, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, busyRetryAfter}
 	case c.Target == nil:
 		return c, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonTarget, busyRetryAfter}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -71,7 +71,7 @@
 		g.targets = append(g.targets, x)
 		b.Facts = append(b.Facts, chestnutstep.Fact{
 			Kind: chestnutstep.FactInstance, Name: name, Revision: 1,
-			Instance: &chestnutstep.Instance{ID: name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8},
+			Instance: &chestnutstep.Instance{ID: name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8, Build: "1"},
 		})
 	}
 	g.roster.Apply(clock.Now(), chestnutstep.TopicTargets, b, true)
--- a/relay/run.go
+++ b/relay/run.go
@@ -111,7 +111,7 @@
 		return false, err
 	}
 	if q.route.Kind == chestnutstep.RouteStream && answer.Status == http.StatusOK {
-		err = q.forwardEvents(run, answer)
+		err = q.forwardEvents(run, t, answer)
 	} else {
 		err = q.collect(run, answer)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -14,6 +14,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/roster"
 )
 
 // maxEventBytes limits the size of one event of a stream.
@@ -23,20 +24,22 @@
 type stream struct {
 	started bool
 	lastID  int64
+	// build is the build of the target that sent the first event; empty if it is unknown.
+	build string
 	// events counts the events received from the current target.
 	events int64
 }
 
 // forwardEvents forwards each event when it was received completely. If a target breaks off in the
 // middle of an event, a part that was already sent could not be continued by another target.
-func (q *request) forwardEvents(run *board.Attempt, a *link.Response) error {
+func (q *request) forwardEvents(run *board.Attempt, t *roster.Target, a *link.Response) error {
 	flush := http.NewResponseController(q.w)
 	br := bufio.NewReaderSize(a, 1<<10)
 	for {
 		raw, id, err := readEvent(br)
 		if err == io.EOF && len(raw) == 0 {
 			a.Close(true)
-			q.finishStream(a)
+			q.beginStream(t, a) // a stream without events still needs a head
 			return nil
 		}
 		if err != nil {
@@ -49,7 +52,7 @@
 			a.Close(false)
 			return err
 		}
-		q.writeHead(a)
+		q.beginStream(t, a)
 		if _, err := q.w.Write(raw); err != nil {
 			a.Close(false)
 			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCanceled, Err: err}
@@ -73,21 +76,18 @@
 	return nil
 }
 
-// writeHead sends the head of the answer before the first event. If another target continues the
+// beginStream sends the head of the answer before the first event. If another target continues the
 // stream, the head remains that of the first one.
-func (q *request) writeHead(a *link.Response) {
+func (q *request) beginStream(t *roster.Target, a *link.Response) {
 	if q.stream.started {
 		return
 	}
-	q.stream.started = true
+	q.stream.started, q.stream.build = true, t.Build
 	q.Meters.FirstByte.Observe(time.Since(q.startedAt), q.routeKind())
 	copyHeader(q.w.Header(), a.Header)
 	q.w.WriteHeader(a.Status)
 }
 
-// finishStream ends a stream. A stream without events still needs a head.
-func (q *request) finishStream(a *link.Response) { q.writeHead(a) }
-
 // readEvent reads up to the blank line that ends an event. At the end of the body it returns io.EOF
 // with the remaining bytes.
 func readEvent(br *bufio.Reader) (raw []byte, id int64, err error) {
--- a/retry/answer.go
+++ b/retry/answer.go
@@ -59,6 +59,7 @@
 	chestnutstep.ReasonQueue:   {503, "The queue is full.", true, shortRetryAfter, scopeTarget},
 	chestnutstep.ReasonSuspect: {503, "The request runs alone and has to wait.", true, longRetryAfter, scopeTarget},
 	chestnutstep.ReasonVersion: {503, "The processes' configurations differ.", true, shortRetryAfter, scopeTarget},
+	chestnutstep.ReasonBuild:   {503, "No target can continue the stream.", true, shortRetryAfter, scopeTarget},
 	chestnutstep.ReasonModel:   {503, "The target does not serve the model.", true, shortRetryAfter, scopeTarget},
 	chestnutstep.ReasonDown:    {503, "The target does not answer.", true, longRetryAfter, scopeTarget},
 	chestnutstep.ReasonMoved:   {503, "The request runs at another target.", true, shortRetryAfter, scopeTarget},
