origin, relay: a stream that its caller takes up goes on at the build that began it

Callers that came back for the rest of a broken stream, mostly at another entry, got it from a target of another software version: a whole, signed answer that two versions had written.

Cause: an entry knew neither which stream a return continues (Resumes was not read) nor which build began it; it placed a return like a new request.

Now the entry that forwards the first event sends a record (hashes of the attempt, and of service and build) to three entries in different failure domains that a hash of the attempt selects; an entry with a return asks up to five for it, and binds the request to that service and build.

The soak no longer counts an attempt that its caller left on purpose among those to be served after all faults; its return counts.

--- a/meter/set.go
+++ b/meter/set.go
@@ -96,6 +96,7 @@
 	ReadGap           Histogram // age of the last proof when changes arrived
 	TargetsEnded      Counter   // targets that ended while requests ran on them, by proof
 	CrashAge          Histogram // age of a crash when a peer reported it
+	Resumed           Counter   // streams that callers took up, by how their build was found
 }
 
 // Workspaces contains the metrics of the fairness report between workspaces, summed
@@ -184,6 +185,7 @@
 		{&s.Relay.ReadGap, description{"relay_read_gap_seconds", kindHistogram, "seconds", []string{labelTopic, labelFrom}, "Age of the last proof when changes were read: no change that was read is older."}},
 		{&s.Relay.TargetsEnded, description{"relay_targets_ended_total", kindCounter, "targets", []string{labelProof}, "Targets that ended without notice while requests ran on them, by what proved it: refused, list or peer."}},
 		{&s.Relay.CrashAge, description{"relay_crash_age_seconds", kindHistogram, "seconds", nil, "Age of a crash when a peer's report of it came, less the time on the way."}},
+		{&s.Relay.Resumed, description{"relay_resumed_total", kindCounter, "streams", []string{labelResult}, "Streams that callers took up at this entry, by how the build that began them was found: record, sole (the service has no other) or not: gone (it has no target left) or unknown."}},
 		{&s.Relay.CallerConnections, description{"relay_callers", kindGauge, "connections", nil, "Connections of callers that are held."}},
 		{&s.Workspaces.Requests, description{"workspace_requests_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests of a workspace: ok, refused, broken or canceled."}},
 		{&s.Workspaces.Tokens, description{"workspace_tokens_total", kindCounter, "tokens", []string{labelWorkspace}, "Estimated work that the target did for a workspace."}},
--- a/node/delegate.go
+++ b/node/delegate.go
@@ -10,6 +10,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/origin"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
 )
@@ -126,3 +127,13 @@
 	slices.Sort(list)
 	return strings.Join(list, " ")
 }
+
+// originMembers returns the peers that can hold records of streams.
+func (n *Direct) originMembers() []origin.Member {
+	members := n.peers.Members(clock.Now())
+	list := make([]origin.Member, 0, len(members)+1)
+	for _, m := range members {
+		list = append(list, origin.Member{Addr: m.Addr, Domain: m.Domain})
+	}
+	return list
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -24,6 +24,7 @@
 	"chestnutstep.example/chestnutstep/feed"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
+	"chestnutstep.example/chestnutstep/origin"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
@@ -83,6 +84,7 @@
 	delays   *delayMonitor
 	pool     *link.Pool
 	peers    *share.Peers
+	origins  *origin.Directory
 	// wake ends the current watch of the configuration.
 	wake chan struct{}
 	// breaker and backoff suspend calls of a failing source.
@@ -214,6 +216,10 @@
 		n.peers.ControlPort = a.Port()
 	}
 	n.peers.Seeds = seedAddrs(n.Settings.Seeds)
+	n.origins = &origin.Directory{
+		Self: origin.Member{Addr: self, Domain: board.DomainKey(n.Settings.Domain)}, Members: n.originMembers, Send: n.peers.SendMessage,
+	}
+	n.peers.OnMessage, n.relay.Origins = n.origins.Receive, n.origins
 	return nil
 }
 
--- /dev/null
+++ b/relay/build.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+const (
+	// originTimeout is how long a request waits for the record of the stream that it takes up: two
+	// round trips between failure domains and one repeated datagram.
+	originTimeout = 120 * time.Millisecond
+	// soleOriginTimeout is the same if the stream can be continued without a record.
+	soleOriginTimeout = 30 * time.Millisecond
+	// maxListAge is the maximum age of the list of targets by which a service has a single build.
+	maxListAge = 2 * time.Second
+	// streamLifetimes is the multiple of a route's timeout for which a stream can last, over all
+	// attempts of its caller.
+	streamLifetimes = 2
+)
+
+// resolveBuild binds a request that takes up a stream to the service and build that began it. It
+// returns the refusal if they are unknown or have no target.
+func (q *request) resolveBuild() *refusal {
+	if q.route.Kind != chestnutstep.RouteStream || q.callerHeaders.LastEventID <= 0 {
+		return nil
+	}
+	sole, isSole := q.soleBuild()
+	id, recorded := q.findOrigin(isSole)
+	switch {
+	case recorded && q.bindTo(id):
+		q.Meters.Resumed.Add(1, "record")
+	case recorded:
+		q.Meters.Resumed.Add(1, "gone")
+		return &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, 0}
+	case isSole:
+		q.Meters.Resumed.Add(1, "sole")
+		q.stream.build = sole
+	default:
+		q.Meters.Resumed.Add(1, "unknown")
+		return &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, busyRetryAfter}
+	}
+	return nil
+}
+
+// recordOrigin records that a target begins the stream. A target whose build is unknown leaves no
+// record, so that nothing continues the stream.
+func (q *request) recordOrigin(t *roster.Target) {
+	q.stream.build = t.Build
+	if q.Origins != nil && q.route.Resumable && t.Build != "" {
+		q.Origins.Record(q.callerHeaders.ID, q.service.Name, t.Build)
+	}
+}
+
+// findOrigin returns the build that began the stream of the caller's first attempt.
+func (q *request) findOrigin(isSole bool) (chestnutstep.BuildID, bool) {
+	if q.Origins == nil || q.callerHeaders.Resumes == "" {
+		return 0, false
+	}
+	timeout := originTimeout
+	if isSole {
+		timeout = soleOriginTimeout
+	}
+	return q.Origins.Find(q.ctx, q.callerHeaders.Resumes, timeout)
+}
+
+// soleBuild returns the build that must have begun any stream of the route, if there is only one.
+func (q *request) soleBuild() (string, bool) {
+	now := clock.Now()
+	if len(q.route.Splits) != 1 || now.Sub(q.Roster.Proof(chestnutstep.TopicTargets)) > maxListAge {
+		return "", false
+	}
+	return q.view.SoleBuild(now, q.service.Name, streamLifetimes*q.route.Timeout)
+}
+
+// bindTo binds the request to a build of one of the route's services. It returns false if none of
+// them has a target of the build.
+func (q *request) bindTo(id chestnutstep.BuildID) bool {
+	for _, split := range q.route.Splits {
+		service := q.view.Routing.Services[split.Service]
+		build, ok := q.view.FindBuild(split.Service, func(build string) bool {
+			return chestnutstep.NewBuildID(split.Service, build) == id
+		})
+		if ok && service != nil {
+			q.service, q.stream.build = service, build
+			return true
+		}
+	}
+	return false
+}
--- a/relay/build_test.go
+++ b/relay/build_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -101,3 +102,74 @@
 		}
 	}
 }
+
+// fakeOrigins holds the builds of streams by attempt.
+type fakeOrigins map[string]chestnutstep.BuildID
+
+func (f fakeOrigins) Record(attempt, service, build string) {
+	f[attempt] = chestnutstep.NewBuildID(service, build)
+}
+
+func (f fakeOrigins) Find(_ context.Context, attempt string, _ time.Duration) (chestnutstep.BuildID, bool) {
+	id, ok := f[attempt]
+	return id, ok
+}
+
+// takeUp requests the rest of a stream after its second event.
+func (g *testRelay) takeUp(t *testing.T, attempt, first string) (status int, text string) {
+	t.Helper()
+	status, text, err := stream(t, g.server, attempt, "Last-Event-Id", "2", "Resumes", first)
+	assert.NilError(t, err)
+	return status, text
+}
+
+// TestTakenUpStreamWithoutItsBuild guards against a stream that is continued at another build because
+// its own has only leaving targets or none, or by a list of targets that is out of date.
+func TestTakenUpStreamWithoutItsBuild(t *testing.T) {
+	g := newBuilds(t, "1", "1", "2")
+	origins := fakeOrigins{}
+	g.relay.Origins = origins
+	origins.Record("old", "shop", "1")
+	status, text := g.takeUp(t, "a", "old")
+	assert.Equal(t, status, http.StatusOK)
+	assert.DeepEqual(t, stand.Builds(text), []string{"1"})
+	g.markLeaving("i-0", "i-1")
+	status, text = g.takeUp(t, "b", "old")
+	assert.Equal(t, status, http.StatusServiceUnavailable, text)
+	g.listBuilds(10, "-", "-", "2")
+	status, text = g.takeUp(t, "c", "old")
+	assert.Equal(t, status, http.StatusServiceUnavailable, text)
+	status, text = g.takeUp(t, "d", "unknown")
+	assert.Equal(t, status, http.StatusServiceUnavailable, text)
+}
+
+// TestTakenUpStreamOfSoleBuild guards against streams that are refused for want of a record, e.g.
+// because all entries restarted, although their service has had a single build all the time.
+func TestTakenUpStreamOfSoleBuild(t *testing.T) {
+	for name, c := range map[string]struct {
+		age, proofAge time.Duration
+		want          int
+	}{
+		"single":     {time.Hour, 0, http.StatusOK},
+		"started":    {time.Second, 0, http.StatusServiceUnavailable},
+		"stale list": {time.Hour, time.Minute, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestRelayOf(t, stallTimeout, "i-0")
+			r := newRoster()
+			now := clock.Now()
+			x := g.targets[0]
+			r.Apply(now, chestnutstep.TopicTargets, chestnutstep.Batch{Revision: 1, Facts: []chestnutstep.Fact{{
+				Kind: chestnutstep.FactInstance, Name: x.Name, Revision: 1, Instance: &chestnutstep.Instance{
+					ID: x.Name, Service: "shop", Address: x.Address(), Domain: "d", Slots: 8, Build: "1", StartedMs: time.Now().Add(-c.age).UnixMilli(),
+				},
+			}}}, true)
+			g.roster, g.relay.Roster = r, r
+			g.publish(1, key)
+			r.ConfirmVersion(now)
+			r.RecordProof(chestnutstep.TopicTargets, now.Add(-c.proofAge))
+			status, text := g.takeUp(t, "a", "lost")
+			assert.Equal(t, status, c.want, text)
+		})
+	}
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -73,6 +73,9 @@
 		fields = append(fields, event.Str("workspace", q.requester().Workspace), event.Float("taken", q.admission.Taken),
 			event.Float("kept", q.admission.Kept), event.Int("yield", int64(q.admission.Yield)), event.Dur("after", f.retryAfter))
 	}
+	if f.reason == chestnutstep.ReasonBuild {
+		fields = append(fields, event.Str("build", q.stream.build), event.Int("after", q.resumePoint()), event.Str("resumes", q.callerHeaders.Resumes))
+	}
 	if f.reason == chestnutstep.ReasonCondemned {
 		fields = append(fields, event.Uint("content", q.content))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,9 @@
 	Crashes *CrashTracker
 	Log     *event.Log
 	Meters  *meter.Relay
+	// Origins records which build began a stream; if it is nil, a stream can be taken up only while
+	// its service has a single build.
+	Origins chestnutstep.Origins
 	// IsBehind reports whether a peer has a newer configuration than this entry.
 	IsBehind func() bool
 	// CachesKnown is closed when the entry has the list of prefixes cached by targets, or does not
@@ -101,6 +104,10 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	if refused := q.resolveBuild(); refused != nil {
+		q.answerFinal(*refused)
+		return
+	}
 	q.awaitCaches()
 	defer q.endTrial()
 	q.run()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -24,7 +24,8 @@
 type stream struct {
 	started bool
 	lastID  int64
-	// build is the build of the target that sent the first event; empty if it is unknown.
+	// build is the build of the target that sent the first event, in this attempt of the caller or an
+	// earlier one; empty if it is unknown.
 	build string
 	// events counts the events received from the current target.
 	events int64
@@ -82,7 +83,10 @@
 	if q.stream.started {
 		return
 	}
-	q.stream.started, q.stream.build = true, t.Build
+	q.stream.started = true
+	if q.stream.build == "" {
+		q.recordOrigin(t)
+	}
 	q.Meters.FirstByte.Observe(time.Since(q.startedAt), q.routeKind())
 	copyHeader(q.w.Header(), a.Header)
 	q.w.WriteHeader(a.Status)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -36,6 +36,8 @@
 	ByID map[string]*Target
 	// Out holds the failure domains that are out of service.
 	Out map[string]bool
+	// MixedAt holds the time at which a service last had targets of several builds, or can have had.
+	MixedAt map[string]clock.Stamp
 }
 
 // Usable reports whether the target can get new work.
@@ -55,6 +57,9 @@
 	topics  [chestnutstep.TopicCount]topic
 	targets map[string]*Target
 	out     map[string]bool
+	// builds holds the builds of each service in the last view, and mixedAt is View.MixedAt.
+	builds  map[string]map[string]bool
+	mixedAt map[string]clock.Stamp
 	routing *chestnutstep.Routing
 	// sourceUnresponsive is set if the source of targets has not answered since the last read.
 	// Missing targets are kept until keepMissingUntil.
@@ -174,7 +179,7 @@
 	r.expire(now, &c)
 	isFirstList := full && topic == chestnutstep.TopicTargets && !t.listed
 	t.recordRead(now, b, full)
-	r.publish(c, isFirstList)
+	r.publish(now, c, isFirstList)
 	return c
 }
 
@@ -185,7 +190,7 @@
 	r.initMaps()
 	var c Change
 	r.expire(now, &c)
-	r.publish(c, false)
+	r.publish(now, c, false)
 	return c
 }
 
@@ -248,7 +253,7 @@
 func (r *Roster) applyInstance(now clock.Stamp, in *chestnutstep.Instance, c *Change) {
 	old := r.targets[in.ID]
 	t := &Target{Instance: *in, ColdUntil: now.Add(in.ColdRemaining)}
-	isNew := old == nil || old.StartedMs != in.StartedMs || old.Address != in.Address
+	isNew := old == nil || old.StartedMs != in.StartedMs || old.Address != in.Address || old.Build != in.Build
 	if isNew && r.topics[chestnutstep.TopicTargets].listed && !r.startedEarlier(in) {
 		// An instance that appears after the first list has just started, whatever cold time it
 		// reports.
@@ -278,11 +283,14 @@
 	if in.StartedMs == 0 {
 		return false
 	}
-	now := time.Now
+	return r.wallNow().Sub(time.UnixMilli(in.StartedMs)) > r.coldStart(in.Service)+clockSkewMargin
+}
+
+func (r *Roster) wallNow() time.Time {
 	if r.WallClock != nil {
-		now = r.WallClock
+		return r.WallClock()
 	}
-	return now().Sub(time.UnixMilli(in.StartedMs)) > r.coldStart(in.Service)+clockSkewMargin
+	return time.Now()
 }
 
 func (r *Roster) coldStart(service string) time.Duration {
@@ -297,16 +305,18 @@
 }
 
 // publish stores a new view if anything changed, or if force is set.
-func (r *Roster) publish(c Change, force bool) {
+func (r *Roster) publish(now clock.Stamp, c Change, force bool) {
 	if r.routing == nil || !force && c.Empty() && r.view.Load() != nil {
 		return
 	}
+	r.trackBuilds(now)
 	v := &View{
 		Routing:  r.routing,
 		Listed:   r.topics[chestnutstep.TopicTargets].listed,
 		Services: make(map[string][]*Target),
 		ByID:     maps.Clone(r.targets),
 		Out:      maps.Clone(r.out),
+		MixedAt:  maps.Clone(r.mixedAt),
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
 		t := r.targets[id]
--- a/share/loop.go
+++ b/share/loop.go
@@ -174,6 +174,10 @@
 			time.Sleep(minRoundInterval)
 			continue
 		}
+		if n > 0 && buf[0] == messagePrefix {
+			p.handleMessage(clock.Now(), buf[1:n])
+			continue
+		}
 		r, err := decode(buf[:n])
 		if err != nil {
 			p.OnError(err)
@@ -201,7 +205,7 @@
 	x.incarnation, x.sequence, x.lastSeen, x.unanswered = r.Incarnation, r.Sequence, now, 0
 	if !r.Partial {
 		x.echo, x.controlPort, x.leaving, x.hasIndex, x.version = r.Sent, r.ControlPort, r.Leaving, r.HasIndex, r.Version
-		x.link = int(r.Link)
+		x.link, x.domain = int(r.Link), r.Domain
 	}
 	if r.EchoIncarnation == p.Incarnation {
 		x.cursor.confirm(r.Echo)
--- a/share/peers.go
+++ b/share/peers.go
@@ -65,6 +65,8 @@
 	OnError func(err error)
 	// Link is the link rate of this host in Mbit/s, reported to peers.
 	Link uint32
+	// OnMessage receives the datagrams that peers sent with SendMessage; it can be nil.
+	OnMessage func(now clock.Stamp, b []byte) error
 
 	mu       sync.Mutex
 	peers    map[netip.AddrPort]*peer
@@ -101,7 +103,9 @@
 	// version is the configuration version in force at the peer, 0 for none.
 	version uint64
 	link    int
-	cursor  cursor
+	// domain is the low half of the hash of its failure domain.
+	domain uint32
+	cursor cursor
 }
 
 // SetSeeds replaces the seeds, the initial entry addresses, and adds them as peers.
@@ -120,6 +124,8 @@
 	Addr, ControlAddr netip.AddrPort
 	// Link is the link rate of its host in Mbit/s, 0 if unknown.
 	Link int
+	// Domain is the low half of the hash of its failure domain.
+	Domain uint32
 }
 
 // Members returns the peers that have sent a datagram within memberTimeout, serve copies and are
@@ -211,7 +217,7 @@
 }
 
 func (x *peer) member(a netip.AddrPort) Member {
-	return Member{Addr: a, ControlAddr: netip.AddrPortFrom(a.Addr(), x.controlPort), Link: x.link}
+	return Member{Addr: a, ControlAddr: netip.AddrPortFrom(a.Addr(), x.controlPort), Link: x.link, Domain: x.domain}
 }
 
 // probeInterval returns the pause before the next datagram to an unresponsive peer. It doubles with
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -13,7 +13,10 @@
 )
 
 // requestKinds are the names of the routes that callers use.
-var requestKinds = []string{"book", "look", "talk/stream", "tell/stream"}
+var requestKinds = []string{"book", "look", "talk/stream", resumableKind}
+
+// resumableKind is the kind of the streams that callers can take up again.
+const resumableKind = "tell/stream"
 
 // callerTimeout is the timeout of one request of a caller.
 const callerTimeout = 3 * time.Second
@@ -41,20 +44,50 @@
 	}
 }
 
+// eventsBeforeLeaving is the number of events after which a caller leaves on purpose.
+const eventsBeforeLeaving = 2
+
+// maxReturns is how often a caller comes back for the rest of a broken stream.
+const maxReturns = 2
+
+// send sends a request, and takes up its stream at any entry if it breaks.
 func (c *caller) send() {
+	kind := requestKinds[c.rand.IntN(len(requestKinds))]
+	first := c.newRequest(kind)
+	first.leaves = kind == resumableKind && c.rand.IntN(2) == 0
+	c.do(first)
+	last := first
+	for n := 0; n < maxReturns && last.result == "broken" && kind == resumableKind; n++ {
+		received := strings.Count(last.text, "\n\n")
+		if received == 0 && last.after == 0 {
+			return
+		}
+		next := c.newRequest(kind)
+		next.key, next.resumes, next.after, next.build = first.key, first.id, last.after+received, first.build
+		c.do(next)
+		last = next
+	}
+}
+
+// newRequest adds a request with a random key that goes to a random entry.
+func (c *caller) newRequest(kind string) *request {
 	s := c.soak
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.lastRequest++
 	req := &request{
-		id: fmt.Sprintf("req-%d", s.lastRequest), kind: requestKinds[c.rand.IntN(len(requestKinds))],
-		key: s.keys[c.rand.IntN(len(s.keys))],
+		id: fmt.Sprintf("req-%d", s.lastRequest), kind: kind, key: s.keys[c.rand.IntN(len(s.keys))],
+		entry: s.entries[c.rand.IntN(len(s.entries))],
 	}
 	s.requests = append(s.requests, req)
-	e := s.entries[c.rand.IntN(len(s.entries))]
-	s.mu.Unlock()
+	return req
+}
+
+// do sends a request and records its outcome.
+func (c *caller) do(req *request) {
 	// net/http can't rewind a MultiReader and therefore doesn't retry the request itself.
-	body := io.MultiReader(strings.NewReader("body of " + req.id))
-	r, err := http.NewRequest(http.MethodPost, "http://"+e.frontendAddr+"/"+req.kind+"/x", body)
+	sent := io.MultiReader(strings.NewReader("body of " + req.id))
+	r, err := http.NewRequest(http.MethodPost, "http://"+req.entry.frontendAddr+"/"+req.kind+"/x", sent)
 	if err != nil {
 		req.result = "broken"
 		return
@@ -63,6 +96,10 @@
 	r.Header.Set("Attempt-Id", req.id)
 	r.Header.Set("Credential", req.key.text)
 	r.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	if req.resumes != "" {
+		r.Header.Set("Resumes", req.resumes)
+		r.Header.Set("Last-Event-Id", fmt.Sprint(req.after))
+	}
 	req.sentAt = time.Now()
 	resp, err := c.client.Do(r)
 	if err != nil {
@@ -70,40 +107,57 @@
 		return
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
-	req.status = resp.StatusCode
-	req.result = resultOf(req, resp, string(raw), err)
+	var body io.Reader = resp.Body
+	if req.leaves {
+		body = io.LimitReader(body, int64(len(stand.Event(1, builds[0])))*eventsBeforeLeaving)
+	}
+	raw, err := io.ReadAll(body)
+	if err == nil && req.leaves && resp.StatusCode == http.StatusOK {
+		err = io.ErrUnexpectedEOF
+	}
+	req.status, req.text = resp.StatusCode, string(raw)
+	req.result = resultOf(req, resp, err)
 }
 
 // resultOf classifies an answer: "whole", "refused", "broken", or a text that begins
 // with "wrong" for an answer that callers must never receive.
-func resultOf(x *request, resp *http.Response, text string, err error) string {
+func resultOf(x *request, resp *http.Response, err error) string {
+	isStream := strings.Contains(x.kind, "stream")
 	switch {
 	case resp.StatusCode != http.StatusOK:
 		return "refused"
-	case err != nil && strings.Contains(x.kind, "stream") && !strings.HasPrefix(events(6), text):
-		return "wrong: events missing or out of order before the connection broke"
+	case isStream && !x.isPartOfStream():
+		return fmt.Sprintf("wrong: %q after event %d of build %q", x.text, x.after, x.build)
 	case err != nil:
 		return "broken"
 	case resp.Header.Get("Server-Signature") == "":
 		return "wrong: answer without Server-Signature"
-	case strings.Contains(x.kind, "stream"):
-		if text == events(6) {
-			return "whole"
-		}
-		return fmt.Sprintf("wrong: %q ended as a complete stream", text)
-	case text == "answer to "+x.id:
+	case isStream && x.text != events(x.after, x.build):
+		return fmt.Sprintf("wrong: %q ended as a complete stream", x.text)
+	case isStream, x.text == "answer to "+x.id:
 		return "whole"
 	default:
-		return fmt.Sprintf("wrong: %q", text)
+		return fmt.Sprintf("wrong: %q", x.text)
+	}
+}
+
+// isPartOfStream reports whether the text is the beginning of what a target of the
+// request's build sends. The first event of a stream determines its build.
+func (x *request) isPartOfStream() bool {
+	if sent := stand.Builds(x.text); x.build == "" && len(sent) > 0 {
+		x.build = sent[0]
+	}
+	if x.build == "" { // the first event is incomplete
+		return strings.HasPrefix(events(x.after, builds[0]), x.text) || strings.HasPrefix(events(x.after, builds[1]), x.text)
 	}
+	return strings.HasPrefix(events(x.after, x.build), x.text)
 }
 
-// events returns a complete stream of n events.
-func events(n int) string {
+// events returns the events of a complete stream that follow the given one.
+func events(after int, build string) string {
 	var b strings.Builder
-	for i := 1; i <= n; i++ {
-		b.WriteString(stand.Event(i, ""))
+	for i := after + 1; i <= eventCount; i++ {
+		b.WriteString(stand.Event(i, build))
 	}
 	return b.String()
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -17,9 +17,14 @@
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
 }
 
+// minReturned is the number of streams taken up from which the part that went on is
+// checked.
+const minReturned = 12
+
 // check compares the answers of all requests with the runs recorded by the targets.
 // It returns an error for the first broken guarantee, or if fewer than 20 requests
-// with a valid key were sent after healed, or fewer than 95% of these were served.
+// with a valid key were sent after healed, or fewer than 95% of these were served, or
+// if less than half of the streams that callers took up went on.
 func (s *Soak) check(healed time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -33,12 +38,20 @@
 		}
 	}
 	served, expected := 0, 0
+	returned, takenUp := 0, 0
 	for _, x := range s.requests {
 		if err := s.checkRequest(x, runs[x.id]); err != nil {
 			return err
 		}
 		delete(runs, x.id)
-		if x.sentAt.After(healed) && x.key.revokedAt.IsZero() {
+		if x.resumes != "" && x.key.revokedAt.IsZero() {
+			returned++
+			if x.status == http.StatusOK {
+				takenUp++
+			}
+		}
+		left := x.leaves && x.result == "broken"
+		if x.sentAt.After(healed) && x.key.revokedAt.IsZero() && !left {
 			expected++
 			if x.result == "whole" {
 				served++
@@ -48,6 +61,9 @@
 	for id := range runs {
 		return errors.Newf("%s ran but was not sent by any caller", id)
 	}
+	if returned >= minReturned && takenUp*2 < returned {
+		return errors.Newf("%d of %d streams that callers took up went on", takenUp, returned)
+	}
 	if expected < 20 || served*100 < expected*95 {
 		return errors.Newf("after the end of all faults %d of %d requests were served", served, expected)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,6 +23,8 @@
 	// can be down at the same time.
 	entryCount  = 5
 	targetCount = 4
+	// eventCount is the number of events of a stream.
+	eventCount = 6
 	// callerCount is the number of concurrent callers; each keeps its own connections.
 	callerCount = 6
 	// revokeDelay is the maximum time for which a revoked key stays valid (revokeMs in
@@ -36,6 +38,9 @@
 	settleTime = 6 * time.Second
 )
 
+// builds are the software versions of the targets, in turn.
+var builds = []string{"1", "2"}
+
 // Soak is one run. Set the fields before Run.
 type Soak struct {
 	// Program is the path of the binary to run.
@@ -81,8 +86,17 @@
 	id     string
 	kind   string
 	key    *key
+	entry  *entry
 	sentAt time.Time
+	// resumes is the first attempt of a stream that is taken up after an event.
+	resumes string
+	after   int
+	// leaves is set if the caller leaves in the middle of the stream to take it up elsewhere.
+	leaves bool
+	// build is the build that began the stream; empty if it is unknown.
+	build  string
 	status int
+	text   string
 	// result is the class of the answer; see resultOf.
 	result string
 }
@@ -149,7 +163,8 @@
 // addTarget starts a target and adds it to the store.
 func (s *Soak) addTarget() error {
 	x := &target{Target: stand.NewTarget(fmt.Sprintf("i-%d", len(s.targets)))}
-	x.EventCount, x.EventInterval = 6, 10*time.Millisecond
+	x.EventCount, x.EventInterval = eventCount, 10*time.Millisecond
+	x.Build = builds[len(s.targets)%len(builds)]
 	x.relay = &pipe.Relay{Backend: x.Address()}
 	if err := x.relay.Start(); err != nil {
 		return errors.Wrap(err, "start relay to the target")
@@ -161,7 +176,7 @@
 
 func (s *Soak) putTarget(x *target, state string) {
 	s.store.Put("servers/"+x.Name, map[string]any{
-		"service": "s", "address": x.relay.Addr(), "zone": "z", "slots": 16, "state": state, "born": time.Now().UnixMilli(),
+		"service": "s", "address": x.relay.Addr(), "zone": "z", "slots": 16, "state": state, "born": time.Now().UnixMilli(), "version": x.Build,
 	})
 }
 
