relay: failed attempts are logged with the parts of their prompt

16 requests that each ended a target had the same hash of the prefix that they share with others, and nothing in the log told which of the parts they had in common or which of these other requests were served with. 7003 has the ids of all parts but the last, which belongs to one request.

--- a/event/catalog.go
+++ b/event/catalog.go
@@ -484,7 +484,7 @@
 	},
 	{
 		ID: RelayFailed, Name: "relay_failed", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A target gave no usable answer to a request; run reports whether the request might have run.",
+		Meaning: "A target gave no usable answer to a request; run reports whether the request might have run. The field last is the last event that the caller received, parts the ids of the parts of the prompt that other requests can share.",
 		Cause:   "See reason: full, down, dead (another instance has the address), link, short, crossed, crashed (its own failure), timeout.",
 		Action:  "See the next line of the request; if one target fails often, check that target.",
 	},
--- a/relay/log.go
+++ b/relay/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"chestnutstep.example/chestnutstep"
@@ -35,6 +37,15 @@
 	return q.callerHeaders.LastEventID
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests can share, as text.
+func (q *request) sharedParts() string {
+	var list []string
+	for _, p := range q.callerHeaders.Parts[:max(len(q.callerHeaders.Parts)-1, 0)] {
+		list = append(list, strconv.FormatUint(p.ID, 16))
+	}
+	return strings.Join(list, " ")
+}
+
 // routeKind returns the kind of the request's route for metrics.
 func (q *request) routeKind() string {
 	if q.route == nil {
