--- a/stand/kill.go
+++ b/stand/kill.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -29,8 +30,11 @@
 // KillRule kills every target that runs a matching request. The target does not
 // come back, and all of its connections end.
 type KillRule struct {
-	// Text is the text in the body of matching requests.
+	// Text is the text in the body of matching requests; empty matches none.
 	Text string
+	// Parts are the ids of parts of which the prompt of a matching request has one, its last part
+	// excluded.
+	Parts []string
 	// Step is the progress of the answer at which the target is killed.
 	Step KillStep
 	// Reset makes connections end with a TCP reset instead of a close.
@@ -41,7 +45,23 @@
 }
 
 // matches reports whether the rule applies to a request. A nil rule never matches.
-func (k *KillRule) matches(run *Run) bool { return k != nil && strings.Contains(run.Body, k.Text) }
+func (k *KillRule) matches(run *Run) bool {
+	if k == nil {
+		return false
+	}
+	return k.Text != "" && strings.Contains(run.Body, k.Text) || k.hasPart(run.Header.Get("Prefix-Hash"))
+}
+
+// hasPart reports whether one of the parts is in the list of a prompt's parts and not its last one.
+func (k *KillRule) hasPart(list string) bool {
+	parts := strings.Split(list, ",")
+	for _, p := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(p, ":"); slices.Contains(k.Parts, id) {
+			return true
+		}
+	}
+	return false
+}
 
 // Kill ends the target: it stops listening and all of its connections end, by a TCP
 // reset if byReset is set. Its port stays reserved: a target of another test on the
