crash, relay: a part of the prompts that ends targets is refused

Cause: the quarantine knew whole contents (workspace, path, body) only, so that each request counted one loss.

Now a target that ends accuses the parts of the prompts that ran on it, but for the last part of each. A part is refused after three targets; a request that is served clears all of its parts at all entries, and a part served within the last two seconds is not accused at all: sound requests share the other parts. Three targets and more that end within 100 ms count once, as a part in use is on many targets of a failure domain. Pauses and trials are those of contents.

--- a/crash/fingerprint.go
+++ b/crash/fingerprint.go
@@ -20,5 +20,21 @@
 	d.WriteString(workspace)
 	d.WriteString(path)
 	d.Write(body)
-	return max(d.Sum64(), 1)
+	return max(d.Sum64()&^partBit, 1)
 }
+
+// partBit is set in the fingerprints of parts and cleared in those of contents.
+const partBit = 1 << 63
+
+// PartFingerprint returns a hash of a part that the prompts of a service's requests can share.
+func PartFingerprint(service string, part uint64) uint64 {
+	d := xxhash.New()
+	var n [8]byte
+	binary.LittleEndian.PutUint64(n[:], part)
+	d.Write(n[:])
+	d.WriteString(service)
+	return d.Sum64() | partBit
+}
+
+// IsPart reports whether a fingerprint is that of a part.
+func IsPart(fingerprint uint64) bool { return fingerprint&partBit != 0 }
--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -12,9 +12,9 @@
 	// DefaultMaxContents limits the number of stored contents: 8,192 cover the contents of some two
 	// hundred targets that end within ten minutes, and take 0.8 MB.
 	DefaultMaxContents = 8192
-	// quarantineThreshold is the number of targets that must end while running a content before it
-	// is refused.
-	quarantineThreshold = 2
+	// DefaultThreshold is the number of targets that must end while running a content before it is
+	// refused.
+	DefaultThreshold = 2
 	// ambiguousPause is how long a content is refused after two targets if another cause is
 	// possible. Reports from peers about the same failure arrive within a fraction of it.
 	ambiguousPause = 3 * time.Second
@@ -28,6 +28,9 @@
 	// correlationThreshold is the number of other targets that must end within the window for a
 	// common failure to explain one loss of a content.
 	correlationThreshold = 2
+	// jointTargets is the number of targets that must end within JointWindow to count once. An entry
+	// that continues a stream can lose two targets to one content within milliseconds.
+	jointTargets = 3
 	// suspectTTL is how long a content that is not refused is remembered after its last loss;
 	// quarantineTTL is the same for a refused content.
 	suspectTTL    = 10 * time.Minute
@@ -38,7 +41,7 @@
 	maxLosses = 8
 )
 
-// pauses lists how long a content is refused after two, three and more losses. Each time a pause
+// pauses lists how long a content is refused after Threshold losses, one more, and so on. Each time a pause
 // expires, the content can end one more target; the total stays within the number of targets that
 // one content may end per day.
 var pauses = []time.Duration{time.Minute, 10 * time.Minute, time.Hour, quarantineTTL}
@@ -72,6 +75,12 @@
 type Quarantine struct {
 	// MaxContents limits the number of stored contents; 0 means DefaultMaxContents.
 	MaxContents int
+	// Threshold is the number of targets that must end while running a content before it is refused;
+	// 0 means DefaultThreshold.
+	Threshold int
+	// JointWindow is the time within which the ends of jointTargets or more count once, as they
+	// probably have another common cause; 0 counts each of them.
+	JointWindow time.Duration
 
 	contents map[uint64]*contentRecord
 	// targetEndedAt holds the times at which targets ended recently.
@@ -166,11 +175,11 @@
 }
 
 // Admit returns how long a content is refused; 0 means that it may be sent to a target now. A
-// content with at least quarantineThreshold losses runs once at a time: if trial is true, the
+// content with at least Threshold losses runs once at a time: if trial is true, the
 // caller must call EndTrial after the run.
 func (q *Quarantine) Admit(now clock.Stamp, fingerprint uint64) (wait time.Duration, trial bool) {
 	wait, losses := q.Check(now, fingerprint)
-	if wait > 0 || losses < quarantineThreshold {
+	if wait > 0 || losses < q.threshold() {
 		return wait, false
 	}
 	c := q.contents[fingerprint]
@@ -189,32 +198,58 @@
 }
 
 // Check returns how long a content is refused from now on, and the number of targets that ended
-// while running it since it was last served.
+// while running it since it was last served. Targets that ended jointly count once.
 func (q *Quarantine) Check(now clock.Stamp, fingerprint uint64) (wait time.Duration, losses int) {
 	c := q.contents[fingerprint]
 	if c == nil {
 		return 0, 0
 	}
 	uncleared := c.uncleared()
-	if len(uncleared) < quarantineThreshold {
-		return 0, len(uncleared)
+	losses = q.countEnds(uncleared)
+	if losses < q.threshold() {
+		return 0, losses
 	}
-	return max(uncleared[len(uncleared)-1].At.Add(q.pause(fingerprint, uncleared)).Sub(now), 0), len(uncleared)
+	return max(uncleared[len(uncleared)-1].At.Add(q.pause(fingerprint, uncleared)).Sub(now), 0), losses
+}
+
+func (q *Quarantine) threshold() int {
+	if q.Threshold <= 0 {
+		return DefaultThreshold
+	}
+	return q.Threshold
+}
+
+// countEnds counts the losses, which are sorted by time. A group of at least jointTargets within
+// JointWindow of its first one counts once.
+func (q *Quarantine) countEnds(losses []Loss) int {
+	n := 0
+	for len(losses) > 0 {
+		group := 1
+		for group < len(losses) && losses[group].At.Sub(losses[0].At) < q.JointWindow {
+			group++
+		}
+		losses = losses[group:]
+		if group >= jointTargets {
+			group = 1
+		}
+		n += group
+	}
+	return n
 }
 
 // pause returns how long a content is refused after its last loss.
 func (q *Quarantine) pause(fingerprint uint64, uncleared []Loss) time.Duration {
-	n := len(uncleared)
+	n, threshold := q.countEnds(uncleared), q.threshold()
 	if q.countCorrelatedEnds(uncleared) >= correlationThreshold {
 		n--
 	}
 	switch {
-	case n < quarantineThreshold:
+	case n < threshold:
 		return 0
-	case n == quarantineThreshold && !(hasSimilarEvents(uncleared) && !q.hasOtherSuspect(fingerprint, uncleared)):
+	case n == threshold && !(hasSimilarEvents(uncleared) && !q.hasOtherSuspect(fingerprint, uncleared)):
 		return ambiguousPause
 	default:
-		return pauses[min(n-quarantineThreshold, len(pauses)-1)]
+		return pauses[min(n-threshold, len(pauses)-1)]
 	}
 }
 
@@ -260,7 +295,7 @@
 func (q *Quarantine) Losses() []Loss {
 	var list []Loss
 	for _, c := range q.contents {
-		if c.unclearedCount() >= quarantineThreshold {
+		if c.unclearedCount() >= q.threshold() {
 			list = append(list, c.uncleared()...)
 		}
 	}
@@ -291,7 +326,7 @@
 	}
 	for fingerprint, c := range q.contents {
 		ttl := suspectTTL
-		if c.unclearedCount() >= quarantineThreshold {
+		if c.unclearedCount() >= q.threshold() {
 			ttl = quarantineTTL
 		}
 		if now.Sub(c.losses[len(c.losses)-1].At) > ttl {
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -646,7 +646,7 @@
 	},
 	{
 		ID: CrashNoted, Name: "crash_noted", Level: Warn, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A target ended while it ran a content. The field losses counts the targets that ended since the content was last served, refused is the time for which it is refused from now on, events the number of events sent before the loss, and age the time since the loss. With cleared, a peer has served the content since.",
+		Meaning: "A target ended while it ran a content. The field losses counts the targets that ended since the content was last served, refused is the time for which it is refused from now on, events the number of events sent before the loss, and age the time since the loss. With cleared, a peer has served the content since. With part, the content is a part that the prompts of many requests share; its first loss is not logged.",
 		Cause:   "With from own: a connection broke, and 7036 proves that the target has ended. With from peer: another entry reported it.",
 		Action:  "With two losses or more see docs/operate/suspect.md.",
 	},
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -11,6 +11,7 @@
 	"chestnutstep.example/chestnutstep/admit"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/place"
 )
 
@@ -58,16 +59,28 @@
 	return c, nil
 }
 
-// quarantineWait returns how long the content is refused because of targets that ended while
-// running it. If the content requires a trial run, it starts the trial.
+// quarantineWait returns how long the content, or a part of its prompt, is refused because of targets
+// that ended while running it. If it requires a trial run, it starts the trial.
 func (q *request) quarantineWait(now clock.Stamp) (wait time.Duration) {
-	if q.isTrial {
-		return q.Crashes.RemainingWait(now, q.content)
+	if len(q.trials) > 0 {
+		return q.Crashes.RemainingWait(now, q.suspects())
 	}
-	wait, q.isTrial = q.Crashes.Admit(now, q.content)
+	wait, q.trials = q.Crashes.Admit(now, q.suspects())
 	return wait
 }
 
+// suspects returns the fingerprints by which the request is quarantined: its content, and the parts
+// of its prompt that other requests can share.
+func (q *request) suspects() []uint64 {
+	parts := q.callerHeaders.Parts
+	list := make([]uint64, 0, len(parts)+1)
+	list = append(list, q.content)
+	for _, p := range parts[:max(len(parts)-1, 0)] {
+		list = append(list, crash.PartFingerprint(q.service.Name, p.ID))
+	}
+	return list
+}
+
 // refuseFull returns the refusal for a request for which no target has a free place. Its
 // Retry-After is the time after which a retry can still be served within the objective.
 func (q *request) refuseFull(admission board.Admission) *refusal {
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -430,13 +430,13 @@
 // for which every later broken connection counts as its end.
 func TestRefusedConnectionIsNoLastingProof(t *testing.T) {
 	f := newCluster(t)
-	const content = 7
+	content := []uint64{7}
 	crashes := f.relay.Crashes
 	began := clock.Now()
 	for _, x := range f.roster.View().ByID {
 		crashes.RecordConnRefused(began, x)
-		<-crashes.RecordBroken(began.Add(5*time.Second), f.relay.Pool, relay.UnfinishedRun{Target: x, Content: content})
+		<-crashes.RecordBroken(began.Add(5*time.Second), f.relay.Pool, relay.UnfinishedRun{Target: x, Suspects: content})
 	}
-	wait, trial := crashes.Admit(began.Add(5*time.Second), content)
-	assert.Assert(t, wait == 0 && !trial, "refused for %s", wait)
+	wait, trials := crashes.Admit(began.Add(5*time.Second), content)
+	assert.Assert(t, wait == 0 && len(trials) == 0, "refused for %s", wait)
 }
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -51,17 +51,19 @@
 
 // brokenRun is a run that ended without a complete answer.
 type brokenRun struct {
-	content uint64
-	events  uint16
-	at      clock.Stamp
+	// suspects are the fingerprints of the content and of the parts of the prompt.
+	suspects []uint64
+	events   uint16
+	at       clock.Stamp
 	// ttl is how long the run is kept without confirmation.
 	ttl time.Duration
 }
 
 // UnfinishedRun describes a run that ended without a complete answer.
 type UnfinishedRun struct {
-	Target  *roster.Target
-	Content uint64
+	Target *roster.Target
+	// Suspects are the fingerprints of the content and of the parts of the prompt.
+	Suspects []uint64
 	// Events is the number of events of the answer that were received.
 	Events int64
 	// CallerLeft reports whether the caller has left.
@@ -69,7 +71,7 @@
 }
 
 func (u UnfinishedRun) toBrokenRun(now clock.Stamp) brokenRun {
-	b := brokenRun{content: u.Content, events: uint16(min(u.Events, 1<<16-1)), at: now, ttl: breakTTL}
+	b := brokenRun{suspects: u.Suspects, events: uint16(min(u.Events, 1<<16-1)), at: now, ttl: breakTTL}
 	if u.CallerLeft {
 		b.ttl = abandonedBreakTTL
 	}
@@ -173,10 +175,12 @@
 	x.expire(now)
 	var list []share.Crash
 	for _, b := range x.breaks {
-		l := crash.Loss{Fingerprint: b.content, Target: x.key, Events: b.events, At: b.at}
-		if c.quarantine.Add(now, l) {
-			c.logLoss(now, l, x.id, "own")
-			list = append(list, toReport(now, l))
+		for _, f := range b.suspects {
+			l := crash.Loss{Fingerprint: f, Target: x.key, Events: b.events, At: b.at}
+			if !c.isSound(now, f) && c.quarantineOf(f).Add(now, l) {
+				c.logLoss(now, l, x.id, "own")
+				list = append(list, toReport(now, l))
+			}
 		}
 	}
 	if first && len(x.breaks) > 0 {
--- a/relay/log.go
+++ b/relay/log.go
@@ -88,7 +88,7 @@
 		fields = append(fields, event.Str("build", q.stream.build), event.Int("after", q.resumePoint()), event.Str("resumes", q.callerHeaders.Resumes))
 	}
 	if f.reason == chestnutstep.ReasonCondemned {
-		fields = append(fields, event.Uint("content", q.content))
+		fields = append(fields, event.Uint("content", q.content), event.Str("parts", q.sharedParts()))
 	}
 	if q.route != nil {
 		fields = append(fields, event.Str("route", q.route.Name))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,9 +81,9 @@
 	stream stream
 	// callerGone reports whether the caller was found to have closed its connection.
 	callerGone bool
-	// isTrial reports whether this is a trial run of a content that has ended targets; no other
-	// request of this entry may run the content meanwhile.
-	isTrial bool
+	// trials are the fingerprints of the content or parts that have ended targets and that this run
+	// puts to the test; no other request of this entry may run with them meanwhile.
+	trials []uint64
 	// admission is the state of the targets' places when the request was refused for lack of one;
 	// nil otherwise.
 	admission *board.Admission
@@ -109,16 +109,10 @@
 		return
 	}
 	q.awaitCaches()
-	defer q.endTrial()
+	defer func() { q.Crashes.EndTrials(q.trials) }()
 	q.run()
 }
 
-func (q *request) endTrial() {
-	if q.isTrial {
-		q.Crashes.EndTrial(q.content)
-	}
-}
-
 // refusal is an answer of the relay itself.
 type refusal struct {
 	status int
--- a/relay/run.go
+++ b/relay/run.go
@@ -121,7 +121,7 @@
 	}
 	run.End(clock.Now(), board.Served)
 	q.attempts.Record(chestnutstep.RunYes)
-	q.Crashes.RecordServed(clock.Now(), q.content)
+	q.Crashes.RecordServed(clock.Now(), q.suspects())
 	q.recordDone(t)
 	return true, nil
 }
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -64,7 +64,7 @@
 	if listed := q.Roster.View().ByID[t.ID]; listed == nil || listed.Leaving || listed.StartedMs != t.StartedMs {
 		return // the end is planned, or the target has already ended
 	}
-	u := UnfinishedRun{Target: t, Content: q.content, Events: q.stream.events, CallerLeft: callerLeft}
+	u := UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events, CallerLeft: callerLeft}
 	switch {
 	case e.Reason == chestnutstep.ReasonDown:
 		if errors.Is(e.Err, syscall.ECONNREFUSED) {
