relay: the end of an answer without length or chunks does not prove that it is whole

If the target has ended, the answer counts as broken off; if it lives, the answer is delivered as it came. Neither clears the content.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -12,6 +12,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/roster"
 )
 
 // maxAnswerBytes limits the size of a buffered answer.
@@ -27,7 +28,7 @@
 // collect reads the complete answer before it sends anything to the caller. If the answer breaks
 // off, the request can still be retried on another target or answered with an error; after the head
 // was sent, the only option would be to cut the connection.
-func (q *request) collect(run *board.Attempt, a *link.Response) error {
+func (q *request) collect(run *board.Attempt, t *roster.Target, a *link.Response) error {
 	run.FirstByte(clock.Now())
 	var b bytes.Buffer
 	if a.Length > 0 {
@@ -41,6 +42,9 @@
 	if err != nil {
 		return q.truncatedErr(err)
 	}
+	if err := q.checkEnd(t, a); err != nil {
+		return err
+	}
 	answer := &bufferedAnswer{a.Status, a.Header, b.Bytes()}
 	if a.Status >= http.StatusInternalServerError {
 		q.failureAnswer = answer
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -121,6 +121,14 @@
 	c.announce(list)
 }
 
+// HasEnded reports whether the end of a target was confirmed recently.
+func (c *CrashTracker) HasEnded(now clock.Stamp, t *roster.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.targets[board.CacheKey(&t.Instance)]
+	return x != nil && x.hasEnded(now)
+}
+
 // closedChan is a closed channel.
 var closedChan = func() chan struct{} {
 	ch := make(chan struct{})
--- a/relay/run.go
+++ b/relay/run.go
@@ -113,7 +113,7 @@
 	if q.route.Kind == chestnutstep.RouteStream && answer.Status == http.StatusOK {
 		err = q.forwardEvents(run, t, answer)
 	} else {
-		err = q.collect(run, answer)
+		err = q.collect(run, t, answer)
 	}
 	if err != nil {
 		q.recordFailure(run, t, err)
@@ -121,7 +121,9 @@
 	}
 	run.End(clock.Now(), board.Served)
 	q.attempts.Record(chestnutstep.RunYes)
-	q.Crashes.RecordServed(clock.Now(), q.suspects())
+	if !answer.IsCloseDelimited() { // its end does not prove that the target lives
+		q.Crashes.RecordServed(clock.Now(), q.suspects())
+	}
 	q.recordDone(t)
 	return true, nil
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -40,6 +40,9 @@
 		raw, id, err := readEvent(br)
 		if err == io.EOF && len(raw) == 0 {
 			a.Close(true)
+			if err := q.checkEnd(t, a); err != nil {
+				return err
+			}
 			q.beginStream(t, a) // a stream without events still needs a head
 			return nil
 		}
--- a/stand/kill.go
+++ b/stand/kill.go
@@ -151,7 +151,7 @@
 		return
 	}
 	text := "answer to " + run.ID
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	t.setLength(w.Header(), len(text))
 	w.WriteHeader(http.StatusOK)
 	part := map[KillStep]int{AtFirst: 1, AtMiddle: len(text) / 2, AtLast: len(text) - 1}
 	_, _ = io.WriteString(w, text[:part[step]])
--- a/stand/target.go
+++ b/stand/target.go
@@ -85,6 +85,8 @@
 	// streams of two builds don't fit together. The target does not check which build began a
 	// stream that it continues.
 	Build string
+	// Unframed makes answers end with their connection, with neither a length nor chunks.
+	Unframed bool
 	// EventCount is the number of events of a stream.
 	EventCount int
 	// EventInterval is the time between two events of a stream.
@@ -272,6 +274,16 @@
 func (t *Target) sign(h http.Header, id string) {
 	h.Set("Attempt-Id", id)
 	h.Set("Server-Signature", "sig-"+t.Name)
+	if t.Unframed {
+		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the answer
+	}
+}
+
+// setLength sets the length of an answer, unless the target's answers have none.
+func (t *Target) setLength(h http.Header, n int) {
+	if !t.Unframed {
+		h.Set("Content-Length", strconv.Itoa(n))
+	}
 }
 
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, behaviour Behaviour, run *Run) {
@@ -301,7 +313,7 @@
 		return
 	}
 	text := "answer to " + run.ID
-	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	t.setLength(w.Header(), len(text))
 	if behaviour == Fails {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
