agent: the end of an answer without length or chunks does not prove that it is whole

Streams of engines end with their last event and were not affected.

Now the agent probes the target at the end of such an answer, as after a failed one, and the answer counts as broken if the target crashed meanwhile.

--- a/agent/copy.go
+++ b/agent/copy.go
@@ -36,7 +36,7 @@
 	tail := &tail{terminator: j.agent.streamTerminator(rs)}
 	for try := 0; ; try++ {
 		err := j.copyBody(body, tail)
-		if tail.isEnded() || err == nil && tail.isComplete() {
+		if tail.isEnded() || err == nil && tail.isComplete() && !j.endedWithTarget(rs, tail) {
 			j.log.Finish()
 			j.readToEnd(body)
 			return servedResult
@@ -60,6 +60,18 @@
 	return callResult{outcome: chestnutstep.OutcomeFailed, reason: chestnutstep.ReasonShort, run: chestnutstep.RunYes}
 }
 
+// endedWithTarget reports whether the end of an answer may be that of its target. An answer with
+// neither a length, chunks nor a last event ends with its connection, and so does a target.
+func (j *job) endedWithTarget(rs *http.Response, t *tail) bool {
+	if t.terminator != "" || rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0 {
+		return false
+	}
+	j.agent.health.check(j.agent)
+	j.agent.mu.Lock()
+	defer j.agent.mu.Unlock()
+	return j.agent.health.crashCount != j.crashesAtStart
+}
+
 // readToEnd reads the body of a complete answer to its end, as net/http reuses the connection only
 // then. An error costs only that connection.
 func (j *job) readToEnd(body io.Reader) {
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -183,7 +183,7 @@
 	case "tick":
 		s.agent.tick()
 	case "answer":
-		return s.answerCall(id)
+		return s.answerCall(id, d.HasArg("unframed"), d.HasArg("dies"))
 	case "die":
 		s.crashTarget()
 	case "revive":
@@ -300,10 +300,13 @@
 }
 
 // answerCall completes a blocked request with a whole answer.
-func (s *harness) answerCall(id string) string {
+// answerCall answers a request. An unframed answer ends with its connection; if the target dies,
+// that is the end of its process.
+func (s *harness) answerCall(id string, unframed, dies bool) string {
 	s.target.mu.Lock()
 	c := s.target.calls[id]
 	delete(s.target.calls, id)
+	s.target.down = s.target.down || dies
 	s.target.mu.Unlock()
 	if c == nil {
 		return "the target runs no such request\n"
@@ -312,7 +315,11 @@
 	assert.NilError(s.t, err)
 	rq.Header.Set(chestnutstep.HeaderRequestID, id)
 	c.end <- func() (*http.Response, error) {
-		return reply(rq, s.target.boot, "answer to "+id), nil
+		rs := reply(rq, s.target.boot, "answer to "+id)
+		if unframed {
+			rs.ContentLength, rs.Close = -1, true
+		}
+		return rs, nil
 	}
 	s.waitSettled()
 	return s.state()
