--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -79,7 +79,8 @@
 	// 0 means DefaultThreshold.
 	Threshold int
 	// JointWindow is the time within which the ends of jointTargets or more count once, as they
-	// probably have another common cause; 0 counts each of them.
+	// probably have another common cause. If it is 0, each end counts, and the ends of other targets
+	// at the same time explain one loss.
 	JointWindow time.Duration
 
 	contents map[uint64]*contentRecord
@@ -240,7 +241,7 @@
 // pause returns how long a content is refused after its last loss.
 func (q *Quarantine) pause(fingerprint uint64, uncleared []Loss) time.Duration {
 	n, threshold := q.countEnds(uncleared), q.threshold()
-	if q.countCorrelatedEnds(uncleared) >= correlationThreshold {
+	if q.JointWindow == 0 && q.countCorrelatedEnds(uncleared) >= correlationThreshold {
 		n--
 	}
 	switch {
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -20,7 +20,7 @@
 	partThreshold = 3
 	// partJointWindow is the time within which the ends of many targets count once for a part: a part
 	// in use is on many of the targets of a failure domain.
-	partJointWindow = 100 * time.Millisecond
+	partJointWindow = 50 * time.Millisecond
 	// servedTTL is how long a part that was served is not suspected.
 	servedTTL = 2 * time.Second
 )
