--- a/event/catalog.go
+++ b/event/catalog.go
@@ -664,7 +664,7 @@
 	},
 	{
 		ID: CrashCleared, Name: "crash_cleared", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A content under which targets ended was served: its losses are cleared.",
+		Meaning: "A content, or with part a part of prompts, under which targets ended was served: its losses are cleared.",
 		Cause:   "It was running while the targets ended for another reason.",
 		Action:  "Nothing.",
 	},
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -95,3 +96,48 @@
 	assert.Equal(t, late.repeat("late"), http.StatusServiceUnavailable)
 	assert.Equal(t, countEndedTargets(targets), 2)
 }
+
+// apart is a time after which targets that end don't count as ended together.
+const apart = 100 * time.Millisecond
+
+// sendDeadlyPart sends a request that has the deadly part in common with others, and nothing else.
+func (d *direct) sendDeadlyPart(t *testing.T, n int) int {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+d.settings.CallerAddr+"/talk/stream/x", strings.NewReader(fmt.Sprint("body ", n)))
+	assert.NilError(t, err)
+	r.Host, r.Close = "shop.example", true
+	r.Header.Set("Attempt-Id", fmt.Sprint("part-", n))
+	r.Header.Set("Credential", "k")
+	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set("Prefix-Hash", fmt.Sprintf("c0:10,bad:20,%x:1", 1000+n))
+	resp, err := http.DefaultClient.Do(r)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	return status(resp, err)
+}
+
+// TestEntryThatStartsRefusesDeadlyPart guards against a part of the prompts that ends three targets
+// at each entry: one that serves beside the first, and one that starts later.
+func TestEntryThatStartsRefusesDeadlyPart(t *testing.T) {
+	store, targets := newDeadlyTargets(t)
+	for _, x := range targets {
+		x.KillRule = &stand.KillRule{Parts: []string{"bad"}, Step: stand.AtHead}
+	}
+	one := startDirect(t, store)
+	beside := startDirect(t, store, one.settings.PeerAddr)
+	waitFor(t, func() bool {
+		return strings.Contains(one.out.text(), `"peers":1`) && strings.Contains(beside.out.text(), `"peers":1`)
+	}, "the entries have found each other")
+	for n := range 3 {
+		assert.Equal(t, one.sendDeadlyPart(t, n), http.StatusBadGateway)
+		time.Sleep(apart)
+	}
+	waitFor(t, func() bool { return strings.Contains(beside.out.text(), `"losses":3`) }, "the other entry knows of three ends")
+	assert.Equal(t, one.sendDeadlyPart(t, 3), http.StatusServiceUnavailable)
+	assert.Equal(t, beside.sendDeadlyPart(t, 4), http.StatusServiceUnavailable)
+	late := startDirect(t, store, one.settings.PeerAddr)
+	waitFor(t, func() bool { return strings.Contains(late.out.text(), `"losses":3`) }, "the new entry knows of three ends")
+	assert.Equal(t, late.sendDeadlyPart(t, 5), http.StatusServiceUnavailable)
+	assert.Equal(t, countEndedTargets(targets), 3)
+}
