soak: one target in three sends answers that end with their connection

The soak had single plain answers of this kind; now all answers of a third of its targets are, streams and whole ones, beside all faults.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,6 +23,8 @@
 	// can be down at the same time.
 	entryCount  = 5
 	targetCount = 4
+	// unframedEvery is such that one in so many targets sends answers that end with their connection.
+	unframedEvery = 3
 	// eventCount is the number of events of a stream.
 	eventCount = 6
 	// callerCount is the number of concurrent callers; each keeps its own connections.
@@ -165,6 +167,7 @@
 	x := &target{Target: stand.NewTarget(fmt.Sprintf("i-%d", len(s.targets)))}
 	x.EventCount, x.EventInterval = eventCount, 10*time.Millisecond
 	x.Build = builds[len(s.targets)%len(builds)]
+	x.Unframed = len(s.targets)%unframedEvery == unframedEvery-1
 	x.relay = &pipe.Relay{Backend: x.Address()}
 	if err := x.relay.Start(); err != nil {
 		return errors.Wrap(err, "start relay to the target")
