origin: the order of holders is a hash of address and stream

A hash over both needs no mixing of its own, which was a copy of that in package place. No behaviour but for the order of the entries that hold a record.

--- a/origin/holders.go
+++ b/origin/holders.go
@@ -57,12 +57,10 @@
 
 // score returns the weight of a member for a stream, as in rendezvous hashing.
 func score(stream StreamID, addr netip.AddrPort) uint64 {
-	var b [18]byte
+	var b [26]byte
 	ip := addr.Addr().As16()
 	copy(b[:], ip[:])
 	binary.BigEndian.PutUint16(b[16:], addr.Port())
-	h := xxhash.Sum64(b[:]) ^ uint64(stream)*0x9e3779b97f4a7c15
-	h ^= h >> 29
-	h *= 0xbf58476d1ce4e5b9
-	return h ^ h>>32
+	binary.BigEndian.PutUint64(b[18:], uint64(stream))
+	return xxhash.Sum64(b[:])
 }
