--- a/crash/quarantine.go
+++ b/crash/quarantine.go
@@ -41,9 +41,9 @@
 	maxLosses = 8
 )
 
-// pauses lists how long a content is refused after Threshold losses, one more, and so on. Each time a pause
-// expires, the content can end one more target; the total stays within the number of targets that
-// one content may end per day.
+// pauses lists how long a content is refused after Threshold losses, after one more, and so on. Each
+// time a pause expires, the content can end one more target; the total stays within the number of
+// targets that one content may end per day.
 var pauses = []time.Duration{time.Minute, 10 * time.Minute, time.Hour, quarantineTTL}
 
 // Loss records that a target ended while it was running a content.
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -25,12 +25,16 @@
 	servedTTL = 2 * time.Second
 )
 
-// CrashTracker detects contents, and parts of prompts, that end targets, at entries without agents. Without an agent, no
-// process observes the end of a target directly: a broken connection raises a suspicion against the
-// content, regardless of how much of the answer was received. The end of the target is confirmed if
-// the target refuses a connection, if it disappears from the list of targets, or if a peer reports
-// it. A run that ends a target accuses all parts of its prompt but the last, which no other request
-// has; a run that is served clears all of them. A CrashTracker is safe for concurrent use. Set the fields before use.
+// CrashTracker detects contents, and parts of prompts, that end targets, at entries without agents.
+// Without an agent, no process observes the end of a target directly: a broken connection raises a
+// suspicion against the content, regardless of how much of the answer was received. The end of the
+// target is confirmed if the target refuses a connection, if it disappears from the list of targets,
+// or if a peer reports it.
+//
+// A run that ends a target accuses all parts of its prompt but the last, which no other request has;
+// a run that is served clears all of them.
+//
+// A CrashTracker is safe for concurrent use. Set the fields before use.
 type CrashTracker struct {
 	// Log receives an event for each loss; nil disables logging.
 	Log *event.Log
--- a/relay/deadly_test.go
+++ b/relay/deadly_test.go
@@ -164,6 +164,20 @@
 	return send(t, f.entries[entry%len(f.entries)], kind, fmt.Sprintf("visit-%d", f.requestCount), body)
 }
 
+// visitDeadly sends the deadly content ten times, and checks that it is refused after maxLost targets
+// while other requests are served.
+func (f *cluster) visitDeadly(t *testing.T, kind string) {
+	t.Helper()
+	last := ""
+	for n := range 10 {
+		last = f.send(t, n, kind, poison)
+		assert.Assert(t, strings.HasPrefix(f.send(t, n, "safe", fmt.Sprint("other ", n)), "200"), "another request failed")
+		time.Sleep(3 * gossipInterval)
+	}
+	assert.Assert(t, f.lostTargets() <= maxLost, "%d targets lost", f.lostTargets())
+	assert.Equal(t, last, "503 come-back")
+}
+
 // TestDeadlyContentIsStopped guards against a content that ends one target after the other,
 // regardless of how much of its answer was received.
 func TestDeadlyContentIsStopped(t *testing.T) {
@@ -175,14 +189,7 @@
 					t.Parallel()
 					f := newCluster(t)
 					f.setDeadly(step, byReset)
-					last := ""
-					for n := range 10 {
-						last = f.send(t, n, kind, poison)
-						assert.Assert(t, strings.HasPrefix(f.send(t, n, "safe", fmt.Sprint("other ", n)), "200"), "another request failed")
-						time.Sleep(3 * gossipInterval)
-					}
-					assert.Assert(t, f.lostTargets() <= maxLost, "%d targets lost", f.lostTargets())
-					assert.Equal(t, last, "503 come-back")
+					f.visitDeadly(t, kind)
 				})
 			}
 		}
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -29,14 +28,7 @@
 				f := newCluster(t)
 				f.setDeadly(step, false)
 				f.setUnframed()
-				last := ""
-				for n := range 10 {
-					last = f.send(t, n, kind, poison)
-					assert.Assert(t, strings.HasPrefix(f.send(t, n, "safe", fmt.Sprint("other ", n)), "200"), "another request failed")
-					time.Sleep(3 * gossipInterval)
-				}
-				assert.Assert(t, f.lostTargets() <= maxLost, "%d targets lost", f.lostTargets())
-				assert.Equal(t, last, "503 come-back")
+				f.visitDeadly(t, kind)
 			})
 		}
 	}
