--- a/relay/build_test.go
+++ b/relay/build_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -173,3 +175,54 @@
 		})
 	}
 }
+
+// TestStreamsWhileBuildsChange guards against a stream of two builds, or one that is refused although
+// its build is known and has a target, while targets join and leave and records are lost.
+func TestStreamsWhileBuildsChange(t *testing.T) {
+	all := []string{"1", "1", "2", "2", "3", ""}
+	begun, known, taken := 0, 0, 0
+	for seed := range uint64(12) {
+		rnd := rand.New(rand.NewPCG(seed, seed))
+		g := newBuilds(t, all...)
+		origins := fakeOrigins{}
+		g.relay.Origins = origins
+		listed := slices.Clone(all)
+		for step := range 40 {
+			if rnd.IntN(4) == 0 {
+				for i := range listed {
+					listed[i] = []string{all[i], all[i], "-"}[rnd.IntN(3)]
+				}
+				listed[rnd.IntN(len(listed))] = "-"
+				listed[0] = all[0] // at least one target
+				g.listBuilds(uint64(100+step), listed...)
+			}
+			attempt := fmt.Sprintf("s-%d-%d", seed, step)
+			g.order.Set([]stand.Behaviour{stand.Cuts, stand.Normal}[rnd.IntN(2)], []stand.Behaviour{stand.Cuts, stand.Normal}[rnd.IntN(2)])
+			status, text, err := stream(t, g.server, attempt)
+			begun++
+			for tries := 0; err != nil && tries < 2; tries++ {
+				if rnd.IntN(5) == 0 {
+					delete(origins, attempt)
+				}
+				_, isKnown := origins[attempt]
+				build := strings.Join(stand.Builds(text), "+")
+				g.order.Set([]stand.Behaviour{stand.Cuts, stand.Normal}[rnd.IntN(2)])
+				var rest string
+				status, rest, err = stream(t, g.server, fmt.Sprint(attempt, "-", tries), "Last-Event-Id", fmt.Sprint(strings.Count(text, "data: ")), "Resumes", attempt)
+				if isKnown && slices.Contains(listed, build) {
+					known++
+					taken += map[int]int{http.StatusOK: 1}[status]
+				}
+				if !isKnown {
+					assert.Equal(t, status, http.StatusServiceUnavailable)
+				}
+				if status == http.StatusOK {
+					text += rest
+				}
+			}
+			assert.Assert(t, len(stand.Builds(text)) <= 1, "seed %d, step %d: %q", seed, step, stand.Builds(text))
+		}
+	}
+	t.Logf("%d streams begun; %d of %d taken up whose build is known and listed", begun, taken, known)
+	assert.Equal(t, taken, known)
+}
