--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -43,6 +43,8 @@
 		assert.Equal(t, f.send(t, n, "stream", "sound"), "200 signed ids 1 2 3 4")
 		assert.Assert(t, strings.HasPrefix(f.send(t, n, "unsafe", "sound"), "200 signed whole"))
 	}
+	f = newCluster(t)
+	f.setUnframed()
 	f.setDeadly(stand.AtMiddle, false)
 	assert.Equal(t, f.send(t, 0, "stream", poison), "200 signed cut")
 	assert.Equal(t, f.send(t, 1, "unsafe", poison+" of another"), fmt.Sprint(http.StatusBadGateway))
