pipe, soak: broken connections of answers without length are reset, as on the platform

The stream had neither a length nor chunks, and the relay that plays a reset closed its connection cleanly, between two events: entry-2 has relay_done at event 3, the target lives. The relay of a target with such answers resets every connection now that the target has not closed itself; all other relays and faults are as they were.

--- a/pipe/pipe.go
+++ b/pipe/pipe.go
@@ -28,6 +28,9 @@
 type Relay struct {
 	// Backend is the address to which connections are forwarded.
 	Backend string
+	// ResetOnBreak resets each connection that the backend has not closed itself. Without it, both
+	// ends look alike to a client that reads until the connection is closed.
+	ResetOnBreak bool
 
 	mu       sync.Mutex
 	changed  *sync.Cond
@@ -54,10 +57,15 @@
 // link is one connection through the relay.
 type link struct {
 	conns [directions]net.Conn
+	// reset makes close reset the connections.
+	reset bool
 }
 
 func (k *link) close() {
 	for _, c := range k.conns {
+		if tcp, ok := c.(*net.TCPConn); ok && k.reset {
+			_ = tcp.SetLinger(0) // fails only on a closed connection
+		}
 		c.Close()
 	}
 }
@@ -178,7 +186,7 @@
 		c.Close()
 		return
 	}
-	k := &link{conns: [directions]net.Conn{Up: c, Down: b}}
+	k := &link{conns: [directions]net.Conn{Up: c, Down: b}, reset: r.ResetOnBreak}
 	r.mu.Lock()
 	r.links[k] = true
 	closed := r.closed
@@ -201,6 +209,9 @@
 		if n > 0 && !r.forward(w, to, buf[:n]) {
 			return
 		}
+		if err == io.EOF && w == Down {
+			r.update(func() { k.reset = false })
+		}
 		if err != nil {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -168,7 +168,7 @@
 	x.EventCount, x.EventInterval = eventCount, 10*time.Millisecond
 	x.Build = builds[len(s.targets)%len(builds)]
 	x.Unframed = len(s.targets)%unframedEvery == unframedEvery-1
-	x.relay = &pipe.Relay{Backend: x.Address()}
+	x.relay = &pipe.Relay{Backend: x.Address(), ResetOnBreak: x.Unframed}
 	if err := x.relay.Start(); err != nil {
 		return errors.Wrap(err, "start relay to the target")
 	}
