--- a/origin/directory.go
+++ b/origin/directory.go
@@ -15,8 +15,8 @@
 
 var _ chestnutstep.Origins = (*Directory)(nil)
 
-// askInterval is the pause before a question is repeated: a datagram can be lost.
-const askInterval = 30 * time.Millisecond
+// lookupRetryInterval is the pause before a lookup is repeated: a datagram can be lost.
+const lookupRetryInterval = 30 * time.Millisecond
 
 // Directory keeps the records of streams together with the other entries. It implements
 // chestnutstep.Origins. The fields must be set before use.
@@ -30,15 +30,15 @@
 	store Store
 
 	mu sync.Mutex
-	// questions holds the questions that wait for answers, by stream.
-	questions map[StreamID][]*question
+	// lookups holds the lookups in progress, by stream.
+	lookups map[StreamID][]*lookup
 }
 
-// question is a request of this entry for the record of a stream.
-type question struct {
-	// unanswered is the number of entries that have not answered yet.
+// lookup is the search of this entry for the record of a stream.
+type lookup struct {
+	// unanswered holds the entries that have not replied yet.
 	unanswered map[netip.AddrPort]bool
-	// done is closed when a record arrived, or all entries have answered that they have none.
+	// done is closed when a record has arrived, or all entries have replied that they have none.
 	done chan struct{}
 }
 
@@ -46,12 +46,12 @@
 type message struct {
 	_    struct{} `cbor:",toarray"`
 	From netip.AddrPort
-	// Records are new records, or answers to questions.
+	// Records are new records, or replies to lookups.
 	Records []Record
-	// Asked are streams whose records the sender asks for.
-	Asked []StreamID
-	// Unknown are streams that the receiver asked for and of which the sender has no record.
-	Unknown []StreamID
+	// Lookups are streams whose records the sender requests.
+	Lookups []StreamID
+	// NotFound are streams that the receiver looked up and of which the sender has no record.
+	NotFound []StreamID
 }
 
 // Record records that a build of a service began the stream of an attempt, here and at the entries
@@ -69,23 +69,23 @@
 }
 
 // Find returns which of a service's builds began the stream of an attempt. It returns false if no
-// entry has a record, or none that has one answers within the timeout.
+// entry has a record, or none that has one replies within the timeout.
 func (d *Directory) Find(ctx context.Context, attempt string, timeout time.Duration) (chestnutstep.BuildID, bool) {
 	stream := NewStreamID(attempt)
 	if b, ok := d.store.Find(stream); ok {
 		return b, true
 	}
-	q := d.ask(stream)
-	defer d.forget(stream, q)
-	limit, repeat := time.NewTimer(timeout), time.NewTicker(askInterval)
+	l := d.startLookup(stream)
+	defer d.endLookup(stream, l)
+	limit, repeat := time.NewTimer(timeout), time.NewTicker(lookupRetryInterval)
 	defer limit.Stop()
 	defer repeat.Stop()
 	for {
-		d.sendQuestion(stream, q)
+		d.sendLookup(stream, l)
 		select {
 		case <-repeat.C:
 			continue
-		case <-q.done:
+		case <-l.done:
 		case <-limit.C:
 		case <-ctx.Done():
 		}
@@ -93,53 +93,53 @@
 	}
 }
 
-// ask registers a question to the entries that can hold the record of a stream.
-func (d *Directory) ask(stream StreamID) *question {
-	q := &question{unanswered: make(map[netip.AddrPort]bool), done: make(chan struct{})}
-	for _, m := range Holders(stream, d.all(), maxAsked) {
+// startLookup registers a lookup at the entries that can hold the record of a stream.
+func (d *Directory) startLookup(stream StreamID) *lookup {
+	l := &lookup{unanswered: make(map[netip.AddrPort]bool), done: make(chan struct{})}
+	for _, m := range Holders(stream, d.all(), maxQueried) {
 		if m.Addr != d.Self.Addr {
-			q.unanswered[m.Addr] = true
+			l.unanswered[m.Addr] = true
 		}
 	}
-	if len(q.unanswered) == 0 {
-		close(q.done)
-		return q
+	if len(l.unanswered) == 0 {
+		close(l.done)
+		return l
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.questions == nil {
-		d.questions = make(map[StreamID][]*question)
+	if d.lookups == nil {
+		d.lookups = make(map[StreamID][]*lookup)
 	}
-	d.questions[stream] = append(d.questions[stream], q)
-	return q
+	d.lookups[stream] = append(d.lookups[stream], l)
+	return l
 }
 
-func (d *Directory) sendQuestion(stream StreamID, q *question) {
+func (d *Directory) sendLookup(stream StreamID, l *lookup) {
 	d.mu.Lock()
-	to := make([]netip.AddrPort, 0, len(q.unanswered))
-	for a := range q.unanswered {
+	to := make([]netip.AddrPort, 0, len(l.unanswered))
+	for a := range l.unanswered {
 		to = append(to, a)
 	}
 	d.mu.Unlock()
-	d.send(message{Asked: []StreamID{stream}}, to...)
+	d.send(message{Lookups: []StreamID{stream}}, to...)
 }
 
-// forget removes a question.
-func (d *Directory) forget(stream StreamID, q *question) {
+// endLookup removes a lookup.
+func (d *Directory) endLookup(stream StreamID, l *lookup) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := d.questions[stream]
+	list := d.lookups[stream]
 	for i := range list {
-		if list[i] == q {
+		if list[i] == l {
 			list = append(list[:i:i], list[i+1:]...)
 			break
 		}
 	}
 	if len(list) == 0 {
-		delete(d.questions, stream)
+		delete(d.lookups, stream)
 		return
 	}
-	d.questions[stream] = list
+	d.lookups[stream] = list
 }
 
 // Receive handles a datagram of another entry. It returns an error if the datagram is not valid.
@@ -153,41 +153,41 @@
 	}
 	for _, r := range m.Records {
 		d.store.Add(now, r)
-		d.settle(r.Stream, m.From, true)
+		d.applyReply(r.Stream, m.From, true)
 	}
-	for _, stream := range m.Unknown {
-		d.settle(stream, m.From, false)
+	for _, stream := range m.NotFound {
+		d.applyReply(stream, m.From, false)
 	}
-	if len(m.Asked) > 0 {
-		d.answer(m.From, m.Asked)
+	if len(m.Lookups) > 0 {
+		d.reply(m.From, m.Lookups)
 	}
 	return nil
 }
 
-func (d *Directory) answer(to netip.AddrPort, asked []StreamID) {
+func (d *Directory) reply(to netip.AddrPort, streams []StreamID) {
 	var m message
-	for _, stream := range asked {
+	for _, stream := range streams {
 		if b, ok := d.store.Find(stream); ok {
 			m.Records = append(m.Records, Record{Stream: stream, Build: b})
 		} else {
-			m.Unknown = append(m.Unknown, stream)
+			m.NotFound = append(m.NotFound, stream)
 		}
 	}
 	d.send(m, to)
 }
 
-// settle applies an answer to the questions about a stream.
-func (d *Directory) settle(stream StreamID, from netip.AddrPort, found bool) {
+// applyReply applies a reply to the lookups of a stream.
+func (d *Directory) applyReply(stream StreamID, from netip.AddrPort, found bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, q := range d.questions[stream] {
-		open := len(q.unanswered) > 0
-		delete(q.unanswered, from)
+	for _, l := range d.lookups[stream] {
+		open := len(l.unanswered) > 0
+		delete(l.unanswered, from)
 		if found {
-			clear(q.unanswered)
+			clear(l.unanswered)
 		}
-		if open && len(q.unanswered) == 0 {
-			close(q.done)
+		if open && len(l.unanswered) == 0 {
+			close(l.done)
 		}
 	}
 }
--- a/origin/holders.go
+++ b/origin/holders.go
@@ -13,9 +13,9 @@
 	// copies is the number of entries that hold a record, in different failure domains if there are
 	// as many.
 	copies = 3
-	// maxAsked is the number of entries that are asked for a record. It is larger than copies,
-	// because two entries can disagree for some seconds on which others there are.
-	maxAsked = 5
+	// maxQueried is the number of entries at which a record is looked up. It is larger than copies,
+	// because two entries can have different lists of members for some seconds.
+	maxQueried = 5
 )
 
 // Member is an entry that can hold records.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -3,7 +3,7 @@
 // together, and targets don't check it.
 //
 // The entry that forwards the first event sends a record to a few other entries, which a hash of
-// the caller's attempt selects. An entry that a caller comes back to asks these for the record.
+// the caller's attempt selects. An entry at which the caller resumes the stream looks the record up there.
 // Nothing is stored outside of the entries: a record is lost if all of its holders end.
 package origin
 
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -106,8 +106,8 @@
 	assert.Assert(t, !ok && time.Since(began) >= findTimeout)
 }
 
-// TestLostQuestionIsRepeated guards against a stream that is refused because one datagram was lost.
-func TestLostQuestionIsRepeated(t *testing.T) {
+// TestLostLookupIsRepeated guards against a stream that is refused because one datagram was lost.
+func TestLostLookupIsRepeated(t *testing.T) {
 	f, list := newFleet(2, 1)
 	list[0].Record("s", "shop", "1")
 	list[1].store = Store{}
@@ -138,9 +138,9 @@
 		assert.Equal(t, len(seen), min(copies, len(inUse)))
 		gone := rapid.IntRange(0, entries-1).Draw(t, "gone")
 		rest := append(append([]Member{}, members[:gone]...), members[gone+1:]...)
-		asked := Holders(stream, rest, maxAsked)
+		queried := Holders(stream, rest, maxQueried)
 		for _, h := range holders {
-			assert.Assert(t, h == members[gone] || contains(asked, h), "%v is not asked after %v has gone", h, members[gone])
+			assert.Assert(t, h == members[gone] || contains(queried, h), "%v is not queried after %v has gone", h, members[gone])
 		}
 	})
 }
