--- a/relay/crash.go
+++ b/relay/crash.go
@@ -38,8 +38,8 @@
 // target is confirmed if the target refuses a connection, if it disappears from the list of targets,
 // or if a peer reports it.
 //
-// A run that ends a target accuses all parts of its prompt but the last, which no other request has;
-// a run that is served clears all of them.
+// A run that ends a target counts against all parts of its prompt but the last, which no other
+// request has; a run that is served clears all of them.
 //
 // A CrashTracker is safe for concurrent use. Set the fields before use.
 type CrashTracker struct {
@@ -86,7 +86,7 @@
 }
 
 // Admit returns how long a request is refused that consists of the given content and parts; 0 means
-// that it may be sent to a target now. trials are those that the run puts to the test: the caller
+// that it may be sent to a target now. trials are those for which the run is a trial: the caller
 // must call EndTrials with them after the run.
 func (c *CrashTracker) Admit(now clock.Stamp, fingerprints []uint64) (wait time.Duration, trials []uint64) {
 	c.mu.Lock()
@@ -159,7 +159,7 @@
 }
 
 // logLoss logs a loss together with the resulting state of its content. A part with a single loss
-// is not logged: each target that ends accuses all parts in use there. The caller must hold the
+// is not logged: each target that ends counts against all parts in use there. The caller must hold the
 // lock.
 func (c *CrashTracker) logLoss(now clock.Stamp, l crash.Loss, target, from string) {
 	wait, losses := c.quarantineOf(l.Fingerprint).Check(now, l.Fingerprint)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,8 +81,8 @@
 	stream stream
 	// callerGone reports whether the caller was found to have closed its connection.
 	callerGone bool
-	// trials are the fingerprints of the content or parts that have ended targets and that this run
-	// puts to the test; no other request of this entry may run with them meanwhile.
+	// trials are the fingerprints of the content or parts for which this run is a trial, because they
+	// have ended targets; no other request of this entry may run with them meanwhile.
 	trials []uint64
 	// admission is the state of the targets' places when the request was refused for lack of one;
 	// nil otherwise.
