--- a/event/catalog.go
+++ b/event/catalog.go
@@ -478,13 +478,13 @@
 	},
 	{
 		ID: RelayDone, Name: "relay_done", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A target answered a request completely.",
+		Meaning: "A target answered a request completely. The field leaving reports whether it announced that it leaves.",
 		Cause:   "Normal operation.",
 		Action:  "Nothing.",
 	},
 	{
 		ID: RelayFailed, Name: "relay_failed", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A target gave no usable answer to a request; run reports whether the request might have run. The field last is the last event that the caller received, parts the ids of the parts of the prompt that other requests can share.",
+		Meaning: "A target gave no usable answer to a request; run reports whether the request might have run. The field last is the last event that the caller received, parts the ids of the parts of the prompt that other requests can share, status the status of the answer (0 without one), retry the Retry-After of a 503 as the target sent it, leaving whether the target announced that it leaves.",
 		Cause:   "See reason: full, down, dead (another instance has the address), link, short, crossed, crashed (its own failure), timeout.",
 		Action:  "See the next line of the request; if one target fails often, check that target.",
 	},
--- a/header_codec.go
+++ b/header_codec.go
@@ -55,6 +55,10 @@
 	NotRun bool
 	// Misdirected reports that another instance now has the address.
 	Misdirected bool
+	// RetryAfter is the Retry-After of a 503 as the target sent it; empty if there is none.
+	RetryAfter string
+	// IsLeaving reports that the target is about to stop and takes no new requests.
+	IsLeaving bool
 }
 
 // HeaderCodec translates between HTTP headers and their parsed values. It makes no decisions.
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -25,6 +25,12 @@
 	body   []byte
 }
 
+// answerHead is the status and the parsed headers of a target's answer.
+type answerHead struct {
+	status int
+	chestnutstep.TargetHeaders
+}
+
 // collect reads the complete answer before it sends anything to the caller. If the answer breaks
 // off, the request can still be retried on another target or answered with an error; after the head
 // was sent, the only option would be to cut the connection.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -77,6 +77,8 @@
 	// failureAnswer is an error response of a target. It is sent to the caller if no other target
 	// serves the request.
 	failureAnswer *bufferedAnswer
+	// answerHead is the head of the answer to the current attempt; zero if there is none.
+	answerHead answerHead
 	// stream is the part of a stream that was already sent to the caller.
 	stream stream
 	// callerGone reports whether the caller was found to have closed its connection.
--- a/relay/run.go
+++ b/relay/run.go
@@ -90,7 +90,7 @@
 	if q.attempts.Sent+q.attempts.Unreached == 0 {
 		q.Budgets.Deposit(time.Now(), q.service.Name)
 	}
-	q.stream.events = 0
+	q.stream.events, q.answerHead = 0, answerHead{}
 	run := q.Board.Start(now, t, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
 	q.logSend(c)
 	q.countTokens(c)
@@ -104,8 +104,8 @@
 		q.recordFailure(run, t, err)
 		return false, err
 	}
-	headers := q.Codec.TargetHeaders(answer.Status, answer.Header)
-	if err := q.validate(answer, headers); err != nil {
+	q.answerHead = answerHead{answer.Status, q.Codec.TargetHeaders(answer.Status, answer.Header)}
+	if err := q.validate(answer, q.answerHead.TargetHeaders); err != nil {
 		answer.Close(false)
 		q.recordFailure(run, t, err)
 		return false, err
