relay, agent, soak: failing tests of targets that ask for rest or announce their leaving

The soak plays the first two with random numbers of its own, so that the other faults of a seed stay what they were, and excuses what reaches a target of an entry that was disturbed meanwhile.

--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -42,6 +42,8 @@
 	down  bool
 	calls map[string]*call
 	ran   []string
+	// sent lists the paths of all requests since the script last asked, but for probes.
+	sent []string
 	// orders lists the applied orders; highestFence is the highest fencing number received, and
 	// orders with a lower one are refused.
 	orders       []string
@@ -51,6 +53,9 @@
 func (t *target) RoundTrip(rq *http.Request) (*http.Response, error) {
 	t.mu.Lock()
 	boot, down := t.boot, t.down
+	if rq.URL.Path != "/control/load" {
+		t.sent = append(t.sent, rq.Method+" "+rq.URL.Path)
+	}
 	t.mu.Unlock()
 	if down {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
@@ -78,6 +83,18 @@
 	}
 }
 
+// takeSent returns the requests that reached the target since the last call, but for probes.
+func (t *target) takeSent() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := t.sent
+	t.sent = nil
+	if len(list) == 0 {
+		return "none\n"
+	}
+	return strings.Join(list, "\n") + "\n"
+}
+
 func (t *target) order(rq *http.Request) *http.Response {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -183,7 +200,16 @@
 	case "tick":
 		s.agent.tick()
 	case "answer":
-		return s.answerCall(id, d.HasArg("unframed"), d.HasArg("dies"))
+		a := scriptedAnswer{isUnframed: d.HasArg("unframed"), targetDies: d.HasArg("dies"), status: http.StatusOK, header: http.Header{}}
+		d.MaybeScanArgs(s.t, "status", &a.status)
+		for _, name := range []string{"Retry-After", "Leaving"} {
+			var value string
+			d.MaybeScanArgs(s.t, name, &value)
+			a.header.Set(name, value)
+		}
+		return s.answerCall(id, a)
+	case "sent":
+		return s.target.takeSent()
 	case "die":
 		s.crashTarget()
 	case "revive":
@@ -299,14 +325,21 @@
 	return fmt.Sprintf("%s as %s\n%s", how, name, s.state())
 }
 
-// answerCall completes a blocked request with a whole answer.
-// answerCall answers a request. An unframed answer ends with its connection; if the target dies,
-// that is the end of its process.
-func (s *harness) answerCall(id string, unframed, dies bool) string {
+// scriptedAnswer is a whole answer of the target.
+type scriptedAnswer struct {
+	status int
+	header http.Header
+	// isUnframed reports whether the answer ends with its connection, and targetDies whether that is
+	// the end of the target's process.
+	isUnframed, targetDies bool
+}
+
+// answerCall completes a blocked request.
+func (s *harness) answerCall(id string, a scriptedAnswer) string {
 	s.target.mu.Lock()
 	c := s.target.calls[id]
 	delete(s.target.calls, id)
-	s.target.down = s.target.down || dies
+	s.target.down = s.target.down || a.targetDies
 	s.target.mu.Unlock()
 	if c == nil {
 		return "the target runs no such request\n"
@@ -316,7 +349,11 @@
 	rq.Header.Set(chestnutstep.HeaderRequestID, id)
 	c.end <- func() (*http.Response, error) {
 		rs := reply(rq, s.target.boot, "answer to "+id)
-		if unframed {
+		rs.StatusCode = a.status
+		for name, values := range a.header {
+			rs.Header[name] = values
+		}
+		if a.isUnframed {
 			rs.ContentLength, rs.Close = -1, true
 		}
 		return rs, nil
--- a/soak/check.go
+++ b/soak/check.go
@@ -61,6 +61,9 @@
 	for id := range runs {
 		return errors.Newf("%s ran but was not sent by any caller", id)
 	}
+	if err := s.checkPauses(); err != nil {
+		return err
+	}
 	if returned >= minReturned && takenUp*2 < returned {
 		return errors.Newf("%d of %d streams that callers took up went on", takenUp, returned)
 	}
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -38,6 +38,8 @@
 	exited chan struct{}
 	// pausedAt is the time of the last SIGSTOP to a process of this entry.
 	pausedAt time.Time
+	// disturbances are the times in which the process did not run.
+	disturbances disturbances
 }
 
 // Ports of each entry: the same on all hosts of a platform, and below the range of
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -45,6 +45,7 @@
 		if u := f.inject(s); u != nil {
 			undo = append(undo, u)
 		}
+		s.pauser.inject()
 		// With more than three active faults, a random one ends for each new one.
 		if len(undo) > 3 {
 			i := s.rand.IntN(len(undo))
@@ -80,6 +81,7 @@
 
 func (s *Soak) killEntry() func() {
 	e := s.pickEntry()
+	defer e.disturbances.begin()()
 	e.kill()
 	if err := e.start(); err != nil {
 		s.faults = append(s.faults, err.Error())
@@ -91,8 +93,12 @@
 func (s *Soak) pauseEntry() func() {
 	e := s.pickEntry()
 	e.pausedAt = time.Now()
+	end := e.disturbances.begin()
 	e.signal(syscall.SIGSTOP)
-	return func() { e.signal(syscall.SIGCONT) }
+	return func() {
+		e.signal(syscall.SIGCONT)
+		end()
+	}
 }
 
 // stopEntry stops a process with SIGTERM. undo waits for its exit, kills it after
@@ -100,9 +106,11 @@
 func (s *Soak) stopEntry() func() {
 	e := s.pickEntry()
 	stopped, at := e.currentExit(), time.Now()
+	end := e.disturbances.begin()
 	e.signal(syscall.SIGCONT)
 	e.signal(syscall.SIGTERM)
 	return func() {
+		defer end()
 		e.signal(syscall.SIGCONT)
 		if !waitExit(stopped, gracePeriod) {
 			// A process that was paused in the meantime ran for less than its grace period.
@@ -134,7 +142,11 @@
 func (s *Soak) holdTarget() func() {
 	x := s.pickTarget()
 	x.relay.Hold(s.pickDirection())
-	return x.relay.Heal
+	end := x.disturbances.begin()
+	return func() {
+		x.relay.Heal()
+		end()
+	}
 }
 
 func (s *Soak) pickDirection() pipe.Direction {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,9 @@
 	settleTime = 6 * time.Second
 )
 
+// pauseStream selects the random numbers of the pauser.
+const pauseStream = 1 << 32
+
 // builds are the software versions of the targets, in turn.
 var builds = []string{"1", "2"}
 
@@ -67,6 +70,7 @@
 	// violations are broken guarantees detected while faults were injected or ended.
 	violations []string
 	stop       chan struct{}
+	pauser     pauser
 }
 
 // target is a target behind a relay that can hold back data and close connections.
@@ -75,6 +79,8 @@
 	relay *pipe.Relay
 	// leavesAt is the time at which the target was set to draining; zero if it was not.
 	leavesAt time.Time
+	// disturbances are the times in which data was held back on the way to the target.
+	disturbances disturbances
 }
 
 // key is a caller's key and the time of its revocation, zero if it is valid.
@@ -111,6 +117,7 @@
 func (s *Soak) Run() error {
 	s.rand = rand.New(rand.NewPCG(s.Seed, s.Seed))
 	s.stop = make(chan struct{})
+	s.pauser = pauser{soak: s, rand: rand.New(rand.NewPCG(s.Seed, pauseStream))}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return err
--- a/stand/target.go
+++ b/stand/target.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -89,6 +90,8 @@
 	Unframed bool
 	// EventCount is the number of events of a stream.
 	EventCount int
+	// EventBytes is the minimum size of an event of a stream in bytes; 0 for short ones.
+	EventBytes int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
 	// Queue takes precedence over the target's own behaviours while it is not empty.
@@ -103,6 +106,9 @@
 	defaultBehaviour Behaviour
 	runs             []*Run
 	requests         int
+	arrivals         []Arrival
+	restUntil        time.Time
+	leaving          bool
 	connections      int
 	cachedParts      []string
 	cacheLists       int
@@ -205,6 +211,9 @@
 
 // ServeHTTP handles a request according to its behaviour.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !t.admit(w, r) {
+		return
+	}
 	if r.URL.Path == "/api/kv-list" {
 		t.writeCacheList(w)
 		return
@@ -216,8 +225,7 @@
 		return
 	}
 	if behaviour == Shed {
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		t.shed(w)
 		return
 	}
 	if behaviour == Early {
@@ -300,6 +308,10 @@
 		t.writeRaw(w, behaviour, run)
 		return
 	}
+	if slices.Contains(EndlessBehaviours, behaviour) {
+		t.writeEndless(w, behaviour, run.ID)
+		return
+	}
 	id := run.ID
 	if behaviour == Misdelivered {
 		id = "another"
@@ -375,6 +387,15 @@
 	return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", id, id, build)
 }
 
+// event returns an event of this target, padded by a comment line to EventBytes.
+func (t *Target) event(id int) string {
+	text := Event(id, t.Build)
+	if fill := t.EventBytes - len(text); fill > 0 {
+		return ": " + strings.Repeat("x", fill) + "\n" + text
+	}
+	return text
+}
+
 // Builds returns the builds of the targets that sent the events of a stream, in order and each
 // named once for events in a row.
 func Builds(text string) []string {
@@ -401,7 +422,7 @@
 		if behaviour == Skips && id == from+2 {
 			continue
 		}
-		_, _ = io.WriteString(w, Event(id, t.Build))
+		_, _ = io.WriteString(w, t.event(id))
 		_ = http.NewResponseController(w).Flush()
 		if t.EventInterval > 0 {
 			t.wait(r, t.EventInterval)
