relay: a target that asks for a pause receives nothing until it ends

What callers saw: while some targets turned requests away with Retry-After, up to a tenth of all requests was refused, although others had free places.

Cause: Retry-After of a target's 503 was read nowhere. The rejection counted for its own request alone, and a target that rejects all it gets runs nothing, so that it looked like the least loaded one and drew first attempts.

Change: package pause keeps until when an incarnation of a target wants nothing. Board.Choose never chooses such a target, also as the last one left, and does not count its places. Each send passes Tracker.Acquire after its connection is open. If all targets that can take a request are paused, it is refused at once with the time at which the first pause ends, spread by request; ends are spread by entry. After the end, one request may be unanswered, then two, four, eight. A rejection with a pause neither lowers the limit of its target nor counts against its health. A paused target is no donor of caches, is not probed, and its cache is not listed; the answer to a listing can start a pause.

--- a/board/board.go
+++ b/board/board.go
@@ -16,6 +16,7 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/admit"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/place"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
@@ -41,6 +42,8 @@
 	// Overloaded reports whether work is waiting for this entry's own processor. Its timeouts
 	// are then no evidence of failed hosts. If nil, the entry is never overloaded.
 	Overloaded func() bool
+	// Pauses tracks the targets that asked to receive nothing for some time; nil for none.
+	Pauses *pause.Tracker
 	// Self is this entry's address among its peers, and Domain the failure domain it runs in.
 	Self   netip.AddrPort
 	Domain string
@@ -160,10 +163,18 @@
 // candidate returns a target as a candidate for a request, and false if the target cannot take
 // it.
 func (b *Board) candidate(l *lookup, m *indexMember) (place.Candidate, bool) {
-	if !m.usable || slices.Contains(l.criteria.Skip, m.ID) || !m.totals.allowed {
+	if !m.usable || !m.totals.allowed {
 		return place.Candidate{}, false
 	}
+	if p := b.Pauses.State(l.now, pause.InstanceOf(&m.Instance)); p.Blocked() {
+		l.pauses.add(p)
+		return place.Candidate{}, false
+	}
+	l.pauses.available = true
 	s := m.state
+	if slices.Contains(l.criteria.Skip, m.ID) {
+		return place.Candidate{}, false
+	}
 	if !l.criteria.IncludeDown && s.health.isDown(l.now) {
 		return place.Candidate{}, false
 	}
--- a/board/choose.go
+++ b/board/choose.go
@@ -58,6 +58,9 @@
 	// NewConnection reports whether the request should open a connection to verify that the
 	// host is reachable.
 	NewConnection bool
+	// PausedUntil is the earliest end of a pause if all targets that could take the request asked for
+	// one; 0 otherwise.
+	PausedUntil clock.Stamp
 	// Eligible is the number of targets that could have taken the request.
 	Eligible int
 	// Admission is the result of admission; it is admitted if the request did not ask for a
@@ -79,6 +82,7 @@
 	requestsPerSlot float64
 	totals          place.Totals
 	ceiling         float64
+	pauses          pauses
 }
 
 // Choose selects the target for a request. Its cost does not grow with the number of targets,
@@ -96,7 +100,7 @@
 		criteria.IncludeDown = true
 		b.computeTotals(&l, ix)
 	}
-	c := Choice{Request: req, Eligible: l.totals.Targets, Admission: Admission{Admitted: true}}
+	c := Choice{Request: req, Eligible: l.totals.Targets, Admission: Admission{Admitted: true}, PausedUntil: l.pausedUntil()}
 	if criteria.Caller != nil {
 		if c.Admission = b.admitTo(now, &l); !c.Admission.Admitted {
 			return c
@@ -157,7 +161,7 @@
 
 // computeTotals sums up the targets that can take the request.
 func (b *Board) computeTotals(l *lookup, ix *serviceIndex) {
-	l.totals = place.Totals{}
+	l.totals, l.pauses = place.Totals{}, pauses{}
 	b.setAllowedDomains(l, ix)
 	for _, d := range ix.totals {
 		if d.allowed {
@@ -171,6 +175,7 @@
 	}
 	for _, id := range l.criteria.Skip {
 		if s := b.targets[loadKey(id)]; s != nil && s.member != nil && !s.member.individual && s.member.totals.allowed {
+			l.pauses.available = true
 			l.subtractSkipped(b, s.member)
 		}
 	}
@@ -278,7 +283,7 @@
 			if remaining--; remaining < 0 {
 				break
 			}
-			if m := ix.caches[cache]; m != nil && !m.state.health.isDown(now) && now >= m.ColdUntil {
+			if m := ix.caches[cache]; m != nil && !m.state.health.isDown(now) && now >= m.ColdUntil && !b.isPaused(now, m) {
 				b.compareDonor(now, &best, m, parts)
 			}
 		}
--- a/board/choose_test.go
+++ b/board/choose_test.go
@@ -14,6 +14,7 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/place"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
@@ -120,12 +121,23 @@
 
 // TestChooseIsThePlainChoice guards against an index that diverges from the targets: totals,
 // holders and hash order must equal those computed over all targets.
-func TestChooseIsThePlainChoice(t *testing.T) {
+func TestChooseIsThePlainChoice(t *testing.T) { compareChoices(t, nil) }
+
+// TestChooseIsThePlainChoiceWithPauses guards against totals that count the places of targets which
+// asked for a pause, and against a choice of one, also if no other target is left.
+func TestChooseIsThePlainChoiceWithPauses(t *testing.T) { compareChoices(t, &pause.Tracker{}) }
+
+// compareChoices compares the choices after random steps. With a tracker, targets ask for pauses.
+func compareChoices(t *testing.T, pauses *pause.Tracker) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "targets")
 		h := &history{b: &board.Board{Self: addr(0)}, v: newView(n, n), now: start}
+		if pauses != nil {
+			h.b.Pauses = &pause.Tracker{}
+		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			h.step(t)
+			h.pauseOne(t)
 			p := rapid.Uint64Range(1, 6).Draw(t, "asked")
 			criteria := board.Criteria{Parts: parts(p, 2000), Domain: "d", Skip: []string{"t0"}[:rapid.IntRange(0, 1).Draw(t, "skip")]}
 			criteria.Build = rapid.SampledFrom([]string{"", "", "0", "1", "2"}).Draw(t, "build")
@@ -137,10 +149,12 @@
 				want, list = plainChoice(h.b, h.now, h.v, criteria, req)
 			}
 			got := h.b.Choose(h.now, h.v, engine, criteria, req)
+			assert.Equal(t, got.PausedUntil, h.pausedUntil(criteria))
 			if len(list) == 0 {
 				assert.Assert(t, got.Target == nil)
 				continue
 			}
+			assert.Assert(t, !h.isPaused(got.Target) && !h.isPaused(h.v.ByID[got.Donor.ID]))
 			assert.Equal(t, got.ID, list[want.Index].ID)
 			assert.Assert(t, criteria.Build == "" || got.Target.Build == criteria.Build)
 			assert.Equal(t, got.Donor.ID != "", want.Fetch)
@@ -149,6 +163,36 @@
 	})
 }
 
+// pauseOne lets a target ask for a pause in one step of four.
+func (h *history) pauseOne(t *rapid.T) {
+	if h.b.Pauses == nil || rapid.IntRange(0, 3).Draw(t, "pauses") > 0 {
+		return
+	}
+	x := rapid.SampledFrom(h.v.Services["s"]).Draw(t, "paused")
+	h.b.StartPause(h.now, x, time.Duration(rapid.IntRange(100, 3000).Draw(t, "pause"))*time.Millisecond)
+}
+
+func (h *history) isPaused(x *roster.Target) bool {
+	return x != nil && h.b.Pauses.State(h.now, pause.InstanceOf(&x.Instance)).Blocked()
+}
+
+// pausedUntil returns the earliest end of a pause if all usable targets of the build are paused.
+func (h *history) pausedUntil(criteria board.Criteria) clock.Stamp {
+	var until clock.Stamp
+	for _, x := range h.v.Services["s"] {
+		if !h.v.Usable(x) || criteria.Build != "" && x.Build != criteria.Build {
+			continue
+		}
+		if !h.isPaused(x) {
+			return 0
+		}
+		if s := h.b.Pauses.State(h.now, pause.InstanceOf(&x.Instance)); until == 0 || s.Until < until {
+			until = s.Until
+		}
+	}
+	return until
+}
+
 // sameTotals compares the totals of the index with those computed over all targets.
 func sameTotals(t *rapid.T, h *history, criteria board.Criteria) {
 	var want place.Totals
--- a/board/domain.go
+++ b/board/domain.go
@@ -217,9 +217,9 @@
 	switch o {
 	case Unreachable:
 		b.domainOf(name).recordTimeout(now, key)
-	case Served, Failed, Refused, Replaced, ConnRefused:
+	case Served, Failed, Refused, Paused, Replaced, ConnRefused:
 		b.domainOf(name).recordAnswer(now)
-	case Broken, Canceled: // a broken connection is no evidence about reachability
+	case Broken, Canceled, Unsent: // a broken connection is no evidence about reachability
 	}
 }
 
--- a/board/export_test.go
+++ b/board/export_test.go
@@ -37,7 +37,7 @@
 	b.initMaps()
 	var best place.Donor
 	for _, m := range b.serviceIndex(now, v, service).members {
-		if m != nil && !m.state.health.isDown(now) && now >= m.ColdUntil {
+		if m != nil && !m.state.health.isDown(now) && now >= m.ColdUntil && !b.isPaused(now, m) {
 			b.compareDonor(now, &best, m, parts)
 		}
 	}
--- a/board/health.go
+++ b/board/health.go
@@ -17,6 +17,11 @@
 	Failed
 	// Refused is a rejection because the target is full.
 	Refused
+	// Paused is a rejection by a target that asked for a pause; the pause itself bounds what it
+	// receives.
+	Paused
+	// Unsent is a request that was not sent, because its target had asked for a pause.
+	Unsent
 	// Unreachable is a connection attempt without any response.
 	Unreachable
 	// ConnRefused is a connection attempt that the host rejected.
--- a/board/index.go
+++ b/board/index.go
@@ -3,6 +3,7 @@
 import (
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/place"
 	"chestnutstep.example/chestnutstep/roster"
 )
@@ -130,7 +131,7 @@
 	m.totals.members++
 	ix.members[slot] = m
 	ix.caches[m.cacheKey] = m
-	if m.canAggregate(now) {
+	if b.canAggregate(now, m) {
 		m.totals.add(m, b.runningAt(m), 1)
 	} else {
 		m.individual = true
@@ -161,8 +162,8 @@
 }
 
 // canAggregate reports whether the totals of the failure domain describe the target completely.
-func (m *indexMember) canAggregate(now clock.Stamp) bool {
-	return m.usable && now >= m.ColdUntil && !m.state.health.isDown(now) && !m.state.limit.IsBinding(now)
+func (b *Board) canAggregate(now clock.Stamp, m *indexMember) bool {
+	return m.usable && !b.Pauses.Tracks(pause.InstanceOf(&m.Instance)) && now >= m.ColdUntil && !m.state.health.isDown(now) && !m.state.limit.IsBinding(now)
 }
 
 // runningAt returns the number of requests in progress at a target, from all entries.
@@ -214,7 +215,7 @@
 	for _, m := range ix.individual {
 		switch {
 		case ix.members[m.slot] != m:
-		case m.canAggregate(now):
+		case b.canAggregate(now, m):
 			m.individual = false
 			m.totals.add(m, b.runningAt(m), 1)
 		default:
--- a/board/usage.go
+++ b/board/usage.go
@@ -182,6 +182,6 @@
 		r.service.durations.Measure(now.Sub(r.startedAt), 1)
 	case Refused:
 		r.recordLate(now)
-	case Unreachable, ConnRefused, Replaced, Broken:
+	case Paused, Unsent, Unreachable, ConnRefused, Replaced, Broken:
 	}
 }
--- a/chestnutstep.go
+++ b/chestnutstep.go
@@ -84,6 +84,7 @@
 	ReasonVersion   Reason = "version"   // the offer was made under a publication that the agent does not have
 	ReasonBuild     Reason = "build"     // no target can continue the stream at the build that began it
 	ReasonDown      Reason = "down"      // the target does not answer
+	ReasonPaused    Reason = "paused"    // the target asked to receive nothing for some time
 
 	// Reasons of a broken answer: the request might have run.
 	ReasonCrashed  Reason = "crashed"  // the target crashed while it ran the request
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -101,6 +101,8 @@
 	TargetEnded     ID = 7036
 	TargetLives     ID = 7037
 	CrashCleared    ID = 7038
+	TargetPaused    ID = 7039
+	TargetResumed   ID = 7040
 )
 
 // requestMaxPerSecond is the maximum number of lines per second of each event about single
@@ -668,4 +670,16 @@
 		Cause:   "It was running while the targets ended for another reason.",
 		Action:  "Nothing.",
 	},
+	{
+		ID: TargetPaused, Name: "target_paused", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
+		Meaning: "A target rejected the named request and asked to receive nothing for some time (asked). This entry sends it nothing until then.",
+		Cause:   "The target has more work than it can serve, or is about to change.",
+		Action:  "If it happens often, see docs/operate/paused.md.",
+	},
+	{
+		ID: TargetResumed, Name: "target_resumed", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
+		Meaning: "The time for which a target asked to receive nothing has passed; it gets requests again.",
+		Cause:   "See 7039.",
+		Action:  "Nothing.",
+	},
 }
--- a/link/call.go
+++ b/link/call.go
@@ -33,6 +33,9 @@
 	NewConn bool
 	// DialTimeout bounds the opening of a connection; 0 for the default.
 	DialTimeout time.Duration
+	// Allow is called right before the request is written; an error prevents it. The target can have
+	// said in the meantime that it wants no requests. Nil allows every request.
+	Allow func() error
 	// OnUnresponsive is called if the target's host does not acknowledge the request. If it returns
 	// true, the call is aborted. Nil disables the check.
 	OnUnresponsive func() bool
@@ -87,6 +90,12 @@
 	if err != nil {
 		return nil, ErrCall{Run: chestnutstep.RunNo, Reason: chestnutstep.ReasonDown, Err: err}
 	}
+	if call.Allow != nil {
+		if err := call.Allow(); err != nil {
+			p.put(address, c, 0, call.MaxIdle)
+			return nil, ErrCall{Run: chestnutstep.RunNo, Reason: chestnutstep.ReasonPaused, Err: err}
+		}
+	}
 	a := &Response{pool: p, address: address, conn: c, maxIdle: call.MaxIdle}
 	a.stop = context.AfterFunc(ctx, c.reset)
 	watcher := ackWatcher{conn: c, onUnresponsive: call.OnUnresponsive}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -164,3 +164,17 @@
 	assert.Equal(t, reason(err), "timeout maybe")
 	assert.ErrorContains(t, <-ended, "reset")
 }
+
+// TestPausedTargetGetsNoBytes guards against a request that is sent although its target asked for a
+// pause while the connection was opened.
+func TestPausedTargetGetsNoBytes(t *testing.T) {
+	x, p := target(t), &link.Pool{}
+	call := &link.Call{Method: "POST", URI: "/x", Host: "h", MaxIdle: 8, Allow: func() error { return errors.New("paused") }}
+	_, err := p.Do(context.Background(), x.Address(), call)
+	assert.Equal(t, reason(err), "paused no")
+	got, err := send(context.Background(), p, x, "a", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, got, "answer to a")
+	assert.Equal(t, x.Requests(), 1)
+	assert.Equal(t, x.Connections(), 1, "the connection is kept for the next request")
+}
--- a/node/cacheindex.go
+++ b/node/cacheindex.go
@@ -12,6 +12,7 @@
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
 )
@@ -252,13 +253,17 @@
 // listTarget lists the cache of one target and reports it to the peers.
 func (l *listWorker) listTarget(ctx context.Context, t *roster.Target) {
 	n := l.node
-	parts, err := n.Caches.ListParts(ctx, t.Address)
-	n.log.Emit(event.CacheListed, event.Str("target", t.ID), event.Int("parts", int64(len(parts))), event.Err(err))
+	if n.pauses.State(clock.Now(), pause.InstanceOf(&t.Instance)).Blocked() {
+		return
+	}
+	list, err := n.Caches.ListParts(ctx, t.Address)
+	n.log.Emit(event.CacheListed, event.Str("target", t.ID), event.Int("parts", int64(len(list.Parts))), event.Err(err))
+	n.relay.RecordAnswer(t, "", list.Headers)
 	if err != nil {
 		return
 	}
-	n.board.RecordCache(clock.Now(), &t.Instance, parts)
-	n.peers.SendLists(share.NewCacheList(board.CacheKey(&t.Instance), partIDs(parts)))
+	n.board.RecordCache(clock.Now(), &t.Instance, list.Parts)
+	n.peers.SendLists(share.NewCacheList(board.CacheKey(&t.Instance), partIDs(list.Parts)))
 }
 
 func partIDs(parts []chestnutstep.PromptPart) []uint64 {
--- a/node/cacheindex_test.go
+++ b/node/cacheindex_test.go
@@ -193,3 +193,20 @@
 	waitFor(t, isLoaded, "the cache index is loaded")
 	assert.Equal(t, x.CacheLists(), 1)
 }
+
+// TestPauseOfCacheListingIsKept guards against requests to a target that rejected the listing of its
+// cache and asked for a pause.
+func TestPauseOfCacheListingIsKept(t *testing.T) {
+	store, x := newCachedPrefixStore(t)
+	x.Rest(time.Hour)
+	d := startJoining(t, store, "self")
+	waitFor(t, func() bool { return strings.Contains(d.out.text(), "target_paused") }, "the pause is recorded")
+	r, err := http.NewRequest(http.MethodPost, "http://"+d.settings.CallerAddr+"/talk/stream/x", strings.NewReader("body"))
+	assert.NilError(t, err)
+	r.Host = "shop.example"
+	r.Header.Set("Attempt-Id", "a")
+	r.Header.Set("Credential", "k")
+	resp, err := http.DefaultClient.Do(r)
+	assert.Equal(t, status(resp, err), http.StatusServiceUnavailable)
+	assert.Equal(t, len(x.Arrivals()), 1)
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -25,6 +25,7 @@
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/origin"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
@@ -78,6 +79,7 @@
 	roster   *roster.Roster
 	board    *board.Board
 	crashes  *relay.CrashTracker
+	pauses   *pause.Tracker
 	relay    *relay.Relay
 	callers  *relay.Listener
 	shed     *relay.Shedder
@@ -184,13 +186,14 @@
 	n.cacheIndexSettled = make(chan struct{})
 	n.roster = &roster.Roster{}
 	n.pool = &link.Pool{}
-	n.crashes = &relay.CrashTracker{Log: n.log, Meters: &n.meters.Relay, OnLoss: n.sendCrashes, Seed: uint64(randomIncarnation())}
+	n.pauses = &pause.Tracker{Seed: uint64(randomIncarnation())}
+	n.crashes = &relay.CrashTracker{Log: n.log, Meters: &n.meters.Relay, OnLoss: n.sendCrashes, Pauses: n.pauses, Seed: uint64(randomIncarnation())}
 	self, err := netip.ParseAddrPort(n.Settings.PeerAddr)
 	if err != nil {
 		return errors.Wrap(err, "parse peer address")
 	}
 	n.delays = &delayMonitor{node: n}
-	n.board = &board.Board{Self: self, Domain: n.Settings.Domain, ColdBounds: n.coldBounds, Overloaded: n.delays.isOverloaded}
+	n.board = &board.Board{Self: self, Domain: n.Settings.Domain, ColdBounds: n.coldBounds, Overloaded: n.delays.isOverloaded, Pauses: n.pauses}
 	n.relay = &relay.Relay{
 		Domain:      n.Settings.Domain,
 		Regions:     n.Settings.Regions,
@@ -200,6 +203,7 @@
 		Pool:        n.pool,
 		Codec:       n.Codec,
 		Crashes:     n.crashes,
+		Pauses:      n.pauses,
 		Log:         n.log,
 		Meters:      &n.meters.Relay,
 		IsBehind:    n.isBehind,
@@ -276,6 +280,9 @@
 		case <-tick.C:
 		}
 		n.pool.Sweep(time.Now())
+		for _, i := range n.pauses.Expire(clock.Now()) {
+			n.log.Emit(event.TargetResumed, event.Str("target", i.ID))
+		}
 		if change := n.roster.Tick(clock.Now()); !change.Empty() {
 			n.OnChange(change, clock.Now())
 		}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -44,6 +44,7 @@
 	}
 	n.reported = reportedCounts{dropped, opened, out, in, live, manyCallers}
 	m.CallerConnections.Set(float64(open))
+	m.PausedTargets.Set(float64(n.pauses.Paused(clock.Now())))
 	for _, p := range n.board.Places(clock.Now()) {
 		m.PlacesTaken.Set(p.Taken, p.Service)
 		m.PlacesKept.Set(p.Kept, p.Service)
--- /dev/null
+++ b/pause/pause_test.go
@@ -0,0 +1,89 @@
+package pause_test
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/pause"
+)
+
+// TestScripts runs the scripts of testdata: pauses, their ends, and the requests allowed after them.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var tracker pause.Tracker
+		var now clock.Stamp
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			i := pause.Instance{ID: "a"}
+			d.MaybeScanArgs(t, "target", &i.ID)
+			d.MaybeScanArgs(t, "born", &i.StartedMs)
+			switch d.Cmd {
+			case "pause":
+				text := ""
+				d.ScanArgs(t, "after", &text)
+				wait, ok := pause.ParseRetryAfter(text)
+				if !ok {
+					return "invalid\n"
+				}
+				return fmt.Sprintf("for %s, first %t\n", wait, tracker.Start(now, i, wait))
+			case "send":
+				if err := tracker.Acquire(now, i); err != nil {
+					return err.Error() + "\n"
+				}
+				return "sent\n"
+			case "answered", "failed":
+				tracker.Release(now, i, d.Cmd == "answered")
+			case "sleep":
+				wait, err := time.ParseDuration(d.CmdArgs[0].Key)
+				assert.NilError(t, err)
+				now = now.Add(wait)
+			}
+			ended := tracker.Expire(now)
+			sort.Slice(ended, func(a, b int) bool { return ended[a].ID < ended[b].ID })
+			return fmt.Sprintf("paused %d, ended %v\n", tracker.Paused(now), ended)
+		})
+	})
+}
+
+// TestNoRequestWithinAPause guards against a request that is allowed before the end of a pause, after
+// any order of pauses, sends, answers and failures.
+func TestNoRequestWithinAPause(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := pause.Tracker{Seed: rapid.Uint64().Draw(t, "seed")}
+		var now clock.Stamp
+		i := pause.Instance{ID: "a", StartedMs: 1}
+		var until clock.Stamp
+		pending := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				d := time.Duration(rapid.IntRange(1, 3000).Draw(t, "pause")) * time.Millisecond
+				tracker.Start(now, i, d)
+				until = max(until, now.Add(d))
+			case 1:
+				if tracker.Acquire(now, i) == nil {
+					assert.Assert(t, now >= until, "%s before the end", until.Sub(now))
+					pending++
+				}
+			case 2:
+				if pending > 0 {
+					pending--
+					tracker.Release(now, i, rapid.Bool().Draw(t, "answered"))
+				}
+			case 3:
+				tracker.Expire(now)
+			}
+		}
+		for range pending {
+			tracker.Release(now, i, true)
+		}
+		assert.NilError(t, tracker.Acquire(now.Add(2*pause.MaxTime), i), "a target is never lost for good")
+	})
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -39,11 +39,7 @@
 	if q.stream.started && q.stream.build == "" {
 		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, 0}
 	}
-	criteria := board.Criteria{
-		Build: q.stream.build,
-		Parts: q.callerHeaders.Parts, Domain: q.Domain, Skip: q.triedTargets, DomainAllowed: q.allowsDomain, CapFactor: q.Bounds().CapFactor,
-		VerifyHost: !q.route.IsIdempotent() || q.attempts.Sent > 0,
-	}
+	criteria := q.criteria()
 	if requester := q.requester(); q.attempts.Sent == 0 {
 		criteria.Caller = &requester
 	}
@@ -51,6 +47,8 @@
 	switch {
 	case !c.Admission.Admitted:
 		return c, q.refuseFull(c.Admission)
+	case c.Target == nil && c.PausedUntil > now:
+		return c, q.refusePaused(now, c.PausedUntil)
 	case c.Target == nil && criteria.Build != "":
 		return c, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, busyRetryAfter}
 	case c.Target == nil:
@@ -59,6 +57,15 @@
 	return c, nil
 }
 
+// criteria returns which targets can take the next attempt.
+func (q *request) criteria() board.Criteria {
+	return board.Criteria{
+		Build: q.stream.build,
+		Parts: q.callerHeaders.Parts, Domain: q.Domain, Skip: q.triedTargets, DomainAllowed: q.allowsDomain, CapFactor: q.Bounds().CapFactor,
+		VerifyHost: !q.route.IsIdempotent() || q.attempts.Sent > 0,
+	}
+}
+
 // quarantineWait returns how long the content, or a part of its prompt, is refused because of targets
 // that ended while running it. If it requires a trial run, it starts the trial.
 func (q *request) quarantineWait(now clock.Stamp) (wait time.Duration) {
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -12,6 +12,7 @@
 	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/meter"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/share"
 )
 
@@ -51,6 +52,8 @@
 	OnLoss func(list []share.Crash)
 	// EntryCount returns the number of entries; nil counts as one.
 	EntryCount func() int
+	// Pauses tracks the targets that must not be probed; nil for none.
+	Pauses *pause.Tracker
 	// Seed is a random number, by which the trial runs of the entries are spread.
 	Seed uint64
 
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -9,6 +9,7 @@
 	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/share"
 )
@@ -92,6 +93,9 @@
 		return closedChan
 	}
 	defer c.mu.Unlock()
+	if c.Pauses.State(now, pause.InstanceOf(&u.Target.Instance)).Blocked() {
+		return closedChan // the list of targets will show whether it has ended
+	}
 	if x.probeDone == nil {
 		x.probeDone = make(chan struct{})
 		go (&probe{crashes: c, pool: pool, target: x, address: u.Target.Address, done: x.probeDone}).run()
--- /dev/null
+++ b/relay/pause.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/pause"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+// send sends the request to the chosen target, unless that must not receive it by now.
+func (q *request) send(ctx context.Context, c *board.Choice) (*link.Response, error) {
+	instance := pause.InstanceOf(&c.Target.Instance)
+	acquired := false
+	call := q.buildCall(c)
+	call.Allow = func() error {
+		err := q.Pauses.Acquire(clock.Now(), instance)
+		acquired = err == nil
+		return err
+	}
+	answer, err := q.Pool.Do(ctx, c.Target.Address, call)
+	if acquired {
+		q.Pauses.Release(clock.Now(), instance, err == nil)
+	}
+	return answer, err
+}
+
+// isUnsent reports whether a request was not sent, because its target must not receive it.
+func isUnsent(err error) bool {
+	var e pause.ErrPaused
+	return errors.As(err, &e)
+}
+
+// isOwnAnswer reports whether the head of an answer comes from the target that the request was sent
+// to, and belongs to the request. Only a rejection can lack the id.
+func (q *request) isOwnAnswer() bool {
+	h := q.answerHead
+	return !h.Misdirected && h.ID == q.callerHeaders.ID || h.NotRun && (h.ID == "" || h.ID == q.callerHeaders.ID)
+}
+
+// RecordAnswer records what a target said about itself in the head of an answer to the request with
+// the given id. The answer must be the target's own.
+func (e *Relay) RecordAnswer(t *roster.Target, id string, h chestnutstep.TargetHeaders) {
+	if h.RetryAfter == "" || h.Misdirected {
+		return
+	}
+	d, ok := pause.ParseRetryAfter(h.RetryAfter)
+	if !ok {
+		e.Meters.Pauses.Add(1, t.Service, "invalid")
+		return
+	}
+	if !e.Board.StartPause(clock.Now(), t, d) {
+		e.Meters.Pauses.Add(1, t.Service, "extended")
+		return
+	}
+	e.Meters.Pauses.Add(1, t.Service, "started")
+	e.Log.Emit(event.TargetPaused, event.Str("target", t.ID), event.Str("service", t.Service), event.Dur("asked", d), event.Str("request", id))
+}
+
+// refusePaused refuses a request for which every target asked for a pause.
+func (q *request) refusePaused(now, until clock.Stamp) *refusal {
+	return &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonPaused, pause.RetryAfter(q.callerHeaders.ID, until.Sub(now))}
+}
+
+// refuseRejected refuses a request whose last target asked for a pause. The caller can return soon if
+// another target can take the request.
+func (q *request) refuseRejected() refusal {
+	now := clock.Now()
+	if until := q.Board.PausedUntil(now, q.view, q.service, q.criteria()); until > now {
+		return *q.refusePaused(now, until)
+	}
+	return refusal{http.StatusServiceUnavailable, chestnutstep.ReasonPaused, busyRetryAfter}
+}
--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -13,6 +13,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/meter"
+	"chestnutstep.example/chestnutstep/pause"
+	"chestnutstep.example/chestnutstep/relay"
+	"chestnutstep.example/chestnutstep/roster"
 	"chestnutstep.example/chestnutstep/stand"
 )
 
@@ -179,3 +186,16 @@
 		}
 	}
 }
+
+// TestPausedTargetIsNotProbed guards against connections to a target that asked for a pause, opened to
+// find out whether it has ended.
+func TestPausedTargetIsNotProbed(t *testing.T) {
+	x := stand.NewTarget("i-a")
+	defer x.Close()
+	one := &roster.Target{Instance: chestnutstep.Instance{ID: "i-a", Address: x.Address()}}
+	crashes := &relay.CrashTracker{Meters: &meter.Relay{}, Pauses: &pause.Tracker{}}
+	crashes.Pauses.Start(clock.Now(), pause.InstanceOf(&one.Instance), time.Minute)
+	<-crashes.RecordBroken(clock.Now(), &link.Pool{}, relay.UnfinishedRun{Target: one})
+	assert.Equal(t, x.Connections(), 0)
+	assert.Assert(t, !crashes.HasEnded(clock.Now(), one))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
 )
@@ -35,8 +36,11 @@
 	Codec   chestnutstep.HeaderCodec
 	Budgets *retry.Budgets
 	Crashes *CrashTracker
-	Log     *event.Log
-	Meters  *meter.Relay
+	// Pauses tracks the targets that asked to receive nothing for some time; nil for none. The Board
+	// and the CrashTracker must use the same.
+	Pauses *pause.Tracker
+	Log    *event.Log
+	Meters *meter.Relay
 	// Origins records which build began a stream; if it is nil, a stream can be taken up only while
 	// its service has a single build.
 	Origins chestnutstep.Origins
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/platform"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/retry"
@@ -87,10 +88,11 @@
 // newRelay returns a relay for the targets of a roster. retries is the retry budget as a ratio of
 // the requests; its slack is 100 times that number per second.
 func newRelay(ros *roster.Roster, bounds config.Bounds, retries float64) *relay.Relay {
+	pauses := &pause.Tracker{}
 	return &relay.Relay{
 		Domain: "d", Bounds: func() config.Bounds { return bounds },
-		Roster: ros, Board: &board.Board{}, Pool: &link.Pool{}, Codec: platform.HeaderCodec{},
-		Crashes: &relay.CrashTracker{Meters: &meter.Relay{}}, Meters: &meter.Relay{}, IsBehind: func() bool { return false },
+		Roster: ros, Board: &board.Board{Pauses: pauses}, Pauses: pauses, Pool: &link.Pool{}, Codec: platform.HeaderCodec{},
+		Crashes: &relay.CrashTracker{Meters: &meter.Relay{}, Pauses: pauses}, Meters: &meter.Relay{}, IsBehind: func() bool { return false },
 		Budgets: &retry.Budgets{
 			Bounds:  func() retry.Bounds { return retry.Bounds{Ratio: retries, Slack: 100 * retries, Window: time.Second} },
 			Entries: func() int { return 1 },
--- a/relay/run.go
+++ b/relay/run.go
@@ -80,7 +80,7 @@
 // hasReachedTarget reports whether the target may have received the request.
 func hasReachedTarget(err error) bool {
 	var e link.ErrCall
-	return !errors.As(err, &e) || e.Reason != chestnutstep.ReasonDown
+	return !errors.As(err, &e) || e.Reason != chestnutstep.ReasonDown && !isUnsent(err)
 }
 
 // attempt sends the request to one target. If done is true, the caller has received its answer.
@@ -99,12 +99,15 @@
 	}
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
-	answer, err := q.Pool.Do(ctx, t.Address, q.buildCall(c))
+	answer, err := q.send(ctx, c)
 	if err != nil {
 		q.recordFailure(run, t, err)
 		return false, err
 	}
 	q.answerHead = answerHead{answer.Status, q.Codec.TargetHeaders(answer.Status, answer.Header)}
+	if q.isOwnAnswer() {
+		q.RecordAnswer(t, q.callerHeaders.ID, q.answerHead.TargetHeaders)
+	}
 	if err := q.validate(answer, q.answerHead.TargetHeaders); err != nil {
 		answer.Close(false)
 		q.recordFailure(run, t, err)
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -14,6 +14,7 @@
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/roster"
 )
 
@@ -21,10 +22,13 @@
 // the target ran the request.
 func (q *request) validate(a *link.Response, headers chestnutstep.TargetHeaders) error {
 	switch {
-	case headers.NotRun && (headers.ID == "" || headers.ID == q.callerHeaders.ID):
+	case headers.NotRun && q.isOwnAnswer():
 		reason := chestnutstep.ReasonFull
-		if headers.Misdirected {
+		switch _, paused := pause.ParseRetryAfter(headers.RetryAfter); {
+		case headers.Misdirected:
 			reason = chestnutstep.ReasonDead
+		case paused:
+			reason = chestnutstep.ReasonPaused
 		}
 		return link.ErrCall{Run: chestnutstep.RunNo, Reason: reason, Err: errors.Newf("target did not run the request: status %d", a.Status)}
 	case headers.ID != q.callerHeaders.ID:
@@ -44,7 +48,7 @@
 	}
 	callerLeft := q.hasCallerLeft()
 	run.End(now, outcome(e, callerLeft))
-	if e.Reason == chestnutstep.ReasonDown {
+	if e.Reason == chestnutstep.ReasonDown || isUnsent(err) {
 		q.attempts.Unreached++
 	} else {
 		q.attempts.Record(e.Run)
@@ -98,6 +102,10 @@
 		return board.Canceled
 	case e.Reason == chestnutstep.ReasonFull:
 		return board.Refused
+	case isUnsent(e):
+		return board.Unsent
+	case e.Reason == chestnutstep.ReasonPaused:
+		return board.Paused
 	case e.Unresponsive, e.Reason == chestnutstep.ReasonDown && isTimeout(e.Err):
 		return board.Unreachable
 	case e.Reason == chestnutstep.ReasonDown:
@@ -125,6 +133,9 @@
 		if errors.As(err, &e) {
 			reason = e.Reason
 		}
+		if reason == chestnutstep.ReasonPaused {
+			return q.refuseRejected()
+		}
 		return refusal{http.StatusServiceUnavailable, reason, busyRetryAfter}
 	}
 	if q.ctx.Err() != nil {
--- a/retry/answer.go
+++ b/retry/answer.go
@@ -62,6 +62,7 @@
 	chestnutstep.ReasonBuild:   {503, "No target can continue the stream.", true, shortRetryAfter, scopeTarget},
 	chestnutstep.ReasonModel:   {503, "The target does not serve the model.", true, shortRetryAfter, scopeTarget},
 	chestnutstep.ReasonDown:    {503, "The target does not answer.", true, longRetryAfter, scopeTarget},
+	chestnutstep.ReasonPaused:  {503, "The target asked for a pause.", true, shortRetryAfter, scopeTarget},
 	chestnutstep.ReasonMoved:   {503, "The request runs at another target.", true, shortRetryAfter, scopeTarget},
 
 	chestnutstep.ReasonShare:     {429, "The workspace has used its share.", true, shortRetryAfter, scopeTarget},
