agent: a target that asks for a pause gets no request until it ends

The same fault as without agents: the Retry-After of a target's 503 was passed to the caller and read by nobody, so that the agent accepted the next offer at once.

All requests of the agent to its target pass Agent.send, which asks the tracker of package pause and records the answer: offers' runs, resumes, replays, orders, caches and cache events. Probes and cancels are excepted: a probe shows whether the target lives, a cancel relieves it. Offers are refused as not run with the remaining time; an accepted one whose turn comes within a pause ends as not sent.

agent/testdata/pause failed before at the first offer within the pause.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,8 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/answer"
 	"chestnutstep.example/chestnutstep/chart"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -91,6 +93,10 @@
 	appliedView    *chestnutstep.View
 	appliedVersion uint64
 	health         health
+	// pauses tracks until when the target asked to receive nothing; startedAt is the reference of its
+	// times.
+	pauses    pause.Tracker
+	startedAt time.Time
 	// draining is set when this process stops, hostLeaving when its host leaves.
 	draining     bool
 	hostLeaving  bool
@@ -130,6 +136,7 @@
 	if a.Clock == nil {
 		a.Clock = time.Now
 	}
+	a.startedAt = a.Clock()
 	a.orderSender.permits.Target = a.Name
 	a.orderSender.scheduler.StartedAt = a.Clock()
 	a.orderSender.scheduler.HostUptime = a.HostUptime
@@ -186,6 +193,7 @@
 	}
 	a.dispatchQueue(now)
 	a.Answers.Sweep(now)
+	a.pauses.Expire(clock.Stamp(now.Sub(a.startedAt)))
 	a.removeExpired()
 }
 
--- a/agent/cachelog.go
+++ b/agent/cachelog.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cache events")
 	}
-	rs, err := a.PooledClient.Do(rq)
+	rs, err := a.send(a.PooledClient, rq)
 	if err != nil {
 		return nil, errors.Wrap(err, "cache events")
 	}
--- a/agent/call.go
+++ b/agent/call.go
@@ -148,7 +148,10 @@
 	if j.replay(ctx) {
 		return servedResult
 	}
-	rs, err := client.Do(rq)
+	rs, err := j.agent.send(client, rq)
+	if res, ok := unsentResult(err); ok {
+		return res
+	}
 	if err != nil {
 		return j.callError(ctx, err, connected.Load())
 	}
--- a/agent/notice.go
+++ b/agent/notice.go
@@ -58,6 +58,7 @@
 	NoticeMoved      NoticeKind = "moved"     // another target runs a request
 	NoticeLimits     NoticeKind = "limits"    // a new publication was applied
 	NoticeLeaving    NoticeKind = "leaving"   // the target accepts no new work
+	NoticePaused     NoticeKind = "paused"    // the target asked to receive nothing for some time
 	NoticeOrder      NoticeKind = "order"     // an order was sent or refused
 	NoticeEnded      NoticeKind = "ended"     // a run ended
 	NoticeHandedOver NoticeKind = "handed"    // a chat's KV cache was moved to another target
--- a/agent/offer.go
+++ b/agent/offer.go
@@ -107,7 +107,7 @@
 	case a.Detector.Check(now, o.Fingerprint) == chestnutstep.ContentCondemned:
 		return refusal(chestnutstep.ReasonCondemned, chestnutstep.RunNo)
 	}
-	return nil
+	return a.checkPause(now, o)
 }
 
 // refuseOffer refuses an offer. Its ticket gets a tombstone, so that "not run" stays true if a
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -145,6 +145,9 @@
 
 // send sends one order to the engine and records the result.
 func (s *orderSender) send(ctx context.Context, a *Agent, o chestnutstep.Order) {
+	if a.pauses.State(a.stamp(), a.instance()).Blocked() {
+		return // the order stays due
+	}
 	job, err := s.submit(a, o)
 	if err != nil {
 		return
@@ -201,7 +204,7 @@
 		return errors.Wrap(err, "order")
 	}
 	rq.Header.Set(chestnutstep.HeaderFencingNumber, f.String())
-	rs, err := a.UnpooledClient.Do(rq)
+	rs, err := a.send(a.UnpooledClient, rq)
 	if err != nil {
 		return errors.Wrap(err, "order")
 	}
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -230,6 +230,9 @@
 		s.target.mu.Lock()
 		defer s.target.mu.Unlock()
 		return strings.Join(append(s.target.orders, ""), "\n")
+	case "cache":
+		_, err := s.agent.readCache(context.Background(), chatKey{"w", "c"}, 1<<20)
+		return fmt.Sprintln(err)
 	case "overtake":
 		// Another sender, for example a frozen earlier process of this agent, has sent the target a
 		// higher number.
@@ -311,6 +314,9 @@
 		if adm.refuse.Moved != "" {
 			extra = " to " + adm.refuse.Moved
 		}
+		if adm.refuse.Reason == string(chestnutstep.ReasonPaused) {
+			extra = " after " + s.roundRetry(adm.refuse)
+		}
 		return fmt.Sprintf("refused %s run=%s%s\n%s", adm.refuse.Reason, adm.refuse.Run, extra, s.state())
 	}
 	name = id
@@ -325,6 +331,12 @@
 	return fmt.Sprintf("%s as %s\n%s", how, name, s.state())
 }
 
+// roundRetry returns the time after which a refused caller can return, without the part that differs by
+// request, in tenths of a second.
+func (s *harness) roundRetry(r *wire.Refuse) string {
+	return (time.Duration(r.Retry) / (100 * time.Millisecond) * (100 * time.Millisecond)).String()
+}
+
 // scriptedAnswer is a whole answer of the target.
 type scriptedAnswer struct {
 	status int
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -53,6 +53,7 @@
 	RunStarted       ID = 4016
 	RunEnded         ID = 4017
 	RunNoted         ID = 4018
+	TargetAsksPause  ID = 4019
 
 	TicketsMinted ID = 5001
 	TicketRefused ID = 5002
@@ -400,6 +401,12 @@
 		Cause:   "Normal operation: this target would receive the next offer.",
 		Action:  "Nothing; the field target names the target that runs the request.",
 	},
+	{
+		ID: TargetAsksPause, Name: "target_asks_pause", Level: Info,
+		Meaning: "The target rejected a request and asked to receive nothing for some time (asked). The agent sends it nothing but probes and cancels until then, and refuses offers.",
+		Cause:   "The target has more work than it can serve, or is about to change.",
+		Action:  "If it happens often, see docs/operate/paused.md.",
+	},
 	{
 		ID: TicketsMinted, Name: "tickets_minted", Level: Debug, RateLimited: true,
 		Meaning: "Tickets were minted for a workspace.",
--- a/node/notice.go
+++ b/node/notice.go
@@ -20,6 +20,7 @@
 	agent.NoticeUp:      event.TargetUp,
 	agent.NoticeCrash:   event.TargetCrash,
 	agent.NoticeLeaving: event.TargetLeaving,
+	agent.NoticePaused:  event.TargetAsksPause,
 }
 
 // contentEvents maps the notices about the content of a request to log events.
@@ -42,7 +43,7 @@
 // handleNotice records a notice of the agent in the log, the metrics and the audit trail.
 func (n *Agent) handleNotice(m agent.Notice) {
 	if id, ok := targetEvents[m.Kind]; ok {
-		n.log.Emit(id, event.Target(m.Subject))
+		n.log.Emit(id, event.Target(m.Subject), event.Dur("asked", m.Wait))
 		n.auditNotice(audit.KindTarget, m)
 	}
 	if id, ok := contentEvents[m.Kind]; ok {
--- a/pause/tracker.go
+++ b/pause/tracker.go
@@ -17,7 +17,8 @@
 // asked for a pause. Set the fields before use. A nil Tracker allows everything. It is safe for
 // concurrent use.
 type Tracker struct {
-	// Seed differs by process. It spreads the ends of pauses.
+	// Seed differs by process and spreads the ends of pauses; 0 if no other process sends to the
+	// targets.
 	Seed uint64
 
 	// count is the number of targets, so that the usual case of none needs no lock.
@@ -68,6 +69,9 @@
 
 // spread returns by how much this process delays the end of a pause.
 func (t *Tracker) spread(i Instance, d time.Duration) time.Duration {
+	if t.Seed == 0 {
+		return 0
+	}
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], xxhash.Sum64String(i.ID))
 	binary.LittleEndian.PutUint64(b[8:], t.Seed)
