relay, agent: a target that announces its leaving in an answer gets no further request

Cause: Server-Leaving in answers was read nowhere; only the list of targets and the list of hosts were. Where the announcement comes before the list shows it, or the list never does, requests went on.

The tracker of package pause keeps that an incarnation leaves, for as long as its state is asked for: neither a later answer nor a reload of the list ends it. It is never chosen, gets no send, no probe and no listing of its cache, its idle connections are closed, and its end is planned: it accuses no content. It can still be a donor of caches, like a target that the list shows as leaving. With agents the header is Leaving; what runs there goes on, resumes of it included.

--- a/agent/copy.go
+++ b/agent/copy.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil
 	}
-	next, err := j.agent.send(j.agent.PooledClient, rq)
+	next, err := j.agent.sendResume(j.agent.PooledClient, rq)
 	if err != nil {
 		return nil
 	}
--- a/agent/head.go
+++ b/agent/head.go
@@ -32,5 +32,5 @@
 
 // isAgentOnlyHeader reports whether a header is meant for the agent and must not reach callers.
 func isAgentOnlyHeader(name string) bool {
-	return name == chestnutstep.HeaderBootID || chestnutstep.IsChestnutHeader(name)
+	return name == chestnutstep.HeaderBootID || name == chestnutstep.HeaderLeaving || chestnutstep.IsChestnutHeader(name)
 }
--- a/agent/send.go
+++ b/agent/send.go
@@ -28,11 +28,27 @@
 	return rs, err
 }
 
+// sendResume is like send, but goes to a target that announced its leaving as well: what it is running
+// goes on.
+func (a *Agent) sendResume(client *http.Client, rq *http.Request) (*http.Response, error) {
+	if s := a.pauses.State(a.stamp(), a.instance()); s.Reason == chestnutstep.ReasonPaused {
+		return nil, pause.ErrPaused{Target: a.Name, State: s}
+	}
+	rs, err := client.Do(rq)
+	if err == nil {
+		a.recordTargetState(rq, rs)
+	}
+	return rs, err
+}
+
 // recordTargetState records what the head of an answer says about the target.
 func (a *Agent) recordTargetState(rq *http.Request, rs *http.Response) {
 	if id := rs.Header.Get(chestnutstep.HeaderRequestID); id != "" && id != rq.Header.Get(chestnutstep.HeaderRequestID) {
 		return // the answer belongs to another request
 	}
+	if rs.Header.Get(chestnutstep.HeaderLeaving) == "1" && a.pauses.Leave(a.stamp(), a.instance()) {
+		a.Notify(Notice{Kind: NoticeLeaving, Subject: a.Name})
+	}
 	if rs.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
--- a/board/pause.go
+++ b/board/pause.go
@@ -36,12 +36,24 @@
 // target was not paused before.
 func (b *Board) StartPause(now clock.Stamp, t *roster.Target, d time.Duration) (first bool) {
 	first = b.Pauses.Start(now, pause.InstanceOf(&t.Instance), d)
+	b.excludeFromTotals(t)
+	return first
+}
+
+// RecordLeaving records that a target announced its leaving: it gets no further request. It returns
+// whether that is new.
+func (b *Board) RecordLeaving(now clock.Stamp, t *roster.Target) (first bool) {
+	first = b.Pauses.Leave(now, pause.InstanceOf(&t.Instance))
+	b.excludeFromTotals(t)
+	return first
+}
+
+func (b *Board) excludeFromTotals(t *roster.Target) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.targets[loadKey(t.ID)]; s != nil {
 		b.countIndividually(s)
 	}
-	return first
 }
 
 // isPaused reports whether a target asked to receive nothing now.
--- a/chestnutstep.go
+++ b/chestnutstep.go
@@ -26,6 +26,8 @@
 	// HeaderBootID is a random value that a target draws at each start: a different value
 	// means that the target restarted and lost its cache.
 	HeaderBootID = "Boot-Id"
+	// HeaderLeaving is 1 in the answers of a target that is about to stop and takes no new requests.
+	HeaderLeaving = "Leaving"
 	// HeaderCachedTokens is the length of the prompt prefix found in the cache, in tokens.
 	HeaderCachedTokens = "Cached-Tokens"
 	// HeaderFencingNumber carries the fencing number of an order.
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -104,6 +104,8 @@
 	CrashCleared    ID = 7038
 	TargetPaused    ID = 7039
 	TargetResumed   ID = 7040
+
+	TargetAnnouncedLeaving ID = 7041
 )
 
 // requestMaxPerSecond is the maximum number of lines per second of each event about single
@@ -689,4 +691,10 @@
 		Cause:   "See 7039.",
 		Action:  "Nothing.",
 	},
+	{
+		ID: TargetAnnouncedLeaving, Name: "target_announced_leaving", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
+		Meaning: "A target announced in an answer to the named request that it leaves. This entry sends it nothing any more, whatever the list of targets says.",
+		Cause:   "The target is about to stop.",
+		Action:  "If the list of targets still shows it as ready after minutes, check the target.",
+	},
 }
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -1,6 +1,7 @@
 // Package pause tracks the targets that must not receive requests because they said so in an answer.
 // A target that rejects a request with 503 can state for how long it wants nothing more. Without this
 // state it looks idle while it rejects, attracts more requests than the others, and never recovers.
+// A target that stops can announce that in its answers before the list of targets shows it.
 //
 // The package is pure: the time is passed in, and nothing is sent or logged.
 package pause
@@ -34,6 +35,9 @@
 	windowTime = 100 * time.Millisecond
 	// keepTime is how long the state is kept after the end of a pause that no request followed.
 	keepTime = time.Minute
+	// keepLeavingTime is how long it is kept that a target announced its leaving, since its state was
+	// last read: longer than a target can be missing from the list and come back.
+	keepLeavingTime = time.Hour
 )
 
 // Instance identifies one start of a target. Another start owes nothing of what an earlier one said.
--- a/pause/pause_test.go
+++ b/pause/pause_test.go
@@ -37,6 +37,8 @@
 					return err.Error() + "\n"
 				}
 				return "sent\n"
+			case "leave":
+				return fmt.Sprintf("first %t\n", tracker.Leave(now, i))
 			case "answered", "failed":
 				tracker.Release(now, i, d.Cmd == "answered")
 			case "sleep":
--- a/pause/tracker.go
+++ b/pause/tracker.go
@@ -30,6 +30,10 @@
 // target is the state of one instance.
 type target struct {
 	until clock.Stamp
+	// leaving is set once the target announced that it leaves; it stays set for this instance.
+	leaving bool
+	// usedAt is the last time at which the state was read or changed.
+	usedAt clock.Stamp
 	// isPaused is set until Expire has reported the end of the pause.
 	isPaused bool
 	// window limits the unanswered requests after the end of a pause, and pending counts them. The
@@ -49,10 +53,29 @@
 	x := t.get(i)
 	first = now >= x.until
 	x.until = max(x.until, now.Add(d+t.spread(i, d)))
-	x.window, x.pending, x.isPaused = firstWindow, 0, true
+	x.window, x.pending, x.isPaused, x.usedAt = firstWindow, 0, true, now
 	return first
 }
 
+// Leave records that a target announced its leaving: this instance never gets a request again. It
+// returns whether that is new.
+func (t *Tracker) Leave(now clock.Stamp, i Instance) (first bool) {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.get(i)
+	first = !x.leaving
+	x.leaving, x.usedAt = true, now
+	return first
+}
+
+// IsLeaving reports whether a target announced its leaving.
+func (t *Tracker) IsLeaving(now clock.Stamp, i Instance) bool {
+	return t.State(now, i).Reason == chestnutstep.ReasonLeaving
+}
+
 // get returns the state of an instance and creates it if necessary.
 func (t *Tracker) get(i Instance) *target {
 	x := t.targets[i]
@@ -103,6 +126,9 @@
 	switch {
 	case x == nil:
 		return State{}
+	case x.leaving:
+		x.usedAt = now
+		return State{Reason: chestnutstep.ReasonLeaving}
 	case now < x.until:
 		return State{chestnutstep.ReasonPaused, x.until}
 	case x.pending >= x.window && now.Sub(x.sentAt) < answerTimeout:
@@ -146,7 +172,7 @@
 	if !answered || now < x.until {
 		return
 	}
-	if x.window *= 2; x.window >= fullWindow {
+	if x.window *= 2; x.window >= fullWindow && !x.leaving {
 		t.remove(i)
 	}
 }
@@ -172,7 +198,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, x := range t.targets {
-		if now < x.until {
+		if now < x.until || x.leaving {
 			n++
 		}
 	}
@@ -180,7 +206,8 @@
 }
 
 // Expire returns the targets whose pause ended since the last call, and removes state that is no longer
-// needed. Call it periodically.
+// needed. Call it periodically. A target that announced its leaving is forgotten only when nobody has
+// asked for its state for a while: as long as it is listed, it must not be used again.
 func (t *Tracker) Expire(now clock.Stamp) []Instance {
 	if t == nil || t.count.Load() == 0 {
 		return nil
@@ -191,9 +218,11 @@
 	for i, x := range t.targets {
 		if x.isPaused && now >= x.until {
 			x.isPaused = false
-			ended = append(ended, i)
+			if !x.leaving {
+				ended = append(ended, i)
+			}
 		}
-		if now.Sub(x.until) > keepTime {
+		if x.leaving && now.Sub(x.usedAt) > keepLeavingTime || !x.leaving && now.Sub(x.until) > keepTime {
 			t.remove(i)
 		}
 	}
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -48,7 +48,13 @@
 // RecordAnswer records what a target said about itself in the head of an answer to the request with
 // the given id. The answer must be the target's own.
 func (e *Relay) RecordAnswer(t *roster.Target, id string, h chestnutstep.TargetHeaders) {
-	if h.RetryAfter == "" || h.Misdirected {
+	if h.Misdirected {
+		return
+	}
+	if h.IsLeaving {
+		e.recordLeaving(t, id)
+	}
+	if h.RetryAfter == "" {
 		return
 	}
 	d, ok := pause.ParseRetryAfter(h.RetryAfter)
@@ -64,6 +70,22 @@
 	e.Log.Emit(event.TargetPaused, event.Str("target", t.ID), event.Str("service", t.Service), event.Dur("asked", d), event.Str("request", id))
 }
 
+func (e *Relay) recordLeaving(t *roster.Target, id string) {
+	if !e.Board.RecordLeaving(clock.Now(), t) {
+		return
+	}
+	e.Pool.CloseIdle(t.Address)
+	e.Meters.Pauses.Add(1, t.Service, "leaving")
+	e.Log.Emit(event.TargetAnnouncedLeaving, event.Str("target", t.ID), event.Str("service", t.Service), event.Str("request", id))
+}
+
+// isEndPlanned reports whether the end of a target is no sign of a crash: the target is leaving, or has
+// already been replaced.
+func (q *request) isEndPlanned(t *roster.Target) bool {
+	listed := q.Roster.View().ByID[t.ID]
+	return listed == nil || listed.Leaving || listed.StartedMs != t.StartedMs || q.Pauses.IsLeaving(clock.Now(), pause.InstanceOf(&t.Instance))
+}
+
 // refusePaused refuses a request for which every target asked for a pause.
 func (q *request) refusePaused(now, until clock.Stamp) *refusal {
 	return &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonPaused, pause.RetryAfter(q.callerHeaders.ID, until.Sub(now))}
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -15,8 +15,8 @@
 	if !a.IsCloseDelimited() {
 		return nil
 	}
-	if listed := q.Roster.View().ByID[t.ID]; listed == nil || listed.Leaving || listed.StartedMs != t.StartedMs {
-		return nil // the end is planned, or that of an earlier incarnation
+	if q.isEndPlanned(t) {
+		return nil
 	}
 	q.awaitProof(UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events})
 	if !q.Crashes.HasEnded(clock.Now(), t) {
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -66,8 +66,8 @@
 
 // recordTargetEnd passes a failure to the CrashTracker if it can mean that the target has ended.
 func (q *request) recordTargetEnd(t *roster.Target, e link.ErrCall, callerLeft bool) {
-	if listed := q.Roster.View().ByID[t.ID]; listed == nil || listed.Leaving || listed.StartedMs != t.StartedMs {
-		return // the end is planned, or the target has already ended
+	if q.isEndPlanned(t) {
+		return
 	}
 	u := UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events, CallerLeft: callerLeft}
 	switch {
