link, relay, agent: each part of an answer has a limit, and all buffers of an entry one

A stated length reserved up to 8 MB before any byte had come.

Cause: heads were read without a limit; buffers were bounded one by one, not together; a limit of ours that was passed counted as the end of the target.

Change: heads have 64 KB, interim answers included, at targets (link, agent), the store, peers and listings of caches. A body is read in segments as it comes, 8 MB at most, and buffers beyond 64 KB a request take 8 MB over all requests, so that usual answers are served beside oversized ones. Segments are reused while they are needed. The error is link.ErrTooLarge with the part and its limit, reason large. Only the end of a connection makes a target a suspect: not a limit of ours, an event id that is no number, or chunks that can't be parsed. Copies of cache lists from peers have 4 MB instead of 8; reports and cache events of a target beside its agent 1 MB.

Without the limits the tests of relay don't end. FuzzHead 15 s by hand. With agents a body without end of a plain service goes to its caller until the deadline, in bounded memory, as before.

--- a/agent/cachelog.go
+++ b/agent/cachelog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -74,7 +75,7 @@
 	var list struct {
 		Events []cacheEvent `json:"events"`
 	}
-	if err := json.NewDecoder(rs.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(rs.Body, maxControlBytes)).Decode(&list); err != nil {
 		return nil, errors.Wrap(err, "cache events")
 	}
 	return list.Events, nil
--- a/agent/call.go
+++ b/agent/call.go
@@ -36,11 +36,15 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: chestnutstep.MaxHeadBytes,
 	}
 	unpooledTransport := &http.Transport{
 		DialContext:        dial.DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: chestnutstep.MaxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	pooled = &http.Client{Transport: pooledTransport, CheckRedirect: noRedirect}
--- a/agent/health.go
+++ b/agent/health.go
@@ -20,6 +20,8 @@
 	// probeTimeout is the timeout of a probe. A target that doesn't answer in this time is slow,
 	// not crashed: only a refused or dropped connection or a new boot id counts as a crash.
 	probeTimeout = 500 * time.Millisecond
+	// maxControlBytes limits the size of a load report or of a list of cache events in bytes.
+	maxControlBytes = 1 << 20
 )
 
 // health is the state of the target according to its probes and answers. It is guarded by Agent.mu.
@@ -93,7 +95,7 @@
 	defer rs.Body.Close()
 	var r loadReport
 	// A plain service can lack this path; any answer shows that it is running.
-	_ = json.NewDecoder(rs.Body).Decode(&r)
+	_ = json.NewDecoder(io.LimitReader(rs.Body, maxControlBytes)).Decode(&r)
 	if boot := rs.Header.Get(chestnutstep.HeaderBootID); boot != "" {
 		r.Boot = boot
 	}
--- a/feed/source.go
+++ b/feed/source.go
@@ -143,6 +143,7 @@
 	s.backoffUntil = make(map[netip.AddrPort]clock.Stamp)
 	s.client = &http.Client{Transport: &http.Transport{
 		DialContext: s.Dial, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: chestnutstep.MaxHeadBytes,
 	}}
 }
 
--- a/header.go
+++ b/header.go
@@ -5,6 +5,10 @@
 	"strings"
 )
 
+// MaxHeadBytes limits the status line and the headers of an HTTP answer, those of interim answers before
+// it included. It applies to the answers of targets, of the platform and of peers.
+const MaxHeadBytes = 64 << 10
+
 // headerPrefix is the prefix of the fleet's own headers.
 const headerPrefix = "Chestnut-"
 
--- a/link/call.go
+++ b/link/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -56,6 +57,7 @@
 	stop           func() bool
 	resp           *http.Response
 	complete       bool
+	peerEnded      bool
 	requestWritten bool
 }
 
@@ -116,9 +118,10 @@
 	resp, err := readHead(c, call.Method)
 	unresponsive := watcher.stop()
 	if err != nil {
+		peerEnded := isConnEnd(c.Conn, err)
 		a.abort()
 		<-sent
-		return nil, callError(ctx, c, unresponsive, err)
+		return nil, callError(ctx, c, unresponsive, peerEnded, err)
 	}
 	a.resp = resp
 	a.Status, a.Header, a.Body, a.Length = resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
@@ -149,8 +152,11 @@
 	return b.Bytes()
 }
 
-// readHead reads the status line and headers of the final response and skips interim ones.
+// readHead reads the status line and headers of the final response and skips interim ones. The error
+// is an ErrTooLarge if they exceed MaxHeadBytes.
 func readHead(c *Conn, method string) (*http.Response, error) {
+	c.limit.remaining = chestnutstep.MaxHeadBytes
+	defer func() { c.limit.remaining = unlimited }()
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
@@ -162,8 +168,11 @@
 	}
 }
 
-func callError(ctx context.Context, c *Conn, unresponsive bool, err error) error {
+func callError(ctx context.Context, c *Conn, unresponsive, peerEnded bool, err error) error {
 	reason := chestnutstep.ReasonLink
+	if IsErrTooLarge(err) {
+		reason = chestnutstep.ReasonLarge
+	}
 	if ctx.Err() != nil {
 		reason = chestnutstep.ReasonCanceled
 		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -172,19 +181,35 @@
 	}
 	return ErrCall{
 		Run: chestnutstep.RunMaybe, Reason: reason, Reused: c.Reused, Unresponsive: unresponsive,
-		PeerClosed: reason == chestnutstep.ReasonLink && !unresponsive, Err: err,
+		PeerClosed: reason == chestnutstep.ReasonLink && !unresponsive && peerEnded, Err: err,
 	}
 }
 
 // Read reads from the body. It returns io.EOF once the body is complete.
 func (a *Response) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		a.complete = true
+	case err != nil:
+		a.peerEnded = isConnEnd(a.conn.Conn, err)
 	}
 	return n, err
 }
 
+// isConnEnd reports whether err is that of a connection that the peer's side ended, and not of bytes
+// that are no answer.
+func isConnEnd(c net.Conn, err error) bool {
+	var e net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &e) || IsClosed(c)
+}
+
+// PeerEnded reports whether a read failed because the peer's side ended the connection.
+func (a *Response) PeerEnded() bool { return a.peerEnded }
+
+// IsComplete reports whether the body was read to its end.
+func (a *Response) IsComplete() bool { return a.complete }
+
 // Close returns the connection to the pool if the response was read completely and the connection
 // is in a defined state, and resets it otherwise. reusable reports whether the caller found the
 // response to belong to its request.
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -178,3 +178,65 @@
 	assert.Equal(t, x.Requests(), 1)
 	assert.Equal(t, x.Connections(), 1, "the connection is kept for the next request")
 }
+
+// FuzzHead guards against heads that end the process, are read beyond their limit, or leave a connection
+// in use whose next bytes belong to no answer.
+func FuzzHead(f *testing.F) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", "HTTP/1.1 200\r\nRetry-After: 1e999\r\n\r\n", "\r\n\r\n", "HTTP/1.1 099 \r\n\r\n",
+		"HTTP/1.1 503 x\r\nContent-Length: 18446744073709551616\r\n\r\n", strings.Repeat("HTTP/1.1 100 \r\n\r\n", 5000),
+	} {
+		f.Add([]byte(head))
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f, err)
+	f.Cleanup(func() { _ = l.Close() })
+	f.Fuzz(func(t *testing.T, head []byte) {
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1024))
+			_, _ = c.Write(head)
+			_ = c.Close()
+		}()
+		p := &link.Pool{}
+		a, err := p.Do(context.Background(), l.Addr().String(), &link.Call{Method: "POST", URI: "/x", Host: "h", Header: http.Header{}, MaxIdle: 8})
+		if err == nil {
+			n, _ := io.Copy(io.Discard, a)
+			assert.Assert(t, n <= int64(len(head)))
+			a.Close(true)
+		}
+		<-served
+		p.CloseIdle(l.Addr().String())
+	})
+}
+
+// TestHeadLimit guards against a head that is refused although it is within the limit, and against one
+// beyond it that is read.
+func TestHeadLimit(t *testing.T) {
+	for size, want := range map[int]string{chestnutstep.MaxHeadBytes / 2: "<nil>", 2 * chestnutstep.MaxHeadBytes: "large maybe"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			_, _ = c.Read(make([]byte, 1024))
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nFiller: %s\r\nContent-Length: 0\r\n\r\n", strings.Repeat("x", size))
+			_, _ = io.Copy(io.Discard, c)
+		}()
+		a, err := (&link.Pool{}).Do(context.Background(), l.Addr().String(), &link.Call{Method: "POST", URI: "/x", Host: "h", Header: http.Header{}})
+		assert.Equal(t, reason(err), want)
+		if err == nil {
+			a.Close(false)
+		}
+		_ = l.Close()
+	}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -47,6 +47,7 @@
 	Reused bool
 
 	br        *bufio.Reader
+	limit     *readLimit
 	idleUntil time.Time
 }
 
@@ -118,7 +119,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &Conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	limit := &readLimit{conn: raw, remaining: unlimited}
+	return &Conn{Conn: raw, br: bufio.NewReaderSize(limit, readBufferSize), limit: limit}, nil
 }
 
 // idleConnFor removes an idle connection from the pool for a call, or returns nil if there is none
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -15,16 +13,6 @@
 	"chestnutstep.example/chestnutstep/roster"
 )
 
-// maxAnswerBytes limits the size of a buffered answer.
-const maxAnswerBytes = 8 << 20
-
-// bufferedAnswer is an answer that was read completely.
-type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // answerHead is the status and the parsed headers of a target's answer.
 type answerHead struct {
 	status int
@@ -36,44 +24,49 @@
 // was sent, the only option would be to cut the connection.
 func (q *request) collect(run *board.Attempt, t *roster.Target, a *link.Response) error {
 	run.FirstByte(clock.Now())
-	var b bytes.Buffer
-	if a.Length > 0 {
-		b.Grow(int(min(a.Length, maxAnswerBytes)))
-	}
-	_, err := b.ReadFrom(io.LimitReader(a, maxAnswerBytes+1))
-	if err == nil && b.Len() > maxAnswerBytes {
-		err = errors.New("response body too large")
-	}
+	answer, err := q.readAnswer(a)
 	a.Close(err == nil)
 	if err != nil {
-		return q.truncatedErr(err)
+		return q.truncatedErr(a, err)
 	}
 	if err := q.checkEnd(t, a); err != nil {
 		return err
 	}
-	answer := &bufferedAnswer{a.Status, a.Header, b.Bytes()}
 	if a.Status >= http.StatusInternalServerError {
 		q.failureAnswer = answer
 		return link.ErrCall{Run: chestnutstep.RunYes, Reason: chestnutstep.ReasonCrashed, Err: errors.Newf("target responded with status %d", a.Status)}
 	}
 	answer.write(q.w)
+	q.segments.put(answer)
 	return nil
 }
 
-// truncatedErr returns the error for a body that ended early.
-func (q *request) truncatedErr(err error) link.ErrCall {
+// truncatedErr returns the error for a body that could not be read to its end. Only the end of its
+// connection can be that of the target.
+func (q *request) truncatedErr(a *link.Response, err error) link.ErrCall {
 	if q.ctx.Err() != nil {
 		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonTimeout, Err: err}
 	}
-	return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonShort, PeerClosed: true, Err: err}
+	e := link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonShort, Err: err}
+	switch {
+	case link.IsErrTooLarge(err):
+		e.Reason = chestnutstep.ReasonLarge
+	case isErrEvent(err):
+		e.Reason = chestnutstep.ReasonCrossed
+	default:
+		e.PeerClosed = a.PeerEnded()
+	}
+	return e
 }
 
 // write sends the buffered answer to the caller unchanged.
 func (a *bufferedAnswer) write(w http.ResponseWriter) {
 	copyHeader(w.Header(), a.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.Header().Set("Content-Length", strconv.Itoa(a.length()))
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
+	for _, s := range a.segments {
+		_, _ = w.Write(s)
+	}
 }
 
 // copyHeader copies all headers except hop-by-hop headers and Content-Length.
--- /dev/null
+++ b/relay/endless_test.go
@@ -0,0 +1,104 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/stand"
+)
+
+// maxHeapGrowth is by how much any answers may let the heap grow.
+const maxHeapGrowth = 16 << 20
+
+// TestEndlessAnswer guards against bytes without end in any part of an answer: they fill the memory of
+// the entry, and keep its caller waiting until the target stops.
+func TestEndlessAnswer(t *testing.T) {
+	for _, behaviour := range stand.EndlessBehaviours {
+		for _, kind := range []string{"safe", "unsafe", "resume"} {
+			t.Run(fmt.Sprintf("%s/%s", behaviour, kind), func(t *testing.T) {
+				g := newTestRelayWithTimeout(t, stallTimeout)
+				g.order.Set(behaviour)
+				growth := stand.MeasureHeap()
+				got := g.doRequest(t, kind)
+				switch {
+				case kind == "safe":
+					assert.Equal(t, got, "200 signed whole")
+				case kind == "unsafe":
+					assert.Equal(t, got, fmt.Sprint(http.StatusBadGateway))
+				default:
+					assert.Equal(t, got, "200 signed ids 1 2 3 4")
+				}
+				n := growth()
+				t.Logf("the heap grew by %d KB", n>>10)
+				assert.Assert(t, n < maxHeapGrowth, "the heap grew by %d MB", n>>20)
+				for _, x := range g.targets {
+					assert.Assert(t, x.Connections() <= 1, "%s was probed", x.Name)
+				}
+			})
+		}
+	}
+}
+
+// TestManyEndlessAnswers guards against answers that fill the memory of the entry together, and against
+// sound answers that are refused meanwhile.
+func TestManyEndlessAnswers(t *testing.T) {
+	const count = 24
+	g := newTestRelayWithTimeout(t, stallTimeout)
+	var list []stand.Behaviour
+	for range count {
+		list = append(list, stand.EndlessBody)
+	}
+	g.order.Set(list...)
+	growth := stand.MeasureHeap()
+	replies := sendFor(t, g, "safe", count*requestInterval)
+	n := growth()
+	t.Logf("the heap grew by %d KB", n>>10)
+	assert.Assert(t, n < maxHeapGrowth, "the heap grew by %d MB", n>>20)
+	served := 0
+	for _, x := range replies {
+		if x.status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Assert(t, served > 0)
+	assert.Equal(t, g.doRequest(t, "safe"), "200 signed whole")
+}
+
+// TestStatedLengthTakesNoMemory guards against memory that is taken for a body whose length is stated,
+// before the body has come.
+func TestStatedLengthTakesNoMemory(t *testing.T) {
+	const count = 20
+	g := newTestRelayWithTimeout(t, stallTimeout)
+	var list []stand.Behaviour
+	for range 2 * count {
+		list = append(list, stand.StatesLength)
+	}
+	g.order.Set(list...)
+	growth := stand.MeasureHeap()
+	sendFor(t, g, "safe", count*requestInterval)
+	n := growth()
+	t.Logf("the heap grew by %d KB", n>>10)
+	assert.Assert(t, n < maxHeapGrowth, "the heap grew by %d MB", n>>20)
+}
+
+// TestLimitOfOursIsNoCrash guards against a target that counts as ended because its answer was larger
+// than allowed: its content would be refused.
+func TestLimitOfOursIsNoCrash(t *testing.T) {
+	for _, behaviour := range []stand.Behaviour{stand.EndlessBody, stand.EndlessEvent, stand.EndlessHead, stand.BadEventID} {
+		kind := "safe"
+		if behaviour == stand.EndlessEvent || behaviour == stand.BadEventID {
+			kind = "resume"
+		}
+		g := newTestRelayWithTimeout(t, stallTimeout)
+		g.order.Set(behaviour)
+		g.doRequest(t, kind)
+		for _, x := range g.targets {
+			assert.Assert(t, x.Connections() <= 1, "%s: %s was probed", behaviour, x.Name)
+		}
+		assert.Equal(t, len(g.relay.Crashes.Losses(clock.Now())), 0)
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,6 +52,9 @@
 
 	draining atomic.Bool
 	inFlight atomic.Int64
+	// sharedBytes counts the bytes of all requests' buffers beyond freeBufferBytes of each.
+	sharedBytes atomic.Int64
+	segments    segmentList
 }
 
 // Drain makes the relay ask callers to close their connections.
@@ -78,6 +81,8 @@
 	deadline     time.Time
 	attempts     retry.Attempts
 	triedTargets []string
+	// buffered counts the bytes of this request's buffers.
+	buffered int64
 	// failureAnswer is an error response of a target. It is sent to the caller if no other target
 	// serves the request.
 	failureAnswer *bufferedAnswer
@@ -109,6 +114,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	defer func() { q.release(q.buffered) }()
 	q.ctx = ctx
 	if refused := q.resolveBuild(); refused != nil {
 		q.answerFinal(*refused)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,8 +18,14 @@
 	"chestnutstep.example/chestnutstep/roster"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// eventBufferBytes holds a usual event.
+	eventBufferBytes = 1 << 10
+	// growthFactor is the memory that a growing event takes, as a multiple of its size.
+	growthFactor = 2
+	// maxErrorText limits what an error cites of an event, in bytes.
+	maxErrorText = 64
+)
 
 // stream is the state of the stream sent to the caller.
 type stream struct {
@@ -35,9 +42,9 @@
 // middle of an event, a part that was already sent could not be continued by another target.
 func (q *request) forwardEvents(run *board.Attempt, t *roster.Target, a *link.Response) error {
 	flush := http.NewResponseController(q.w)
-	br := bufio.NewReaderSize(a, 1<<10)
+	events := &eventReader{request: q, br: bufio.NewReaderSize(a, eventBufferBytes)}
 	for {
-		raw, id, err := readEvent(br)
+		raw, id, err := events.next()
 		if err == io.EOF && len(raw) == 0 {
 			a.Close(true)
 			if err := q.checkEnd(t, a); err != nil {
@@ -48,7 +55,7 @@
 		}
 		if err != nil {
 			a.Close(false)
-			return q.truncatedErr(err)
+			return q.truncatedErr(a, err)
 		}
 		run.FirstByte(clock.Now())
 		q.stream.events++
@@ -95,27 +102,64 @@
 	q.w.WriteHeader(a.Status)
 }
 
-// readEvent reads up to the blank line that ends an event. At the end of the body it returns io.EOF
-// with the remaining bytes.
-func readEvent(br *bufio.Reader) (raw []byte, id int64, err error) {
+// ErrEvent is the error of an event of a stream that can't be read.
+type ErrEvent struct {
+	// Field is the field of the event, and Text its value.
+	Field, Text string
+}
+
+// Error returns a text with the field and its value.
+func (err ErrEvent) Error() string {
+	return fmt.Sprintf("event with invalid field %s: %q", err.Field, err.Text)
+}
+
+func isErrEvent(err error) bool {
+	var e ErrEvent
+	return errors.As(err, &e)
+}
+
+// eventReader reads the events of a stream.
+type eventReader struct {
+	request *request
+	br      *bufio.Reader
+	// reserved is the memory that is accounted for the current event.
+	reserved int64
+}
+
+// next reads up to the blank line that ends an event. At the end of the body it returns io.EOF with
+// the remaining bytes. The error is an ErrEvent or a link.ErrTooLarge if the event can't be read.
+func (r *eventReader) next() (raw []byte, id int64, err error) {
+	r.request.release(r.reserved)
+	r.reserved = 0
 	for {
-		line, err := br.ReadSlice('\n')
-		raw = append(raw, line...)
-		if err != nil {
+		start := len(raw)
+		if raw, err = r.appendLine(raw); err != nil {
 			return raw, 0, err
 		}
-		if len(raw) > maxEventBytes {
-			return raw, 0, errors.New("stream event too large")
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(raw[start:], "\r\n")
 		if len(text) == 0 {
 			return raw, id, nil
 		}
-		if rest, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			id, err = strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64)
-			if err != nil {
-				return raw, 0, errors.Wrap(err, "parse event id")
-			}
+		rest, ok := bytes.CutPrefix(text, []byte("id:"))
+		if !ok {
+			continue
+		}
+		if id, err = strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64); err != nil {
+			return raw, 0, ErrEvent{"id", string(rest[:min(len(rest), maxErrorText)])}
 		}
 	}
 }
+
+// appendLine appends the next line of the stream.
+func (r *eventReader) appendLine(raw []byte) ([]byte, error) {
+	part, err := r.br.ReadSlice('\n')
+	if len(raw)+len(part) > maxEventBytes {
+		return raw, link.ErrTooLarge{Part: "event", Limit: maxEventBytes}
+	}
+	size := growthFactor * int64(len(part))
+	if err := r.request.reserve(size, "event"); err != nil {
+		return raw, err
+	}
+	r.reserved += size
+	return append(raw, part...), err
+}
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/roster"
@@ -22,5 +23,7 @@
 	if !q.Crashes.HasEnded(clock.Now(), t) {
 		return nil
 	}
-	return q.truncatedErr(errors.New("the target ended with its answer"))
+	e := q.truncatedErr(a, errors.New("the target ended with its answer"))
+	e.PeerClosed = e.Reason == chestnutstep.ReasonShort
+	return e
 }
--- a/share/cachelists.go
+++ b/share/cachelists.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/fetch"
 )
 
@@ -18,7 +19,7 @@
 const maxCopies = 2
 
 // cacheListsLimits bound the download of a peer's cache lists.
-var cacheListsLimits = fetch.Limits{FirstByteTimeout: time.Second, IdleTimeout: time.Second, MaxBytes: 8 << 20}
+var cacheListsLimits = fetch.Limits{FirstByteTimeout: time.Second, IdleTimeout: time.Second, MaxBytes: 4 << 20}
 
 // CacheListsPath is the HTTP path at which an entry serves its cache lists.
 const CacheListsPath = "/caches"
@@ -56,7 +57,7 @@
 // body in bytes. It returns an error if the request fails, the status is not 200 or the body is not
 // valid CBOR.
 func FetchCacheLists(ctx context.Context, address string, dial DialFunc) (lists []CacheList, n int, err error) {
-	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: chestnutstep.MaxHeadBytes}}
 	a, err := fetch.Get(ctx, client, "http://"+address+CacheListsPath, cacheListsLimits)
 	if err != nil {
 		return nil, len(a.Body), errors.Wrap(err, "fetch cache lists")
--- a/soak/pause.go
+++ b/soak/pause.go
@@ -42,7 +42,7 @@
 	return false
 }
 
-// pauser makes targets ask for pauses and announce that they leave. It has random numbers of its own,
+// pauser makes targets ask for pauses, announce that they leave, and send bytes without end. It has random numbers of its own,
 // so that the other faults of a seed stay what they are.
 type pauser struct {
 	soak *Soak
@@ -52,7 +52,7 @@
 	leavingAt time.Time
 }
 
-// inject lets one target ask for a pause or announce that it leaves.
+// inject lets one target ask for a pause, announce that it leaves, or answer a request without end.
 func (p *pauser) inject() {
 	if p.leaving != nil && time.Since(p.leavingAt) > replaceAfter {
 		p.replace()
@@ -62,7 +62,9 @@
 	case n == 0 && p.leaving == nil && x.leavesAt.IsZero():
 		x.Leave()
 		p.leaving, p.leavingAt = x, time.Now()
-	case n <= 2:
+	case n == 3:
+		x.AddBehaviour(stand.EndlessBehaviours[p.rand.IntN(len(stand.EndlessBehaviours))])
+	default:
 		x.Rest(time.Duration(700+p.rand.IntN(800)) * time.Millisecond)
 	}
 }
--- a/stand/arrival.go
+++ b/stand/arrival.go
@@ -47,6 +47,13 @@
 	t.leaving = false
 }
 
+// AddBehaviour appends the behaviour for one request to those that SetBehaviour set for the next ones.
+func (t *Target) AddBehaviour(behaviour Behaviour) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextBehaviours = append(t.nextBehaviours, behaviour)
+}
+
 // admit records a request and sets the headers that all answers have. It returns false if it has shed
 // the request.
 func (t *Target) admit(w http.ResponseWriter, r *http.Request) bool {
--- a/stand/endless.go
+++ b/stand/endless.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Behaviours that send bytes without end in one part of an answer, until the connection is closed.
@@ -34,12 +38,70 @@
 		return
 	}
 	defer c.Close()
-	start, repeated := t.endlessPart(behaviour, id)
+	head := fmt.Sprintf("Attempt-Id: %s\r\nServer-Signature: sig-%s\r\n", id, t.Name)
+	writeEndless(c, behaviour, head, t.stop)
+}
+
+// EndlessServer answers each connection with bytes without end, whatever is requested. Create it with
+// NewEndlessServer.
+type EndlessServer struct {
+	behaviour Behaviour
+	listener  net.Listener
+	stop      chan struct{}
+}
+
+// NewEndlessServer starts a server. The caller must close it.
+func NewEndlessServer(behaviour Behaviour) (*EndlessServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &EndlessServer{behaviour: behaviour, listener: l, stop: make(chan struct{})}
+	go s.run()
+	return s, nil
+}
+
+// Address returns the server's IP and port.
+func (s *EndlessServer) Address() string { return s.listener.Addr().String() }
+
+// Close stops the server and closes its connections.
+func (s *EndlessServer) Close() {
+	close(s.stop)
+	_ = s.listener.Close()
+}
+
+func (s *EndlessServer) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go (&endlessConn{c, s}).run()
+	}
+}
+
+// endlessConn is one connection of an EndlessServer.
+type endlessConn struct {
+	net.Conn
+	server *EndlessServer
+}
+
+func (c *endlessConn) run() {
+	defer c.Close()
+	if _, err := c.Read(make([]byte, endlessBlock)); err != nil {
+		return
+	}
+	writeEndless(c, c.server.behaviour, "", c.server.stop)
+}
+
+// writeEndless writes an answer until the connection breaks or stop is closed.
+func writeEndless(c net.Conn, behaviour Behaviour, head string, stop <-chan struct{}) {
+	start, repeated := endlessPart(behaviour, head)
 	block := bytes.Repeat([]byte(repeated), endlessBlock/len(repeated)+1)
-	_, err = c.Write([]byte(start))
+	_, err := io.WriteString(c, start)
 	for err == nil {
 		select {
-		case <-t.stop:
+		case <-stop:
 			return
 		default:
 		}
@@ -48,9 +110,9 @@
 }
 
 // endlessPart returns how the answer begins, and what is repeated after that.
-func (t *Target) endlessPart(behaviour Behaviour, id string) (start, repeated string) {
+func endlessPart(behaviour Behaviour, head string) (start, repeated string) {
 	const status = "HTTP/1.1 200 OK\r\n"
-	head := fmt.Sprintf("%sAttempt-Id: %s\r\nServer-Signature: sig-%s\r\n", status, id, t.Name)
+	head = status + head
 	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
 	switch behaviour {
 	case EndlessStatus:
--- a/stand/target.go
+++ b/stand/target.go
@@ -34,6 +34,8 @@
 	Hangs         Behaviour = "hangs"    // runs the request and never answers
 	Slow          Behaviour = "slow"     // answers after 150 ms
 	Skips         Behaviour = "skips"    // omits an event of a stream
+	StatesLength  Behaviour = "states"   // states a body of 8 MB and sends one byte, for 500 ms
+	BadEventID    Behaviour = "bad id"   // sends an event whose id is no number
 )
 
 // BehaviourQueue holds the behaviours of the next requests in order of their arrival.
@@ -304,7 +306,7 @@
 		return
 	case Slow:
 		t.wait(r, 150*time.Millisecond)
-	case Garbage, ExtraAnswer, Unframed:
+	case Garbage, ExtraAnswer, Unframed, StatesLength:
 		t.writeRaw(w, behaviour, run)
 		return
 	}
@@ -361,6 +363,10 @@
 		_, _ = rw.WriteString(head + "\r\n" + text)
 	case ExtraAnswer:
 		t.writeTwice(c, rw, head, text)
+	case StatesLength:
+		fmt.Fprintf(rw, "%sContent-Length: %d\r\n\r\nx", head, 8<<20)
+		_ = rw.Flush()
+		time.Sleep(500 * time.Millisecond)
 	}
 	_ = rw.Flush()
 }
@@ -422,6 +428,9 @@
 		if behaviour == Skips && id == from+2 {
 			continue
 		}
+		if behaviour == BadEventID && id == from+1 {
+			_, _ = io.WriteString(w, "id: x\n\n")
+		}
 		_, _ = io.WriteString(w, t.event(id))
 		_ = http.NewResponseController(w).Flush()
 		if t.EventInterval > 0 {
