relay: streams with lines longer than the read buffer are forwarded

What callers saw: a stream with a line of more than 1,024 bytes ended with 502, each time.

Cause: the reader of events took bufio.ErrBufferFull of its 1 KB buffer for the end of the answer, although an event may have 1 MB. No stand-in sent long events.

Change: a line is read in parts until it ends; the limit of the event is the only one.

Its callers leave behind the second event as before, counted by events instead of bytes.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -147,6 +147,23 @@
 	return send(t, g.server, kind, id, "the body of "+id, headers...)
 }
 
+// body sends one request of a kind and returns the body of its answer.
+func (g *testRelay) body(t *testing.T, kind string) string {
+	t.Helper()
+	g.requestCount++
+	r, err := http.NewRequest(http.MethodPost, g.server.URL+"/"+kind+"/stream/x", strings.NewReader("body"))
+	assert.NilError(t, err)
+	r.Host = host
+	r.Header.Set("Attempt-Id", fmt.Sprintf("req-%d", g.requestCount))
+	r.Header.Set("Credential", key)
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(raw)
+}
+
 // send sends one request to an entry on a new connection and returns a summary of the answer.
 func send(t *testing.T, entry *httptest.Server, kind, id, body string, headers ...string) string {
 	t.Helper()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -150,16 +150,21 @@
 	}
 }
 
-// appendLine appends the next line of the stream.
+// appendLine appends the next line of the stream, which can be longer than the buffer of br.
 func (r *eventReader) appendLine(raw []byte) ([]byte, error) {
-	part, err := r.br.ReadSlice('\n')
-	if len(raw)+len(part) > maxEventBytes {
-		return raw, link.ErrTooLarge{Part: "event", Limit: maxEventBytes}
-	}
-	size := growthFactor * int64(len(part))
-	if err := r.request.reserve(size, "event"); err != nil {
-		return raw, err
+	for {
+		part, err := r.br.ReadSlice('\n')
+		if len(raw)+len(part) > maxEventBytes {
+			return raw, link.ErrTooLarge{Part: "event", Limit: maxEventBytes}
+		}
+		size := growthFactor * int64(len(part))
+		if err := r.request.reserve(size, "event"); err != nil {
+			return raw, err
+		}
+		r.reserved += size
+		raw = append(raw, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return raw, err
+		}
 	}
-	r.reserved += size
-	return append(raw, part...), err
 }
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -109,16 +110,39 @@
 	defer resp.Body.Close()
 	var body io.Reader = resp.Body
 	if req.leaves {
-		body = io.LimitReader(body, int64(len(stand.Event(1, builds[0])))*eventsBeforeLeaving)
+		body = &eventLimit{br: bufio.NewReader(body), events: eventsBeforeLeaving}
 	}
 	raw, err := io.ReadAll(body)
 	if err == nil && req.leaves && resp.StatusCode == http.StatusOK {
 		err = io.ErrUnexpectedEOF
 	}
-	req.status, req.text = resp.StatusCode, string(raw)
+	req.status, req.text = resp.StatusCode, stand.WithoutComments(string(raw))
 	req.result = resultOf(req, resp, err)
 }
 
+// eventLimit reads a stream up to the end of some event.
+type eventLimit struct {
+	br     *bufio.Reader
+	events int
+	last   byte
+}
+
+// Read reads one byte.
+func (r *eventLimit) Read(p []byte) (int, error) {
+	if r.events == 0 || len(p) == 0 {
+		return 0, io.EOF
+	}
+	b, err := r.br.ReadByte()
+	if err != nil {
+		return 0, err
+	}
+	if b == '\n' && r.last == '\n' {
+		r.events--
+	}
+	p[0], r.last = b, b
+	return 1, nil
+}
+
 // resultOf classifies an answer: "whole", "refused", "broken", or a text that begins
 // with "wrong" for an answer that callers must never receive.
 func resultOf(x *request, resp *http.Response, err error) string {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,9 @@
 	targetCount = 4
 	// unframedEvery is such that one in so many targets sends answers that end with their connection.
 	unframedEvery = 3
+	// One in longEventsEvery targets sends events of longEventBytes: longer than the buffers of an entry.
+	longEventsEvery = 4
+	longEventBytes  = 3000
 	// eventCount is the number of events of a stream.
 	eventCount = 6
 	// callerCount is the number of concurrent callers; each keeps its own connections.
@@ -175,6 +178,9 @@
 	x.EventCount, x.EventInterval = eventCount, 10*time.Millisecond
 	x.Build = builds[len(s.targets)%len(builds)]
 	x.Unframed = len(s.targets)%unframedEvery == unframedEvery-1
+	if len(s.targets)%longEventsEvery == longEventsEvery-1 {
+		x.EventBytes = longEventBytes
+	}
 	x.relay = &pipe.Relay{Backend: x.Address(), ResetOnBreak: x.Unframed}
 	if err := x.relay.Start(); err != nil {
 		return errors.Wrap(err, "start relay to the target")
--- a/stand/target.go
+++ b/stand/target.go
@@ -402,6 +402,17 @@
 	return text
 }
 
+// WithoutComments removes the comment lines of events, also one that is cut.
+func WithoutComments(text string) string {
+	var b strings.Builder
+	for _, line := range strings.SplitAfter(text, "\n") {
+		if !strings.HasPrefix(line, ":") {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
+}
+
 // Builds returns the builds of the targets that sent the events of a stream, in order and each
 // named once for events in a row.
 func Builds(text string) []string {
