--- a/fake/engine.go
+++ b/fake/engine.go
@@ -148,8 +148,7 @@
 	}
 	f := e.faults.take()
 	w.Header().Set(chestnutstep.HeaderRequestID, r.Header.Get(chestnutstep.HeaderRequestID))
-	if f.Status != 0 {
-		http.Error(w, "fault", f.Status)
+	if f.writeHead(w) {
 		return
 	}
 	var chat ChatRequest
--- a/fake/fault.go
+++ b/fake/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"sync"
 
 	"chestnutstep.example/chestnutstep"
@@ -35,6 +36,10 @@
 	Delay chestnutstep.Duration `json:"delay,omitempty"`
 	// Status is an HTTP status to answer with, without running the request.
 	Status int `json:"status,omitempty"`
+	// Retry is the Retry-After of such an answer, in seconds.
+	Retry string `json:"retry,omitempty"`
+	// Leaving announces in the answers that the target leaves.
+	Leaving bool `json:"leaving,omitempty"`
 	// Count is the number of requests that the fault affects before it is
 	// cleared; 0 means no limit.
 	Count int `json:"count,omitempty"`
@@ -75,6 +80,22 @@
 	return f.current.Slow
 }
 
+// writeHead sets the headers of the fault. It returns true if the answer is complete with that, and the
+// request does not run.
+func (f Fault) writeHead(w http.ResponseWriter) (done bool) {
+	if f.Leaving {
+		w.Header().Set(chestnutstep.HeaderLeaving, "1")
+	}
+	if f.Status == 0 {
+		return false
+	}
+	if f.Retry != "" {
+		w.Header().Set("Retry-After", f.Retry)
+	}
+	http.Error(w, "fault", f.Status)
+	return true
+}
+
 func (f Fault) poisons(body []byte) bool {
 	return f.Poison != "" && bytes.Contains(body, []byte(f.Poison))
 }
--- a/fake/service.go
+++ b/fake/service.go
@@ -110,8 +110,7 @@
 	}
 	w.Header().Set(chestnutstep.HeaderRequestID, id)
 	w.Header().Set(chestnutstep.HeaderBootID, boot)
-	if f.Status != 0 {
-		http.Error(w, "fault", f.Status)
+	if f.writeHead(w) {
 		return
 	}
 	var a Action
@@ -200,8 +199,7 @@
 	f := s.faults.take()
 	w.Header().Set(chestnutstep.HeaderRequestID, r.Header.Get(chestnutstep.HeaderRequestID))
 	w.Header().Set(chestnutstep.HeaderBootID, boot)
-	if f.Status != 0 {
-		http.Error(w, "fault", f.Status)
+	if f.writeHead(w) {
 		return
 	}
 	e := s.startExecution(r, Action{}, boot)
