pause: callers refused in a pause return over as much time after it

They were told the end and a tenth of the remaining time; all of a pause came back within that. admit.Jitter is the one decision on returns, and extends a time by up to its own length.

--- a/pause/pause_test.go
+++ b/pause/pause_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/datadriven"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -89,3 +91,54 @@
 		assert.NilError(t, tracker.Acquire(now.Add(2*pause.MaxTime), i), "a target is never lost for good")
 	})
 }
+
+// TestFleetReturnsGradually guards against hundreds of entries, and the callers that they refused, that
+// return to a target in the instant in which its pause ends.
+func TestFleetReturnsGradually(t *testing.T) {
+	const (
+		entries = 350
+		rest    = 3 * time.Second
+		step    = 100 * time.Millisecond
+		perStep = 70 // requests of all entries
+	)
+	r := rand.New(rand.NewPCG(1, 1))
+	fleet := make([]*pause.Tracker, entries)
+	i := pause.Instance{ID: "a"}
+	for n := range fleet {
+		fleet[n] = &pause.Tracker{Seed: uint64(n) + 1}
+		fleet[n].Start(0, i, rest)
+	}
+	returns := make(map[int]int)
+	sent := hdrhistogram.New(1, 10000, 3)
+	begun, served, lastRefused := -1, 0, 0
+	for n := range int(3 * rest / step) {
+		due, now := perStep+returns[n], clock.Stamp(n)*clock.Stamp(step)
+		count := 0
+		for range due {
+			entry := fleet[r.IntN(entries)]
+			if err := entry.Acquire(now, i); err != nil {
+				s := err.(pause.ErrPaused).State
+				wait := pause.RetryAfter(fmt.Sprint(n, r.Uint64()), s.Remaining(now))
+				returns[n+int((wait+step-1)/step)]++
+				lastRefused = n
+				continue
+			}
+			entry.Release(now, i, true)
+			count++
+		}
+		if now >= clock.Stamp(rest) {
+			if begun < 0 {
+				begun = n
+			}
+			served += count
+			assert.NilError(t, sent.RecordValue(int64(count)))
+		}
+	}
+	after := clock.Stamp(lastRefused+1)*clock.Stamp(step) - clock.Stamp(rest)
+	t.Logf("requests in %s after the pause, %d before: median %d, 99%% %d, most %d; the last refused %s after it",
+		step, perStep, sent.ValueAtQuantile(50), sent.ValueAtQuantile(99), sent.Max(), time.Duration(after))
+	refused := int64(rest/step) * perStep
+	assert.Assert(t, sent.Max() <= refused/4, "%d of the %d that were refused return at once", sent.Max(), refused)
+	assert.Assert(t, time.Duration(after) <= time.Second, "refused until %s after the pause", time.Duration(after))
+	assert.Assert(t, served > int(rest/step)*perStep)
+}
--- a/pause/tracker.go
+++ b/pause/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/admit"
 	"chestnutstep.example/chestnutstep/clock"
 )
 
@@ -183,10 +184,9 @@
 }
 
 // RetryAfter returns after which time a caller can return if all targets are paused for at least the
-// remaining time. It differs by request, so that callers do not return in the same instant.
+// remaining time. Callers that were refused throughout a pause return over as much time after it.
 func RetryAfter(id string, remaining time.Duration) time.Duration {
-	fraction := float64(xxhash.Sum64String(id)>>11) / (1 << 53)
-	return remaining + time.Duration(fraction*max(spreadRatio*float64(remaining), float64(windowTime)))
+	return admit.Jitter(id, max(remaining, windowTime))
 }
 
 // Paused returns the number of targets that must not receive requests.
