admit, board: a rejection with a pause limits what its target gets after it

Cause: the limit of a target ignores evidence above its slots, as a late first byte there is due to the queue. A rejection with a pause is no late first byte: the target says that it takes no more, and each further one costs its whole rest.

The order of calls in the relay was right already: the pause starts before its attempt ends.

--- a/admit/limit.go
+++ b/admit/limit.go
@@ -93,6 +93,20 @@
 	l.cutAt = now
 }
 
+// RecordRejected records that a target asked for a pause that ends at until, with running requests, the
+// rejected one included. Unlike a late first byte that is evidence also above the slots: the target says
+// that it takes no more. The limit grows again some time after the pause.
+func (l *AdaptiveLimit) RecordRejected(now, until clock.Stamp, running, minLimit float64) {
+	if now < l.cutAt {
+		return // rejected in a pause that has already reduced the limit
+	}
+	if l.limit > 0 {
+		running = min(running, l.grownLimit(now))
+	}
+	l.limit = max(cutRatio*(running-1), minLimit)
+	l.cutAt = max(until, now)
+}
+
 // RecordInTime records a first byte in time. Each one that was sent near the limit raises the limit
 // by 1/limit.
 func (l *AdaptiveLimit) RecordInTime(running float64) {
--- a/admit/surge_test.go
+++ b/admit/surge_test.go
@@ -31,6 +31,9 @@
 		case "late":
 			l.RecordLate(now, numberArg(t, d, "running"), 64, numberArg(t, d, "least"))
 			return ""
+		case "rejected":
+			l.RecordRejected(now, now.Add(durationArg(t, d, "for")), numberArg(t, d, "running"), numberArg(t, d, "least"))
+			return ""
 		case "time":
 			for range int(numberArg(t, d, "count")) {
 				l.RecordInTime(numberArg(t, d, "running"))
--- a/board/run.go
+++ b/board/run.go
@@ -5,6 +5,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/roster"
 )
 
@@ -13,6 +14,7 @@
 	board *Board
 	// key is the load key of the target, and cacheKey the cache key of its instance.
 	key           uint32
+	instance      pause.Instance
 	cacheKey      uint32
 	parts         []chestnutstep.PromptPart
 	pendingTokens int
@@ -46,7 +48,7 @@
 	if service.ColdRate > 0 && now < t.ColdUntil {
 		s.cold.take()
 	}
-	r := &Attempt{board: b, key: key, cacheKey: CacheKey(&t.Instance), parts: parts, domain: t.Domain, service: b.serviceState(service.Name), caller: caller, startedAt: now}
+	r := &Attempt{board: b, key: key, instance: pause.InstanceOf(&t.Instance), cacheKey: CacheKey(&t.Instance), parts: parts, domain: t.Domain, service: b.serviceState(service.Name), caller: caller, startedAt: now}
 	r.runningAtStart = float64(s.running + int(b.peerLoads[key].Running))
 	r.slots, r.isEngine = t.Slots, service.IsEngine
 	b.domains[t.Domain].recordStart(now)
--- a/board/usage.go
+++ b/board/usage.go
@@ -173,6 +173,15 @@
 	s.limit.RecordLate(now, r.runningAtStart, r.slots, minLimit)
 }
 
+// recordRejected records that the target asked for a pause: it had more requests than it takes. The
+// limit grows again only after the pause.
+func (r *Attempt) recordRejected(now clock.Stamp) {
+	minLimit := r.board.minLimit(now, r.slots, r.isEngine)
+	s := r.board.state(r.key)
+	r.board.countIndividually(s)
+	s.limit.RecordRejected(now, r.board.Pauses.State(now, r.instance).Until, r.runningAtStart, minLimit)
+}
+
 // release frees the place of the request. It records the duration of a request that the target
 // worked on, and a refusal as a late answer, because the target had too many requests.
 func (r *Attempt) release(now clock.Stamp, o Outcome) {
@@ -182,6 +191,8 @@
 		r.service.durations.Measure(now.Sub(r.startedAt), 1)
 	case Refused:
 		r.recordLate(now)
-	case Paused, Unsent, Unreachable, ConnRefused, Replaced, Broken:
+	case Paused:
+		r.recordRejected(now)
+	case Unsent, Unreachable, ConnRefused, Replaced, Broken:
 	}
 }
