--- a/pause/pause_test.go
+++ b/pause/pause_test.go
@@ -142,3 +142,30 @@
 	assert.Assert(t, time.Duration(after) <= time.Second, "refused until %s after the pause", time.Duration(after))
 	assert.Assert(t, served > int(rest/step)*perStep)
 }
+
+// BenchmarkRequest measures what one request costs: State as often as a choice evaluates targets, Acquire
+// and Release.
+func BenchmarkRequest(b *testing.B) {
+	for _, paused := range []int{0, 1, 2700} {
+		b.Run(fmt.Sprintf("%d paused", paused), func(b *testing.B) {
+			tracker := &pause.Tracker{Seed: 1}
+			list := make([]pause.Instance, 2700)
+			for n := range list {
+				list[n] = pause.Instance{ID: fmt.Sprintf("i-%010x", n), StartedMs: int64(n)}
+				if n < paused {
+					tracker.Start(0, list[n], time.Minute)
+				}
+			}
+			b.ReportAllocs()
+			for n := range b.N {
+				for k := range 32 {
+					tracker.State(1, list[(n+k)%len(list)])
+				}
+				i := list[n%len(list)]
+				if tracker.Acquire(1, i) == nil {
+					tracker.Release(1, i, true)
+				}
+			}
+		})
+	}
+}
