agent, pause: answers to probes count, and the boot id of the answer itself

A target can announce its leaving in the answer to a probe as well. An answer of a new start that comes before the agent has noticed the start belongs to that start. The gauge of paused targets no longer counts those that have left.

--- a/agent/health.go
+++ b/agent/health.go
@@ -93,6 +93,7 @@
 		return loadReport{}, errors.Wrap(err, "probe")
 	}
 	defer rs.Body.Close()
+	a.recordTargetState(rq, rs)
 	var r loadReport
 	// A plain service can lack this path; any answer shows that it is running.
 	_ = json.NewDecoder(io.LimitReader(rs.Body, maxControlBytes)).Decode(&r)
--- a/agent/script_test.go
+++ b/agent/script_test.go
@@ -44,6 +44,8 @@
 	ran   []string
 	// sent lists the paths of all requests since the script last asked, but for probes.
 	sent []string
+	// leaving makes the target announce in answers to probes that it leaves.
+	leaving bool
 	// orders lists the applied orders; highestFence is the highest fencing number received, and
 	// orders with a lower one are refused.
 	orders       []string
@@ -64,7 +66,11 @@
 		return t.order(rq), nil
 	}
 	if strings.HasPrefix(rq.URL.Path, "/control/") {
-		return reply(rq, boot, fmt.Sprintf(`{"boot":%q}`, boot)), nil
+		rs := reply(rq, boot, fmt.Sprintf(`{"boot":%q}`, boot))
+		if t.isLeaving() {
+			rs.Header.Set(chestnutstep.HeaderLeaving, "1")
+		}
+		return rs, nil
 	}
 	id := rq.Header.Get(chestnutstep.HeaderRequestID)
 	c := &call{ctx: rq.Context(), end: make(chan func() (*http.Response, error), 1)}
@@ -83,6 +89,12 @@
 	}
 }
 
+func (t *target) isLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving
+}
+
 // takeSent returns the requests that reached the target since the last call, but for probes.
 func (t *target) takeSent() string {
 	t.mu.Lock()
@@ -208,6 +220,11 @@
 			a.header.Set(name, value)
 		}
 		return s.answerCall(id, a)
+	case "probe":
+		s.target.mu.Lock()
+		s.target.leaving = d.HasArg("Leaving")
+		s.target.mu.Unlock()
+		s.agent.health.check(s.agent)
 	case "sent":
 		return s.target.takeSent()
 	case "die":
--- a/agent/send.go
+++ b/agent/send.go
@@ -46,20 +46,28 @@
 	if id := rs.Header.Get(chestnutstep.HeaderRequestID); id != "" && id != rq.Header.Get(chestnutstep.HeaderRequestID) {
 		return // the answer belongs to another request
 	}
-	if rs.Header.Get(chestnutstep.HeaderLeaving) == "1" && a.pauses.Leave(a.stamp(), a.instance()) {
+	i := a.instance()
+	if boot := rs.Header.Get(chestnutstep.HeaderBootID); boot != "" {
+		i = a.instanceWith(boot)
+	}
+	if rs.Header.Get(chestnutstep.HeaderLeaving) == "1" && a.pauses.Leave(a.stamp(), i) {
 		a.Notify(Notice{Kind: NoticeLeaving, Subject: a.Name})
 	}
 	if rs.StatusCode != http.StatusServiceUnavailable {
 		return
 	}
 	d, ok := pause.ParseRetryAfter(rs.Header.Get("Retry-After"))
-	if ok && a.pauses.Start(a.stamp(), a.instance(), d) {
+	if ok && a.pauses.Start(a.stamp(), i, d) {
 		a.Notify(Notice{Kind: NoticePaused, Subject: a.Name, Wait: d})
 	}
 }
 
 // instance returns the key of the target's present start.
-func (a *Agent) instance() pause.Instance { return pause.Instance{ID: a.Name + " " + a.bootID()} }
+func (a *Agent) instance() pause.Instance { return a.instanceWith(a.bootID()) }
+
+func (a *Agent) instanceWith(bootID string) pause.Instance {
+	return pause.Instance{ID: a.Name + " " + bootID}
+}
 
 // stamp returns the time since this agent started, by its clock.
 func (a *Agent) stamp() clock.Stamp { return clock.Stamp(a.Clock().Sub(a.startedAt)) }
@@ -68,7 +76,7 @@
 // lock.
 func (a *Agent) checkPause(now time.Time, o *wire.Offer) *wire.Refuse {
 	at := clock.Stamp(now.Sub(a.startedAt))
-	s := a.pauses.State(at, pause.Instance{ID: a.Name + " " + a.health.bootID})
+	s := a.pauses.State(at, a.instanceWith(a.health.bootID))
 	if !s.Blocked() {
 		return nil
 	}
--- a/board/health.go
+++ b/board/health.go
@@ -17,8 +17,7 @@
 	Failed
 	// Refused is a rejection because the target is full.
 	Refused
-	// Paused is a rejection by a target that asked for a pause; the pause itself bounds what it
-	// receives.
+	// Paused is a rejection by a target that asked for a pause.
 	Paused
 	// Unsent is a request that was not sent, because its target had asked for a pause.
 	Unsent
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -496,14 +496,14 @@
 	{
 		ID: RelayFailed, Name: "relay_failed", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
 		Meaning: "A target gave no usable answer to a request; run reports whether the request might have run. The field last is the last event that the caller received, parts the ids of the parts of the prompt that other requests can share, status the status of the answer (0 without one), retry the Retry-After of a 503 as the target sent it, leaving whether the target announced that it leaves.",
-		Cause:   "See reason: full, down, dead (another instance has the address), link, short, crossed, crashed (its own failure), timeout.",
+		Cause:   "See reason: full, paused (the target asked to receive nothing for some time, or did before this request was sent), down, dead (another instance has the address), link, short, large (a part of the answer exceeds its limit), crossed, crashed (its own failure), timeout.",
 		Action:  "See the next line of the request; if one target fails often, check that target.",
 	},
 	{
 		ID: RelayRefused, Name: "relay_refused", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
 		Meaning: "The entry refused a request: it did not run.",
 		Cause:   "See reason; proof is the age of the proof that the configuration is current. For full and share, taken is the fraction of the service's places that was taken, kept is the fraction reserved for requests within their share, and yield reports whether the rank (1), the workspace (2) or both (3) exceeded theirs.",
-		Action:  "For target see 7012, for version see 7014, for full and share see docs/operate/saturated.md.",
+		Action:  "For target see 7012, for version see 7014, for full and share see docs/operate/saturated.md, for paused docs/operate/paused.md.",
 	},
 	{
 		ID: RelayBroken, Name: "relay_broken", Level: Warn, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
--- a/meter/set.go
+++ b/meter/set.go
@@ -189,7 +189,7 @@
 		{&s.Relay.CrashAge, description{"relay_crash_age_seconds", kindHistogram, "seconds", nil, "Age of a crash when a peer's report of it came, less the time on the way."}},
 		{&s.Relay.Resumed, description{"relay_resumed_total", kindCounter, "streams", []string{labelResult}, "Streams that callers took up at this entry, by how the build that began them was found: record, sole (the service has no other) or not: gone (it has no target left) or unknown."}},
 		{&s.Relay.Pauses, description{"relay_pauses_total", kindCounter, "pauses", []string{labelService, labelResult}, "Pauses that targets asked for when they rejected a request: started, extended, or invalid (ignored, as the time is no positive number); and leaving: announcements of targets that they leave."}},
-		{&s.Relay.PausedTargets, description{"relay_paused_targets", kindGauge, "targets", nil, "Targets that must not receive requests now, as they asked for a pause or announced that they leave."}},
+		{&s.Relay.PausedTargets, description{"relay_paused_targets", kindGauge, "targets", nil, "Targets that must not receive requests now, as they asked for a pause."}},
 		{&s.Relay.CallerConnections, description{"relay_callers", kindGauge, "connections", nil, "Connections of callers that are held."}},
 		{&s.Workspaces.Requests, description{"workspace_requests_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests of a workspace: ok, refused, broken or canceled."}},
 		{&s.Workspaces.Tokens, description{"workspace_tokens_total", kindCounter, "tokens", []string{labelWorkspace}, "Estimated work that the target did for a workspace."}},
--- a/pause/tracker.go
+++ b/pause/tracker.go
@@ -189,7 +189,7 @@
 	return admit.Jitter(id, max(remaining, windowTime))
 }
 
-// Paused returns the number of targets that must not receive requests.
+// Paused returns the number of targets whose pause has not ended.
 func (t *Tracker) Paused(now clock.Stamp) int {
 	if t == nil {
 		return 0
@@ -198,7 +198,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for _, x := range t.targets {
-		if now < x.until || x.leaving {
+		if now < x.until {
 			n++
 		}
 	}
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -38,15 +38,15 @@
 	return errors.As(err, &e)
 }
 
-// isOwnAnswer reports whether the head of an answer comes from the target that the request was sent
-// to, and belongs to the request. Only a rejection can lack the id.
+// isOwnAnswer reports whether the head of the answer belongs to this request. Only a rejection can lack
+// the id.
 func (q *request) isOwnAnswer() bool {
 	h := q.answerHead
-	return !h.Misdirected && h.ID == q.callerHeaders.ID || h.NotRun && (h.ID == "" || h.ID == q.callerHeaders.ID)
+	return h.ID == q.callerHeaders.ID || h.NotRun && h.ID == ""
 }
 
-// RecordAnswer records what a target said about itself in the head of an answer to the request with
-// the given id. The answer must be the target's own.
+// RecordAnswer records what a target said about itself in the head of an answer, which must belong to
+// the request with the given id. An answer of another instance at the target's address says nothing.
 func (e *Relay) RecordAnswer(t *roster.Target, id string, h chestnutstep.TargetHeaders) {
 	if h.Misdirected {
 		return
@@ -91,9 +91,9 @@
 	return &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonPaused, pause.RetryAfter(q.callerHeaders.ID, until.Sub(now))}
 }
 
-// refuseRejected refuses a request whose last target asked for a pause. The caller can return soon if
-// another target can take the request.
-func (q *request) refuseRejected() refusal {
+// refuseAfterPause refuses a request that its last target rejected with a pause. The caller can return
+// soon if another target can take the request.
+func (q *request) refuseAfterPause() refusal {
 	now := clock.Now()
 	if until := q.Board.PausedUntil(now, q.view, q.service, q.criteria()); until > now {
 		return *q.refusePaused(now, until)
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -134,7 +134,7 @@
 			reason = e.Reason
 		}
 		if reason == chestnutstep.ReasonPaused {
-			return q.refuseRejected()
+			return q.refuseAfterPause()
 		}
 		return refusal{http.StatusServiceUnavailable, reason, busyRetryAfter}
 	}
