relay: a failed attempt returns the memory of its buffers

The buffers of an attempt counted until the end of its request: after an answer that exceeded the limit, the answer of the next target found none.

--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -51,11 +51,21 @@
 // error is a link.ErrTooLarge if a limit is exceeded.
 func (q *request) readAnswer(a *link.Response) (*bufferedAnswer, error) {
 	answer := &bufferedAnswer{status: a.Status, header: a.Header}
+	before := q.buffered
+	err := q.readSegments(a, answer)
+	if err != nil {
+		q.segments.put(answer)
+		q.release(q.buffered - before)
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (q *request) readSegments(a *link.Response, answer *bufferedAnswer) error {
 	size := min(max(a.Length, minSegment), maxSegment)
 	for total := int64(0); ; size = maxSegment {
 		if err := q.reserve(size, "body"); err != nil {
-			q.segments.put(answer)
-			return nil, err
+			return err
 		}
 		segment := q.segments.get(size)
 		n, err := io.ReadFull(a, segment)
@@ -63,13 +73,11 @@
 		total += int64(n)
 		switch {
 		case total > maxAnswerBytes:
-			q.segments.put(answer)
-			return nil, link.ErrTooLarge{Part: "body", Limit: maxAnswerBytes}
+			return link.ErrTooLarge{Part: "body", Limit: maxAnswerBytes}
 		case a.IsComplete():
-			return answer, nil
+			return nil
 		case err != nil:
-			q.segments.put(answer)
-			return nil, err
+			return err
 		}
 	}
 }
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -103,6 +103,22 @@
 	}
 }
 
+// TestFailedAnswerReturnsItsMemory guards against the buffers of a failed attempt that count until the end
+// of the request: the answer of the next target finds none.
+func TestFailedAnswerReturnsItsMemory(t *testing.T) {
+	g := newTestRelayWithTimeout(t, stallTimeout)
+	for _, x := range g.targets {
+		x.AnswerBytes = 4 << 20
+	}
+	g.order.Set(stand.EndlessBody)
+	assert.Equal(t, g.doRequest(t, "safe"), "200 signed")
+	g.order.Set(stand.EndlessEvent)
+	for _, x := range g.targets {
+		x.EventBytes = 900_000
+	}
+	assert.Equal(t, g.doRequest(t, "resume"), "200 signed ids 1 2 3 4")
+}
+
 // TestStreamThatEndsInsideAnEventIsProbed guards against a target that ended with its stream, where that has
 // neither a length nor chunks, and is not a suspect.
 func TestStreamThatEndsInsideAnEventIsProbed(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -43,6 +43,7 @@
 func (q *request) forwardEvents(run *board.Attempt, t *roster.Target, a *link.Response) error {
 	flush := http.NewResponseController(q.w)
 	events := &eventReader{request: q, br: bufio.NewReaderSize(a, eventBufferBytes)}
+	defer func() { q.release(events.reserved) }()
 	for {
 		raw, id, err := events.next()
 		if err == io.EOF && len(raw) == 0 {
--- a/stand/target.go
+++ b/stand/target.go
@@ -94,6 +94,8 @@
 	EventCount int
 	// EventBytes is the minimum size of an event of a stream in bytes; 0 for short ones.
 	EventBytes int
+	// AnswerBytes is the minimum size of an answer that is no stream; 0 for short ones.
+	AnswerBytes int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
 	// Queue takes precedence over the target's own behaviours while it is not empty.
@@ -327,6 +329,7 @@
 		return
 	}
 	text := "answer to " + run.ID
+	text += strings.Repeat("x", max(t.AnswerBytes-len(text), 0))
 	t.setLength(w.Header(), len(text))
 	if behaviour == Fails {
 		w.WriteHeader(http.StatusInternalServerError)
