relay: a large answer waits for memory that others hold for a moment

A request waits for half a second to a second now, by its id, so that two that wait for each other don't both give up. Nothing needs the shared part up to 64 KB.

--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"chestnutstep.example/chestnutstep/admit"
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
 )
 
@@ -19,6 +21,10 @@
 	freeBufferBytes = 64 << 10
 	// maxSharedBytes limits what the buffers of all requests take beyond that.
 	maxSharedBytes = maxAnswerBytes
+	// memoryWait is how long a request waits for memory of the shared part, at least; memoryPoll is how
+	// often it looks.
+	memoryWait = 500 * time.Millisecond
+	memoryPoll = 5 * time.Millisecond
 	// minSegment and maxSegment bound the memory that is taken before its bytes have come.
 	minSegment = 512
 	maxSegment = 32 << 10
@@ -26,16 +32,27 @@
 	segmentTTL = time.Second
 )
 
-// reserve accounts for n more bytes of buffers. The error is a link.ErrTooLarge if all requests
-// together would take more than allowed.
+// reserve accounts for n more bytes of buffers. If all requests together would take more than allowed,
+// it waits, as others end soon; the error after that is a link.ErrTooLarge. Requests wait for different
+// times: two that wait for each other must not both give up.
 func (q *request) reserve(n int64, part string) error {
+	for end := time.Now().Add(admit.Jitter(q.callerHeaders.ID, memoryWait)); !q.tryReserve(n); {
+		if time.Now().After(end) || !clock.Sleep(q.ctx, memoryPoll) {
+			return link.ErrTooLarge{Part: part, Limit: maxSharedBytes}
+		}
+	}
+	return nil
+}
+
+// tryReserve is like reserve, but does not wait.
+func (q *request) tryReserve(n int64) bool {
 	shared := max(q.buffered+n-freeBufferBytes, 0) - max(q.buffered-freeBufferBytes, 0)
 	if q.sharedBytes.Add(shared) > maxSharedBytes && shared > 0 {
 		q.sharedBytes.Add(-shared)
-		return link.ErrTooLarge{Part: part, Limit: maxSharedBytes}
+		return false
 	}
 	q.buffered += n
-	return nil
+	return true
 }
 
 // release ends the accounting for n bytes of buffers.
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,7 +1,10 @@
 package relay_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -134,3 +137,36 @@
 	}
 	assert.Equal(t, connections, 2, "one for the request, one for the probe")
 }
+
+// TestLargeAnswerWaitsForMemory guards against a sound answer that fails because another one takes most of
+// the buffers for a moment, as its caller reads slowly.
+func TestLargeAnswerWaitsForMemory(t *testing.T) {
+	g := newTestRelayWithTimeout(t, stallTimeout)
+	for _, x := range g.targets {
+		x.AnswerBytes = 7 << 20
+	}
+	first, second := openLarge(t, g, 1), openLarge(t, g, 2)
+	readLarge(t, first)
+	readLarge(t, second)
+}
+
+// openLarge sends a request for a large answer and waits until it has reached a target.
+func openLarge(t *testing.T, g *testRelay, number int) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", g.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	fmt.Fprintf(c, "POST /safe/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: large-%d\r\nCredential: %s\r\nContent-Length: 0\r\n\r\n", host, number, key)
+	g.waitArrived(t, number)
+	return c
+}
+
+// readLarge reads a large answer.
+func readLarge(t *testing.T, c net.Conn) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	size, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, resp.StatusCode == http.StatusOK && size == 7<<20, "status %d, %d bytes", resp.StatusCode, size)
+}
