--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -4,6 +4,7 @@
 package fetch
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -12,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// bufferSize is the size of a read in bytes.
+// bufferSize is the size of a segment in bytes.
 const bufferSize = 32 << 10
 
 // Limits bound one call.
@@ -83,25 +84,51 @@
 
 // readBody reads a body as long as bytes arrive within the idle timeout.
 func readBody(cancel context.CancelCauseFunc, r io.Reader, l Limits) ([]byte, error) {
-	var body []byte
-	buffer := make([]byte, bufferSize)
+	var b segments
 	for {
-		unresponsive := ErrUnresponsive{Bytes: len(body), Idle: l.IdleTimeout}
+		unresponsive := ErrUnresponsive{Bytes: b.size, Idle: l.IdleTimeout}
 		timer := time.AfterFunc(l.IdleTimeout, func() { cancel(unresponsive) })
-		n, err := r.Read(buffer)
+		err := b.readFrom(r)
 		timer.Stop()
-		body = append(body, buffer[:n]...)
 		switch {
-		case len(body) > l.MaxBytes:
-			return body, ErrTooLarge{l.MaxBytes}
+		case b.size > l.MaxBytes:
+			return b.join(), ErrTooLarge{l.MaxBytes}
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return b.join(), nil
 		case err != nil:
-			return body, err
+			return b.join(), err
 		}
 	}
 }
 
+// segments holds a body while it is read. A single buffer that grows takes several times the size of
+// the body, as garbage.
+type segments struct {
+	list [][]byte
+	size int
+}
+
+// readFrom reads once into the last segment, or a new one if that is full.
+func (b *segments) readFrom(r io.Reader) error {
+	last := len(b.list) - 1
+	if last < 0 || len(b.list[last]) == bufferSize {
+		b.list = append(b.list, make([]byte, 0, bufferSize))
+		last++
+	}
+	s := b.list[last]
+	n, err := r.Read(s[len(s):bufferSize])
+	b.list[last] = s[:len(s)+n]
+	b.size += n
+	return err
+}
+
+func (b *segments) join() []byte {
+	if len(b.list) == 1 {
+		return b.list[0]
+	}
+	return bytes.Join(b.list, nil)
+}
+
 // cause returns the reason for which the context of a call was canceled, and err if it was not.
 func cause(ctx context.Context, err error) error {
 	if err != nil && ctx.Err() != nil {
