--- a/pause/pause.go
+++ b/pause/pause.go
@@ -60,7 +60,7 @@
 	return fmt.Sprintf("target %s must not receive requests: %s", err.Target, err.State.Reason)
 }
 
-// State tells whether a target may receive a request. The zero State allows it.
+// State is whether a target may receive a request. The zero State allows it.
 type State struct {
 	// Reason is empty if the target may receive a request.
 	Reason chestnutstep.Reason
