--- a/soak/pause.go
+++ b/soak/pause.go
@@ -104,7 +104,7 @@
 func (x *target) checkAfter(a stand.Arrival, e *entry, later []stand.Arrival, byID map[string]*request) error {
 	for _, b := range later {
 		r := byID[b.ID]
-		if r == nil || r.entry != e || r.sentAt.Before(a.At.Add(pauseGrace)) {
+		if r == nil || r.entry != e || b.Start != a.Start || r.sentAt.Before(a.At.Add(pauseGrace)) {
 			continue
 		}
 		if e.disturbances.overlaps(a.At, b.At) || x.disturbances.overlaps(a.At, b.At) {
--- a/stand/arrival.go
+++ b/stand/arrival.go
@@ -16,6 +16,8 @@
 	Pause time.Duration
 	// Leaving reports whether the answer announced that the target leaves.
 	Leaving bool
+	// Start numbers the starts of the target, see Stay.
+	Start int
 }
 
 // Arrivals returns the requests that reached the target, in order.
@@ -40,11 +42,12 @@
 	t.leaving = true
 }
 
-// Stay ends what Leave began, as another incarnation of the target.
+// Stay ends what Leave and Rest began, as the next start of the target.
 func (t *Target) Stay() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.leaving = false
+	t.leaving, t.restUntil = false, time.Time{}
+	t.start++
 }
 
 // AddBehaviour appends the behaviour for one request to those that SetBehaviour set for the next ones.
@@ -59,7 +62,7 @@
 func (t *Target) admit(w http.ResponseWriter, r *http.Request) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	a := Arrival{ID: r.Header.Get("Attempt-Id"), Path: r.URL.Path, At: time.Now(), Leaving: t.leaving}
+	a := Arrival{ID: r.Header.Get("Attempt-Id"), Path: r.URL.Path, At: time.Now(), Leaving: t.leaving, Start: t.start}
 	if t.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
--- a/stand/target.go
+++ b/stand/target.go
@@ -113,6 +113,7 @@
 	arrivals         []Arrival
 	restUntil        time.Time
 	leaving          bool
+	start            int
 	connections      int
 	cachedParts      []string
 	cacheLists       int
