fleet: a suspended process has stopped when the play goes on

Its logs: the offer was answered with an accept after 1.1 ms, and the run started (4016), after the stop signal had been sent and before it took effect; 502 unknown is right then. The play means an agent that is frozen before it reads the booking, so that Suspend waits for the stop, as kill(2) does not.

--- a/fleet/process.go
+++ b/fleet/process.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Process is one process of the fleet.
@@ -79,8 +80,15 @@
 // Stop sends SIGTERM to the process. Done is closed when the process has ended.
 func (p *Process) Stop() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
 
-// Suspend stops the process with SIGSTOP.
-func (p *Process) Suspend() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Suspend stops the process with SIGSTOP and waits until it has stopped: on a busy machine its threads go
+// on for a while after the signal was sent.
+func (p *Process) Suspend() {
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	var stopped error = syscall.EINTR
+	for errors.Is(stopped, syscall.EINTR) {
+		stopped = unix.Waitid(unix.P_PID, p.cmd.Process.Pid, nil, unix.WSTOPPED|unix.WEXITED|unix.WNOWAIT, nil)
+	}
+}
 
 // Resume continues a suspended process with SIGCONT.
 func (p *Process) Resume() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
