agent: calls that no caller waits for keep no request away after a pause

Right after a pause one request may be unanswered; the read of cache events, each second, had taken that place and was slow on the busy machine. Reads of events, caches and orders only look at the pause now.

--- a/agent/cache.go
+++ b/agent/cache.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return kvCache{}, errors.Wrap(err, "export")
 	}
-	rs, err := a.send(a.PooledClient, rq)
+	rs, err := a.sendControl(a.PooledClient, rq)
 	if err != nil {
 		return kvCache{}, errors.Wrap(err, "export")
 	}
@@ -133,7 +133,7 @@
 		return errors.Wrap(err, "import")
 	}
 	rq.Header.Set(chestnutstep.HeaderCachedTokens, strconv.FormatInt(kv.tokens, 10))
-	rs, err := a.send(a.PooledClient, rq)
+	rs, err := a.sendControl(a.PooledClient, rq)
 	if err != nil {
 		return errors.Wrap(err, "import")
 	}
--- a/agent/cachelog.go
+++ b/agent/cachelog.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cache events")
 	}
-	rs, err := a.send(a.PooledClient, rq)
+	rs, err := a.sendControl(a.PooledClient, rq)
 	if err != nil {
 		return nil, errors.Wrap(err, "cache events")
 	}
--- a/agent/orders.go
+++ b/agent/orders.go
@@ -204,7 +204,7 @@
 		return errors.Wrap(err, "order")
 	}
 	rq.Header.Set(chestnutstep.HeaderFencingNumber, f.String())
-	rs, err := a.send(a.UnpooledClient, rq)
+	rs, err := a.sendControl(a.UnpooledClient, rq)
 	if err != nil {
 		return errors.Wrap(err, "order")
 	}
--- a/agent/send.go
+++ b/agent/send.go
@@ -12,9 +12,10 @@
 	"chestnutstep.example/chestnutstep/wire"
 )
 
-// send sends a request to the target, unless the target asked for a pause, and records what the answer
-// says about the target. All requests but probes and cancels go through it: a probe shows whether the
-// target lives, and a cancel relieves it. The error is a pause.ErrPaused if nothing was sent.
+// send sends a caller's request to the target, unless the target asked for a pause, and records what the
+// answer says about the target. All calls but probes and cancels go through it, sendControl or
+// sendResume: a probe shows whether the target lives, and a cancel relieves it. The error is a
+// pause.ErrPaused if nothing was sent.
 func (a *Agent) send(client *http.Client, rq *http.Request) (*http.Response, error) {
 	i := a.instance()
 	if err := a.pauses.Acquire(a.stamp(), i); err != nil {
@@ -28,12 +29,27 @@
 	return rs, err
 }
 
-// sendResume is like send, but goes to a target that announced its leaving as well: what it is running
-// goes on.
+// sendControl is like send, for a call that no caller waits for: it does not count among the unanswered
+// requests after a pause, so that it keeps no request away.
+func (a *Agent) sendControl(client *http.Client, rq *http.Request) (*http.Response, error) {
+	i := a.instance()
+	if s := a.pauses.State(a.stamp(), i); s.Blocked() {
+		return nil, pause.ErrPaused{Target: i.ID, State: s}
+	}
+	return a.sendAlways(client, rq)
+}
+
+// sendResume is like sendControl, but goes to a target that announced its leaving as well: what it is
+// running goes on.
 func (a *Agent) sendResume(client *http.Client, rq *http.Request) (*http.Response, error) {
-	if s := a.pauses.State(a.stamp(), a.instance()); s.Reason == chestnutstep.ReasonPaused {
-		return nil, pause.ErrPaused{Target: a.Name, State: s}
+	i := a.instance()
+	if s := a.pauses.State(a.stamp(), i); s.Reason == chestnutstep.ReasonPaused {
+		return nil, pause.ErrPaused{Target: i.ID, State: s}
 	}
+	return a.sendAlways(client, rq)
+}
+
+func (a *Agent) sendAlways(client *http.Client, rq *http.Request) (*http.Response, error) {
 	rs, err := client.Do(rq)
 	if err == nil {
 		a.recordTargetState(rq, rs)
