--- a/agent/send_test.go
+++ b/agent/send_test.go
@@ -34,7 +34,8 @@
 		done <- err
 	}()
 	<-arrived
-	assert.Equal(t, s.agent.pauses.State(s.agent.stamp(), s.agent.instance()), pause.State{})
+	state := s.agent.pauses.State(s.agent.stamp(), s.agent.instance())
 	close(release)
 	assert.NilError(t, <-done)
+	assert.Equal(t, state, pause.State{})
 }
