stand, soak, faults: targets as processes that die by SIGKILL and are back at once

Targets of both paths run as processes of their own, with answers that have a length, chunks or end with their connection, and can keep their listening socket over their starts. The soak gets a play of streams alone; faults gets scripts of back ends that are replaced in the middle of an answer.

--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -6,6 +6,7 @@
 	"github.com/integrii/flaggy"
 
 	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // engineCommand returns the engine subcommand, an emulated model engine.
@@ -37,5 +38,16 @@
 	c.Int(&e.EventGap, "", "gap", "leave out each n-th cache event")
 	c.Bool(&e.Fenced, "", "fenced", "refuse orders with an older fencing number")
 	c.Int(&e.KVBytesPerToken, "", "kv", "bytes of KV cache for one token")
-	return command{c, func() error { return serve(address, e) }}
+	framing := ""
+	c.String(&framing, "", "framing", "end of answers: chunks or close")
+	inherit := false
+	c.Bool(&inherit, "", "inherit", "take over the listening socket with descriptor 3")
+	return command{c, func() error {
+		e.Framing = stand.Framing(framing)
+		l, err := listen(address, inherit)
+		if err != nil {
+			return err
+		}
+		return serveListener(l, e)
+	}}
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,6 +24,7 @@
 		platformCommand(),
 		engineCommand(),
 		serviceCommand(),
+		targetCommand(),
 		callCommand(),
 		proxyCommand(),
 		loadCommand(),
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -24,15 +25,34 @@
 	done     chan error
 }
 
+// inheritedFD is the descriptor of a listening socket that the process takes over.
+const inheritedFD = 3
+
+// listen listens on an address, or takes over a listening socket.
+func listen(address string, inherit bool) (net.Listener, error) {
+	if !inherit {
+		l, err := net.Listen("tcp", address)
+		return l, errors.Wrap(err, "listen")
+	}
+	f := os.NewFile(inheritedFD, "listener")
+	defer f.Close()
+	l, err := net.FileListener(f)
+	return l, errors.Wrap(err, "inherited listener")
+}
+
 // serve listens on address and serves h until SIGTERM or SIGINT. It prints the
 // address that it listens on, so that port 0 can be used.
 func serve(address string, h http.Handler) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	l, err := net.Listen("tcp", address)
+	l, err := listen(address, false)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return err
 	}
+	return serveListener(l, h)
+}
+
+func serveListener(l net.Listener, h http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	fmt.Println(l.Addr())
 	s := &server{listener: l, done: make(chan error, 1)}
 	s.Handler = h
--- a/cmd/standin/service.go
+++ b/cmd/standin/service.go
@@ -6,6 +6,7 @@
 	"github.com/integrii/flaggy"
 
 	"chestnutstep.example/chestnutstep/fake"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // serviceCommand returns the service subcommand, an emulated plain service.
@@ -17,5 +18,18 @@
 	c.String(&address, "l", "listen", "address to listen on; port 0 picks one and prints it")
 	c.Duration(&s.Delay, "d", "delay", "time between an action's arrival and its effect")
 	c.Duration(&s.RestartTime, "", "restart", "how long it drops connections after a crash")
-	return command{c, func() error { return serve(address, s) }}
+	framing := ""
+	c.String(&framing, "", "framing", "end of answers to actions: length, chunks or close")
+	c.Bool(&s.Anonymous, "", "anonymous", "send no boot id")
+	c.Duration(&s.BodyInterval, "", "halves", "time between the two halves of an answer to an action")
+	inherit := false
+	c.Bool(&inherit, "", "inherit", "take over the listening socket with descriptor 3")
+	return command{c, func() error {
+		s.Framing = stand.Framing(framing)
+		l, err := listen(address, inherit)
+		if err != nil {
+			return err
+		}
+		return serveListener(l, s)
+	}}
 }
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // Headers that targets receive in addition to those of the root package.
@@ -57,6 +58,8 @@
 	Fenced bool
 	// KVBytesPerToken is the size of the KV cache of one token, in bytes.
 	KVBytesPerToken int
+	// Framing is how the end of an answer is marked: stand.ByClose or else chunks.
+	Framing stand.Framing
 	// Rand generates boot ids.
 	Rand *rand.Rand
 	// Journal records all executions.
@@ -289,6 +292,7 @@
 		if !headSent && (len(data) > 0 || finished) {
 			headSent = true
 			s.head(w.Header())
+			setFraming(w.Header(), e.Framing, 0)
 		}
 		if r.URL.Path != resumePath {
 			data = s.fault.untilClose(data, sent)
--- a/faults/commands_test.go
+++ b/faults/commands_test.go
@@ -48,6 +48,18 @@
 	return ""
 }
 
+// replace implements the command "replace TARGET|target:CALL": it kills a back end with SIGKILL and starts it
+// again at once at its address.
+func (s *scenario) replace(d *datadriven.TestData) string {
+	p := s.process(d.CmdArgs[0].Key)
+	for _, t := range s.fleet.Targets {
+		if t.Backend == p {
+			s.noError(s.fleet.ReplaceBackend(t))
+		}
+	}
+	return ""
+}
+
 func (s *scenario) startProcess(p *fleet.Process) error {
 	for _, t := range s.fleet.Targets {
 		if t.Agent == p {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,6 +50,9 @@
 	ServiceCount, EntryCount int
 	// EngineFlags and ServiceFlags are passed to the emulated back ends.
 	EngineFlags, ServiceFlags []string
+	// KeepSockets keeps the listening sockets of back ends open while they are not running, so that
+	// connections are not refused meanwhile.
+	KeepSockets bool
 	// Naive starts plain proxies instead of entries and no agents, as a
 	// baseline for comparisons.
 	Naive bool
@@ -214,11 +217,25 @@
 	return f.start(f.Platform, "standin", "platform", "--listen", f.Platform.Address)
 }
 
+// ReplaceBackend kills the back end of a target and starts it again at once at its address.
+func (f *Fleet) ReplaceBackend(t *Target) error {
+	t.Backend.Kill()
+	return f.startTarget(t)
+}
+
 func (f *Fleet) startTarget(t *Target) error {
 	flags := f.EngineFlags
 	if t.Kind == chestnutstep.KindService {
 		flags = f.ServiceFlags
 	}
+	if f.KeepSockets && t.Backend.listener == nil {
+		if err := t.Backend.listen(); err != nil {
+			return err
+		}
+	}
+	if f.KeepSockets {
+		flags = append([]string{"--inherit"}, flags...)
+	}
 	return f.start(t.Backend, "standin", append([]string{t.Kind, "--listen", t.Backend.Address}, flags...)...)
 }
 
@@ -274,6 +291,9 @@
 func (f *Fleet) Close() {
 	for _, p := range f.started {
 		p.Kill()
+		if p.listener != nil {
+			p.listener.Close()
+		}
 	}
 }
 
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,9 +27,22 @@
 	// Log is the path of the file with the output of the process.
 	Log string
 
-	cmd  *exec.Cmd
-	done chan struct{}
-	err  error
+	// listener is a listening socket that each start takes over as descriptor 3; nil for none.
+	listener *os.File
+	cmd      *exec.Cmd
+	done     chan struct{}
+	err      error
+}
+
+// listen opens the listening socket that the starts of the process take over.
+func (p *Process) listen() error {
+	l, err := net.Listen("tcp", p.Address)
+	if err != nil {
+		return errors.Wrap(err, p.Name)
+	}
+	defer l.Close()
+	p.listener, err = l.(*net.TCPListener).File()
+	return errors.Wrap(err, p.Name)
 }
 
 // start runs a program of the fleet. The kernel kills it when this process
@@ -42,6 +56,9 @@
 	defer out.Close()
 	p.cmd = exec.Command(filepath.Join(f.Bin, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if p.listener != nil {
+		p.cmd.ExtraFiles = []*os.File{p.listener}
+	}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return errors.Wrap(err, p.Name)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -16,6 +16,9 @@
 // requestKinds are the names of the routes that callers use.
 var requestKinds = []string{"book", "look", "talk/stream", resumableKind}
 
+// streamKinds are those whose answers are streams.
+var streamKinds = []string{"talk/stream", resumableKind}
+
 // resumableKind is the kind of the streams that callers can take up again.
 const resumableKind = "tell/stream"
 
@@ -53,7 +56,11 @@
 
 // send sends a request, and takes up its stream at any entry if it breaks.
 func (c *caller) send() {
-	kind := requestKinds[c.rand.IntN(len(requestKinds))]
+	kinds := requestKinds
+	if c.soak.StreamsOnly {
+		kinds = streamKinds
+	}
+	kind := kinds[c.rand.IntN(len(kinds))]
 	first := c.newRequest(kind)
 	first.leaves = kind == resumableKind && c.rand.IntN(2) == 0
 	c.do(first)
@@ -102,6 +109,7 @@
 		r.Header.Set("Last-Event-Id", fmt.Sprint(req.after))
 	}
 	req.sentAt = time.Now()
+	defer func() { req.endedAt = time.Now() }()
 	resp, err := c.client.Do(r)
 	if err != nil {
 		req.result = "broken"
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -37,6 +40,15 @@
 			runs[r.ID] = append(runs[r.ID], r)
 		}
 	}
+	for _, p := range s.processes {
+		list, err := p.Runs()
+		if err != nil {
+			return err
+		}
+		for _, r := range list {
+			runs[r.ID] = append(runs[r.ID], r)
+		}
+	}
 	served, expected := 0, 0
 	returned, takenUp := 0, 0
 	for _, x := range s.requests {
@@ -73,6 +85,37 @@
 	return nil
 }
 
+// Wrong returns a line for each answer that callers must never receive, with the time since the first
+// fault, in order.
+func (s *Soak) Wrong() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for _, x := range s.requests {
+		if strings.HasPrefix(x.result, "wrong") {
+			list = append(list, fmt.Sprintf("%.3f s to %.3f s %s at entry %d, after event %d: %s",
+				x.sentAt.Sub(s.killer.startedAt).Seconds(), x.endedAt.Sub(s.killer.startedAt).Seconds(), x.id, x.entry.number, x.after, x.result))
+		}
+	}
+	return list
+}
+
+// Summary returns the number of requests by kind and class of answer.
+func (s *Soak) Summary() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := make(map[string]int)
+	for _, x := range s.requests {
+		class, _, _ := strings.Cut(x.result, ":")
+		count[x.kind+" "+class]++
+	}
+	var list []string
+	for _, name := range slices.Sorted(maps.Keys(count)) {
+		list = append(list, fmt.Sprintf("%s %d", name, count[name]))
+	}
+	return strings.Join(list, ", ")
+}
+
 func (s *Soak) checkRequest(x *request, runs []stand.Run) error {
 	atMostOnce := x.kind == "book" || x.kind == "talk/stream"
 	switch {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -33,19 +33,35 @@
 	{"forget", func(s *Soak) func() { s.store.Compact(); return nil }},
 }
 
+// processFaults are the faults of entries in a run with StreamsOnly.
+var processFaults = []fault{{"kill", (*Soak).killEntry}, {"pause", (*Soak).pauseEntry}, {"stop", (*Soak).stopEntry}}
+
+// entryFaults returns the kinds of faults that this run injects beside those of target processes.
+func (s *Soak) entryFaults() []fault {
+	if s.StreamsOnly {
+		return processFaults
+	}
+	return faults
+}
+
 // injectFaults injects random faults until Duration has passed and then ends those
 // still active.
 func (s *Soak) injectFaults() {
 	start := time.Now()
+	stopKilling := s.killer.start(start)
+	defer stopKilling()
 	var undo []func()
 	for time.Since(start) < s.Duration {
 		time.Sleep(time.Duration(50+s.rand.IntN(500)) * time.Millisecond)
-		f := faults[s.rand.IntN(len(faults))]
+		list := s.entryFaults()
+		f := list[s.rand.IntN(len(list))]
 		s.faults = append(s.faults, fmt.Sprintf("%.2f s %s", time.Since(start).Seconds(), f.name))
 		if u := f.inject(s); u != nil {
 			undo = append(undo, u)
 		}
-		s.pauser.inject()
+		if !s.StreamsOnly {
+			s.pauser.inject()
+		}
 		// With more than three active faults, a random one ends for each new one.
 		if len(undo) > 3 {
 			i := s.rand.IntN(len(undo))
@@ -73,6 +89,7 @@
 		x.relay.Heal()
 		x.SetBehaviour(stand.Normal)
 	}
+	s.killer.clear()
 }
 
 func (s *Soak) pickEntry() *entry { return s.entries[s.rand.IntN(len(s.entries))] }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -43,8 +43,11 @@
 	settleTime = 6 * time.Second
 )
 
-// pauseStream selects the random numbers of the pauser.
-const pauseStream = 1 << 32
+// pauseStream and killStream select the random numbers of the pauser and the killer.
+const (
+	pauseStream = 1 << 32
+	killStream  = 1 << 33
+)
 
 // builds are the software versions of the targets, in turn.
 var builds = []string{"1", "2"}
@@ -58,6 +61,10 @@
 	Seed uint64
 	// Duration is the time for which faults are injected.
 	Duration time.Duration
+	// Standin is the path of the standin binary, for targets that are processes; empty for none.
+	Standin string
+	// StreamsOnly limits the run to streams, to targets that are processes, and to faults of processes.
+	StreamsOnly bool
 
 	store   *stand.Store
 	entries []*entry
@@ -74,6 +81,8 @@
 	violations []string
 	stop       chan struct{}
 	pauser     pauser
+	processes  []*process
+	killer     killer
 }
 
 // target is a target behind a relay that can hold back data and close connections.
@@ -94,11 +103,11 @@
 
 // request is one request of a caller and its outcome.
 type request struct {
-	id     string
-	kind   string
-	key    *key
-	entry  *entry
-	sentAt time.Time
+	id              string
+	kind            string
+	key             *key
+	entry           *entry
+	sentAt, endedAt time.Time
 	// resumes is the first attempt of a stream that is taken up after an event.
 	resumes string
 	after   int
@@ -121,6 +130,7 @@
 	s.rand = rand.New(rand.NewPCG(s.Seed, s.Seed))
 	s.stop = make(chan struct{})
 	s.pauser = pauser{soak: s, rand: rand.New(rand.NewPCG(s.Seed, pauseStream))}
+	s.killer = killer{soak: s, rand: rand.New(rand.NewPCG(s.Seed, killStream))}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return err
@@ -147,13 +157,16 @@
 		s.keys = append(s.keys, &key{text: fmt.Sprintf("key-%d", i)})
 	}
 	s.publish()
-	for range targetCount {
+	if err := os.MkdirAll(s.Dir, 0o755); err != nil {
+		return errors.Wrap(err, "create directory of the run")
+	}
+	for i := 0; i < targetCount && !s.StreamsOnly; i++ {
 		if err := s.addTarget(); err != nil {
 			return err
 		}
 	}
-	if err := os.MkdirAll(s.Dir, 0o755); err != nil {
-		return errors.Wrap(err, "create directory of the run")
+	if err := s.startProcesses(); err != nil {
+		return err
 	}
 	seed := ""
 	for i := range entryCount {
@@ -177,11 +190,13 @@
 	x := &target{Target: stand.NewTarget(fmt.Sprintf("i-%d", len(s.targets)))}
 	x.EventCount, x.EventInterval = eventCount, 10*time.Millisecond
 	x.Build = builds[len(s.targets)%len(builds)]
-	x.Unframed = len(s.targets)%unframedEvery == unframedEvery-1
+	if len(s.targets)%unframedEvery == unframedEvery-1 {
+		x.Framing = stand.ByClose
+	}
 	if len(s.targets)%longEventsEvery == longEventsEvery-1 {
 		x.EventBytes = longEventBytes
 	}
-	x.relay = &pipe.Relay{Backend: x.Address(), ResetOnBreak: x.Unframed}
+	x.relay = &pipe.Relay{Backend: x.Address(), ResetOnBreak: x.Framing == stand.ByClose}
 	if err := x.relay.Start(); err != nil {
 		return errors.Wrap(err, "start relay to the target")
 	}
@@ -229,6 +244,9 @@
 		x.relay.Stop()
 		x.Close()
 	}
+	for _, p := range s.processes {
+		p.Close()
+	}
 }
 
 // logFile returns the path of the log of entry i.
--- a/stand/kill.go
+++ b/stand/kill.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// HealthPath is the path of health checks, which are no runs.
+const HealthPath = "/healthz"
+
+// resetPath is the path of a call that resets all connections of the target.
+const resetPath = "/control/reset"
+
+func (t *Target) resetConnections() {
+	t.mu.Lock()
+	conns := t.conns
+	t.conns = nil
+	t.mu.Unlock()
+	for c := range conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only on a closed connection
+		}
+		_ = c.Close()
+	}
+}
+
 // noFD is the value of Target.reservedPortFD if there is no socket.
 const noFD = -1
 
@@ -121,8 +140,9 @@
 	return t.dead
 }
 
-// track records the open connections, which Kill ends, and counts the new ones.
-func (t *Target) track(c net.Conn, s http.ConnState) {
+// Track records the open connections, which Kill ends, and counts the new ones. It is the ConnState of
+// the target's server.
+func (t *Target) Track(c net.Conn, s http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch s {
--- a/stand/target.go
+++ b/stand/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -38,6 +39,20 @@
 	BadEventID    Behaviour = "bad id"   // sends an event whose id is no number
 )
 
+// Framing is how the end of an answer is marked.
+type Framing string
+
+// Framings.
+const (
+	Plain    Framing = ""       // a length, or chunks if the answer is a stream
+	ByLength Framing = "length" // a length
+	ByChunks Framing = "chunks" // chunks
+	ByClose  Framing = "close"  // the end of the connection
+)
+
+// Framings lists all framings but Plain, which is a mix of the others.
+var Framings = []Framing{ByLength, ByChunks, ByClose}
+
 // BehaviourQueue holds the behaviours of the next requests in order of their arrival.
 // Several targets can share one. A nil queue is empty.
 type BehaviourQueue struct {
@@ -88,8 +103,11 @@
 	// streams of two builds don't fit together. The target does not check which build began a
 	// stream that it continues.
 	Build string
-	// Unframed makes answers end with their connection, with neither a length nor chunks.
-	Unframed bool
+	// Framing is how the end of an answer is marked.
+	Framing Framing
+	// RunLog receives a line of JSON for each run before the run begins, so that the runs of a process
+	// that is killed are known; nil for none.
+	RunLog io.Writer
 	// EventCount is the number of events of a stream.
 	EventCount int
 	// EventBytes is the minimum size of an event of a stream in bytes; 0 for short ones.
@@ -98,6 +116,8 @@
 	AnswerBytes int
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
+	// BodyInterval is the time between the two halves of a body that is no stream; 0 writes it at once.
+	BodyInterval time.Duration
 	// Queue takes precedence over the target's own behaviours while it is not empty.
 	// Several targets can share one.
 	Queue *BehaviourQueue
@@ -125,11 +145,17 @@
 	reservedPortFD int
 }
 
+// NewHandler returns a target that serves no address, for a server of the caller. That server must call
+// Track for its connections.
+func NewHandler(name string) *Target {
+	return &Target{Name: name, EventCount: 4, defaultBehaviour: Normal, stop: make(chan struct{})}
+}
+
 // NewTarget starts a target with an instance name. The caller must close it.
 func NewTarget(name string) *Target {
-	t := &Target{Name: name, EventCount: 4, defaultBehaviour: Normal, stop: make(chan struct{})}
+	t := NewHandler(name)
 	t.server = httptest.NewUnstartedServer(t)
-	t.server.Config.ConnState = t.track
+	t.server.Config.ConnState = t.Track
 	t.server.Start()
 	return t
 }
@@ -219,9 +245,16 @@
 	if !t.admit(w, r) {
 		return
 	}
-	if r.URL.Path == "/api/kv-list" {
+	switch r.URL.Path {
+	case "/api/kv-list":
 		t.writeCacheList(w)
 		return
+	case HealthPath:
+		w.Header().Set("Instance-Id", t.Name)
+		return
+	case resetPath:
+		t.resetConnections()
+		return
 	}
 	behaviour := t.nextBehaviour()
 	if want := r.Header.Get("Expect-Instance"); want != t.Name || behaviour == OtherInstance {
@@ -242,9 +275,7 @@
 		ID: r.Header.Get("Attempt-Id"), Target: t.Name, Workspace: r.Header.Get("Tenant"),
 		Path: r.RequestURI, Body: string(body), Header: r.Header.Clone(),
 	}
-	t.mu.Lock()
-	t.runs = append(t.runs, run)
-	t.mu.Unlock()
+	t.recordRun(run)
 	if t.KillRule.matches(run) {
 		t.killDuringAnswer(w, r, run)
 		return
@@ -256,6 +287,17 @@
 	t.mu.Unlock()
 }
 
+// recordRun records a run that is about to begin.
+func (t *Target) recordRun(run *Run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs = append(t.runs, run)
+	if t.RunLog == nil {
+		return
+	}
+	_ = json.NewEncoder(t.RunLog).Encode(run) // the reader notices a run that is missing
+}
+
 func (t *Target) writeCacheList(w http.ResponseWriter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -287,18 +329,30 @@
 func (t *Target) sign(h http.Header, id string) {
 	h.Set("Attempt-Id", id)
 	h.Set("Server-Signature", "sig-"+t.Name)
-	if t.Unframed {
+	if t.Framing == ByClose {
 		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the answer
 	}
 }
 
 // setLength sets the length of an answer, unless the target's answers have none.
 func (t *Target) setLength(h http.Header, n int) {
-	if !t.Unframed {
+	if t.Framing == Plain || t.Framing == ByLength {
 		h.Set("Content-Length", strconv.Itoa(n))
 	}
 }
 
+// setStreamLength sets the length of the stream that follows an event, if the target's streams have one.
+func (t *Target) setStreamLength(h http.Header, from int) {
+	if t.Framing != ByLength {
+		return
+	}
+	n := 0
+	for id := from + 1; id <= t.EventCount; id++ {
+		n += len(t.event(id))
+	}
+	h.Set("Content-Length", strconv.Itoa(n))
+}
+
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, behaviour Behaviour, run *Run) {
 	switch behaviour {
 	case Resets:
@@ -339,7 +393,22 @@
 		_, _ = io.WriteString(w, text[:4])
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = io.WriteString(w, text)
+	t.writeBody(w, r, text)
+}
+
+// writeBody writes a body, in two halves if there is a BodyInterval.
+func (t *Target) writeBody(w http.ResponseWriter, r *http.Request, text string) {
+	half := 0
+	if t.BodyInterval > 0 {
+		half = len(text) / 2
+		_, _ = io.WriteString(w, text[:half])
+		_ = http.NewResponseController(w).Flush()
+		t.wait(r, t.BodyInterval)
+	}
+	if t.Framing == ByChunks {
+		_ = http.NewResponseController(w).Flush() // net/http states the length of a body that was not flushed
+	}
+	_, _ = io.WriteString(w, text[half:])
 }
 
 func (t *Target) wait(r *http.Request, d time.Duration) {
@@ -434,6 +503,7 @@
 func (t *Target) stream(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	t.setStreamLength(w.Header(), from)
 	for id := from + 1; id <= t.EventCount; id++ {
 		if behaviour == Cuts && id == from+3 {
 			_, _ = io.WriteString(w, "id: "+strconv.Itoa(id)+"\nda")
