relay: framing, first event and proof of the end in the log

7002 and 7003 could not tell a stream that a target ended from one that ended with its target, nor an answer that begins at the wrong event. They name the framing of the answer, the first event that the target sent, the last that the caller had, and what proved the end of a connection to be that of its answer.

--- a/event/catalog.go
+++ b/event/catalog.go
@@ -489,13 +489,13 @@
 	},
 	{
 		ID: RelayDone, Name: "relay_done", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A target answered a request completely. The field leaving reports whether it announced that it leaves.",
+		Meaning: "A target answered a request completely. The field leaving reports whether it announced that it leaves. The field framing tells how the answer's end was marked (length, chunks or close, for the end of the connection), first is the id of the first event that this target sent, after the last event that the caller had before this attempt, and proof what showed that a connection that ended was the end of the answer.",
 		Cause:   "Normal operation.",
 		Action:  "Nothing.",
 	},
 	{
 		ID: RelayFailed, Name: "relay_failed", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
-		Meaning: "A target gave no usable answer to a request; run reports whether the request might have run. The field last is the last event that the caller received, parts the ids of the parts of the prompt that other requests can share, status the status of the answer (0 without one), retry the Retry-After of a 503 as the target sent it, leaving whether the target announced that it leaves.",
+		Meaning: "A target gave no usable answer to a request; run reports whether the request might have run. The field last is the last event that the caller received, parts the ids of the parts of the prompt that other requests can share, status the status of the answer (0 without one), retry the Retry-After of a 503 as the target sent it, leaving whether the target announced that it leaves. The field framing tells how the answer's end was marked (length, chunks or close, for the end of the connection), first is the id of the first event that this target sent, after the last event that the caller had before this attempt.",
 		Cause:   "See reason: full, paused (the target asked to receive nothing for some time, or did before this request was sent), down, dead (another instance has the address), link, short, large (a part of the answer exceeds its limit), crossed, crashed (its own failure), timeout.",
 		Action:  "See the next line of the request; if one target fails often, check that target.",
 	},
--- a/link/call.go
+++ b/link/call.go
@@ -228,6 +228,18 @@
 // IsCloseDelimited reports whether the body ends only with the connection.
 func (a *Response) IsCloseDelimited() bool { return a.Length < 0 && len(a.resp.TransferEncoding) == 0 }
 
+// Framing returns how the end of the body is marked: length, chunks or close.
+func (a *Response) Framing() string {
+	switch {
+	case a.IsCloseDelimited():
+		return "close"
+	case a.Length >= 0:
+		return "length"
+	default:
+		return "chunks"
+	}
+}
+
 // abort resets the connection, so that the target stops working on the request.
 func (a *Response) abort() {
 	a.stop()
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -14,9 +14,10 @@
 	"chestnutstep.example/chestnutstep/roster"
 )
 
-// answerHead is the status and the parsed headers of a target's answer.
+// answerHead is the status, the framing and the parsed headers of a target's answer.
 type answerHead struct {
-	status int
+	status  int
+	framing string
 	chestnutstep.TargetHeaders
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,6 +88,8 @@
 	failureAnswer *bufferedAnswer
 	// answerHead is the head of the answer to the current attempt; zero if there is none.
 	answerHead answerHead
+	// endProof states, for the log, what proved the end of an answer without length or chunks.
+	endProof string
 	// stream is the part of a stream that was already sent to the caller.
 	stream stream
 	// callerGone reports whether the caller was found to have closed its connection.
--- a/relay/run.go
+++ b/relay/run.go
@@ -90,7 +90,7 @@
 	if q.attempts.Sent+q.attempts.Unreached == 0 {
 		q.Budgets.Deposit(time.Now(), q.service.Name)
 	}
-	q.stream.events, q.answerHead = 0, answerHead{}
+	q.stream.events, q.stream.firstID, q.answerHead, q.endProof = 0, 0, answerHead{}, ""
 	run := q.Board.Start(now, t, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
 	q.logSend(c)
 	q.countTokens(c)
@@ -104,7 +104,7 @@
 		q.recordFailure(run, t, err)
 		return false, err
 	}
-	q.answerHead = answerHead{answer.Status, q.Codec.TargetHeaders(answer.Status, answer.Header)}
+	q.answerHead = answerHead{answer.Status, answer.Framing(), q.Codec.TargetHeaders(answer.Status, answer.Header)}
 	if q.isOwnAnswer() {
 		q.RecordAnswer(t, q.callerHeaders.ID, q.answerHead.TargetHeaders)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -34,8 +34,9 @@
 	// build is the build of the target that sent the first event, in this attempt of the caller or an
 	// earlier one; empty if it is unknown.
 	build string
-	// events counts the events received from the current target.
-	events int64
+	// events counts the events received from the current target, and firstID is the id of the first.
+	events  int64
+	firstID int64
 }
 
 // forwardEvents forwards each event when it was received completely. If a target breaks off in the
@@ -59,7 +60,9 @@
 			return q.truncatedErr(a, err)
 		}
 		run.FirstByte(clock.Now())
-		q.stream.events++
+		if q.stream.events++; q.stream.events == 1 {
+			q.stream.firstID = id
+		}
 		if err := q.checkOrder(id); err != nil {
 			a.Close(false)
 			return err
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -17,10 +17,12 @@
 		return nil
 	}
 	if q.isEndPlanned(t) {
+		q.endProof = "planned"
 		return nil
 	}
 	q.awaitProof(UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events})
 	if !q.Crashes.HasEnded(clock.Now(), t) {
+		q.endProof = "listens"
 		return nil
 	}
 	e := q.truncatedErr(a, errors.New("the target ended with its answer"))
