--- a/stand/target.go
+++ b/stand/target.go
@@ -37,6 +37,11 @@
 	Skips         Behaviour = "skips"    // omits an event of a stream
 	StatesLength  Behaviour = "states"   // states a body of 8 MB and sends one byte, for 500 ms
 	BadEventID    Behaviour = "bad id"   // sends an event whose id is no number
+	FromStart     Behaviour = "start"    // begins a stream at its first event, whatever the caller has
+	Again         Behaviour = "again"    // begins with the last event that the caller has
+	Ahead         Behaviour = "ahead"    // omits the first two events
+	Notes         Behaviour = "notes"    // sends a comment and an event without id behind each event
+	NotFound      Behaviour = "missing"  // answers with 404, as if the stream were not known
 )
 
 // Framing is how the end of an answer is marked.
@@ -379,6 +384,11 @@
 	if behaviour == Unsigned {
 		w.Header().Del("Server-Signature")
 	}
+	if behaviour == NotFound {
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = io.WriteString(w, "no such stream")
+		return
+	}
 	if strings.Contains(run.Path, "/stream/") {
 		t.stream(w, r, behaviour)
 		return
@@ -458,6 +468,9 @@
 	_, _ = rw.ReadByte()
 }
 
+// Note is a comment and an event without id, as a target with the behaviour Notes sends them.
+const Note = ": still there\n\ndata: note\n\n"
+
 // Event returns an event of a stream as a target with the given build sends it.
 func Event(id int, build string) string {
 	if build == "" {
@@ -503,6 +516,14 @@
 func (t *Target) stream(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	switch behaviour {
+	case FromStart:
+		from = 0
+	case Again:
+		from = max(from-1, 0)
+	case Ahead:
+		from += 2
+	}
 	t.setStreamLength(w.Header(), from)
 	for id := from + 1; id <= t.EventCount; id++ {
 		if behaviour == Cuts && id == from+3 {
@@ -517,6 +538,9 @@
 			_, _ = io.WriteString(w, "id: x\n\n")
 		}
 		_, _ = io.WriteString(w, t.event(id))
+		if behaviour == Notes {
+			_, _ = io.WriteString(w, Note)
+		}
 		_ = http.NewResponseController(w).Flush()
 		if t.EventInterval > 0 {
 			t.wait(r, t.EventInterval)
