relay, link, proof: the end of a target is not the end of its answer

Callers got the beginning of a stream, or half of a body, as a whole answer: signed, and complete.

An answer with neither a length nor chunks ends with its connection, and so does a process that dies: its kernel closes in the same way. The relay asked by a new connection whether something listens at the address. A target that is back at once does, and one that was listed as leaving was not asked at all. The log shows proof "listens" at each of the streams that were cut.

Package proof decides by the framing and the state of the process. For answers without a frame the relay holds a second connection to the target, a witness, opened while the answer goes on: it ends with the process that accepted it, whoever takes over the address. A health check on it before and after the end proves the same process; if none can be sent, it is watched for 20 ms. A service that has sent such answers gets its witness before the request, as short answers end too soon. What is left without one, the first short answer of a service at an entry, is decided by the listener and the list, as before, and says so in the log.

--- a/link/call.go
+++ b/link/call.go
@@ -222,6 +222,7 @@
 		a.conn.reset()
 		return
 	}
+	a.conn.proven = true
 	a.pool.put(a.address, a.conn, keepAliveTimeout(a.Header), a.maxIdle)
 }
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -46,6 +46,8 @@
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
 
+	// proven reports whether the target has answered on the connection, so that its process has accepted it.
+	proven    bool
 	br        *bufio.Reader
 	limit     *readLimit
 	idleUntil time.Time
@@ -57,6 +59,8 @@
 	idle map[string][]*Conn
 	// opened counts the connections opened by the pool.
 	opened int64
+	// probed counts the probes.
+	probed int64
 }
 
 // Dial opens a TCP connection that fails if the peer becomes unresponsive.
@@ -202,6 +206,13 @@
 	return p.opened
 }
 
+// Probed returns the number of probes.
+func (p *Pool) Probed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.probed
+}
+
 // IsIdle reports whether the connection is open with no bytes to read. Bytes that arrive while no
 // request is in progress belong to no request: a late second response would be taken for that of
 // the next request.
@@ -217,6 +228,19 @@
 	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
 }
 
+// control calls f with the file descriptor. Unlike Read, it does not wait for concurrent reads.
+func (c *Conn) control(f func(fd int)) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
+}
+
 // errNoSocket is the error for a connection that is not a socket.
 var errNoSocket = errors.New("connection is not a socket")
 
--- a/link/probe.go
+++ b/link/probe.go
@@ -22,6 +22,9 @@
 
 // Probe opens a connection to an address and keeps it for the next request.
 func (p *Pool) Probe(address string) ProbeResult {
+	p.mu.Lock()
+	p.probed++
+	p.mu.Unlock()
 	c, err := p.open(context.Background(), address, dialTimeout)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return Refused
--- /dev/null
+++ b/link/witness.go
@@ -0,0 +1,205 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/proof"
+)
+
+const (
+	// witnessPoll is how often a witness is checked while the answer goes on.
+	witnessPoll = 50 * time.Millisecond
+	// witnessSettle is how long the end of a witness can precede that of the answer if their process ended.
+	witnessSettle = 20 * time.Millisecond
+	// witnessTimeout limits the wait for the answer that proves that a process lives.
+	witnessTimeout = 150 * time.Millisecond
+	// maxWitnesses is how often a connection is opened for one answer; a target can close idle ones.
+	maxWitnesses = 4
+)
+
+// Witness is a second connection to a target that is sending an answer without length or chunks. While the
+// process that accepted it lives, the connection is open; when that process dies, it ends together with
+// that of the answer, even if another process takes over the address at once.
+type Witness struct {
+	pool    *Pool
+	address string
+	maxIdle int
+	// path is that of a health check: its answer shows that the process has accepted the connection. If it
+	// is empty, nothing is sent.
+	path string
+	// stop ends run, which then closes done. Until that, run alone uses the two fields below.
+	stop      context.CancelFunc
+	done      chan struct{}
+	conn      *Conn
+	confirmed bool
+
+	mu sync.Mutex
+	// answer is the connection of the answer; nil until its head has arrived.
+	answer *Conn
+}
+
+// Witness opens a witness for the next answer of a target, or takes an idle connection that has carried a
+// request. The caller must call Confirm or Release.
+func (p *Pool) Witness(address, healthPath string, maxIdle int) *Witness {
+	ctx, stop := context.WithCancel(context.Background())
+	w := &Witness{pool: p, address: address, maxIdle: maxIdle, path: healthPath, stop: stop, done: make(chan struct{})}
+	if c := p.popIdle(address); c != nil && c.proven && IsIdle(c.Conn) {
+		w.conn, w.confirmed = c, true
+	} else if c != nil {
+		_ = c.Close()
+	}
+	go w.run(ctx)
+	return w
+}
+
+// Attach sets the answer whose end the witness is to prove.
+func (w *Witness) Attach(a *Response) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answer = a.conn
+}
+
+// run keeps a connection open until Confirm or Release. It replaces one that the target has closed while
+// the answer goes on.
+func (w *Witness) run(ctx context.Context) {
+	defer close(w.done)
+	for range maxWitnesses {
+		if w.conn == nil && !w.open(ctx) {
+			return
+		}
+		if !w.waitEnd(ctx) || !w.isAnswerOpen() {
+			return
+		}
+		_ = w.conn.Close()
+		w.conn, w.confirmed = nil, false
+	}
+}
+
+// open opens a connection and sends a health check on it. It returns false if there is none, or if the
+// answer ended before: another process can have accepted the connection then.
+func (w *Witness) open(ctx context.Context) bool {
+	c, err := w.pool.open(ctx, w.address, dialTimeout)
+	if err != nil {
+		return false
+	}
+	if ctx.Err() != nil || !w.isAnswerOpen() {
+		c.reset()
+		return false
+	}
+	w.conn = c
+	if w.path == "" {
+		return true
+	}
+	err = c.checkHealth(w.path, witnessTimeout)
+	switch {
+	case err == nil:
+		w.confirmed = true
+	case IsClosed(c.Conn):
+		w.path = "" // a target that closes after each answer keeps a connection without a request
+	}
+	return true
+}
+
+// waitEnd waits until the connection ends, and for as long again as the answer may take to end with it. It
+// returns false once ctx ends.
+func (w *Witness) waitEnd(ctx context.Context) bool {
+	for !IsClosed(w.conn.Conn) {
+		if !clock.Sleep(ctx, witnessPoll) {
+			return false
+		}
+	}
+	return clock.Sleep(ctx, witnessSettle)
+}
+
+// isAnswerOpen reports whether the target has not yet closed the connection of the answer.
+func (w *Witness) isAnswerOpen() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answer == nil || !hasPeerShutdown(w.answer)
+}
+
+// Confirm returns the state of the process after the end of its answer. If quiet is set, it sends nothing.
+func (w *Witness) Confirm(quiet bool) proof.Process {
+	w.stop()
+	<-w.done
+	switch {
+	case w.conn == nil:
+		return proof.Unknown
+	case quiet || !w.confirmed || w.path == "":
+		return w.observe()
+	case w.conn.checkHealth(w.path, witnessTimeout) == nil:
+		w.pool.put(w.address, w.conn, 0, w.maxIdle)
+		return proof.Lives
+	}
+	defer w.conn.reset()
+	if IsClosed(w.conn.Conn) {
+		return proof.Ended
+	}
+	return proof.Lives
+}
+
+// observe decides by whether the connection stays open.
+func (w *Witness) observe() proof.Process {
+	defer w.conn.reset()
+	for end := time.Now().Add(witnessSettle); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if IsClosed(w.conn.Conn) {
+			return proof.Ended
+		}
+	}
+	return proof.Lives
+}
+
+// Release ends a witness that is not needed.
+func (w *Witness) Release() {
+	w.stop()
+	<-w.done
+	switch {
+	case w.conn == nil:
+	case w.confirmed:
+		w.pool.put(w.address, w.conn, 0, w.maxIdle)
+	default:
+		w.conn.reset()
+	}
+}
+
+// checkHealth sends a health check on a connection and reads its answer.
+func (c *Conn) checkHealth(path string, timeout time.Duration) error {
+	_ = c.SetDeadline(time.Now().Add(timeout)) // fails only on a closed connection
+	defer func() { _ = c.SetDeadline(time.Time{}) }()
+	h := &Call{Method: http.MethodGet, URI: path, Host: c.RemoteAddr().String(), Header: http.Header{}}
+	if _, err := c.Write(h.message()); err != nil {
+		return err
+	}
+	resp, err := readHead(c, http.MethodGet)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, chestnutstep.MaxHeadBytes)); err != nil {
+		return err
+	}
+	if resp.Close {
+		return io.EOF
+	}
+	c.proven = true
+	return nil
+}
+
+// hasPeerShutdown reports whether the peer has closed its side of the connection, even if bytes before that
+// are still to be read.
+func hasPeerShutdown(c *Conn) bool {
+	closed := false
+	_ = c.control(func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		closed = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return closed
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,8 @@
 	// sharedBytes counts the bytes of all requests' buffers beyond freeBufferBytes of each.
 	sharedBytes atomic.Int64
 	segments    segmentList
+	// unframed holds the names of the services that have sent answers without length or chunks.
+	unframed sync.Map
 }
 
 // Drain makes the relay ask callers to close their connections.
@@ -88,6 +91,8 @@
 	failureAnswer *bufferedAnswer
 	// answerHead is the head of the answer to the current attempt; zero if there is none.
 	answerHead answerHead
+	// witness is the witness of the current answer if that has neither a length nor chunks.
+	witness *link.Witness
 	// endProof states, for the log, what proved the end of an answer without length or chunks.
 	endProof string
 	// stream is the part of a stream that was already sent to the caller.
--- a/relay/run.go
+++ b/relay/run.go
@@ -99,11 +99,15 @@
 	}
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
+	defer q.releaseWitness()
+	witness := q.prepareWitness(c)
 	answer, err := q.send(ctx, c)
 	if err != nil {
+		q.witness = witness
 		q.recordFailure(run, t, err)
 		return false, err
 	}
+	q.watchEnd(t, answer, witness)
 	q.answerHead = answerHead{answer.Status, answer.Framing(), q.Codec.TargetHeaders(answer.Status, answer.Header)}
 	if q.isOwnAnswer() {
 		q.RecordAnswer(t, q.callerHeaders.ID, q.answerHead.TargetHeaders)
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -1,31 +1,119 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/pause"
+	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/roster"
 )
 
-// checkEnd returns an error if the end of an answer may be that of its target: an answer with neither
-// a length nor chunks ends with its connection, and so does a target. The caller must not take what
-// it received for the whole answer.
-func (q *request) checkEnd(t *roster.Target, a *link.Response) error {
-	if !a.IsCloseDelimited() {
+// restartHold is how long the end of an answer is held if nothing but a listener at its target's address
+// speaks for it: a target that has started again is listed with another start time soon after.
+const restartHold = 60 * time.Millisecond
+
+// prepareWitness opens a witness before the request is sent if the service has sent answers without length
+// or chunks before: a short one ends too soon to open it after its head. It returns nil otherwise.
+func (q *request) prepareWitness(c *board.Choice) *link.Witness {
+	if _, ok := q.unframed.Load(q.service.Name); !ok {
 		return nil
 	}
-	if q.isEndPlanned(t) {
-		q.endProof = "planned"
-		return nil
+	return q.newWitness(c.Target)
+}
+
+func (q *request) newWitness(t *roster.Target) *link.Witness {
+	path := q.service.HealthPath
+	if q.isPaused(t) {
+		path = ""
 	}
-	q.awaitProof(UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events})
-	if !q.Crashes.HasEnded(clock.Now(), t) {
-		q.endProof = "listens"
+	return q.Pool.Witness(t.Address, path, link.MaxIdle(q.service.MaxConnections, q.Board.EntryCount()))
+}
+
+// watchEnd attaches a witness to an answer without length or chunks, and releases it otherwise.
+func (q *request) watchEnd(t *roster.Target, a *link.Response, w *link.Witness) {
+	if !a.IsCloseDelimited() {
+		if w != nil {
+			w.Release()
+		}
+		return
+	}
+	q.unframed.Store(q.service.Name, true)
+	if w == nil {
+		w = q.newWitness(t)
+	}
+	w.Attach(a)
+	q.witness = w
+}
+
+// releaseWitness ends the witness of an attempt that failed.
+func (q *request) releaseWitness() {
+	if q.witness != nil {
+		q.witness.Release()
+		q.witness = nil
+	}
+}
+
+// isPaused reports whether a target must receive nothing now.
+func (q *request) isPaused(t *roster.Target) bool {
+	return q.Pauses.State(clock.Now(), pause.InstanceOf(&t.Instance)).Blocked()
+}
+
+// checkEnd returns an error unless it is proven that an answer that was read to its end is whole.
+func (q *request) checkEnd(t *roster.Target, a *link.Response) error {
+	end := proof.End{Framing: proof.Framed}
+	if a.IsCloseDelimited() {
+		end.Framing = proof.Unframed
+		end.Process = q.witness.Confirm(q.isPaused(t))
+		q.witness = nil
+		q.endProof = end.Process.String()
+	}
+	verdict := proof.Judge(end)
+	if verdict == proof.Unproven {
+		verdict = q.judgeByListener(t)
+	}
+	if a.IsCloseDelimited() {
+		q.Meters.Ends.Add(1, q.endProof)
+	}
+	if verdict == proof.Whole {
 		return nil
 	}
 	e := q.truncatedErr(a, errors.New("the target ended with its answer"))
 	e.PeerClosed = e.Reason == chestnutstep.ReasonShort
 	return e
 }
+
+// judgeByListener decides on an answer that ended before there was a witness. A listener at the address is
+// weak evidence, as another process can have taken it over; one that is listed with another start time has.
+func (q *request) judgeByListener(t *roster.Target) proof.Verdict {
+	if q.isPaused(t) {
+		q.endProof = "paused"
+		return proof.Whole // nothing may be asked
+	}
+	if q.hasListenerEnded(t) {
+		q.endProof = "refused"
+		return proof.Cut
+	}
+	clock.Sleep(q.ctx, restartHold)
+	if listed := q.Roster.View().ByID[t.ID]; listed != nil && listed.StartedMs != t.StartedMs {
+		q.endProof = "replaced"
+		return proof.Cut
+	}
+	q.endProof = "listens"
+	return proof.Whole
+}
+
+// hasListenerEnded reports whether no process listens at the target's address. The run counts as broken
+// until the list of targets shows that its target lives, unless its end is planned.
+func (q *request) hasListenerEnded(t *roster.Target) bool {
+	if q.isEndPlanned(t) {
+		return q.Pool.Probe(t.Address) == link.Refused
+	}
+	q.awaitProof(UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events})
+	return q.Crashes.HasEnded(clock.Now(), t)
+}
--- a/routing.go
+++ b/routing.go
@@ -99,6 +99,8 @@
 	// MaxConnections is the number of connections that a target accepts from all entries
 	// together; 0 if unknown.
 	MaxConnections int
+	// HealthPath is the path of a target's health check; empty if it has none.
+	HealthPath string
 	// IsEngine reports whether targets cache prompts and can fetch them from each other.
 	IsEngine bool
 	// LatencyObjective is the shortest objective of all routes to the service; 0 if none has
