agent: the end of a plain service is not the end of its answer

A plain service that states no boot id was killed in the middle of an answer without length or chunks and was back at once: its caller got 200 with half of the body, as a whole one. The agent asked by a probe for another boot id, and there was none to compare.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chestnutstep.example/chestnutstep"
@@ -16,6 +17,7 @@
 	"chestnutstep.example/chestnutstep/chart"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/pause"
+	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -59,6 +61,8 @@
 	// a connection for each request. See Clients for the reason.
 	PooledClient   *http.Client
 	UnpooledClient *http.Client
+	// Witness returns a witness of the process at an address; it is nil, or checks health at the path.
+	Witness func(address, healthPath string) proof.Witness
 	// Dial connects to another agent, and Ranker ranks the targets of a chat. Both are needed to
 	// move KV caches; nil disables moving them.
 	Dial   func(addr string) (wire.AgentClient, error)
@@ -93,6 +97,8 @@
 	appliedView    *chestnutstep.View
 	appliedVersion uint64
 	health         health
+	// sendsUnframed is set once the target has sent an answer without length or chunks.
+	sendsUnframed atomic.Bool
 	// pauses tracks until when the target asked to receive nothing; startedAt is the reference of its
 	// times.
 	pauses    pause.Tracker
--- a/agent/call.go
+++ b/agent/call.go
@@ -8,7 +8,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -130,11 +130,29 @@
 	res.run = a.Issuer.MarkUnsent(now, j.offer.Ticket).Run
 }
 
+// usedConn is the last connection of a call.
+type usedConn struct {
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+func (c *usedConn) set(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+}
+
+func (c *usedConn) get() net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn
+}
+
 func (j *job) call(ctx context.Context) callResult {
-	// connected is set once the request had a connection: net/http retries by itself when a reused
+	// conn is set once the request had a connection: net/http retries by itself when a reused
 	// connection breaks, and then returns the error of its last attempt only.
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var conn usedConn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn.set(info.Conn) }}
 	rq, err := j.newRequest(httptrace.WithClientTrace(ctx, trace))
 	if err != nil {
 		return callResult{outcome: chestnutstep.OutcomeFailed, reason: chestnutstep.ReasonHeader, unsent: true}
@@ -152,18 +170,21 @@
 	if j.replay(ctx) {
 		return servedResult
 	}
+	defer j.releaseWitness()
+	j.prepareWitness()
 	rs, err := j.agent.send(client, rq)
 	if res, ok := unsentResult(err); ok {
 		return res
 	}
 	if err != nil {
-		return j.callError(ctx, err, connected.Load())
+		return j.callError(ctx, err, conn.get() != nil)
 	}
 	defer rs.Body.Close()
 	if !j.isOwnAnswer(rs) {
 		return callResult{outcome: chestnutstep.OutcomeFailed, reason: chestnutstep.ReasonCrossed, run: chestnutstep.RunMaybe}
 	}
 	j.agent.health.observeBoot(j, rs.Header.Get(chestnutstep.HeaderBootID))
+	j.watchEnd(rs, conn.get())
 	h := answerHead(rs)
 	j.recordHead(h)
 	j.log.SetHead(h)
--- a/agent/copy.go
+++ b/agent/copy.go
@@ -12,6 +12,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/proof"
 )
 
 const (
@@ -36,7 +37,7 @@
 	tail := &tail{terminator: j.agent.streamTerminator(rs)}
 	for try := 0; ; try++ {
 		err := j.copyBody(body, tail)
-		if tail.isEnded() || err == nil && tail.isComplete() && !j.endedWithTarget(rs, tail) {
+		if j.judgeEnd(rs, tail, err) == proof.Whole {
 			j.log.Finish()
 			j.readToEnd(body)
 			return servedResult
@@ -60,16 +61,36 @@
 	return callResult{outcome: chestnutstep.OutcomeFailed, reason: chestnutstep.ReasonShort, run: chestnutstep.RunYes}
 }
 
-// endedWithTarget reports whether the end of an answer may be that of its target. An answer with
-// neither a length, chunks nor a last event ends with its connection, and so does a target.
-func (j *job) endedWithTarget(rs *http.Response, t *tail) bool {
-	if t.terminator != "" || rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0 {
-		return false
+// judgeEnd decides whether an answer whose body was read up to an error, nil for its end, is whole.
+func (j *job) judgeEnd(rs *http.Response, t *tail, err error) proof.Verdict {
+	end := proof.End{Framing: proof.Framed, Err: err}
+	switch {
+	case t.terminator != "":
+		end.Framing = proof.Marked
+		end.HasMarker = t.isEnded() || err == nil && t.isComplete()
+	case !isFramed(rs):
+		end.Framing = proof.Unframed
+		if err == nil {
+			end.Process = j.confirmProcess()
+		}
+	}
+	verdict := proof.Judge(end)
+	if verdict == proof.Unproven {
+		verdict = j.judgeByProbe()
 	}
+	return verdict
+}
+
+// judgeByProbe decides on an answer that ended before there was a witness, by whether a probe finds another
+// process. One that states no boot id can't be told from the one before.
+func (j *job) judgeByProbe() proof.Verdict {
 	j.agent.health.check(j.agent)
 	j.agent.mu.Lock()
 	defer j.agent.mu.Unlock()
-	return j.agent.health.crashCount != j.crashesAtStart
+	if j.agent.health.crashCount != j.crashesAtStart {
+		return proof.Cut
+	}
+	return proof.Whole
 }
 
 // readToEnd reads the body of a complete answer to its end, as net/http reuses the connection only
--- a/agent/health.go
+++ b/agent/health.go
@@ -20,6 +20,8 @@
 	// probeTimeout is the timeout of a probe. A target that doesn't answer in this time is slow,
 	// not crashed: only a refused or dropped connection or a new boot id counts as a crash.
 	probeTimeout = 500 * time.Millisecond
+	// loadPath is the path of the target's load report.
+	loadPath = "/control/load"
 	// maxControlBytes limits the size of a load report or of a list of cache events in bytes.
 	maxControlBytes = 1 << 20
 )
@@ -84,7 +86,7 @@
 func (a *Agent) probe() (loadReport, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, a.URL+"/control/load", nil)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, a.URL+loadPath, nil)
 	if err != nil {
 		return loadReport{}, errors.Wrap(err, "probe")
 	}
--- a/agent/job.go
+++ b/agent/job.go
@@ -7,6 +7,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/answer"
+	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -58,6 +59,9 @@
 	mayReplay bool
 	// crashesAtStart is the value of health.crashCount when the job started.
 	crashesAtStart int
+	// witness shows whether the target's process lives at the end of the answer; nil if that has a length,
+	// chunks or a last event. Only the goroutine of the call uses it.
+	witness proof.Witness
 	// cancelCall cancels the call to the target.
 	cancelCall context.CancelFunc
 }
--- a/link/call.go
+++ b/link/call.go
@@ -229,6 +229,9 @@
 // IsCloseDelimited reports whether the body ends only with the connection.
 func (a *Response) IsCloseDelimited() bool { return a.Length < 0 && len(a.resp.TransferEncoding) == 0 }
 
+// Conn returns the connection of the response.
+func (a *Response) Conn() net.Conn { return a.conn.Conn }
+
 // Framing returns how the end of the body is marked: length, chunks or close.
 func (a *Response) Framing() string {
 	switch {
--- a/link/pool.go
+++ b/link/pool.go
@@ -228,9 +228,9 @@
 	return err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
 }
 
-// control calls f with the file descriptor. Unlike Read, it does not wait for concurrent reads.
-func (c *Conn) control(f func(fd int)) error {
-	sc, ok := c.Conn.(syscall.Conn)
+// control calls f with the file descriptor of a connection. Unlike Read, it does not wait for concurrent reads.
+func control(c net.Conn, f func(fd int)) error {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return errNoSocket
 	}
--- a/link/witness.go
+++ b/link/witness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -43,15 +44,15 @@
 
 	mu sync.Mutex
 	// answer is the connection of the answer; nil until its head has arrived.
-	answer *Conn
+	answer net.Conn
 }
 
 // Witness opens a witness for the next answer of a target, or takes an idle connection that has carried a
 // request. The caller must call Confirm or Release.
-func (p *Pool) Witness(address, healthPath string, maxIdle int) *Witness {
+func (p *Pool) Witness(address, healthPath string, maxIdle int) proof.Witness {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &Witness{pool: p, address: address, maxIdle: maxIdle, path: healthPath, stop: stop, done: make(chan struct{})}
-	if c := p.popIdle(address); c != nil && c.proven && IsIdle(c.Conn) {
+	if c := p.popIdle(address); c != nil && c.proven && time.Now().Before(c.idleUntil) && IsIdle(c.Conn) {
 		w.conn, w.confirmed = c, true
 	} else if c != nil {
 		_ = c.Close()
@@ -60,11 +61,11 @@
 	return w
 }
 
-// Attach sets the answer whose end the witness is to prove.
-func (w *Witness) Attach(a *Response) {
+// Attach sets the connection of the answer whose end the witness is to prove.
+func (w *Witness) Attach(answer net.Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.answer = a.conn
+	w.answer = answer
 }
 
 // run keeps a connection open until Confirm or Release. It replaces one that the target has closed while
@@ -194,9 +195,9 @@
 
 // hasPeerShutdown reports whether the peer has closed its side of the connection, even if bytes before that
 // are still to be read.
-func hasPeerShutdown(c *Conn) bool {
+func hasPeerShutdown(c net.Conn) bool {
 	closed := false
-	_ = c.control(func(fd int) {
+	_ = control(c, func(fd int) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(fds, 0)
 		closed = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
--- a/node/agent.go
+++ b/node/agent.go
@@ -18,7 +18,9 @@
 	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/gate"
+	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/mean"
+	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/route"
 	"chestnutstep.example/chestnutstep/ticket"
 	"chestnutstep.example/chestnutstep/wire"
@@ -99,6 +101,7 @@
 		Sampler:        n.sampler,
 		Answers:        &answer.Store{TTL: n.settings.Keep.MaxAge.Std(), MaxBytes: n.settings.Keep.MaxBytes},
 		PooledClient:   pooled,
+		Witness:        newWitnesses(),
 		UnpooledClient: unpooled,
 		Linger:         n.settings.Linger.Std(),
 		Dial:           n.dial,
@@ -170,3 +173,14 @@
 	}
 	return []admin.Domain{{Name: d.Name, Region: d.Region, Out: d.Out, Targets: []admin.Target{target}}}
 }
+
+// maxIdleWitnesses is the number of idle connections for witnesses that an agent keeps.
+const maxIdleWitnesses = 4
+
+// newWitnesses returns a function that opens witnesses of a target's process.
+func newWitnesses() func(address, healthPath string) proof.Witness {
+	pool := &link.Pool{}
+	return func(address, healthPath string) proof.Witness {
+		return pool.Witness(address, healthPath, maxIdleWitnesses)
+	}
+}
--- a/proof/proof.go
+++ b/proof/proof.go
@@ -2,6 +2,20 @@
 // agents ask it before they let an answer end for its caller.
 package proof
 
+import "net"
+
+// Witness shows whether the process that sends an answer lives when the answer has ended. Confirm or Release
+// must be called once.
+type Witness interface {
+	// Attach sets the connection of the answer.
+	Attach(answer net.Conn)
+	// Confirm returns the state of the process after the end of the answer. If quiet is set, it sends
+	// nothing.
+	Confirm(quiet bool) Process
+	// Release ends a witness that is not needed.
+	Release()
+}
+
 // Framing is how the end of an answer is marked.
 type Framing uint8
 
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -14,7 +14,7 @@
 
 // TestJudge guards against an end that counts as that of the answer without a proof.
 func TestJudge(t *testing.T) {
-	datadriven.RunTest(t, "testdata/ends", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, "testdata/ends", func(_ *testing.T, d *datadriven.TestData) string {
 		e := proof.End{Framing: framings[d.Cmd], HasMarker: d.HasArg("marker")}
 		if d.HasArg("error") {
 			e.Err = io.ErrUnexpectedEOF
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -20,6 +20,7 @@
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/pause"
+	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
 )
@@ -92,7 +93,7 @@
 	// answerHead is the head of the answer to the current attempt; zero if there is none.
 	answerHead answerHead
 	// witness is the witness of the current answer if that has neither a length nor chunks.
-	witness *link.Witness
+	witness proof.Witness
 	// endProof states, for the log, what proved the end of an answer without length or chunks.
 	endProof string
 	// stream is the part of a stream that was already sent to the caller.
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -20,14 +20,14 @@
 
 // prepareWitness opens a witness before the request is sent if the service has sent answers without length
 // or chunks before: a short one ends too soon to open it after its head. It returns nil otherwise.
-func (q *request) prepareWitness(c *board.Choice) *link.Witness {
+func (q *request) prepareWitness(c *board.Choice) proof.Witness {
 	if _, ok := q.unframed.Load(q.service.Name); !ok {
 		return nil
 	}
 	return q.newWitness(c.Target)
 }
 
-func (q *request) newWitness(t *roster.Target) *link.Witness {
+func (q *request) newWitness(t *roster.Target) proof.Witness {
 	path := q.service.HealthPath
 	if q.isPaused(t) {
 		path = ""
@@ -36,7 +36,7 @@
 }
 
 // watchEnd attaches a witness to an answer without length or chunks, and releases it otherwise.
-func (q *request) watchEnd(t *roster.Target, a *link.Response, w *link.Witness) {
+func (q *request) watchEnd(t *roster.Target, a *link.Response, w proof.Witness) {
 	if !a.IsCloseDelimited() {
 		if w != nil {
 			w.Release()
@@ -47,7 +47,7 @@
 	if w == nil {
 		w = q.newWitness(t)
 	}
-	w.Attach(a)
+	w.Attach(a.Conn())
 	q.witness = w
 }
 
