agent: a cut last event ends no stream without chunks

A stream that ended with its connection counted as whole once the text of its last event had come, also within the data of another event or without the rest of it: an engine that ended there cut the answer without a sign. Such a stream ends with its complete last event now. One with chunks is as before, as its frame proves the end. TestCutLastEventEndsNothing fails on the code before.

--- a/agent/copy.go
+++ b/agent/copy.go
@@ -67,7 +67,7 @@
 	switch {
 	case t.terminator != "":
 		end.Framing = proof.Marked
-		end.HasMarker = t.isEnded() || err == nil && t.isComplete()
+		end.HasMarker = t.isEnded() || err == nil && isFramed(rs) && t.isComplete()
 	case !isFramed(rs):
 		end.Framing = proof.Unframed
 		if err == nil {
