relay, cursor: the first event follows what the caller has

A caller that took a stream up after event 2 got it from event 1, 2 or 5, whole, if its target began there; one without any event got a stream from event 3. The relay compared the events of one answer with each other. What the caller brought was forwarded and never compared with what came back.

Package cursor holds the one position of a caller, set from its request, and decides on the first event, each later one and each continuation. A first event that is wrong is not sent; another target may still do it right. A fresh stream begins with 1, or with 0.

--- a/relay/log.go
+++ b/relay/log.go
@@ -29,12 +29,10 @@
 		event.Str("build", c.Target.Build), event.Int("after", q.resumePoint()), event.Str("resumes", q.callerHeaders.Resumes))
 }
 
-// resumePoint returns the number of the event after which the stream continues; 0 if it begins.
+// resumePoint returns the id of the last event that the caller has; 0 if it has none.
 func (q *request) resumePoint() int64 {
-	if q.stream.started {
-		return q.stream.lastID
-	}
-	return q.callerHeaders.LastEventID
+	last, _ := q.stream.cursor.Last()
+	return last
 }
 
 // sharedParts returns the ids of the parts of the prompt that other requests can share, as text.
@@ -61,7 +59,7 @@
 	q.Meters.Tries.Add(1, q.service.Name, "ok")
 	q.log(event.RelayDone,
 		event.Str("route", q.route.Name), event.Str("target", t.ID), event.Int("tries", int64(q.attempts.Sent)),
-		event.Dur("took", time.Since(q.startedAt)), event.Int("last", q.stream.lastID), event.Bool("leaving", q.answerHead.IsLeaving),
+		event.Dur("took", time.Since(q.startedAt)), event.Int("last", q.resumePoint()), event.Bool("leaving", q.answerHead.IsLeaving),
 		event.Str("framing", q.answerHead.framing), event.Int("first", q.stream.firstID), event.Int("after", q.callerHeaders.LastEventID), event.Str("proof", q.endProof))
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/cursor"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
@@ -116,6 +117,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{Relay: e, w: w, r: r, startedAt: time.Now(), callerHeaders: e.Codec.CallerHeaders(r.Header), view: e.Roster.View()}
+	if q.callerHeaders.IsResume {
+		q.stream.cursor = cursor.After(q.callerHeaders.LastEventID)
+	}
 	if refused := q.accept(); refused != nil {
 		q.refuse(*refused)
 		return
--- a/relay/run.go
+++ b/relay/run.go
@@ -154,12 +154,10 @@
 		}
 	}
 	s := chestnutstep.ForwardHeaders{
-		Instance:    c.ID,
-		Timeout:     time.Until(q.deadline),
-		FetchFrom:   c.Donor.Address,
-		Urgency:     chestnutstep.UrgencyUnset,
-		IsResume:    q.callerHeaders.IsResume,
-		LastEventID: q.callerHeaders.LastEventID,
+		Instance:  c.ID,
+		Timeout:   time.Until(q.deadline),
+		FetchFrom: c.Donor.Address,
+		Urgency:   chestnutstep.UrgencyUnset,
 	}
 	if q.workspace != nil {
 		s.Workspace = q.workspace.Name
@@ -167,9 +165,7 @@
 	if q.service.IsEngine {
 		s.Urgency = q.urgency()
 	}
-	if q.stream.started {
-		s.IsResume, s.LastEventID = true, q.stream.lastID
-	}
+	s.LastEventID, s.IsResume = q.stream.cursor.Last()
 	q.Codec.SetForwardHeaders(h, s)
 	return &link.Call{
 		Method:         q.r.Method,
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -14,6 +14,7 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/cursor"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/roster"
 )
@@ -27,10 +28,11 @@
 	maxErrorText = 64
 )
 
-// stream is the state of the stream sent to the caller.
+// stream is the state of the caller's stream.
 type stream struct {
 	started bool
-	lastID  int64
+	// cursor is the position of the caller, whatever attempt and target the events came from.
+	cursor cursor.Cursor
 	// build is the build of the target that sent the first event, in this attempt of the caller or an
 	// earlier one; empty if it is unknown.
 	build string
@@ -63,9 +65,9 @@
 		if q.stream.events++; q.stream.events == 1 {
 			q.stream.firstID = id
 		}
-		if err := q.checkOrder(id); err != nil {
+		if err := q.stream.cursor.Advance(id); err != nil {
 			a.Close(false)
-			return err
+			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: err}
 		}
 		q.beginStream(t, a)
 		if _, err := q.w.Write(raw); err != nil {
@@ -76,21 +78,9 @@
 			a.Close(false)
 			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCanceled, Err: err}
 		}
-		q.stream.lastID = id
 	}
 }
 
-// checkOrder returns an error if the event is not the next one.
-func (q *request) checkOrder(id int64) error {
-	if q.stream.started && id != q.stream.lastID+1 {
-		return link.ErrCall{
-			Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed,
-			Err: errors.Newf("stream out of order: event %d after %d", id, q.stream.lastID),
-		}
-	}
-	return nil
-}
-
 // beginStream sends the head of the answer before the first event. If another target continues the
 // stream, the head remains that of the first one.
 func (q *request) beginStream(t *roster.Target, a *link.Response) {
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -61,7 +61,7 @@
 		event.Str("target", t.ID), event.Str("reason", string(e.Reason)), event.Str("run", string(e.Run)),
 		event.Int("status", int64(q.answerHead.status)), event.Str("retry", q.answerHead.RetryAfter), event.Bool("leaving", q.answerHead.IsLeaving),
 		event.Str("framing", q.answerHead.framing), event.Int("first", q.stream.firstID), event.Int("after", q.callerHeaders.LastEventID),
-		event.Bool("reused", e.Reused), event.Int("last", q.stream.lastID), event.Uint("content", q.content), event.Str("parts", q.sharedParts()), event.Err(e.Err))
+		event.Bool("reused", e.Reused), event.Int("last", q.resumePoint()), event.Uint("content", q.content), event.Str("parts", q.sharedParts()), event.Err(e.Err))
 	q.recordTargetEnd(t, e, callerLeft)
 }
 
