relay: a stream is continued by a stream only

A second target that answered a continuation with 404 had its body written behind the events of the first, and the answer ended as a whole stream. An answer without events is passed on as it is only while the caller has nothing. TestStreamIsContinuedByAStreamOnly failed, passes.

--- a/relay/validate.go
+++ b/relay/validate.go
@@ -35,6 +35,9 @@
 		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: errors.Newf("response belongs to another request: %q", headers.ID)}
 	case !headers.IsSigned || a.Header.Get("Content-Encoding") != "":
 		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonShort, Err: errors.Newf("response with status %d is unsigned or has a content encoding", a.Status)}
+	case q.stream.started && a.Status != http.StatusOK:
+		// Its body would follow the events that the caller has.
+		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: errors.Newf("response with status %d to a stream after event %d", a.Status, q.resumePoint())}
 	}
 	return nil
 }
