relay: only a resumable stream is taken up, at a position that is a number

Both get 400 before anything is sent, as no later try can be served. TestOnlyResumableStreamsAreTakenUp: 503 with a time to come back before.

--- a/header_codec.go
+++ b/header_codec.go
@@ -23,6 +23,8 @@
 	// IsResume reports whether the caller has already received the events up to LastEventID.
 	IsResume    bool
 	LastEventID int64
+	// HasInvalidEventID reports whether the caller names a last event that is no number of an event.
+	HasInvalidEventID bool
 	// Resumes is the ID of the caller's attempt that received the first event of the stream; empty
 	// if the caller names none.
 	Resumes string
--- a/relay/build.go
+++ b/relay/build.go
@@ -25,7 +25,13 @@
 // resolveBuild binds a request that takes up a stream to the service and build that began it. It
 // returns the refusal if they are unknown or have no target.
 func (q *request) resolveBuild() *refusal {
-	if q.route.Kind != chestnutstep.RouteStream || q.callerHeaders.LastEventID <= 0 {
+	if q.route.Kind != chestnutstep.RouteStream {
+		return nil
+	}
+	if q.callerHeaders.HasInvalidEventID || q.callerHeaders.LastEventID > 0 && !q.route.Resumable {
+		return &refusal{http.StatusBadRequest, chestnutstep.ReasonHeader, 0}
+	}
+	if q.callerHeaders.LastEventID == 0 {
 		return nil
 	}
 	sole, isSole := q.soleBuild()
--- a/relay/order_test.go
+++ b/relay/order_test.go
@@ -102,6 +102,24 @@
 	}
 }
 
+// TestOnlyResumableStreamsAreTakenUp guards against a second run of a stream that must run once, behind the
+// events of the first, and against a position that nothing can be compared with.
+func TestOnlyResumableStreamsAreTakenUp(t *testing.T) {
+	g := newOrdered(t, stand.Plain)
+	for _, id := range []string{"2", "x", "-1"} {
+		assert.Equal(t, g.doRequest(t, "stream", "Last-Event-Id: "+id+"\r\n"), "400", id)
+	}
+	for _, id := range []string{"x", "-1", "99999999999999999999"} {
+		assert.Equal(t, g.doRequest(t, "resume", "Last-Event-Id: "+id+"\r\n"), "400", id)
+	}
+	arrived, _ := g.countRequests()
+	assert.Equal(t, arrived, 0)
+	for _, kind := range []string{"stream", "resume"} {
+		assert.Equal(t, g.received(t, kind, 0, "1.1"), "whole 1 2 3 4 5 6 7 8")
+		assert.Equal(t, g.doRequest(t, kind, "Last-Event-Id: 0\r\n"), "200 signed ids 1 2 3 4 5 6 7 8")
+	}
+}
+
 // TestStreamIsContinuedByAStreamOnly guards against the body of another answer at the end of a stream.
 func TestStreamIsContinuedByAStreamOnly(t *testing.T) {
 	g := newOrdered(t, stand.Plain)
