relay: comments and events without an id pass

A stream was cut at a comment, or at an event that has no id, though its target did everything right: a block without an id counted as event 0. Such blocks pass unchanged now. Those that precede the first event with an id are held until that event was compared with what the caller has, as another target may still have to send it. Behind an event without an id no other target continues: it would send that again.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -36,7 +36,7 @@
 	if wait := q.quarantineWait(now); wait > 0 {
 		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonCondemned, wait}
 	}
-	if q.stream.started && q.stream.build == "" {
+	if q.stream.started && (q.stream.build == "" || !q.stream.cursor.CanContinue()) {
 		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, 0}
 	}
 	criteria := q.criteria()
--- a/relay/order_test.go
+++ b/relay/order_test.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// TestEventWithoutIDIsNotRepeated guards against an event without id that a second target sends again.
+func TestEventWithoutIDIsNotRepeated(t *testing.T) {
+	g := newOrdered(t, stand.Plain)
+	g.order.Set(stand.CutsAtNote, stand.Notes)
+	assert.Equal(t, g.received(t, "resume", 0, "1.1"), "cut 1")
+	g.order.Set(stand.Cuts, stand.Notes)
+	assert.Equal(t, g.received(t, "resume", 0, "1.1"), "whole 1 2 3 4 5 6 7 8")
+}
+
 // TestCutStreamOfOldCallerIsReset guards against a stream that looks whole to a caller of HTTP/1.0, for which
 // it ends with its connection.
 func TestCutStreamOfOldCallerIsReset(t *testing.T) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -44,41 +44,84 @@
 // forwardEvents forwards each event when it was received completely. If a target breaks off in the
 // middle of an event, a part that was already sent could not be continued by another target.
 func (q *request) forwardEvents(run *board.Attempt, t *roster.Target, a *link.Response) error {
-	flush := http.NewResponseController(q.w)
 	events := &eventReader{request: q, br: bufio.NewReaderSize(a, eventBufferBytes)}
-	defer func() { q.release(events.reserved) }()
+	defer events.release()
 	for {
-		raw, id, err := events.next()
-		if err == io.EOF && len(raw) == 0 {
+		e, err := events.next()
+		if err == io.EOF && len(e.raw) == 0 {
 			a.Close(true)
-			if err := q.checkEnd(t, a); err != nil {
-				return err
-			}
-			q.beginStream(t, a) // a stream without events still needs a head
-			return nil
+			return q.endStream(t, a, events.held)
 		}
 		if err != nil {
 			a.Close(false)
 			return q.truncatedErr(a, err)
 		}
 		run.FirstByte(clock.Now())
-		if q.stream.events++; q.stream.events == 1 {
-			q.stream.firstID = id
+		raw, err := q.admitEvent(events, e)
+		if link.IsErrTooLarge(err) {
+			err = q.truncatedErr(a, err)
 		}
-		if err := q.stream.cursor.Advance(id); err != nil {
+		if err != nil {
 			a.Close(false)
-			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: err}
+			return err
+		}
+		if len(raw) == 0 {
+			continue
 		}
 		q.beginStream(t, a)
-		if _, err := q.w.Write(raw); err != nil {
+		if err := q.writeEvent(raw); err != nil {
 			a.Close(false)
-			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCanceled, Err: err}
+			return err
 		}
-		if err := flush.Flush(); err != nil {
-			a.Close(false)
-			return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCanceled, Err: err}
+	}
+}
+
+// admitEvent returns the bytes that the caller gets now: nothing for comments and events without an id that
+// precede the first event with one. They can't be compared with what the caller has, and are held until
+// the event that follows them can. The error is a link.ErrCall if the caller must not get the event, and a
+// link.ErrTooLarge if too much is held.
+func (q *request) admitEvent(events *eventReader, e streamEvent) ([]byte, error) {
+	if !e.hasID {
+		if q.stream.events == 0 {
+			return nil, events.hold(e.raw)
+		}
+		if e.hasData {
+			q.stream.cursor.AddUnnumbered()
 		}
+		return e.raw, nil
 	}
+	if q.stream.events++; q.stream.events == 1 {
+		q.stream.firstID = e.id
+	}
+	if err := q.stream.cursor.Advance(e.id); err != nil {
+		return nil, link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: err}
+	}
+	raw := append(events.held, e.raw...)
+	events.held = nil
+	return raw, nil
+}
+
+// endStream ends a stream whose body was read to its end; rest are bytes that are still held.
+func (q *request) endStream(t *roster.Target, a *link.Response, rest []byte) error {
+	if err := q.checkEnd(t, a); err != nil {
+		return err
+	}
+	q.beginStream(t, a) // a stream without events still needs a head
+	if len(rest) == 0 {
+		return nil
+	}
+	return q.writeEvent(rest)
+}
+
+func (q *request) writeEvent(raw []byte) error {
+	_, err := q.w.Write(raw)
+	if err == nil {
+		err = http.NewResponseController(q.w).Flush()
+	}
+	if err != nil {
+		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCanceled, Err: err}
+	}
+	return nil
 }
 
 // beginStream sends the head of the answer before the first event. If another target continues the
@@ -112,38 +155,76 @@
 	return errors.As(err, &e)
 }
 
+// streamEvent is a block of a stream, up to and with its blank line.
+type streamEvent struct {
+	raw []byte
+	// id is valid if hasID is set; a comment has neither an id nor data.
+	id             int64
+	hasID, hasData bool
+}
+
 // eventReader reads the events of a stream.
 type eventReader struct {
 	request *request
 	br      *bufio.Reader
 	// reserved is the memory that is accounted for the current event.
 	reserved int64
+	// held are blocks without an id that precede the first event with one.
+	held         []byte
+	heldReserved int64
+}
+
+// release ends the accounting for the memory of the reader.
+func (r *eventReader) release() { r.request.release(r.reserved + r.heldReserved) }
+
+// hold keeps a block until the next event. The error is a link.ErrTooLarge if there are too many.
+func (r *eventReader) hold(raw []byte) error {
+	if len(r.held)+len(raw) > maxEventBytes {
+		return link.ErrTooLarge{Part: "event", Limit: maxEventBytes}
+	}
+	size := growthFactor * int64(len(raw))
+	if err := r.request.reserve(size, "event"); err != nil {
+		return err
+	}
+	r.heldReserved += size
+	r.held = append(r.held, raw...)
+	return nil
 }
 
 // next reads up to the blank line that ends an event. At the end of the body it returns io.EOF with
 // the remaining bytes. The error is an ErrEvent or a link.ErrTooLarge if the event can't be read.
-func (r *eventReader) next() (raw []byte, id int64, err error) {
+func (r *eventReader) next() (e streamEvent, err error) {
 	r.request.release(r.reserved)
 	r.reserved = 0
 	for {
-		start := len(raw)
-		if raw, err = r.appendLine(raw); err != nil {
-			return raw, 0, err
+		start := len(e.raw)
+		if e.raw, err = r.appendLine(e.raw); err != nil {
+			return e, err
 		}
-		text := bytes.TrimRight(raw[start:], "\r\n")
+		text := bytes.TrimRight(e.raw[start:], "\r\n")
 		if len(text) == 0 {
-			return raw, id, nil
-		}
-		rest, ok := bytes.CutPrefix(text, []byte("id:"))
-		if !ok {
-			continue
+			return e, nil
 		}
-		if id, err = strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64); err != nil {
-			return raw, 0, ErrEvent{"id", string(rest[:min(len(rest), maxErrorText)])}
+		if err := e.addField(text); err != nil {
+			return e, err
 		}
 	}
 }
 
+// addField adds a line that is not blank. Lines without effect here are left as they are.
+func (e *streamEvent) addField(text []byte) (err error) {
+	e.hasData = e.hasData || bytes.HasPrefix(text, []byte("data"))
+	rest, ok := bytes.CutPrefix(text, []byte("id:"))
+	if !ok {
+		return nil
+	}
+	e.hasID = true
+	if e.id, err = strconv.ParseInt(string(bytes.TrimSpace(rest)), 10, 64); err != nil {
+		return ErrEvent{"id", string(rest[:min(len(rest), maxErrorText)])}
+	}
+	return nil
+}
+
 // appendLine appends the next line of the stream, which can be longer than the buffer of br.
 func (r *eventReader) appendLine(raw []byte) ([]byte, error) {
 	for {
--- a/stand/target.go
+++ b/stand/target.go
@@ -41,6 +41,7 @@
 	Again         Behaviour = "again"    // begins with the last event that the caller has
 	Ahead         Behaviour = "ahead"    // omits the first two events
 	Notes         Behaviour = "notes"    // sends a comment and an event without id behind each event
+	CutsAtNote    Behaviour = "cut note" // closes the connection behind an event without id
 	NotFound      Behaviour = "missing"  // answers with 404, as if the stream were not known
 )
 
@@ -531,6 +532,9 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if behaviour == CutsAtNote && id == from+2 {
+			panic(http.ErrAbortHandler)
+		}
 		if behaviour == Skips && id == from+2 {
 			continue
 		}
@@ -538,7 +542,7 @@
 			_, _ = io.WriteString(w, "id: x\n\n")
 		}
 		_, _ = io.WriteString(w, t.event(id))
-		if behaviour == Notes {
+		if behaviour == Notes || behaviour == CutsAtNote {
 			_, _ = io.WriteString(w, Note)
 		}
 		_ = http.NewResponseController(w).Flush()
