relay, entry, guard: a cut answer of a caller of HTTP/1.0 ends with a reset

For a caller of HTTP/1.0 a stream has no chunks and ends with its connection. The entry cut it by a close, which looks like the end of a whole one; so does the end of the entry's process. While such an answer is under way its connection is set to end with a reset, also by the kernel if the process is killed. That is taken back once the answer is whole. Both paths use package guard.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/guard"
 )
 
 // Links provides connections to agents.
@@ -210,17 +211,19 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), a.deadline)
 	defer cancel()
+	allowEnd := guard.End(r)
 	out := &output{w: w, request: a, clock: e.Clock}
 	k := &dispatcher{entry: e, request: a, output: out}
 	err = k.run(ctx)
 	n := k.newNotice(start, err)
-	if err == nil {
+	if err != nil && out.started {
 		e.Notify(n)
+		out.abort(err)
 		return
 	}
-	if out.started {
+	allowEnd()
+	if err == nil {
 		e.Notify(n)
-		out.abort(err)
 		return
 	}
 	e.writeRefusal(w, err, n)
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -26,6 +26,7 @@
 	"chestnutstep.example/chestnutstep/dial"
 	"chestnutstep.example/chestnutstep/fake"
 	"chestnutstep.example/chestnutstep/gate"
+	"chestnutstep.example/chestnutstep/guard"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/route"
 	"chestnutstep.example/chestnutstep/ticket"
@@ -163,7 +164,9 @@
 		RetryBudget: &retry.TokenBucket{}, FailoverBudget: retry.NewStepBudget(),
 		EntryCount: func() int { return 1 }, Clock: time.Now, Notify: func(Notice) {}, OnOffer: p.onOffer,
 	}
-	s := httptest.NewServer(e)
+	s := httptest.NewUnstartedServer(e)
+	s.Config.ConnContext = guard.ConnContext
+	s.Start()
 	p.t.Cleanup(s.Close)
 	p.entries = append(p.entries, s)
 }
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,3 +115,25 @@
 	assert.Assert(t, strings.Contains(string(body), "event: error"), "%s", body)
 	assert.Assert(t, strings.Contains(string(body), `"code":"short"`), "%s", body)
 }
+
+// TestCutAnswerOfOldCallerIsReset guards against a cut answer that looks whole to a caller of HTTP/1.0, for which
+// it ends with its connection.
+func TestCutAnswerOfOldCallerIsReset(t *testing.T) {
+	p := newCluster(t)
+	assert.NilError(t, p.readAsOldCaller())
+	rs, err := http.Post(p.targets[0]+"/control/fault", "application/json", strings.NewReader(`{"short": 3}`))
+	assert.NilError(t, err)
+	rs.Body.Close()
+	assert.ErrorIs(t, p.readAsOldCaller(), syscall.ECONNRESET)
+}
+
+// readAsOldCaller requests an answer by HTTP/1.0 and returns the error at its end.
+func (p *cluster) readAsOldCaller() error {
+	c, err := net.Dial("tcp", p.entries[0].Listener.Addr().String())
+	assert.NilError(p.t, err)
+	defer c.Close()
+	body := `{"prompt":1,"output":50}`
+	fmt.Fprintf(c, "POST /v1/chat HTTP/1.0\r\nAuthorization: Bearer k\r\n%s: quick\r\nContent-Length: %d\r\n\r\n%s", chestnutstep.HeaderProfile, len(body), body)
+	_, err = io.Copy(io.Discard, c)
+	return err
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -22,6 +22,7 @@
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/feed"
+	"chestnutstep.example/chestnutstep/guard"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/origin"
@@ -129,7 +130,7 @@
 	n.startBackground(workCtx)
 	srv := &http.Server{
 		Handler:           n.relay,
-		ConnContext:       relay.ConnContext,
+		ConnContext:       guard.ConnContext,
 		ReadHeaderTimeout: directHeaderTimeout,
 		IdleTimeout:       relay.IdleTimeout,
 		MaxHeaderBytes:    directMaxHeaderBytes,
--- a/node/entry.go
+++ b/node/entry.go
@@ -19,6 +19,7 @@
 	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/entry"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/guard"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/route"
 )
@@ -110,6 +111,7 @@
 func (n *Entry) httpServer() *http.Server {
 	srv := &http.Server{
 		Handler:           n.entry,
+		ConnContext:       guard.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
 	}
--- a/relay/listen.go
+++ b/relay/listen.go
@@ -225,6 +225,9 @@
 	atRequestStart bool
 }
 
+// NetConn returns the connection that the listener accepted.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // reject answers a request without reading all of it.
 func (c *callerConn) reject(answer []byte) {
 	drain(c.Conn)
--- a/relay/listen_test.go
+++ b/relay/listen_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/poll"
 
 	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/guard"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/stand"
@@ -62,7 +63,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l.Listener = inner
-	srv := &http.Server{Handler: g.relay, ConnContext: relay.ConnContext, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
+	srv := &http.Server{Handler: g.relay, ConnContext: guard.ConnContext, IdleTimeout: relay.IdleTimeout, ReadHeaderTimeout: 5 * time.Second}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(l) }()
 	t.Cleanup(func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,6 +99,8 @@
 	endProof string
 	// stream is the part of a stream that was already sent to the caller.
 	stream stream
+	// allowEnd lets the caller's connection end without a reset, once its stream is whole.
+	allowEnd func()
 	// callerGone reports whether the caller was found to have closed its connection.
 	callerGone bool
 	// trials are the fingerprints of the content or parts for which this run is a trial, because they
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/guard"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/pause"
@@ -82,7 +83,9 @@
 	g.roster.ConfirmVersion(clock.Now())
 	bounds := config.Bounds{MaxRevokeTime: revokeTimeout}
 	g.relay = newRelay(g.roster, bounds, 1)
-	g.server = httptest.NewServer(g.relay)
+	g.server = httptest.NewUnstartedServer(g.relay)
+	g.server.Config.ConnContext = guard.ConnContext
+	g.server.Start()
 	t.Cleanup(g.server.Close)
 	return g
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,6 +15,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/cursor"
+	"chestnutstep.example/chestnutstep/guard"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/roster"
 )
@@ -107,10 +108,13 @@
 		return err
 	}
 	q.beginStream(t, a) // a stream without events still needs a head
-	if len(rest) == 0 {
-		return nil
+	if len(rest) > 0 {
+		if err := q.writeEvent(rest); err != nil {
+			return err
+		}
 	}
-	return q.writeEvent(rest)
+	q.allowEnd()
+	return nil
 }
 
 func (q *request) writeEvent(raw []byte) error {
@@ -134,6 +138,7 @@
 	if q.stream.build == "" {
 		q.recordOrigin(t)
 	}
+	q.allowEnd = guard.End(q.r)
 	q.Meters.FirstByte.Observe(time.Since(q.startedAt), q.routeKind())
 	copyHeader(q.w.Header(), a.Header)
 	q.w.WriteHeader(a.Status)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -110,7 +111,7 @@
 	}
 	req.sentAt = time.Now()
 	defer func() { req.endedAt = time.Now() }()
-	resp, err := c.client.Do(r)
+	resp, err := c.roundTrip(r)
 	if err != nil {
 		req.result = "broken"
 		return
@@ -128,6 +129,45 @@
 	req.result = resultOf(req, resp, err)
 }
 
+// roundTrip sends a request. In a run with StreamsOnly one caller speaks HTTP/1.0, for which a stream ends with
+// its connection.
+func (c *caller) roundTrip(r *http.Request) (*http.Response, error) {
+	if !c.soak.StreamsOnly || c.number != 0 {
+		return c.client.Do(r)
+	}
+	conn, err := net.Dial("tcp", r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Now().Add(callerTimeout)) // fails only on a closed connection
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: %s\r\nContent-Length: %d\r\n", r.URL.Path, r.Host, len(body))
+		_ = r.Header.Write(conn)
+		_, err = fmt.Fprintf(conn, "\r\n%s", body)
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	resp.Body = &connBody{Reader: resp.Body, conn: conn}
+	return resp, nil
+}
+
+// connBody is a body whose connection is closed with it.
+type connBody struct {
+	io.Reader
+	conn net.Conn
+}
+
+// Close closes the connection.
+func (b *connBody) Close() error { return b.conn.Close() }
+
 // eventLimit reads a stream up to the end of some event.
 type eventLimit struct {
 	br     *bufio.Reader
