relay, link: the first answer of a service has a witness, too

An answer without a frame that ended before its witness was there was decided by the listener alone: the first short one of a service at an entry. Now the first request to a service has a witness before it is sent, and waits up to 20 ms for it; so does each request to a service that has sent such answers. If there is none all the same, another target answers again, or goes on behind the last event, where that is allowed.

The soak's targets begin one in five continuations at a wrong event.

--- a/agent/witness.go
+++ b/agent/witness.go
@@ -4,16 +4,23 @@
 	"net"
 	"net/http"
 	"net/url"
+	"time"
 
 	"chestnutstep.example/chestnutstep/proof"
 )
 
+// witnessWait is how long a call waits for its witness; the target is on the same host.
+const witnessWait = 5 * time.Millisecond
+
 // prepareWitness opens a witness of the target's process before the request is sent if the target has sent
 // answers without length or chunks before: a short one ends too soon to open it after its head.
 func (j *job) prepareWitness() {
 	if j.agent.sendsUnframed.Load() {
 		j.openWitness()
 	}
+	if j.witness != nil {
+		j.witness.Await(witnessWait)
+	}
 }
 
 // watchEnd attaches a witness to an answer without length or chunks.
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -21,6 +21,7 @@
 	c.String(&x.build, "", "build", "version of its software, named in each event")
 	c.String(&x.framing, "", "framing", "end of answers: length, chunks or close")
 	c.Int(&x.events, "", "events", "events of a stream")
+	c.Int(&x.astray, "", "astray", "begin each n-th stream that goes on behind an event at another one")
 	c.Duration(&x.interval, "", "interval", "time between two events, and between the halves of a body")
 	c.Bool(&x.inherit, "", "inherit", "take over the listening socket with descriptor 3")
 	return command{c, x.run}
@@ -28,7 +29,7 @@
 
 type targetProcess struct {
 	address, name, build, framing string
-	events                        int
+	events, astray                int
 	interval                      time.Duration
 	inherit                       bool
 }
@@ -40,6 +41,7 @@
 	}
 	t := stand.NewHandler(x.name)
 	t.Build, t.Framing, t.RunLog = x.build, stand.Framing(x.framing), os.Stdout
+	t.AstrayEvery = x.astray
 	t.EventCount, t.EventInterval, t.BodyInterval = x.events, x.interval, x.interval
 	s := &http.Server{Handler: t, ConnState: t.Track}
 	return errors.Wrap(s.Serve(l), "serve")
--- a/link/witness.go
+++ b/link/witness.go
@@ -36,9 +36,11 @@
 	// path is that of a health check: its answer shows that the process has accepted the connection. If it
 	// is empty, nothing is sent.
 	path string
-	// stop ends run, which then closes done. Until that, run alone uses the two fields below.
+	// stop ends run, which then closes done. Until that, run alone uses the two fields below. ready is closed
+	// once there is a connection, or none could be opened.
 	stop      context.CancelFunc
 	done      chan struct{}
+	ready     chan struct{}
 	conn      *Conn
 	confirmed bool
 
@@ -51,7 +53,7 @@
 // request. The caller must call Confirm or Release.
 func (p *Pool) Witness(address, healthPath string, maxIdle int) proof.Witness {
 	ctx, stop := context.WithCancel(context.Background())
-	w := &Witness{pool: p, address: address, maxIdle: maxIdle, path: healthPath, stop: stop, done: make(chan struct{})}
+	w := &Witness{pool: p, address: address, maxIdle: maxIdle, path: healthPath, stop: stop, done: make(chan struct{}), ready: make(chan struct{})}
 	if c := p.popIdle(address); c != nil && c.proven && time.Now().Before(c.idleUntil) && IsIdle(c.Conn) {
 		w.conn, w.confirmed = c, true
 	} else if c != nil {
@@ -72,15 +74,25 @@
 // the answer goes on.
 func (w *Witness) run(ctx context.Context) {
 	defer close(w.done)
-	for range maxWitnesses {
-		if w.conn == nil && !w.open(ctx) {
-			return
-		}
+	found := w.conn != nil || w.open(ctx)
+	close(w.ready)
+	for n := 1; found && n <= maxWitnesses; n++ {
 		if !w.waitEnd(ctx) || !w.isAnswerOpen() {
 			return
 		}
 		_ = w.conn.Close()
 		w.conn, w.confirmed = nil, false
+		found = w.open(ctx)
+	}
+}
+
+// Await waits until there is a connection on which the target has answered, or the limit has passed.
+func (w *Witness) Await(limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-w.ready:
+	case <-t.C:
 	}
 }
 
--- a/proof/proof.go
+++ b/proof/proof.go
@@ -2,11 +2,17 @@
 // agents ask it before they let an answer end for its caller.
 package proof
 
-import "net"
+import (
+	"net"
+	"time"
+)
 
 // Witness shows whether the process that sends an answer lives when the answer has ended. Confirm or Release
 // must be called once.
 type Witness interface {
+	// Await waits until the witness can prove something about an answer to a request that is sent after it,
+	// for up to a limit.
+	Await(limit time.Duration)
 	// Attach sets the connection of the answer.
 	Attach(answer net.Conn)
 	// Confirm returns the state of the process after the end of the answer. If quiet is set, it sends
--- a/relay/order_test.go
+++ b/relay/order_test.go
@@ -261,6 +261,50 @@
 	}
 }
 
+// TestEndWithinTheFirstMoment guards against the beginning of an answer that looks whole because its target died
+// before there was a witness.
+func TestEndWithinTheFirstMoment(t *testing.T) {
+	for _, kind := range []string{"stream", "resume"} {
+		t.Run(kind, func(t *testing.T) {
+			g := newOrdered(t, stand.ByClose)
+			for n := range 4 {
+				g.order.Set(stand.Dies)
+				got := g.received(t, kind, 0, "1.1")
+				assert.Assert(t, isSound(got, 0), "request %d: %s", n, got)
+				g.order.Set()
+				assert.Equal(t, g.received(t, kind, 0, "1.1"), "whole 1 2 3 4 5 6 7 8")
+			}
+		})
+	}
+}
+
+// TestStreamOfReplacedBuildIsNotContinued guards against a stream that two builds write because its target was
+// started again under its name as another build, and is still listed as the former one.
+func TestStreamOfReplacedBuildIsNotContinued(t *testing.T) {
+	program := buildStandin(t)
+	x := newDyingTarget(t, program, stand.Plain, stand.HealthPath, false)
+	x.process.Kill()
+	x.process.Build = "2"
+	assert.NilError(t, x.process.Start())
+	assert.NilError(t, x.process.WaitReady(t.Context()))
+	other := stand.NewTarget("i-1")
+	t.Cleanup(other.Close)
+	other.Build, other.EventCount = "1", 8
+	got := make(chan string, 1)
+	go func() {
+		_, text, _ := stream(t, x.server, "replaced", "Resumes", "first") // it may be cut
+		got <- strings.Join(stand.Builds(text), " ")
+	}()
+	x.awaitRun(t)
+	time.Sleep(x.process.EventInterval / 2)
+	x.roster.Apply(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Revision: buildRevision + 1, Facts: []chestnutstep.Fact{{
+		Kind: chestnutstep.FactInstance, Name: "i-1", Revision: buildRevision + 1,
+		Instance: &chestnutstep.Instance{ID: "i-1", Service: "shop", Address: other.Address(), Domain: "d", Slots: 8, Build: "1"},
+	}}}, false)
+	x.process.Kill()
+	assert.Equal(t, <-got, "2")
+}
+
 // TestLeavingTargetEndsWithinItsAnswer guards against the beginning of an answer that looks whole because its
 // target is listed as leaving when it ends.
 func TestLeavingTargetEndsWithinItsAnswer(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,8 +58,8 @@
 	// sharedBytes counts the bytes of all requests' buffers beyond freeBufferBytes of each.
 	sharedBytes atomic.Int64
 	segments    segmentList
-	// unframed holds the names of the services that have sent answers without length or chunks.
-	unframed sync.Map
+	// framings holds the framingState of each service by name.
+	framings sync.Map
 }
 
 // Drain makes the relay ask callers to close their connections.
--- a/relay/run.go
+++ b/relay/run.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithCancel(q.ctx)
 	defer cancel()
 	defer q.releaseWitness()
-	witness := q.prepareWitness(c)
+	witness := q.prepareWitness(t)
 	answer, err := q.send(ctx, c)
 	if err != nil {
 		q.witness = witness
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -6,7 +6,6 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/pause"
@@ -18,13 +17,31 @@
 // speaks for it: a target that has started again is listed with another start time soon after.
 const restartHold = 60 * time.Millisecond
 
-// prepareWitness opens a witness before the request is sent if the service has sent answers without length
-// or chunks before: a short one ends too soon to open it after its head. It returns nil otherwise.
-func (q *request) prepareWitness(c *board.Choice) proof.Witness {
-	if _, ok := q.unframed.Load(q.service.Name); !ok {
+// witnessWait is how long a request waits for its witness: some round trips within a region.
+const witnessWait = 20 * time.Millisecond
+
+// framingState is what is known of the answers of a service.
+type framingState uint8
+
+const (
+	// untried services have not answered yet; one request to them has a witness.
+	untried framingState = iota
+	// allFramed services have sent only answers with a length or chunks.
+	allFramed
+	// someUnframed services have sent at least one with neither.
+	someUnframed
+)
+
+// prepareWitness opens a witness before the request is sent, if it is the first to its service or the service
+// has sent answers with neither a length nor chunks: they can end too soon to open it after their head. It
+// returns nil otherwise.
+func (q *request) prepareWitness(t *roster.Target) proof.Witness {
+	if state, known := q.framings.LoadOrStore(q.service.Name, untried); known && state != someUnframed {
 		return nil
 	}
-	return q.newWitness(c.Target)
+	w := q.newWitness(t)
+	w.Await(witnessWait)
+	return w
 }
 
 func (q *request) newWitness(t *roster.Target) proof.Witness {
@@ -38,12 +55,13 @@
 // watchEnd attaches a witness to an answer without length or chunks, and releases it otherwise.
 func (q *request) watchEnd(t *roster.Target, a *link.Response, w proof.Witness) {
 	if !a.IsCloseDelimited() {
+		q.framings.CompareAndSwap(q.service.Name, untried, allFramed)
 		if w != nil {
 			w.Release()
 		}
 		return
 	}
-	q.unframed.Store(q.service.Name, true)
+	q.framings.Store(q.service.Name, someUnframed)
 	if w == nil {
 		w = q.newWitness(t)
 	}
@@ -74,7 +92,10 @@
 		q.endProof = end.Process.String()
 	}
 	verdict := proof.Judge(end)
-	if verdict == proof.Unproven {
+	switch {
+	case verdict == proof.Unproven && q.route.IsIdempotent():
+		verdict = proof.Cut // another target can still answer, or go on behind the last event
+	case verdict == proof.Unproven:
 		verdict = q.judgeByListener(t)
 	}
 	if a.IsCloseDelimited() {
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,6 +22,8 @@
 	killInterval = 150 * time.Millisecond
 	// maxListDelay is the maximum time from the start of a process to its entry in the store.
 	maxListDelay = 200 * time.Millisecond
+	// astrayEvery is such that each process begins one in so many continuations at a wrong event.
+	astrayEvery = 5
 	// maxHalt is the maximum time for which a process is suspended.
 	maxHalt = 600 * time.Millisecond
 )
@@ -41,7 +43,7 @@
 		p := &process{soak: s, Process: &stand.Process{
 			Program: s.Standin, File: filepath.Join(s.Dir, fmt.Sprintf("target-%d.log", i)), Name: fmt.Sprintf("p-%d-0", i),
 			Build: builds[i%len(builds)], Framing: stand.Framings[i%len(stand.Framings)], Inherits: i >= len(stand.Framings),
-			EventCount: eventCount, EventInterval: processInterval,
+			EventCount: eventCount, EventInterval: processInterval, AstrayEvery: astrayEvery,
 		}}
 		s.processes = append(s.processes, p)
 		if err := p.Start(); err != nil {
--- a/stand/kill.go
+++ b/stand/kill.go
@@ -92,13 +92,14 @@
 // resetPath is the path of a call that resets all connections of the target.
 const resetPath = "/control/reset"
 
-func (t *Target) resetConnections() {
+// closeConnections closes all connections, by a TCP reset if byReset is set.
+func (t *Target) closeConnections(byReset bool) {
 	t.mu.Lock()
 	conns := t.conns
 	t.conns = nil
 	t.mu.Unlock()
 	for c := range conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
+		if tcp, ok := c.(*net.TCPConn); ok && byReset {
 			_ = tcp.SetLinger(0) // fails only on a closed connection
 		}
 		_ = c.Close()
--- a/stand/process.go
+++ b/stand/process.go
@@ -29,6 +29,8 @@
 	Framing       Framing
 	EventCount    int
 	EventInterval time.Duration
+	// AstrayEvery is that of Target.
+	AstrayEvery int
 	// Inherits makes each start take over the listening socket of the one before, so that connections are
 	// never refused. Otherwise they are, until the next start listens.
 	Inherits bool
@@ -58,6 +60,7 @@
 	args := []string{
 		"target", "--listen", p.address, "--name", p.Name, "--build", p.Build, "--framing", string(p.Framing),
 		"--events", strconv.Itoa(p.EventCount), "--interval", p.EventInterval.String(),
+		"--astray", strconv.Itoa(p.AstrayEvery),
 	}
 	cmd := exec.Command(p.Program, args...)
 	if p.Inherits {
--- a/stand/target.go
+++ b/stand/target.go
@@ -42,6 +42,7 @@
 	Ahead         Behaviour = "ahead"    // omits the first two events
 	Notes         Behaviour = "notes"    // sends a comment and an event without id behind each event
 	CutsAtNote    Behaviour = "cut note" // closes the connection behind an event without id
+	Dies          Behaviour = "dies"     // ends all connections behind two events, as a process that is back at once
 	NotFound      Behaviour = "missing"  // answers with 404, as if the stream were not known
 )
 
@@ -111,6 +112,8 @@
 	Build string
 	// Framing is how the end of an answer is marked.
 	Framing Framing
+	// AstrayEvery makes every n-th stream that is to go on behind an event begin at another one; 0 for none.
+	AstrayEvery int
 	// RunLog receives a line of JSON for each run before the run begins, so that the runs of a process
 	// that is killed are known; nil for none.
 	RunLog io.Writer
@@ -140,6 +143,7 @@
 	restUntil        time.Time
 	leaving          bool
 	start            int
+	continued        int
 	connections      int
 	cachedParts      []string
 	cacheLists       int
@@ -259,7 +263,7 @@
 		w.Header().Set("Instance-Id", t.Name)
 		return
 	case resetPath:
-		t.resetConnections()
+		t.closeConnections(true)
 		return
 	}
 	behaviour := t.nextBehaviour()
@@ -513,6 +517,20 @@
 	return list
 }
 
+// stray returns the event after which a stream goes on: another one than asked for if it is its turn.
+func (t *Target) stray(from int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if from == 0 || t.AstrayEvery == 0 {
+		return from
+	}
+	t.continued++
+	if t.continued%t.AstrayEvery != 0 {
+		return from
+	}
+	return []int{0, from - 1, from + 1}[t.continued/t.AstrayEvery%3]
+}
+
 // stream sends the events that follow Last-Event-Id.
 func (t *Target) stream(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -525,6 +543,7 @@
 	case Ahead:
 		from += 2
 	}
+	from = t.stray(from)
 	t.setStreamLength(w.Header(), from)
 	for id := from + 1; id <= t.EventCount; id++ {
 		if behaviour == Cuts && id == from+3 {
@@ -532,6 +551,10 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if behaviour == Dies && id == from+3 {
+			t.closeConnections(false)
+			return
+		}
 		if behaviour == CutsAtNote && id == from+2 {
 			panic(http.ErrAbortHandler)
 		}
