link: a witness that its target closes for a reason of its own proves nothing

Found by reading: a target that closes each connection after its answer, or idle ones within a long answer, ended its witness while it lived, and a good answer counted as cut; a slow health check delayed the answers of a service that has frames by up to 150 ms. A witness is renewed before its idle time, is left without a request where the target keeps none, and its release does not wait. TestWitness, TestWitnessOfTargetThatClosesIdleConnections, TestReleasedWitnessIsKeptForRequests.

--- a/link/witness.go
+++ b/link/witness.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"chestnutstep.example/chestnutstep"
@@ -22,8 +23,8 @@
 	witnessSettle = 20 * time.Millisecond
 	// witnessTimeout limits the wait for the answer that proves that a process lives.
 	witnessTimeout = 150 * time.Millisecond
-	// maxWitnesses is how often a connection is opened for one answer; a target can close idle ones.
-	maxWitnesses = 4
+	// maxLostWitnesses is how many connections the target can close while the answer goes on.
+	maxLostWitnesses = 4
 )
 
 // Witness is a second connection to a target that is sending an answer without length or chunks. While the
@@ -45,6 +46,8 @@
 	confirmed bool
 
 	mu sync.Mutex
+	// released and ended are set by Release and at the end of run: the later of them discards the connection.
+	released, ended bool
 	// answer is the connection of the answer; nil until its head has arrived.
 	answer net.Conn
 }
@@ -70,19 +73,35 @@
 	w.answer = answer
 }
 
-// run keeps a connection open until Confirm or Release. It replaces one that the target has closed while
-// the answer goes on.
+// run keeps a connection open until Confirm or Release. It replaces one that the target has closed, or will
+// soon close as idle, while the answer goes on.
 func (w *Witness) run(ctx context.Context) {
-	defer close(w.done)
+	defer w.end()
 	found := w.conn != nil || w.open(ctx)
 	close(w.ready)
-	for n := 1; found && n <= maxWitnesses; n++ {
-		if !w.waitEnd(ctx) || !w.isAnswerOpen() {
+	for lost := 0; found && lost < maxLostWitnesses; {
+		closed := w.waitEnd(ctx)
+		if ctx.Err() != nil || closed && !w.isAnswerOpen() {
 			return
 		}
-		_ = w.conn.Close()
-		w.conn, w.confirmed = nil, false
+		if closed {
+			lost++
+		}
+		old := w.conn
 		found = w.open(ctx)
+		_ = old.Close()
+	}
+}
+
+// end closes done, and discards the connection if it was released before.
+func (w *Witness) end() {
+	w.mu.Lock()
+	w.ended = true
+	released := w.released
+	w.mu.Unlock()
+	close(w.done)
+	if released {
+		w.discard()
 	}
 }
 
@@ -96,9 +115,10 @@
 	}
 }
 
-// open opens a connection and sends a health check on it. It returns false if there is none, or if the
-// answer ended before: another process can have accepted the connection then.
+// open opens a connection and sends a health check on it. It returns false, and there is no connection, if
+// none can be opened or the answer ended before: another process can have accepted the connection then.
 func (w *Witness) open(ctx context.Context) bool {
+	w.conn, w.confirmed = nil, false
 	c, err := w.pool.open(ctx, w.address, dialTimeout)
 	if err != nil {
 		return false
@@ -107,29 +127,30 @@
 		c.reset()
 		return false
 	}
-	w.conn = c
-	if w.path == "" {
-		return true
+	c.idleUntil = time.Now().Add(defaultIdleTimeout)
+	if w.path != "" {
+		err = c.checkHealth(w.path, witnessTimeout)
+		w.confirmed = err == nil
 	}
-	err = c.checkHealth(w.path, witnessTimeout)
-	switch {
-	case err == nil:
-		w.confirmed = true
-	case IsClosed(c.Conn):
-		w.path = "" // a target that closes after each answer keeps a connection without a request
+	if errors.Is(err, errNotKept) {
+		w.path = "" // the target keeps a connection only until it has answered a request
+		c.reset()
+		return w.open(ctx)
 	}
+	w.conn = c
 	return true
 }
 
-// waitEnd waits until the connection ends, and for as long again as the answer may take to end with it. It
-// returns false once ctx ends.
+// waitEnd waits until the connection has ended, and for as long again as the answer may take to end with it,
+// or until the target may close it as idle. It reports whether it has ended.
 func (w *Witness) waitEnd(ctx context.Context) bool {
 	for !IsClosed(w.conn.Conn) {
-		if !clock.Sleep(ctx, witnessPoll) {
+		if !clock.Sleep(ctx, witnessPoll) || time.Now().After(w.conn.idleUntil) {
 			return false
 		}
 	}
-	return clock.Sleep(ctx, witnessSettle)
+	clock.Sleep(ctx, witnessSettle)
+	return true
 }
 
 // isAnswerOpen reports whether the target has not yet closed the connection of the answer.
@@ -170,10 +191,20 @@
 	return proof.Lives
 }
 
-// Release ends a witness that is not needed.
+// Release ends a witness that is not needed. It does not wait.
 func (w *Witness) Release() {
+	w.mu.Lock()
+	w.released = true
+	ended := w.ended
+	w.mu.Unlock()
 	w.stop()
-	<-w.done
+	if ended {
+		w.discard()
+	}
+}
+
+// discard keeps the connection for requests if the target has answered on it, and closes it otherwise.
+func (w *Witness) discard() {
 	switch {
 	case w.conn == nil:
 	case w.confirmed:
@@ -183,6 +214,9 @@
 	}
 }
 
+// errNotKept is the error of a health check after which the target closes the connection.
+var errNotKept = errors.New("the target closes the connection after its answer")
+
 // checkHealth sends a health check on a connection and reads its answer.
 func (c *Conn) checkHealth(path string, timeout time.Duration) error {
 	_ = c.SetDeadline(time.Now().Add(timeout)) // fails only on a closed connection
@@ -199,7 +233,10 @@
 		return err
 	}
 	if resp.Close {
-		return io.EOF
+		return errNotKept
+	}
+	if d := keepAliveTimeout(resp.Header); d > 0 {
+		c.idleUntil = time.Now().Add(d)
 	}
 	c.proven = true
 	return nil
--- /dev/null
+++ b/link/witness_test.go
@@ -0,0 +1,160 @@
+package link
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chestnutstep.example/chestnutstep/proof"
+)
+
+// witnessed is a target with an answer in progress on the first connection; health checks come on others.
+type witnessed struct {
+	listener net.Listener
+	conns    chan net.Conn
+	// head is what a health check is answered with; after it the connection is closed if closes is set, and
+	// after idle if that is not 0.
+	head   string
+	closes bool
+	idle   time.Duration
+}
+
+const (
+	keptHead   = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	closedHead = "HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"
+)
+
+func newWitnessed(t *testing.T, x witnessed) (target *witnessed, answer *Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	x.listener, x.conns = l, make(chan net.Conn, 100)
+	go x.run()
+	c, err := (&Pool{}).open(t.Context(), l.Addr().String(), dialTimeout)
+	assert.NilError(t, err)
+	return &x, c
+}
+
+func (x *witnessed) run() {
+	for n := 0; ; n++ {
+		c, err := x.listener.Accept()
+		if err != nil {
+			return
+		}
+		x.conns <- c
+		if n > 0 {
+			go (&checkedConn{x, c}).run()
+		}
+	}
+}
+
+// checkedConn is a connection for health checks.
+type checkedConn struct {
+	target *witnessed
+	conn   net.Conn
+}
+
+func (c *checkedConn) run() {
+	br := bufio.NewReader(c.conn)
+	for {
+		if c.target.idle > 0 {
+			_ = c.conn.SetReadDeadline(time.Now().Add(c.target.idle))
+		}
+		if _, err := http.ReadRequest(br); err != nil {
+			c.conn.Close()
+			return
+		}
+		fmt.Fprint(c.conn, c.target.head)
+		if c.target.closes {
+			c.conn.Close()
+			return
+		}
+	}
+}
+
+// die ends all connections, as the end of the process does.
+func (x *witnessed) die() {
+	for {
+		select {
+		case c := <-x.conns:
+			c.Close()
+		default:
+			return
+		}
+	}
+}
+
+// TestWitness guards against a dead target that counts as alive because something listens at its address, and
+// against a living one that counts as dead because it closes connections that carry no answer.
+func TestWitness(t *testing.T) {
+	for name, x := range map[string]witnessed{
+		"keeps":        {head: keptHead},
+		"closes":       {head: closedHead, closes: true},
+		"unresponsive": {head: ""},
+	} {
+		for _, path := range []string{"", "/healthz"} {
+			for _, quiet := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s%s/%t", name, path, quiet), func(t *testing.T) {
+					t.Parallel()
+					assert.Equal(t, playWitness(t, x, path, quiet, false), proof.Lives)
+					assert.Equal(t, playWitness(t, x, path, quiet, true), proof.Ended)
+				})
+			}
+		}
+	}
+}
+
+// playWitness lets an answer end, together with its target if dies is set, and returns what its witness says.
+func playWitness(t *testing.T, x witnessed, path string, quiet, dies bool) proof.Process {
+	t.Helper()
+	target, answer := newWitnessed(t, x)
+	w := (&Pool{}).Witness(target.listener.Addr().String(), path, 1)
+	w.Attach(answer.Conn)
+	w.Await(time.Second)
+	time.Sleep(2 * witnessPoll)
+	if dies {
+		target.die()
+	} else {
+		(<-target.conns).Close()
+	}
+	return w.Confirm(quiet)
+}
+
+// TestWitnessOfTargetThatClosesIdleConnections guards against a living target that counts as dead because it
+// closes idle connections within the answer.
+func TestWitnessOfTargetThatClosesIdleConnections(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n"
+	target, answer := newWitnessed(t, witnessed{head: head, idle: 2 * time.Second})
+	w := (&Pool{}).Witness(target.listener.Addr().String(), "/healthz", 1)
+	w.Attach(answer.Conn)
+	time.Sleep(2*time.Second + witnessPoll/2)
+	assert.Equal(t, w.Confirm(false), proof.Lives)
+}
+
+// TestReleasedWitnessIsKeptForRequests guards against a connection that stays open without a use.
+func TestReleasedWitnessIsKeptForRequests(t *testing.T) {
+	target, answer := newWitnessed(t, witnessed{head: keptHead})
+	p := &Pool{}
+	for range 3 {
+		w := p.Witness(target.listener.Addr().String(), "/healthz", 1)
+		w.Attach(answer.Conn)
+		w.Await(time.Second)
+		w.Release()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if len(p.idle[target.listener.Addr().String()]) == 1 {
+				return poll.Success()
+			}
+			return poll.Continue("not kept")
+		})
+	}
+	assert.Equal(t, p.Opened(), int64(1))
+}
