--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,8 +16,8 @@
 	"chestnutstep.example/chestnutstep/answer"
 	"chestnutstep.example/chestnutstep/chart"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/pause"
-	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -62,7 +62,7 @@
 	PooledClient   *http.Client
 	UnpooledClient *http.Client
 	// Witness returns a witness of the process at an address; it is nil, or checks health at the path.
-	Witness func(address, healthPath string) proof.Witness
+	Witness func(address, healthPath string) ending.Witness
 	// Dial connects to another agent, and Ranker ranks the targets of a chat. Both are needed to
 	// move KV caches; nil disables moving them.
 	Dial   func(addr string) (wire.AgentClient, error)
--- a/agent/copy.go
+++ b/agent/copy.go
@@ -12,7 +12,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/answer"
-	"chestnutstep.example/chestnutstep/proof"
+	"chestnutstep.example/chestnutstep/ending"
 )
 
 const (
@@ -37,7 +37,7 @@
 	tail := &tail{terminator: j.agent.streamTerminator(rs)}
 	for try := 0; ; try++ {
 		err := j.copyBody(body, tail)
-		if j.judgeEnd(rs, tail, err) == proof.Whole {
+		if j.judgeEnd(rs, tail, err) == ending.Whole {
 			j.log.Finish()
 			j.readToEnd(body)
 			return servedResult
@@ -62,20 +62,20 @@
 }
 
 // judgeEnd decides whether an answer whose body was read up to an error, nil for its end, is whole.
-func (j *job) judgeEnd(rs *http.Response, t *tail, err error) proof.Verdict {
-	end := proof.End{Framing: proof.Framed, Err: err}
+func (j *job) judgeEnd(rs *http.Response, t *tail, err error) ending.Verdict {
+	end := ending.End{Framing: ending.Framed, Err: err}
 	switch {
 	case t.terminator != "":
-		end.Framing = proof.Marked
+		end.Framing = ending.Marked
 		end.HasMarker = t.isEnded() || err == nil && isFramed(rs) && t.isComplete()
 	case !isFramed(rs):
-		end.Framing = proof.Unframed
+		end.Framing = ending.Unframed
 		if err == nil {
 			end.Process = j.confirmProcess()
 		}
 	}
-	verdict := proof.Judge(end)
-	if verdict == proof.Unproven {
+	verdict := ending.Judge(end)
+	if verdict == ending.Unproven {
 		verdict = j.judgeByProbe()
 	}
 	return verdict
@@ -83,14 +83,14 @@
 
 // judgeByProbe decides on an answer that ended before there was a witness, by whether a probe finds another
 // process. One that states no boot id can't be told from the one before.
-func (j *job) judgeByProbe() proof.Verdict {
+func (j *job) judgeByProbe() ending.Verdict {
 	j.agent.health.check(j.agent)
 	j.agent.mu.Lock()
 	defer j.agent.mu.Unlock()
 	if j.agent.health.crashCount != j.crashesAtStart {
-		return proof.Cut
+		return ending.Cut
 	}
-	return proof.Whole
+	return ending.Whole
 }
 
 // readToEnd reads the body of a complete answer to its end, as net/http reuses the connection only
--- a/agent/job.go
+++ b/agent/job.go
@@ -7,7 +7,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/answer"
-	"chestnutstep.example/chestnutstep/proof"
+	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/wire"
 )
 
@@ -61,7 +61,7 @@
 	crashesAtStart int
 	// witness shows whether the target's process lives at the end of the answer; nil if that has a length,
 	// chunks or a last event. Only the goroutine of the call uses it.
-	witness proof.Witness
+	witness ending.Witness
 	// cancelCall cancels the call to the target.
 	cancelCall context.CancelFunc
 }
--- a/agent/witness.go
+++ b/agent/witness.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"time"
 
-	"chestnutstep.example/chestnutstep/proof"
+	"chestnutstep.example/chestnutstep/ending"
 )
 
 // witnessWait is how long a call waits for its witness; the target is on the same host.
@@ -49,9 +49,9 @@
 func isFramed(rs *http.Response) bool { return rs.ContentLength >= 0 || len(rs.TransferEncoding) > 0 }
 
 // confirmProcess returns whether the process that answered lives after the end of its answer.
-func (j *job) confirmProcess() proof.Process {
+func (j *job) confirmProcess() ending.Process {
 	if j.witness == nil {
-		return proof.Unknown
+		return ending.Unknown
 	}
 	w := j.witness
 	j.witness = nil
--- a/proof/proof.go
+++ b/ending/ending.go
@@ -1,6 +1,6 @@
-// Package proof decides whether an answer of a target has ended, or only its connection. Entries and
+// Package ending decides whether an answer of a target has ended, or only its connection. Entries and
 // agents ask it before they let an answer end for its caller.
-package proof
+package ending
 
 import (
 	"net"
--- a/link/witness.go
+++ b/link/witness.go
@@ -13,7 +13,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
-	"chestnutstep.example/chestnutstep/proof"
+	"chestnutstep.example/chestnutstep/ending"
 )
 
 const (
@@ -54,7 +54,7 @@
 
 // Witness opens a witness for the next answer of a target, or takes an idle connection that has carried a
 // request. The caller must call Confirm or Release.
-func (p *Pool) Witness(address, healthPath string, maxIdle int) proof.Witness {
+func (p *Pool) Witness(address, healthPath string, maxIdle int) ending.Witness {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &Witness{pool: p, address: address, maxIdle: maxIdle, path: healthPath, stop: stop, done: make(chan struct{}), ready: make(chan struct{})}
 	if c := p.popIdle(address); c != nil && c.proven && time.Now().Before(c.idleUntil) && IsIdle(c.Conn) {
@@ -161,34 +161,34 @@
 }
 
 // Confirm returns the state of the process after the end of its answer. If quiet is set, it sends nothing.
-func (w *Witness) Confirm(quiet bool) proof.Process {
+func (w *Witness) Confirm(quiet bool) ending.Process {
 	w.stop()
 	<-w.done
 	switch {
 	case w.conn == nil:
-		return proof.Unknown
+		return ending.Unknown
 	case quiet || !w.confirmed || w.path == "":
 		return w.observe()
 	case w.conn.checkHealth(w.path, witnessTimeout) == nil:
 		w.pool.put(w.address, w.conn, 0, w.maxIdle)
-		return proof.Lives
+		return ending.Lives
 	}
 	defer w.conn.reset()
 	if IsClosed(w.conn.Conn) {
-		return proof.Ended
+		return ending.Ended
 	}
-	return proof.Lives
+	return ending.Lives
 }
 
 // observe decides by whether the connection stays open.
-func (w *Witness) observe() proof.Process {
+func (w *Witness) observe() ending.Process {
 	defer w.conn.reset()
 	for end := time.Now().Add(witnessSettle); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if IsClosed(w.conn.Conn) {
-			return proof.Ended
+			return ending.Ended
 		}
 	}
-	return proof.Lives
+	return ending.Lives
 }
 
 // Release ends a witness that is not needed. It does not wait.
--- a/link/witness_test.go
+++ b/link/witness_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"chestnutstep.example/chestnutstep/proof"
+	"chestnutstep.example/chestnutstep/ending"
 )
 
 // witnessed is a target with an answer in progress on the first connection; health checks come on others.
@@ -103,8 +103,8 @@
 			for _, quiet := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s%s/%t", name, path, quiet), func(t *testing.T) {
 					t.Parallel()
-					assert.Equal(t, playWitness(t, x, path, quiet, false), proof.Lives)
-					assert.Equal(t, playWitness(t, x, path, quiet, true), proof.Ended)
+					assert.Equal(t, playWitness(t, x, path, quiet, false), ending.Lives)
+					assert.Equal(t, playWitness(t, x, path, quiet, true), ending.Ended)
 				})
 			}
 		}
@@ -112,7 +112,7 @@
 }
 
 // playWitness lets an answer end, together with its target if dies is set, and returns what its witness says.
-func playWitness(t *testing.T, x witnessed, path string, quiet, dies bool) proof.Process {
+func playWitness(t *testing.T, x witnessed, path string, quiet, dies bool) ending.Process {
 	t.Helper()
 	target, answer := newWitnessed(t, x)
 	w := (&Pool{}).Witness(target.listener.Addr().String(), path, 1)
@@ -135,7 +135,7 @@
 	w := (&Pool{}).Witness(target.listener.Addr().String(), "/healthz", 1)
 	w.Attach(answer.Conn)
 	time.Sleep(2*time.Second + witnessPoll/2)
-	assert.Equal(t, w.Confirm(false), proof.Lives)
+	assert.Equal(t, w.Confirm(false), ending.Lives)
 }
 
 // TestReleasedWitnessIsKeptForRequests guards against a connection that stays open without a use.
--- a/node/agent.go
+++ b/node/agent.go
@@ -16,11 +16,11 @@
 	"chestnutstep.example/chestnutstep/answer"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/gate"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/mean"
-	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/route"
 	"chestnutstep.example/chestnutstep/ticket"
 	"chestnutstep.example/chestnutstep/wire"
@@ -178,9 +178,9 @@
 const maxIdleWitnesses = 4
 
 // newWitnesses returns a function that opens witnesses of a target's process.
-func newWitnesses() func(address, healthPath string) proof.Witness {
+func newWitnesses() func(address, healthPath string) ending.Witness {
 	pool := &link.Pool{}
-	return func(address, healthPath string) proof.Witness {
+	return func(address, healthPath string) ending.Witness {
 		return pool.Witness(address, healthPath, maxIdleWitnesses)
 	}
 }
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -20,6 +20,7 @@
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/relay"
 	"chestnutstep.example/chestnutstep/roster"
+	"chestnutstep.example/chestnutstep/stand"
 )
 
 // benchTargets is the number of targets of the overloaded service.
@@ -110,3 +111,30 @@
 		assert.NilError(b, c.Close())
 	}
 }
+
+// BenchmarkWholeStream measures a stream of four events, over the three framings and without a health check. An
+// answer that ends with its connection is held until its target's process is known to live.
+func BenchmarkWholeStream(b *testing.B) {
+	for _, framing := range stand.Framings {
+		for _, path := range []string{stand.HealthPath, ""} {
+			b.Run(fmt.Sprint(framing, path), func(b *testing.B) {
+				g := newTestRelayOf(b, stallTimeout, "i-a")
+				g.targets[0].Framing = framing
+				g.healthPath = path
+				g.publish(buildRevision, key)
+				for b.Loop() {
+					r, err := http.NewRequest(http.MethodPost, g.server.URL+"/stream/stream/x", strings.NewReader("body"))
+					assert.NilError(b, err)
+					r.Host = host
+					r.Header.Set("Attempt-Id", "a")
+					r.Header.Set("Credential", key)
+					resp, err := http.DefaultClient.Do(r)
+					assert.NilError(b, err)
+					_, err = io.Copy(io.Discard, resp.Body)
+					assert.NilError(b, err)
+					resp.Body.Close()
+				}
+			})
+		}
+	}
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -60,7 +60,7 @@
 	q.log(event.RelayDone,
 		event.Str("route", q.route.Name), event.Str("target", t.ID), event.Int("tries", int64(q.attempts.Sent)),
 		event.Dur("took", time.Since(q.startedAt)), event.Int("last", q.resumePoint()), event.Bool("leaving", q.answerHead.IsLeaving),
-		event.Str("framing", q.answerHead.framing), event.Int("first", q.stream.firstID), event.Int("after", q.callerHeaders.LastEventID), event.Str("proof", q.endProof))
+		event.Str("framing", q.answerHead.framing), event.Int("first", q.stream.firstID), event.Int("after", q.callerHeaders.LastEventID), event.Str("process", q.endState))
 }
 
 // logEnd counts and logs an answer of the relay itself, with the state that led to it.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,11 +17,11 @@
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/cursor"
+	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/pause"
-	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/retry"
 	"chestnutstep.example/chestnutstep/roster"
 )
@@ -94,9 +94,9 @@
 	// answerHead is the head of the answer to the current attempt; zero if there is none.
 	answerHead answerHead
 	// witness is the witness of the current answer if that has neither a length nor chunks.
-	witness proof.Witness
-	// endProof states, for the log, what proved the end of an answer without length or chunks.
-	endProof string
+	witness ending.Witness
+	// endState is, for the log, the state of the target after an answer without length or chunks.
+	endState string
 	// stream is the part of a stream that was already sent to the caller.
 	stream stream
 	// allowEnd lets the caller's connection end without a reset, once its stream is whole.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -64,7 +64,7 @@
 }
 
 // newTestRelayOf returns a testRelay with the named targets.
-func newTestRelayOf(t *testing.T, limit time.Duration, names ...string) *testRelay {
+func newTestRelayOf(t testing.TB, limit time.Duration, names ...string) *testRelay {
 	t.Helper()
 	g := &testRelay{order: &stand.BehaviourQueue{}, roster: &roster.Roster{}, routeTimeout: limit}
 	b := chestnutstep.Batch{Revision: 1}
--- a/relay/run.go
+++ b/relay/run.go
@@ -90,7 +90,7 @@
 	if q.attempts.Sent+q.attempts.Unreached == 0 {
 		q.Budgets.Deposit(time.Now(), q.service.Name)
 	}
-	q.stream.events, q.stream.firstID, q.answerHead, q.endProof = 0, 0, answerHead{}, ""
+	q.stream.events, q.stream.firstID, q.answerHead, q.endState = 0, 0, answerHead{}, ""
 	run := q.Board.Start(now, t, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
 	q.logSend(c)
 	q.countTokens(c)
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -7,9 +7,9 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/pause"
-	"chestnutstep.example/chestnutstep/proof"
 	"chestnutstep.example/chestnutstep/roster"
 )
 
@@ -35,7 +35,7 @@
 // prepareWitness opens a witness before the request is sent, if it is the first to its service or the service
 // has sent answers with neither a length nor chunks: they can end too soon to open it after their head. It
 // returns nil otherwise.
-func (q *request) prepareWitness(t *roster.Target) proof.Witness {
+func (q *request) prepareWitness(t *roster.Target) ending.Witness {
 	if state, known := q.framings.LoadOrStore(q.service.Name, untried); known && state != someUnframed {
 		return nil
 	}
@@ -44,7 +44,7 @@
 	return w
 }
 
-func (q *request) newWitness(t *roster.Target) proof.Witness {
+func (q *request) newWitness(t *roster.Target) ending.Witness {
 	path := q.service.HealthPath
 	if q.isPaused(t) {
 		path = ""
@@ -53,7 +53,7 @@
 }
 
 // watchEnd attaches a witness to an answer without length or chunks, and releases it otherwise.
-func (q *request) watchEnd(t *roster.Target, a *link.Response, w proof.Witness) {
+func (q *request) watchEnd(t *roster.Target, a *link.Response, w ending.Witness) {
 	if !a.IsCloseDelimited() {
 		q.framings.CompareAndSwap(q.service.Name, untried, allFramed)
 		if w != nil {
@@ -84,24 +84,24 @@
 
 // checkEnd returns an error unless it is proven that an answer that was read to its end is whole.
 func (q *request) checkEnd(t *roster.Target, a *link.Response) error {
-	end := proof.End{Framing: proof.Framed}
+	end := ending.End{Framing: ending.Framed}
 	if a.IsCloseDelimited() {
-		end.Framing = proof.Unframed
+		end.Framing = ending.Unframed
 		end.Process = q.witness.Confirm(q.isPaused(t))
 		q.witness = nil
-		q.endProof = end.Process.String()
+		q.endState = end.Process.String()
 	}
-	verdict := proof.Judge(end)
+	verdict := ending.Judge(end)
 	switch {
-	case verdict == proof.Unproven && q.route.IsIdempotent():
-		verdict = proof.Cut // another target can still answer, or go on behind the last event
-	case verdict == proof.Unproven:
+	case verdict == ending.Unproven && q.route.IsIdempotent():
+		verdict = ending.Cut // another target can still answer, or go on behind the last event
+	case verdict == ending.Unproven:
 		verdict = q.judgeByListener(t)
 	}
 	if a.IsCloseDelimited() {
-		q.Meters.Ends.Add(1, q.endProof)
+		q.Meters.Ends.Add(1, q.endState)
 	}
-	if verdict == proof.Whole {
+	if verdict == ending.Whole {
 		return nil
 	}
 	e := q.truncatedErr(a, errors.New("the target ended with its answer"))
@@ -111,22 +111,22 @@
 
 // judgeByListener decides on an answer that ended before there was a witness. A listener at the address is
 // weak evidence, as another process can have taken it over; one that is listed with another start time has.
-func (q *request) judgeByListener(t *roster.Target) proof.Verdict {
+func (q *request) judgeByListener(t *roster.Target) ending.Verdict {
 	if q.isPaused(t) {
-		q.endProof = "paused"
-		return proof.Whole // nothing may be asked
+		q.endState = "paused"
+		return ending.Whole // nothing may be asked
 	}
 	if q.hasListenerEnded(t) {
-		q.endProof = "refused"
-		return proof.Cut
+		q.endState = "refused"
+		return ending.Cut
 	}
 	clock.Sleep(q.ctx, restartHold)
 	if listed := q.Roster.View().ByID[t.ID]; listed != nil && listed.StartedMs != t.StartedMs {
-		q.endProof = "replaced"
-		return proof.Cut
+		q.endState = "replaced"
+		return ending.Cut
 	}
-	q.endProof = "listens"
-	return proof.Whole
+	q.endState = "listens"
+	return ending.Whole
 }
 
 // hasListenerEnded reports whether no process listens at the target's address. The run counts as broken
