agent, fetch: an exported cache is read in segments

A cache was read into a buffer that grows, which leaves several times its size as garbage until the next collection.

--- a/agent/cache.go
+++ b/agent/cache.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/fetch"
 	"chestnutstep.example/chestnutstep/price"
 	"chestnutstep.example/chestnutstep/wire"
 )
@@ -115,13 +115,10 @@
 		return kvCache{}, errors.Newf("export: the target answered %d", rs.StatusCode)
 	}
 	limit := min(maxBytes, maxCacheSize)
-	data, err := io.ReadAll(io.LimitReader(rs.Body, limit+1))
+	data, err := fetch.ReadAll(rs.Body, int(limit))
 	if err != nil {
 		return kvCache{}, errors.Wrap(err, "export")
 	}
-	if int64(len(data)) > limit {
-		return kvCache{}, errors.Newf("export: larger than %d bytes", limit)
-	}
 	tokens, err := strconv.ParseInt(rs.Header.Get(chestnutstep.HeaderCachedTokens), 10, 64)
 	return kvCache{tokens: tokens, data: data}, errors.Wrap(err, "export")
 }
--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -101,6 +101,22 @@
 	}
 }
 
+// ReadAll reads a body to its end. The error is an ErrTooLarge if it is larger than maxBytes.
+func ReadAll(r io.Reader, maxBytes int) ([]byte, error) {
+	var b segments
+	for {
+		err := b.readFrom(r)
+		switch {
+		case b.size > maxBytes:
+			return nil, ErrTooLarge{maxBytes}
+		case errors.Is(err, io.EOF):
+			return b.join(), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
 // segments holds a body while it is read. A single buffer that grows takes several times the size of
 // the body, as garbage.
 type segments struct {
