--- a/soak/entry.go
+++ b/soak/entry.go
@@ -109,22 +109,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cmd, e.exited = cmd, make(chan struct{})
-	go (&waiter{cmd: cmd, exited: e.exited}).run()
+	e.cmd, e.exited = cmd, stand.WaitExit(cmd)
 	return nil
 }
 
-// waiter waits for a process and closes exited when it ends.
-type waiter struct {
-	cmd    *exec.Cmd
-	exited chan struct{}
-}
-
-func (w *waiter) run() {
-	_ = w.cmd.Wait() // a killed process returns an error, which is expected
-	close(w.exited)
-}
-
 // signal sends a signal to the entry's process unless it has exited, since its
 // process id could then belong to another process.
 func (e *entry) signal(sig syscall.Signal) {
--- a/stand/process.go
+++ b/stand/process.go
@@ -74,8 +74,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd, p.exited = cmd, make(chan struct{})
-	go (&processWaiter{cmd: cmd, exited: p.exited}).run()
+	p.cmd, p.exited = cmd, WaitExit(cmd)
 	return nil
 }
 
@@ -93,6 +92,13 @@
 	return errors.Wrapf(err, "target %s", p.Name)
 }
 
+// WaitExit returns a channel that is closed when a process that was started ends.
+func WaitExit(cmd *exec.Cmd) chan struct{} {
+	w := &processWaiter{cmd: cmd, exited: make(chan struct{})}
+	go w.run()
+	return w.exited
+}
+
 // processWaiter waits for a process and closes exited when it ends.
 type processWaiter struct {
 	cmd    *exec.Cmd
