link: a witness that can't be renewed is kept

The witness was closed before its successor was open, so that an answer that ended in between had none; the same where the target takes no further connection. The old one stays until there is a new one. TestWitnessThatCantBeRenewedIsKept fails before.

--- a/link/witness.go
+++ b/link/witness.go
@@ -87,8 +87,12 @@
 		if closed {
 			lost++
 		}
-		old := w.conn
+		old, confirmed := w.conn, w.confirmed
 		found = w.open(ctx)
+		if !found && !closed {
+			w.conn, w.confirmed = old, confirmed // the answer has ended meanwhile, or there is no other
+			return
+		}
 		_ = old.Close()
 	}
 }
--- a/link/witness_test.go
+++ b/link/witness_test.go
@@ -138,6 +138,19 @@
 	assert.Equal(t, w.Confirm(false), ending.Lives)
 }
 
+// TestWitnessThatCantBeRenewedIsKept guards against a living target that is unknown because the answer ended, or
+// the target was full, while another connection was opened.
+func TestWitnessThatCantBeRenewedIsKept(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n"
+	target, answer := newWitnessed(t, witnessed{head: head})
+	w := (&Pool{}).Witness(target.listener.Addr().String(), "/healthz", 1)
+	w.Attach(answer.Conn)
+	w.Await(time.Second)
+	target.listener.Close()
+	time.Sleep(time.Second + 3*witnessPoll)
+	assert.Equal(t, w.Confirm(false), ending.Lives)
+}
+
 // TestReleasedWitnessIsKeptForRequests guards against a connection that stays open without a use.
 func TestReleasedWitnessIsKeptForRequests(t *testing.T) {
 	target, answer := newWitnessed(t, witnessed{head: keptHead})
