stand: a target process keeps its port between two starts

Another process had taken the port between its reservation and the start, or between two starts. A socket that is bound and does not listen keeps it now.

--- a/stand/kill.go
+++ b/stand/kill.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -126,6 +127,25 @@
 	return fd
 }
 
+// bindFreePort binds a socket to a free port of the loopback interface without listening, so that a process
+// can listen there and no other gets the port.
+func bindFreePort() (fd int, address string, err error) {
+	fd, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return noFD, "", err
+	}
+	if err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err == nil {
+		err = unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	name, nameErr := unix.Getsockname(fd)
+	inet, ok := name.(*unix.SockaddrInet4)
+	if err = errors.CombineErrors(err, nameErr); err != nil || !ok {
+		_ = unix.Close(fd)
+		return noFD, "", err
+	}
+	return fd, net.JoinHostPort("127.0.0.1", strconv.Itoa(inet.Port)), nil
+}
+
 // releasePort releases the port of a dead target. The caller holds t.mu.
 func (t *Target) releasePort() {
 	if t.dead && t.reservedPortFD != noFD {
--- a/stand/process.go
+++ b/stand/process.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Process is a target that runs as a process of its own, so that its connections end as those of a
@@ -35,11 +36,13 @@
 	// never refused. Otherwise they are, until the next start listens.
 	Inherits bool
 
-	address  string
-	listener *os.File
-	mu       sync.Mutex
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	address string
+	// listener or reservedFD, which is valid without it, keeps the port.
+	listener   *os.File
+	reservedFD int
+	mu         sync.Mutex
+	cmd        *exec.Cmd
+	exited     chan struct{}
 }
 
 // Address returns the target's IP and port, which all its starts have.
@@ -78,17 +81,21 @@
 	return nil
 }
 
-// reserve finds a free port. It keeps the listening socket if the process inherits it.
+// reserve finds a free port. It keeps the listening socket if the process inherits it, and otherwise a socket
+// that is bound and does not listen, so that no other process gets the port between two starts.
 func (p *Process) reserve() error {
+	if !p.Inherits {
+		fd, addr, err := bindFreePort()
+		p.reservedFD, p.address = fd, addr
+		return errors.Wrapf(err, "target %s", p.Name)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return errors.Wrapf(err, "target %s", p.Name)
 	}
 	defer l.Close()
 	p.address = l.Addr().String()
-	if p.Inherits {
-		p.listener, err = l.(*net.TCPListener).File()
-	}
+	p.listener, err = l.(*net.TCPListener).File()
 	return errors.Wrapf(err, "target %s", p.Name)
 }
 
@@ -132,8 +139,11 @@
 	if p.cmd != nil {
 		p.Kill()
 	}
-	if p.listener != nil {
+	switch {
+	case p.listener != nil:
 		p.listener.Close()
+	case p.address != "":
+		_ = unix.Close(p.reservedFD)
 	}
 }
 
