--- a/agent/copy.go
+++ b/agent/copy.go
@@ -82,7 +82,7 @@
 }
 
 // judgeByProbe decides on an answer that ended before there was a witness, by whether a probe finds another
-// process. One that states no boot id can't be told from the one before.
+// process. One that states no boot id looks like the one before.
 func (j *job) judgeByProbe() ending.Verdict {
 	j.agent.health.check(j.agent)
 	j.agent.mu.Lock()
--- a/stand/process.go
+++ b/stand/process.go
@@ -173,7 +173,7 @@
 	return errors.Newf("target %s at %s does not answer", p.Name, p.address)
 }
 
-// Runs returns the runs of all starts. They don't tell how they ended.
+// Runs returns the runs of all starts, without their outcomes.
 func (p *Process) Runs() ([]Run, error) {
 	raw, err := os.ReadFile(p.File)
 	if err != nil {
