soak, relay: the earlier plays of seeds 713 and 3125 stay as tests

Seed 713 was answered by a change of the soak: connections that a relay breaks are reset, as a clean close could not be told from a whole answer. The play with clean closes is back as TestSoakWithCleanBreaks, with the seeds that failed in it.

Seed 3125 was answered by a change of the stand-in. Its case, a target that goes on behind the last event and so sends a whole answer without events, stays as TestEmptyContinuationIsNotTheEnd.

--- a/relay/order_test.go
+++ b/relay/order_test.go
@@ -120,6 +120,19 @@
 	}
 }
 
+// TestEmptyContinuationIsNotTheEnd guards against a stream that ends without its last events because the target
+// that was to go on began behind them: its answer is whole, and empty.
+func TestEmptyContinuationIsNotTheEnd(t *testing.T) {
+	for _, framing := range stand.Framings {
+		g := newOrdered(t, framing)
+		g.order.Set(stand.Ahead)
+		got := g.received(t, "resume", 7, "1.1")
+		assert.Assert(t, isSound(got, 7), "%s: %s", framing, got)
+		g.order.Set()
+		assert.Equal(t, g.received(t, "resume", 8, "1.1"), "whole", "%s: nothing follows the last event", framing)
+	}
+}
+
 // TestStreamIsContinuedByAStreamOnly guards against the body of another answer at the end of a stream.
 func TestStreamIsContinuedByAStreamOnly(t *testing.T) {
 	g := newOrdered(t, stand.Plain)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -63,6 +63,9 @@
 	Duration time.Duration
 	// Standin is the path of the standin binary, for targets that are processes; empty for none.
 	Standin string
+	// CleanBreaks makes the fault that breaks all connections of a target close them in the same way as a
+	// process that dies; otherwise those of answers that end with their connection are reset.
+	CleanBreaks bool
 	// StreamsOnly limits the run to streams, to targets that are processes, and to faults of processes.
 	StreamsOnly bool
 
@@ -196,7 +199,7 @@
 	if len(s.targets)%longEventsEvery == longEventsEvery-1 {
 		x.EventBytes = longEventBytes
 	}
-	x.relay = &pipe.Relay{Backend: x.Address(), ResetOnBreak: x.Framing == stand.ByClose}
+	x.relay = &pipe.Relay{Backend: x.Address(), ResetOnBreak: x.Framing == stand.ByClose && !s.CleanBreaks}
 	if err := x.relay.Start(); err != nil {
 		return errors.Wrap(err, "start relay to the target")
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,9 +17,10 @@
 )
 
 var (
-	first    = flag.Uint64("first", 1, "first seed of the soak")
-	seeds    = flag.Uint64("seeds", 2, "how many seeds, one after the other")
-	duration = flag.Duration("for", 4*time.Second, "how long faults happen")
+	first       = flag.Uint64("first", 1, "first seed of the soak")
+	seeds       = flag.Uint64("seeds", 2, "how many seeds, one after the other")
+	cleanBreaks = flag.Bool("clean", false, "play -first and -seeds with clean breaks, in place of the kept seeds")
+	duration    = flag.Duration("for", 4*time.Second, "how long faults happen")
 )
 
 // TestSoak guards against requests that run too often, are misdelivered or are
@@ -46,6 +47,30 @@
 	}
 }
 
+// TestSoakWithCleanBreaks guards against an answer that looks whole because its target closed all connections
+// within it. Seeds 713 and 3006 failed before there was a witness.
+func TestSoakWithCleanBreaks(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "chestnutstep")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/chestnutstep").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	list := []uint64{713, 3006}
+	if *cleanBreaks {
+		list = nil
+		for s := *first; s < *first+*seeds; s++ {
+			list = append(list, s)
+		}
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &soak.Soak{Program: program, Dir: t.TempDir(), Seed: seed, Duration: *duration, CleanBreaks: true}
+			if err := s.Run(); err != nil {
+				keepLogs(t, s)
+				t.Fatalf("seed %d: %v\nfaults: %s", seed, err, strings.Join(s.Faults(), ", "))
+			}
+		})
+	}
+}
+
 // keptSeeds returns the seeds of testdata/seeds, which have failed before; that file
 // states their causes.
 func keptSeeds(t *testing.T) []uint64 {
