matrix: a naive target sends nothing while its request is stopped

The cell chat/middle/kill asserts that a plain proxy breaks, and once it did not. While the request was stopped in the middle of its answer, the target went on and finished: a kill that came 50 ms later or more found nothing left to cut.

--- a/matrix/halt.go
+++ b/matrix/halt.go
@@ -32,6 +32,8 @@
 	target  string
 	reached chan struct{}
 	release chan struct{}
+	// halted reports whether a request is stopped.
+	halted bool
 	// accepted holds the targets whose accept an entry has read since Set.
 	accepted map[string]bool
 }
@@ -81,12 +83,23 @@
 	}
 	h.at = ""
 	h.target = target
+	h.halted = true
 	release := h.release
 	close(h.reached)
 	h.mu.Unlock()
 	<-release
 }
 
+// Wait blocks while a request is stopped.
+func (h *Breakpoint) Wait() {
+	h.mu.Lock()
+	halted, release := h.halted, h.release
+	h.mu.Unlock()
+	if halted {
+		<-release
+	}
+}
+
 // Reached returns a channel that is closed when a request stops at the step.
 func (h *Breakpoint) Reached() <-chan struct{} {
 	h.mu.Lock()
@@ -106,5 +119,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.at = ""
+	h.halted = false
 	close(h.release)
 }
--- a/matrix/hook.go
+++ b/matrix/hook.go
@@ -145,6 +145,9 @@
 		t.breakpoint.Reach(StepBody, t.target)
 	}
 	t.breakpoint.Reach(StepStart, t.target)
+	if t.isNaive && !t.holdsAnswer {
+		w = &haltedWriter{ResponseWriter: w, breakpoint: t.breakpoint}
+	}
 	if !t.holdsAnswer {
 		t.Handler.ServeHTTP(w, r)
 		t.delayEnd(w)
@@ -172,6 +175,22 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 }
 
+// haltedWriter sends nothing while the request is stopped at a step: the target would finish its answer before
+// the fault, for which the step is within the answer.
+type haltedWriter struct {
+	http.ResponseWriter
+	breakpoint *Breakpoint
+}
+
+// Write writes p once the request goes on.
+func (w *haltedWriter) Write(p []byte) (int, error) {
+	w.breakpoint.Wait()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *haltedWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // heldAnswer buffers the body of an answer. Status and headers pass through.
 type heldAnswer struct {
 	http.ResponseWriter
