relay: less work for each event, a shorter attempt

Each event was copied and took a flush controller of its own since comments are held; now only an event behind held ones is copied, and a stream has one controller. The part of an attempt after its answer has come is a function of its own.

--- a/relay/run.go
+++ b/relay/run.go
@@ -12,6 +12,7 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/crash"
+	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/place"
@@ -104,23 +105,8 @@
 	answer, err := q.send(ctx, c)
 	if err != nil {
 		q.witness = witness
-		q.recordFailure(run, t, err)
-		return false, err
-	}
-	q.watchEnd(t, answer, witness)
-	q.answerHead = answerHead{answer.Status, answer.Framing(), q.Codec.TargetHeaders(answer.Status, answer.Header)}
-	if q.isOwnAnswer() {
-		q.RecordAnswer(t, q.callerHeaders.ID, q.answerHead.TargetHeaders)
-	}
-	if err := q.validate(answer, q.answerHead.TargetHeaders); err != nil {
-		answer.Close(false)
-		q.recordFailure(run, t, err)
-		return false, err
-	}
-	if q.route.Kind == chestnutstep.RouteStream && answer.Status == http.StatusOK {
-		err = q.forwardEvents(run, t, answer)
 	} else {
-		err = q.collect(run, t, answer)
+		err = q.forward(run, t, answer, witness)
 	}
 	if err != nil {
 		q.recordFailure(run, t, err)
@@ -135,6 +121,23 @@
 	return true, nil
 }
 
+// forward passes an answer of a target on to the caller.
+func (q *request) forward(run *board.Attempt, t *roster.Target, answer *link.Response, witness ending.Witness) error {
+	q.watchEnd(t, answer, witness)
+	q.answerHead = answerHead{answer.Status, answer.Framing(), q.Codec.TargetHeaders(answer.Status, answer.Header)}
+	if q.isOwnAnswer() {
+		q.RecordAnswer(t, q.callerHeaders.ID, q.answerHead.TargetHeaders)
+	}
+	if err := q.validate(answer, q.answerHead.TargetHeaders); err != nil {
+		answer.Close(false)
+		return err
+	}
+	if q.route.Kind == chestnutstep.RouteStream && answer.Status == http.StatusOK {
+		return q.forwardEvents(run, t, answer)
+	}
+	return q.collect(run, t, answer)
+}
+
 // countTokens counts the tokens of the prompt by their expected source.
 func (q *request) countTokens(c *board.Choice) {
 	if c.Request.Tokens == 0 {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -32,6 +32,8 @@
 // stream is the state of the caller's stream.
 type stream struct {
 	started bool
+	// flusher is set once the stream is started.
+	flusher *http.ResponseController
 	// cursor is the position of the caller, whatever attempt and target the events came from.
 	cursor cursor.Cursor
 	// build is the build of the target that sent the first event, in this attempt of the caller or an
@@ -97,6 +99,9 @@
 	if err := q.stream.cursor.Advance(e.id); err != nil {
 		return nil, link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: err}
 	}
+	if len(events.held) == 0 {
+		return e.raw, nil
+	}
 	raw := append(events.held, e.raw...)
 	events.held = nil
 	return raw, nil
@@ -120,7 +125,7 @@
 func (q *request) writeEvent(raw []byte) error {
 	_, err := q.w.Write(raw)
 	if err == nil {
-		err = http.NewResponseController(q.w).Flush()
+		err = q.stream.flusher.Flush()
 	}
 	if err != nil {
 		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCanceled, Err: err}
@@ -134,7 +139,7 @@
 	if q.stream.started {
 		return
 	}
-	q.stream.started = true
+	q.stream.started, q.stream.flusher = true, http.NewResponseController(q.w)
 	if q.stream.build == "" {
 		q.recordOrigin(t)
 	}
