--- a/cmd/chestnutstep/serve.go
+++ b/cmd/chestnutstep/serve.go
@@ -19,11 +19,13 @@
 // entryCommand returns the entry subcommand and the function that runs it.
 func entryCommand() (*flaggy.Subcommand, func() error) {
 	c, path := serveFlags("entry", "take callers' requests and bring them to targets")
-	metrics := ""
-	c.String(&metrics, "m", "metrics", "port for metrics, where the settings are the platform's")
+	o := &directOptions{}
+	c.String(&o.metrics, "m", "metrics", "port for metrics, where the settings are the platform's")
+	c.Bool(&o.keepReturns, "r", "returns", "tell refused callers when a place is likely, and serve them first when they return then")
+	c.Float64(&o.hedgePercent, "g", "hedge", "part of a service's repeatable requests, in percent, that may be sent to a second target to cut slow answers")
 	return c, func() error {
 		if file := os.Getenv(platform.SettingsEnv); *path == "" && file != "" {
-			return runDirect(file, metrics)
+			return runDirect(file, o)
 		}
 		s, err := loadSettings(*path, config.RoleEntry)
 		if err != nil {
@@ -34,8 +36,8 @@
 }
 
 // runDirect runs an entry without agents, with the platform's settings file.
-func runDirect(file, metrics string) error {
-	parse := func(path string) (*config.DirectSettings, error) { return directSettings(path, metrics) }
+func runDirect(file string, o *directOptions) error {
+	parse := func(path string) (*config.DirectSettings, error) { return directSettings(path, o) }
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return errors.Wrap(err, "read settings")
@@ -56,15 +58,25 @@
 	return serve(n.Run)
 }
 
-// directSettings loads the platform's settings and sets the metrics port from
-// the command line.
-func directSettings(path, metrics string) (*config.DirectSettings, error) {
+// directOptions are the settings of an entry without agents that come from the command line.
+type directOptions struct {
+	metrics      string
+	keepReturns  bool
+	hedgePercent float64
+}
+
+// directSettings loads the platform's settings and adds those from the command line.
+func directSettings(path string, o *directOptions) (*config.DirectSettings, error) {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return nil, err
 	}
-	if metrics != "" {
-		s.MetricsAddr = net.JoinHostPort(s.IP, metrics)
+	if o.metrics != "" {
+		s.MetricsAddr = net.JoinHostPort(s.IP, o.metrics)
+	}
+	s.KeepReturns, s.HedgeRatio = o.keepReturns, o.hedgePercent/100
+	if s.HedgeRatio < 0 || s.HedgeRatio > s.Bounds.RetryRatio {
+		return nil, errors.Newf("--hedge: %g percent must be from 0 to %g, the retry budget", o.hedgePercent, 100*s.Bounds.RetryRatio)
 	}
 	return s, nil
 }
--- a/config/direct.go
+++ b/config/direct.go
@@ -34,6 +34,12 @@
 	MemoryBytes int64
 	// LinkMbps is the rate of the host's network link in Mbit/s; 0 if unknown.
 	LinkMbps int
+	// KeepReturns reports whether a refused caller is told when a place is likely, and goes before
+	// new callers when it returns at that time.
+	KeepReturns bool
+	// HedgeRatio is the part of a service's requests that may be sent to a second target while the
+	// first still works on them, from 0 to 1; 0 turns hedging off.
+	HedgeRatio float64
 	// Bootstrap reports whether the whole fleet starts for the first time.
 	Bootstrap bool
 	// UnknownFields lists fields of the settings file that this version does not support.
--- a/header_codec.go
+++ b/header_codec.go
@@ -61,6 +61,20 @@
 	RetryAfter string
 	// IsLeaving reports that the target is about to stop and takes no new requests.
 	IsLeaving bool
+	// Load is the load that the target reports about itself; zero if it reports none or the report is
+	// invalid.
+	Load TargetLoad
+}
+
+// TargetLoad is the load that a target reports about itself in an answer.
+type TargetLoad struct {
+	// Running is the number of requests that run, Waiting of those that wait for a slot.
+	Running, Waiting int
+	// Slots is the number of requests that can run concurrently; 0 if there is no valid report.
+	Slots int
+	// Slowdown is how long work takes at the target now relative to its usual speed: 1 is usual, 2
+	// twice as long. 0 if the target does not report it.
+	Slowdown float64
 }
 
 // HeaderCodec translates between HTTP headers and their parsed values. It makes no decisions.
--- a/node/delegate.go
+++ b/node/delegate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -128,6 +129,11 @@
 	return strings.Join(list, " ")
 }
 
+// sendOrigins sends records of streams to a peer.
+func (n *Direct) sendOrigins(to netip.AddrPort, b []byte) {
+	n.peers.SendMessage(to, share.MessageOrigins, b)
+}
+
 // originMembers returns the peers that can hold records of streams.
 func (n *Direct) originMembers() []origin.Member {
 	members := n.peers.Members(clock.Now())
--- a/node/direct.go
+++ b/node/direct.go
@@ -223,9 +223,10 @@
 	}
 	n.peers.Seeds = seedAddrs(n.Settings.Seeds)
 	n.origins = &origin.Directory{
-		Self: origin.Member{Addr: self, Domain: board.DomainKey(n.Settings.Domain)}, Members: n.originMembers, Send: n.peers.SendMessage,
+		Self: origin.Member{Addr: self, Domain: board.DomainKey(n.Settings.Domain)}, Members: n.originMembers, Send: n.sendOrigins,
 	}
-	n.peers.OnMessage, n.relay.Origins = n.origins.Receive, n.origins
+	n.peers.Handlers = map[share.MessageKind]func(clock.Stamp, []byte) error{share.MessageOrigins: n.origins.Receive}
+	n.relay.Origins = n.origins
 	return nil
 }
 
--- a/place/place.go
+++ b/place/place.go
@@ -62,6 +62,12 @@
 	// Unreported is the estimated number of requests at the target that other entries have not
 	// reported yet.
 	Unreported float64
+	// Waiting is the number of requests that wait at the target for a slot, as it reported; 0 if
+	// unknown.
+	Waiting float64
+	// Slowdown is how long work takes at the target relative to its usual speed, as it reported. 0
+	// and 1 mean the usual speed.
+	Slowdown float64
 	// Limit is the number of requests below which one more starts in time; 0 for no limit.
 	Limit float64
 	// PendingTokens is the number of prompt tokens that were sent and are not read yet.
--- a/share/loop.go
+++ b/share/loop.go
@@ -174,8 +174,8 @@
 			time.Sleep(minRoundInterval)
 			continue
 		}
-		if n > 0 && buf[0] == messagePrefix {
-			p.handleMessage(clock.Now(), buf[1:n])
+		if n > 0 && buf[0] < minReportByte {
+			p.handleMessage(clock.Now(), MessageKind(buf[0]), buf[1:n])
 			continue
 		}
 		r, err := decode(buf[:n])
--- a/share/peers.go
+++ b/share/peers.go
@@ -65,8 +65,8 @@
 	OnError func(err error)
 	// Link is the link rate of this host in Mbit/s, reported to peers.
 	Link uint32
-	// OnMessage receives the datagrams that peers sent with SendMessage; it can be nil.
-	OnMessage func(now clock.Stamp, b []byte) error
+	// Handlers receive the datagrams that peers sent with SendMessage, by kind.
+	Handlers map[MessageKind]func(now clock.Stamp, b []byte) error
 
 	mu       sync.Mutex
 	peers    map[netip.AddrPort]*peer
