--- a/config/problem.go
+++ b/config/problem.go
@@ -7,16 +7,27 @@
 	"github.com/cockroachdb/errors"
 )
 
+// Severity tells whether a file with the problem can be used. It is empty where all problems are
+// errors.
+type Severity string
+
+// The severities of a problem.
+const (
+	SeverityError   Severity = "error"
+	SeverityWarning Severity = "warning"
+)
+
 // Problem is one mistake in a file or a publication.
 type Problem struct {
+	Severity Severity `json:"severity"`
 	// File is the name of the file; empty for a publication that came
 	// from the platform or a peer.
-	File string
+	File string `json:"file"`
 	// Line counts from 1; 0 if the content has no lines.
-	Line int
+	Line int `json:"line"`
 	// Path is the field, such as "targets[3].host"; empty for the whole file.
-	Path string
-	Text string
+	Path string `json:"path"`
+	Text string `json:"text"`
 }
 
 // String formats the problem like compiler errors, so that editors can jump to it.
@@ -31,6 +42,9 @@
 	if b.Len() > 0 {
 		b.WriteByte(' ')
 	}
+	if p.Severity != "" {
+		fmt.Fprintf(&b, "%s: ", p.Severity)
+	}
 	if p.Path != "" {
 		fmt.Fprintf(&b, "%s: ", p.Path)
 	}
