--- a/cmd/chestnutstep/check.go
+++ b/cmd/chestnutstep/check.go
@@ -24,6 +24,7 @@
 	settings string
 	routing  string
 	deploy   string
+	routingOptions
 }
 
 // checkCommand returns the check subcommand and the function that runs it.
@@ -35,12 +36,22 @@
 	c.String(&o.settings, "s", "settings", "a settings file of the platform")
 	c.String(&o.routing, "r", "routing", "a configuration of the platform's operator")
 	c.String(&o.deploy, "d", "deploy", "a deploy file of the platform")
-	c.String(&o.against, "a", "against", "the publication in force: says what the change would do")
+	c.String(&o.against, "a", "against", "the publication, or with --routing the configuration, in force: says what the change would do")
 	c.StringSlice(&o.loads, "l", "load", "with --against: a target's load now, TARGET=NUMBER in requests for one unit of weight; may be repeated")
+	c.String(&o.targets, "t", "targets", "with --routing: a JSON list of targets as the platform lists them")
+	c.Float64(&o.hedgePercent, "g", "hedge", "with --routing and --settings: the percentage that entries are started with")
+	c.Bool(&o.json, "j", "json", "with --routing: print one JSON object")
+	c.Bool(&o.strict, "x", "strict", "with --routing: exit with status 1 on warnings, too")
 	return c, func() error { return o.run(os.Stdout) }
 }
 
 func (o *checkOptions) run(w io.Writer) error {
+	if o.routing != "" {
+		return o.runRouting(w)
+	}
+	if o.routingOptions != (routingOptions{}) {
+		return ErrUsage{errors.New("--targets, --hedge, --json and --strict need --routing")}
+	}
 	checked, err := o.runPlatform(w)
 	if err != nil || o.file == "" && checked {
 		return err
@@ -82,7 +93,7 @@
 	for _, input := range []struct {
 		file  string
 		check func(file string, raw []byte) error
-	}{{o.settings, settings}, {o.routing, platform.CheckConfig}, {o.deploy, platform.CheckDeploy}} {
+	}{{o.settings, settings}, {o.deploy, platform.CheckDeploy}} {
 		if input.file == "" {
 			continue
 		}
--- a/cmd/chestnutstep/main.go
+++ b/cmd/chestnutstep/main.go
@@ -1,7 +1,7 @@
 // Command chestnutstep is the program of the router fleet: it runs an entry or
 // an agent, and contains the operators' tools. Its subcommands read settings
 // files, publications or the admin addresses of processes, and exit with status
-// 1 on an error.
+// 1 on an error, or 2 if the arguments are wrong or check --routing can't read a file.
 package main
 
 import (
@@ -51,9 +51,8 @@
 }
 
 func exit(err error) {
-	if err == nil {
-		os.Exit(0)
+	if err != nil && !IsErrFindings(err) {
+		fmt.Fprintln(os.Stderr, "chestnutstep:", err)
 	}
-	fmt.Fprintln(os.Stderr, "chestnutstep:", err)
-	os.Exit(1)
+	os.Exit(exitStatus(err))
 }
