relay: state of one attempt in a type of its own

Two attempts of a request are to run at the same time, so what belongs to one attempt (head, witness, end state, buffered answer) moves from request to attempt, and the accounting of buffers takes a lock. A complete answer is written when the attempt is finished instead of within collect. No change of behaviour intended.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -8,10 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/link"
-	"chestnutstep.example/chestnutstep/roster"
 )
 
 // answerHead is the status, the framing and the parsed headers of a target's answer.
@@ -21,32 +19,30 @@
 	chestnutstep.TargetHeaders
 }
 
-// collect reads the complete answer before it sends anything to the caller. If the answer breaks
+// collect reads the complete answer before anything is sent to the caller. If the answer breaks
 // off, the request can still be retried on another target or answered with an error; after the head
 // was sent, the only option would be to cut the connection.
-func (q *request) collect(run *board.Attempt, t *roster.Target, a *link.Response) error {
-	run.FirstByte(clock.Now())
-	answer, err := q.readAnswer(a)
+func (x *attempt) collect(a *link.Response) error {
+	x.run.FirstByte(clock.Now())
+	answer, err := x.readAnswer(a)
 	a.Close(err == nil)
 	if err != nil {
-		return q.truncatedErr(a, err)
+		return x.truncatedErr(a, err)
 	}
-	if err := q.checkEnd(t, a); err != nil {
+	if err := x.checkEnd(a); err != nil {
 		return err
 	}
+	x.answer = answer
 	if a.Status >= http.StatusInternalServerError {
-		q.failureAnswer = answer
 		return link.ErrCall{Run: chestnutstep.RunYes, Reason: chestnutstep.ReasonCrashed, Err: errors.Newf("target responded with status %d", a.Status)}
 	}
-	answer.write(q.w)
-	q.segments.put(answer)
 	return nil
 }
 
 // truncatedErr returns the error for a body that could not be read to its end. Only the end of its
 // connection can be that of the target.
-func (q *request) truncatedErr(a *link.Response, err error) link.ErrCall {
-	if q.ctx.Err() != nil {
+func (x *attempt) truncatedErr(a *link.Response, err error) link.ErrCall {
+	if x.ctx.Err() != nil {
 		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonTimeout, Err: err}
 	}
 	e := link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonShort, Err: err}
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/ending"
+	"chestnutstep.example/chestnutstep/link"
+	"chestnutstep.example/chestnutstep/roster"
+)
+
+// attempt is the state of one attempt at a target. Two attempts of a request can run exchange at the
+// same time; all other methods that change the request are called by its own goroutine.
+type attempt struct {
+	*request
+	// ctx ends with the request or when the attempt is canceled.
+	ctx    context.Context
+	cancel context.CancelFunc
+	choice *board.Choice
+	target *roster.Target
+	run    *board.Attempt
+	// answerHead is the head of the answer; zero if there is none.
+	answerHead answerHead
+	// witness is the witness of the answer if that has neither a length nor chunks.
+	witness ending.Witness
+	// endState is, for the log, the state of the target after an answer without length or chunks.
+	endState string
+	// isCloseDelimited reports whether the end of the answer does not prove that the target lives.
+	isCloseDelimited bool
+	// answer is the answer if it was read to its end and is not a stream.
+	answer *bufferedAnswer
+}
+
+// start records the start of an attempt.
+func (q *request) start(c *board.Choice) *attempt {
+	x := &attempt{request: q, choice: c, target: c.Target}
+	q.triedTargets = append(q.triedTargets, x.target.ID)
+	if q.attempts.Sent+q.attempts.Unreached == 0 {
+		q.Budgets.Deposit(time.Now(), q.service.Name)
+	}
+	q.stream.events, q.stream.firstID = 0, 0
+	x.run = q.Board.Start(clock.Now(), x.target, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
+	q.logSend(c)
+	q.countTokens(c)
+	if c.NewConnection {
+		q.Meters.Verified.Add(1, q.service.Name)
+	}
+	x.ctx, x.cancel = context.WithCancel(q.ctx)
+	return x
+}
+
+// exchange sends the request and reads the answer. Events of a stream go to the caller at once, other
+// answers are kept.
+func (x *attempt) exchange() error {
+	defer x.releaseWitness()
+	witness := x.prepareWitness(x.target)
+	answer, err := x.send()
+	if err != nil {
+		x.witness = witness
+		return err
+	}
+	return x.forward(answer, witness)
+}
+
+// forward passes the events of a stream on to the caller, and keeps other answers.
+func (x *attempt) forward(answer *link.Response, witness ending.Witness) error {
+	x.watchEnd(answer, witness)
+	x.isCloseDelimited = answer.IsCloseDelimited()
+	x.answerHead = answerHead{answer.Status, answer.Framing(), x.Codec.TargetHeaders(answer.Status, answer.Header)}
+	if x.isOwnAnswer() {
+		x.RecordAnswer(x.target, x.callerHeaders.ID, x.answerHead.TargetHeaders)
+	}
+	if err := x.validate(answer, x.answerHead.TargetHeaders); err != nil {
+		answer.Close(false)
+		return err
+	}
+	if x.route.Kind == chestnutstep.RouteStream && answer.Status == http.StatusOK {
+		return x.forwardEvents(answer)
+	}
+	return x.collect(answer)
+}
+
+// finish records the result of an attempt, and sends a complete answer to the caller. If done is true,
+// the caller has received its answer.
+func (x *attempt) finish(err error) (done bool, _ error) {
+	if err != nil {
+		if x.answer != nil {
+			x.failureAnswer = x.answer
+		}
+		x.recordFailure(err)
+		return false, err
+	}
+	if x.answer != nil {
+		x.answer.write(x.w)
+		x.segments.put(x.answer)
+	}
+	x.run.End(clock.Now(), board.Served)
+	x.attempts.Record(chestnutstep.RunYes)
+	if !x.isCloseDelimited {
+		x.Crashes.RecordServed(clock.Now(), x.suspects())
+	}
+	x.recordDone()
+	return true, nil
+}
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -35,9 +36,9 @@
 // reserve accounts for n more bytes of buffers. If all requests together would take more than allowed,
 // it waits, as others end soon; the error after that is a link.ErrTooLarge. Requests wait for different
 // times: two that wait for each other must not both give up.
-func (q *request) reserve(n int64, part string) error {
+func (q *request) reserve(ctx context.Context, n int64, part string) error {
 	for end := time.Now().Add(admit.Jitter(q.callerHeaders.ID, memoryWait)); !q.tryReserve(n); {
-		if time.Now().After(end) || !clock.Sleep(q.ctx, memoryPoll) {
+		if time.Now().After(end) || !clock.Sleep(ctx, memoryPoll) {
 			return link.ErrTooLarge{Part: part, Limit: maxSharedBytes}
 		}
 	}
@@ -46,6 +47,8 @@
 
 // tryReserve is like reserve, but does not wait.
 func (q *request) tryReserve(n int64) bool {
+	q.bufferMu.Lock()
+	defer q.bufferMu.Unlock()
 	shared := max(q.buffered+n-freeBufferBytes, 0) - max(q.buffered-freeBufferBytes, 0)
 	if q.sharedBytes.Add(shared) > maxSharedBytes && shared > 0 {
 		q.sharedBytes.Add(-shared)
@@ -57,6 +60,8 @@
 
 // release ends the accounting for n bytes of buffers.
 func (q *request) release(n int64) {
+	q.bufferMu.Lock()
+	defer q.bufferMu.Unlock()
 	shared := max(q.buffered-freeBufferBytes, 0) - max(q.buffered-n-freeBufferBytes, 0)
 	q.buffered -= n
 	if q.sharedBytes.Add(-shared) == 0 && shared > 0 {
@@ -66,25 +71,25 @@
 
 // readAnswer reads an answer in segments, so that memory is taken only for bytes that have come. The
 // error is a link.ErrTooLarge if a limit is exceeded.
-func (q *request) readAnswer(a *link.Response) (*bufferedAnswer, error) {
+func (x *attempt) readAnswer(a *link.Response) (*bufferedAnswer, error) {
 	answer := &bufferedAnswer{status: a.Status, header: a.Header}
-	before := q.buffered
-	err := q.readSegments(a, answer)
+	err := x.readSegments(a, answer)
 	if err != nil {
-		q.segments.put(answer)
-		q.release(q.buffered - before)
+		x.segments.put(answer)
+		x.release(answer.reserved)
 		return nil, err
 	}
 	return answer, nil
 }
 
-func (q *request) readSegments(a *link.Response, answer *bufferedAnswer) error {
+func (x *attempt) readSegments(a *link.Response, answer *bufferedAnswer) error {
 	size := min(max(a.Length, minSegment), maxSegment)
 	for total := int64(0); ; size = maxSegment {
-		if err := q.reserve(size, "body"); err != nil {
+		if err := x.reserve(x.ctx, size, "body"); err != nil {
 			return err
 		}
-		segment := q.segments.get(size)
+		answer.reserved += size
+		segment := x.segments.get(size)
 		n, err := io.ReadFull(a, segment)
 		answer.segments = append(answer.segments, segment[:n])
 		total += int64(n)
@@ -146,6 +151,8 @@
 	status   int
 	header   http.Header
 	segments [][]byte
+	// reserved is the memory that is accounted for the answer.
+	reserved int64
 }
 
 func (a *bufferedAnswer) length() int {
--- a/relay/log.go
+++ b/relay/log.go
@@ -10,7 +10,6 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
-	"chestnutstep.example/chestnutstep/roster"
 )
 
 // log emits an event with the id of this request.
@@ -53,14 +52,14 @@
 }
 
 // recordDone counts and logs a request that was served.
-func (q *request) recordDone(t *roster.Target) {
-	q.Meters.Requests.Add(1, q.routeKind(), "ok")
-	q.Meters.Answer.Observe(time.Since(q.startedAt), q.routeKind())
-	q.Meters.Tries.Add(1, q.service.Name, "ok")
-	q.log(event.RelayDone,
-		event.Str("route", q.route.Name), event.Str("target", t.ID), event.Int("tries", int64(q.attempts.Sent)),
-		event.Dur("took", time.Since(q.startedAt)), event.Int("last", q.resumePoint()), event.Bool("leaving", q.answerHead.IsLeaving),
-		event.Str("framing", q.answerHead.framing), event.Int("first", q.stream.firstID), event.Int("after", q.callerHeaders.LastEventID), event.Str("process", q.endState))
+func (x *attempt) recordDone() {
+	x.Meters.Requests.Add(1, x.routeKind(), "ok")
+	x.Meters.Answer.Observe(time.Since(x.startedAt), x.routeKind())
+	x.Meters.Tries.Add(1, x.service.Name, "ok")
+	x.log(event.RelayDone,
+		event.Str("route", x.route.Name), event.Str("target", x.target.ID), event.Int("tries", int64(x.attempts.Sent)),
+		event.Dur("took", time.Since(x.startedAt)), event.Int("last", x.resumePoint()), event.Bool("leaving", x.answerHead.IsLeaving),
+		event.Str("framing", x.answerHead.framing), event.Int("first", x.stream.firstID), event.Int("after", x.callerHeaders.LastEventID), event.Str("process", x.endState))
 }
 
 // logEnd counts and logs an answer of the relay itself, with the state that led to it.
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -1,13 +1,11 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
@@ -16,18 +14,19 @@
 )
 
 // send sends the request to the chosen target, unless that must not receive it by now.
-func (q *request) send(ctx context.Context, c *board.Choice) (*link.Response, error) {
+func (x *attempt) send() (*link.Response, error) {
+	c := x.choice
 	instance := pause.InstanceOf(&c.Target.Instance)
 	acquired := false
-	call := q.buildCall(c)
+	call := x.buildCall(c)
 	call.Allow = func() error {
-		err := q.Pauses.Acquire(clock.Now(), instance)
+		err := x.Pauses.Acquire(clock.Now(), instance)
 		acquired = err == nil
 		return err
 	}
-	answer, err := q.Pool.Do(ctx, c.Target.Address, call)
+	answer, err := x.Pool.Do(x.ctx, c.Target.Address, call)
 	if acquired {
-		q.Pauses.Release(clock.Now(), instance, err == nil)
+		x.Pauses.Release(clock.Now(), instance, err == nil)
 	}
 	return answer, err
 }
@@ -40,9 +39,9 @@
 
 // isOwnAnswer reports whether the head of the answer belongs to this request. Only a rejection can lack
 // the id.
-func (q *request) isOwnAnswer() bool {
-	h := q.answerHead
-	return h.ID == q.callerHeaders.ID || h.NotRun && h.ID == ""
+func (x *attempt) isOwnAnswer() bool {
+	h := x.answerHead
+	return h.ID == x.callerHeaders.ID || h.NotRun && h.ID == ""
 }
 
 // RecordAnswer records what a target said about itself in the head of an answer, which must belong to
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,7 +17,6 @@
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/cursor"
-	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
@@ -86,17 +85,13 @@
 	deadline     time.Time
 	attempts     retry.Attempts
 	triedTargets []string
-	// buffered counts the bytes of this request's buffers.
+	// buffered counts the bytes of this request's buffers. bufferMu guards it, because two attempts can
+	// read answers at the same time.
+	bufferMu sync.Mutex
 	buffered int64
 	// failureAnswer is an error response of a target. It is sent to the caller if no other target
 	// serves the request.
 	failureAnswer *bufferedAnswer
-	// answerHead is the head of the answer to the current attempt; zero if there is none.
-	answerHead answerHead
-	// witness is the witness of the current answer if that has neither a length nor chunks.
-	witness ending.Witness
-	// endState is, for the log, the state of the target after an answer without length or chunks.
-	endState string
 	// stream is the part of a stream that was already sent to the caller.
 	stream stream
 	// allowEnd lets the caller's connection end without a reset, once its stream is whole.
--- a/relay/run.go
+++ b/relay/run.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -12,7 +11,6 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/crash"
-	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/place"
@@ -86,56 +84,9 @@
 
 // attempt sends the request to one target. If done is true, the caller has received its answer.
 func (q *request) attempt(c *board.Choice) (done bool, err error) {
-	now, t := clock.Now(), c.Target
-	q.triedTargets = append(q.triedTargets, t.ID)
-	if q.attempts.Sent+q.attempts.Unreached == 0 {
-		q.Budgets.Deposit(time.Now(), q.service.Name)
-	}
-	q.stream.events, q.stream.firstID, q.answerHead, q.endState = 0, 0, answerHead{}, ""
-	run := q.Board.Start(now, t, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
-	q.logSend(c)
-	q.countTokens(c)
-	if c.NewConnection {
-		q.Meters.Verified.Add(1, q.service.Name)
-	}
-	ctx, cancel := context.WithCancel(q.ctx)
-	defer cancel()
-	defer q.releaseWitness()
-	witness := q.prepareWitness(t)
-	answer, err := q.send(ctx, c)
-	if err != nil {
-		q.witness = witness
-	} else {
-		err = q.forward(run, t, answer, witness)
-	}
-	if err != nil {
-		q.recordFailure(run, t, err)
-		return false, err
-	}
-	run.End(clock.Now(), board.Served)
-	q.attempts.Record(chestnutstep.RunYes)
-	if !answer.IsCloseDelimited() { // its end does not prove that the target lives
-		q.Crashes.RecordServed(clock.Now(), q.suspects())
-	}
-	q.recordDone(t)
-	return true, nil
-}
-
-// forward passes an answer of a target on to the caller.
-func (q *request) forward(run *board.Attempt, t *roster.Target, answer *link.Response, witness ending.Witness) error {
-	q.watchEnd(t, answer, witness)
-	q.answerHead = answerHead{answer.Status, answer.Framing(), q.Codec.TargetHeaders(answer.Status, answer.Header)}
-	if q.isOwnAnswer() {
-		q.RecordAnswer(t, q.callerHeaders.ID, q.answerHead.TargetHeaders)
-	}
-	if err := q.validate(answer, q.answerHead.TargetHeaders); err != nil {
-		answer.Close(false)
-		return err
-	}
-	if q.route.Kind == chestnutstep.RouteStream && answer.Status == http.StatusOK {
-		return q.forwardEvents(run, t, answer)
-	}
-	return q.collect(run, t, answer)
+	x := q.start(c)
+	defer x.cancel()
+	return x.finish(x.exchange())
 }
 
 // countTokens counts the tokens of the prompt by their expected source.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/cursor"
 	"chestnutstep.example/chestnutstep/guard"
@@ -46,23 +45,23 @@
 
 // forwardEvents forwards each event when it was received completely. If a target breaks off in the
 // middle of an event, a part that was already sent could not be continued by another target.
-func (q *request) forwardEvents(run *board.Attempt, t *roster.Target, a *link.Response) error {
-	events := &eventReader{request: q, br: bufio.NewReaderSize(a, eventBufferBytes)}
+func (x *attempt) forwardEvents(a *link.Response) error {
+	events := &eventReader{attempt: x, br: bufio.NewReaderSize(a, eventBufferBytes)}
 	defer events.release()
 	for {
 		e, err := events.next()
 		if err == io.EOF && len(e.raw) == 0 {
 			a.Close(true)
-			return q.endStream(t, a, events.held)
+			return x.endStream(a, events.held)
 		}
 		if err != nil {
 			a.Close(false)
-			return q.truncatedErr(a, err)
+			return x.truncatedErr(a, err)
 		}
-		run.FirstByte(clock.Now())
-		raw, err := q.admitEvent(events, e)
+		x.run.FirstByte(clock.Now())
+		raw, err := x.admitEvent(events, e)
 		if link.IsErrTooLarge(err) {
-			err = q.truncatedErr(a, err)
+			err = x.truncatedErr(a, err)
 		}
 		if err != nil {
 			a.Close(false)
@@ -71,8 +70,8 @@
 		if len(raw) == 0 {
 			continue
 		}
-		q.beginStream(t, a)
-		if err := q.writeEvent(raw); err != nil {
+		x.beginStream(x.target, a)
+		if err := x.writeEvent(raw); err != nil {
 			a.Close(false)
 			return err
 		}
@@ -108,17 +107,17 @@
 }
 
 // endStream ends a stream whose body was read to its end; rest are bytes that are still held.
-func (q *request) endStream(t *roster.Target, a *link.Response, rest []byte) error {
-	if err := q.checkEnd(t, a); err != nil {
+func (x *attempt) endStream(a *link.Response, rest []byte) error {
+	if err := x.checkEnd(a); err != nil {
 		return err
 	}
-	q.beginStream(t, a) // a stream without events still needs a head
+	x.beginStream(x.target, a) // a stream without events still needs a head
 	if len(rest) > 0 {
-		if err := q.writeEvent(rest); err != nil {
+		if err := x.writeEvent(rest); err != nil {
 			return err
 		}
 	}
-	q.allowEnd()
+	x.allowEnd()
 	return nil
 }
 
@@ -175,7 +174,7 @@
 
 // eventReader reads the events of a stream.
 type eventReader struct {
-	request *request
+	attempt *attempt
 	br      *bufio.Reader
 	// reserved is the memory that is accounted for the current event.
 	reserved int64
@@ -185,7 +184,7 @@
 }
 
 // release ends the accounting for the memory of the reader.
-func (r *eventReader) release() { r.request.release(r.reserved + r.heldReserved) }
+func (r *eventReader) release() { r.attempt.release(r.reserved + r.heldReserved) }
 
 // hold keeps a block until the next event. The error is a link.ErrTooLarge if there are too many.
 func (r *eventReader) hold(raw []byte) error {
@@ -193,7 +192,7 @@
 		return link.ErrTooLarge{Part: "event", Limit: maxEventBytes}
 	}
 	size := growthFactor * int64(len(raw))
-	if err := r.request.reserve(size, "event"); err != nil {
+	if err := r.attempt.reserve(r.attempt.ctx, size, "event"); err != nil {
 		return err
 	}
 	r.heldReserved += size
@@ -204,7 +203,7 @@
 // next reads up to the blank line that ends an event. At the end of the body it returns io.EOF with
 // the remaining bytes. The error is an ErrEvent or a link.ErrTooLarge if the event can't be read.
 func (r *eventReader) next() (e streamEvent, err error) {
-	r.request.release(r.reserved)
+	r.attempt.release(r.reserved)
 	r.reserved = 0
 	for {
 		start := len(e.raw)
@@ -243,7 +242,7 @@
 			return raw, link.ErrTooLarge{Part: "event", Limit: maxEventBytes}
 		}
 		size := growthFactor * int64(len(part))
-		if err := r.request.reserve(size, "event"); err != nil {
+		if err := r.attempt.reserve(r.attempt.ctx, size, "event"); err != nil {
 			return raw, err
 		}
 		r.reserved += size
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -53,27 +53,27 @@
 }
 
 // watchEnd attaches a witness to an answer without length or chunks, and releases it otherwise.
-func (q *request) watchEnd(t *roster.Target, a *link.Response, w ending.Witness) {
+func (x *attempt) watchEnd(a *link.Response, w ending.Witness) {
 	if !a.IsCloseDelimited() {
-		q.framings.CompareAndSwap(q.service.Name, untried, allFramed)
+		x.framings.CompareAndSwap(x.service.Name, untried, allFramed)
 		if w != nil {
 			w.Release()
 		}
 		return
 	}
-	q.framings.Store(q.service.Name, someUnframed)
+	x.framings.Store(x.service.Name, someUnframed)
 	if w == nil {
-		w = q.newWitness(t)
+		w = x.newWitness(x.target)
 	}
 	w.Attach(a.Conn())
-	q.witness = w
+	x.witness = w
 }
 
 // releaseWitness ends the witness of an attempt that failed.
-func (q *request) releaseWitness() {
-	if q.witness != nil {
-		q.witness.Release()
-		q.witness = nil
+func (x *attempt) releaseWitness() {
+	if x.witness != nil {
+		x.witness.Release()
+		x.witness = nil
 	}
 }
 
@@ -83,58 +83,58 @@
 }
 
 // checkEnd returns an error unless it is proven that an answer that was read to its end is whole.
-func (q *request) checkEnd(t *roster.Target, a *link.Response) error {
+func (x *attempt) checkEnd(a *link.Response) error {
 	end := ending.End{Framing: ending.Framed}
 	if a.IsCloseDelimited() {
 		end.Framing = ending.Unframed
-		end.Process = q.witness.Confirm(q.isPaused(t))
-		q.witness = nil
-		q.endState = end.Process.String()
+		end.Process = x.witness.Confirm(x.isPaused(x.target))
+		x.witness = nil
+		x.endState = end.Process.String()
 	}
 	verdict := ending.Judge(end)
 	switch {
-	case verdict == ending.Unproven && q.route.IsIdempotent():
+	case verdict == ending.Unproven && x.route.IsIdempotent():
 		verdict = ending.Cut // another target can still answer, or go on behind the last event
 	case verdict == ending.Unproven:
-		verdict = q.judgeByListener(t)
+		verdict = x.judgeByListener()
 	}
 	if a.IsCloseDelimited() {
-		q.Meters.Ends.Add(1, q.endState)
+		x.Meters.Ends.Add(1, x.endState)
 	}
 	if verdict == ending.Whole {
 		return nil
 	}
-	e := q.truncatedErr(a, errors.New("the target ended with its answer"))
+	e := x.truncatedErr(a, errors.New("the target ended with its answer"))
 	e.PeerClosed = e.Reason == chestnutstep.ReasonShort
 	return e
 }
 
 // judgeByListener decides on an answer that ended before there was a witness. A listener at the address is
 // weak evidence, as another process can have taken it over; one that is listed with another start time has.
-func (q *request) judgeByListener(t *roster.Target) ending.Verdict {
-	if q.isPaused(t) {
-		q.endState = "paused"
+func (x *attempt) judgeByListener() ending.Verdict {
+	if x.isPaused(x.target) {
+		x.endState = "paused"
 		return ending.Whole // nothing may be asked
 	}
-	if q.hasListenerEnded(t) {
-		q.endState = "refused"
+	if x.hasListenerEnded() {
+		x.endState = "refused"
 		return ending.Cut
 	}
-	clock.Sleep(q.ctx, restartHold)
-	if listed := q.Roster.View().ByID[t.ID]; listed != nil && listed.StartedMs != t.StartedMs {
-		q.endState = "replaced"
+	clock.Sleep(x.ctx, restartHold)
+	if listed := x.Roster.View().ByID[x.target.ID]; listed != nil && listed.StartedMs != x.target.StartedMs {
+		x.endState = "replaced"
 		return ending.Cut
 	}
-	q.endState = "listens"
+	x.endState = "listens"
 	return ending.Whole
 }
 
 // hasListenerEnded reports whether no process listens at the target's address. The run counts as broken
 // until the list of targets shows that its target lives, unless its end is planned.
-func (q *request) hasListenerEnded(t *roster.Target) bool {
-	if q.isEndPlanned(t) {
-		return q.Pool.Probe(t.Address) == link.Refused
+func (x *attempt) hasListenerEnded() bool {
+	if x.isEndPlanned(x.target) {
+		return x.Pool.Probe(x.target.Address) == link.Refused
 	}
-	q.awaitProof(UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events})
-	return q.Crashes.HasEnded(clock.Now(), t)
+	x.awaitProof(UnfinishedRun{Target: x.target, Suspects: x.suspects(), Events: x.stream.events})
+	return x.Crashes.HasEnded(clock.Now(), x.target)
 }
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -15,14 +15,13 @@
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/pause"
-	"chestnutstep.example/chestnutstep/roster"
 )
 
 // validate checks whether the head of an answer belongs to this request. The error reports whether
 // the target ran the request.
-func (q *request) validate(a *link.Response, headers chestnutstep.TargetHeaders) error {
+func (x *attempt) validate(a *link.Response, headers chestnutstep.TargetHeaders) error {
 	switch {
-	case headers.NotRun && q.isOwnAnswer():
+	case headers.NotRun && x.isOwnAnswer():
 		reason := chestnutstep.ReasonFull
 		switch _, paused := pause.ParseRetryAfter(headers.RetryAfter); {
 		case headers.Misdirected:
@@ -31,58 +30,58 @@
 			reason = chestnutstep.ReasonPaused
 		}
 		return link.ErrCall{Run: chestnutstep.RunNo, Reason: reason, Err: errors.Newf("target did not run the request: status %d", a.Status)}
-	case headers.ID != q.callerHeaders.ID:
+	case headers.ID != x.callerHeaders.ID:
 		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: errors.Newf("response belongs to another request: %q", headers.ID)}
 	case !headers.IsSigned || a.Header.Get("Content-Encoding") != "":
 		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonShort, Err: errors.Newf("response with status %d is unsigned or has a content encoding", a.Status)}
-	case q.stream.started && a.Status != http.StatusOK:
+	case x.stream.started && a.Status != http.StatusOK:
 		// Its body would follow the events that the caller has.
-		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: errors.Newf("response with status %d to a stream after event %d", a.Status, q.resumePoint())}
+		return link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonCrossed, Err: errors.Newf("response with status %d to a stream after event %d", a.Status, x.resumePoint())}
 	}
 	return nil
 }
 
 // recordFailure records an attempt without a usable answer.
-func (q *request) recordFailure(run *board.Attempt, t *roster.Target, err error) {
+func (x *attempt) recordFailure(err error) {
 	now := clock.Now()
 	var e link.ErrCall
 	if !errors.As(err, &e) {
 		e = link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonLink, Err: err}
 	}
-	callerLeft := q.hasCallerLeft()
-	run.End(now, outcome(e, callerLeft))
+	callerLeft := x.hasCallerLeft()
+	x.run.End(now, outcome(e, callerLeft))
 	if e.Reason == chestnutstep.ReasonDown || isUnsent(err) {
-		q.attempts.Unreached++
+		x.attempts.Unreached++
 	} else {
-		q.attempts.Record(e.Run)
+		x.attempts.Record(e.Run)
 	}
 	if e.Reason == chestnutstep.ReasonDown || e.Reason == chestnutstep.ReasonDead {
-		q.Pool.CloseIdle(t.Address)
+		x.Pool.CloseIdle(x.target.Address)
 	}
-	q.Meters.Tries.Add(1, q.service.Name, string(e.Reason))
-	q.log(event.RelayFailed,
-		event.Str("target", t.ID), event.Str("reason", string(e.Reason)), event.Str("run", string(e.Run)),
-		event.Int("status", int64(q.answerHead.status)), event.Str("retry", q.answerHead.RetryAfter), event.Bool("leaving", q.answerHead.IsLeaving),
-		event.Str("framing", q.answerHead.framing), event.Int("first", q.stream.firstID), event.Int("after", q.callerHeaders.LastEventID),
-		event.Bool("reused", e.Reused), event.Int("last", q.resumePoint()), event.Uint("content", q.content), event.Str("parts", q.sharedParts()), event.Err(e.Err))
-	q.recordTargetEnd(t, e, callerLeft)
+	x.Meters.Tries.Add(1, x.service.Name, string(e.Reason))
+	x.log(event.RelayFailed,
+		event.Str("target", x.target.ID), event.Str("reason", string(e.Reason)), event.Str("run", string(e.Run)),
+		event.Int("status", int64(x.answerHead.status)), event.Str("retry", x.answerHead.RetryAfter), event.Bool("leaving", x.answerHead.IsLeaving),
+		event.Str("framing", x.answerHead.framing), event.Int("first", x.stream.firstID), event.Int("after", x.callerHeaders.LastEventID),
+		event.Bool("reused", e.Reused), event.Int("last", x.resumePoint()), event.Uint("content", x.content), event.Str("parts", x.sharedParts()), event.Err(e.Err))
+	x.recordTargetEnd(e, callerLeft)
 }
 
 // recordTargetEnd passes a failure to the CrashTracker if it can mean that the target has ended.
-func (q *request) recordTargetEnd(t *roster.Target, e link.ErrCall, callerLeft bool) {
-	if q.isEndPlanned(t) {
+func (x *attempt) recordTargetEnd(e link.ErrCall, callerLeft bool) {
+	if x.isEndPlanned(x.target) {
 		return
 	}
-	u := UnfinishedRun{Target: t, Suspects: q.suspects(), Events: q.stream.events, CallerLeft: callerLeft}
+	u := UnfinishedRun{Target: x.target, Suspects: x.suspects(), Events: x.stream.events, CallerLeft: callerLeft}
 	switch {
 	case e.Reason == chestnutstep.ReasonDown:
 		if errors.Is(e.Err, syscall.ECONNREFUSED) {
-			q.Crashes.RecordConnRefused(clock.Now(), t)
+			x.Crashes.RecordConnRefused(clock.Now(), x.target)
 		}
 	case callerLeft || e.Unresponsive || e.Reason == chestnutstep.ReasonTimeout:
-		q.Crashes.RecordAbandoned(clock.Now(), u)
+		x.Crashes.RecordAbandoned(clock.Now(), u)
 	case e.PeerClosed:
-		q.awaitProof(u)
+		x.awaitProof(u)
 	}
 }
 
