--- a/board/board.go
+++ b/board/board.go
@@ -178,6 +178,9 @@
 	if !l.criteria.IncludeDown && s.health.isDown(l.now) {
 		return place.Candidate{}, false
 	}
+	if l.criteria.Spare && (l.now < m.ColdUntil || s.suspicion.isActive(l.now)) {
+		return place.Candidate{}, false
+	}
 	cold := l.service.ColdRate > 0 && l.now < m.ColdUntil
 	if cold && !b.canSendCold(l.now, m.key, s, l.service) {
 		return place.Candidate{}, false
--- a/board/choose.go
+++ b/board/choose.go
@@ -42,6 +42,9 @@
 	// VerifyHost is set if a dead host would cost the request more than a handshake, because
 	// the request must run at most once or has already lost time.
 	VerifyHost bool
+	// Spare is set if the request is only worth sending to a target in a good state: none that is
+	// cold, suspected or marked down.
+	Spare bool
 }
 
 // Choice is the result of choosing a target for a request.
@@ -63,6 +66,8 @@
 	PausedUntil clock.Stamp
 	// Eligible is the number of targets that could have taken the request.
 	Eligible int
+	// Taken is the part of the places that is taken at all of them.
+	Taken float64
 	// Admission is the result of admission; it is admitted if the request did not ask for a
 	// place.
 	Admission Admission
@@ -96,11 +101,11 @@
 	b.refreshTotals(now, ix)
 	l := b.newLookup(now, service, &criteria)
 	b.computeTotals(&l, ix)
-	if l.totals.Targets == 0 && !criteria.IncludeDown {
+	if l.totals.Targets == 0 && !criteria.IncludeDown && !criteria.Spare {
 		criteria.IncludeDown = true
 		b.computeTotals(&l, ix)
 	}
-	c := Choice{Request: req, Eligible: l.totals.Targets, Admission: Admission{Admitted: true}, PausedUntil: l.pausedUntil()}
+	c := Choice{Request: req, Eligible: l.totals.Targets, Taken: l.totals.Taken(), Admission: Admission{Admitted: true}, PausedUntil: l.pausedUntil()}
 	if criteria.Caller != nil {
 		if c.Admission = b.admitTo(now, &l); !c.Admission.Admitted {
 			return c
--- a/board/domain.go
+++ b/board/domain.go
@@ -219,7 +219,7 @@
 		b.domainOf(name).recordTimeout(now, key)
 	case Served, Failed, Refused, Paused, Replaced, ConnRefused:
 		b.domainOf(name).recordAnswer(now)
-	case Broken, Canceled, Unsent: // a broken connection is no evidence about reachability
+	case Broken, Canceled, Outraced, Unsent: // a broken connection is no evidence about reachability
 	}
 }
 
--- a/board/health.go
+++ b/board/health.go
@@ -31,6 +31,9 @@
 	Broken
 	// Canceled is a request canceled by the caller; it is no evidence about the target.
 	Canceled
+	// Outraced is a request canceled because another target has answered it; it is no evidence about
+	// the target, and its duration is not that of an answer.
+	Outraced
 )
 
 const (
--- a/board/suspicion.go
+++ b/board/suspicion.go
@@ -54,6 +54,9 @@
 
 func (b *Board) isOverloaded() bool { return b.Overloaded != nil && b.Overloaded() }
 
+// IsOverloaded reports whether work is waiting for this entry's own processor.
+func (b *Board) IsOverloaded() bool { return b.isOverloaded() }
+
 // raiseSuspicion marks a target suspected, here and in the next report to peers.
 func (b *Board) raiseSuspicion(now clock.Stamp, s *targetState, key uint32) {
 	if !s.suspicion.isActive(now) {
--- a/board/usage.go
+++ b/board/usage.go
@@ -193,6 +193,6 @@
 		r.recordLate(now)
 	case Paused:
 		r.recordRejected(now)
-	case Unsent, Unreachable, ConnRefused, Replaced, Broken:
+	case Unsent, Unreachable, ConnRefused, Replaced, Broken, Outraced:
 	}
 }
