--- a/event/catalog.go
+++ b/event/catalog.go
@@ -106,6 +106,7 @@
 	TargetResumed   ID = 7040
 
 	TargetAnnouncedLeaving ID = 7041
+	RelayHedged            ID = 7044
 )
 
 // requestMaxPerSecond is the maximum number of lines per second of each event about single
@@ -697,4 +698,10 @@
 		Cause:   "The target is about to stop.",
 		Action:  "If the list of targets still shows it as ready after minutes, check the target.",
 	},
+	{
+		ID: RelayHedged, Name: "relay_hedged", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
+		Meaning: "A request was sent to a second target, as the first (target) had not answered within the delay, by which the part quantile of the route's requests is answered. The field won names the one whose answer the caller got, budget the hedges that were left, taken the part of the other targets' places that was taken.",
+		Cause:   "The target was slow for this request, and --hedge is set.",
+		Action:  "Nothing. If most name the same target, check that target.",
+	},
 }
--- a/meter/set.go
+++ b/meter/set.go
@@ -79,6 +79,9 @@
 	Silent            Counter   // requests that a target's host did not acknowledge
 	Verified          Counter   // requests that opened a connection to verify a host
 	RetriesDenied     Counter   // retries denied by the retry budget
+	Hedges            Counter   // requests sent to a second target while the first worked on them
+	HedgesWon         Counter   // those that the second target answered first
+	HedgesDenied      Counter   // those that were not sent, by reason
 	PromptTokens      Counter   // prompt tokens, by whether they were expected to be cached
 	Peers             Gauge     // other entries of the fleet
 	ProofAge          Gauge     // age of the proof that the configuration is current
@@ -170,6 +173,9 @@
 		{&s.Relay.Answer, description{"relay_answer_seconds", kindHistogram, "seconds", []string{labelKind}, "From the request's headers to the end of a whole answer."}},
 		{&s.Relay.Tries, description{"relay_tries_total", kindCounter, "requests", []string{labelService, labelResult}, "Sends to targets by service: ok, or the reason of the failure."}},
 		{&s.Relay.Silent, description{"relay_silent_total", kindCounter, "requests", []string{labelService}, "Requests that the target's host had not acknowledged after a quarter of a second."}},
+		{&s.Relay.Hedges, description{"relay_hedges_total", kindCounter, "requests", []string{labelService}, "Requests that were sent to a second target while the first still worked on them."}},
+		{&s.Relay.HedgesWon, description{"relay_hedges_won_total", kindCounter, "requests", []string{labelService}, "Of these, the ones that the second target answered first."}},
+		{&s.Relay.HedgesDenied, description{"relay_hedges_denied_total", kindCounter, "requests", []string{labelService, "reason"}, "Requests that were later than the hedging delay and were not sent to a second target: overload (of this entry's processor), suspect (the content may have ended a target), version (the configuration is not confirmed), deadline, capacity (targets are short of it), target (no other one is in a good state), budget (the ratio set by --hedge is used up), retries (the retry budget is)."}},
 		{&s.Relay.Verified, description{"relay_verified_total", kindCounter, "requests", []string{labelService}, "Requests that opened a connection to verify that the target's host is there."}},
 		{&s.Relay.RetriesDenied, description{"relay_retries_denied_total", kindCounter, "requests", []string{labelService}, "Repeats that the service's retry budget did not allow."}},
 		{&s.Relay.PromptTokens, description{"relay_prompt_tokens_total", kindCounter, "tokens", []string{labelResult}, "Prompt tokens sent: held by the target, fetched from another, or to be read."}},
--- a/node/direct.go
+++ b/node/direct.go
@@ -23,6 +23,7 @@
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/feed"
 	"chestnutstep.example/chestnutstep/guard"
+	"chestnutstep.example/chestnutstep/hedge"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/origin"
@@ -211,6 +212,9 @@
 		CachesKnown: n.cacheIndexSettled,
 		Budgets:     &retry.Budgets{Bounds: n.retryBounds, Entries: n.board.EntryCount},
 	}
+	if n.Settings.HedgeRatio > 0 {
+		n.relay.Hedger = &hedge.Hedger{Ratio: n.Settings.HedgeRatio}
+	}
 	n.crashes.EntryCount = n.board.EntryCount
 	n.shed = &relay.Shedder{Relay: n.relay}
 	conn, err := net.ListenPacket("udp", n.Settings.PeerAddr)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -23,7 +23,7 @@
 // off, the request can still be retried on another target or answered with an error; after the head
 // was sent, the only option would be to cut the connection.
 func (x *attempt) collect(a *link.Response) error {
-	x.run.FirstByte(clock.Now())
+	x.atTarget.FirstByte(clock.Now())
 	answer, err := x.readAnswer(a)
 	a.Close(err == nil)
 	if err != nil {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -22,7 +22,16 @@
 	cancel context.CancelFunc
 	choice *board.Choice
 	target *roster.Target
-	run    *board.Attempt
+	// atTarget is the attempt as the board counts it.
+	atTarget *board.Attempt
+	// sentAt is when the attempt began; isHedge reports whether it began while another one ran.
+	sentAt  clock.Stamp
+	isHedge bool
+	// canRepeat reports whether the request may be sent to another target if this one is silent.
+	canRepeat bool
+	// proof is closed when it is known whether the target of a broken connection has ended; nil if its
+	// connection did not break.
+	proof <-chan struct{}
 	// answerHead is the head of the answer; zero if there is none.
 	answerHead answerHead
 	// witness is the witness of the answer if that has neither a length nor chunks.
@@ -35,16 +44,18 @@
 	answer *bufferedAnswer
 }
 
-// start records the start of an attempt.
-func (q *request) start(c *board.Choice) *attempt {
-	x := &attempt{request: q, choice: c, target: c.Target}
+// start records the start of an attempt. number counts the targets to which the request was sent, this
+// one included.
+func (q *request) start(c *board.Choice, number int) *attempt {
+	x := &attempt{request: q, choice: c, target: c.Target, sentAt: clock.Now()}
+	x.canRepeat = q.route.IsIdempotent() && number < q.route.MaxAttempts
 	q.triedTargets = append(q.triedTargets, x.target.ID)
-	if q.attempts.Sent+q.attempts.Unreached == 0 {
-		q.Budgets.Deposit(time.Now(), q.service.Name)
+	if len(q.triedTargets) == 1 {
+		q.recordArrival(x.sentAt)
 	}
 	q.stream.events, q.stream.firstID = 0, 0
-	x.run = q.Board.Start(clock.Now(), x.target, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
-	q.logSend(c)
+	x.atTarget = q.Board.Start(x.sentAt, x.target, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
+	q.logSend(c, number)
 	q.countTokens(c)
 	if c.NewConnection {
 		q.Meters.Verified.Add(1, q.service.Name)
@@ -53,6 +64,14 @@
 	return x
 }
 
+// recordArrival adds the request to what retries and hedges are paid from.
+func (q *request) recordArrival(now clock.Stamp) {
+	q.Budgets.Deposit(time.Now(), q.service.Name)
+	if q.Hedger != nil {
+		q.Hedger.Arrive(now, q.service.Name, q.isHedgeable())
+	}
+}
+
 // exchange sends the request and reads the answer. Events of a stream go to the caller at once, other
 // answers are kept.
 func (x *attempt) exchange() error {
@@ -88,21 +107,44 @@
 // the caller has received its answer.
 func (x *attempt) finish(err error) (done bool, _ error) {
 	if err != nil {
-		if x.answer != nil {
-			x.failureAnswer = x.answer
-		}
-		x.recordFailure(err)
+		x.fail(err)
+		x.awaitProof(x.proof)
 		return false, err
 	}
+	x.deliver()
+	x.serve()
+	x.clear()
+	return true, nil
+}
+
+// fail records an attempt without a usable answer.
+func (x *attempt) fail(err error) {
+	if x.answer != nil {
+		x.failureAnswer = x.answer
+	}
+	x.recordFailure(err)
+}
+
+// deliver sends a complete answer to the caller, unless its events were sent before.
+func (x *attempt) deliver() {
 	if x.answer != nil {
 		x.answer.write(x.w)
 		x.segments.put(x.answer)
 	}
-	x.run.End(clock.Now(), board.Served)
+}
+
+// serve records an attempt whose answer the caller has received.
+func (x *attempt) serve() {
+	now := clock.Now()
+	x.atTarget.End(now, board.Served)
+	x.observe(now)
 	x.attempts.Record(chestnutstep.RunYes)
+	x.recordDone()
+}
+
+// clear records that the content was served to its end.
+func (x *attempt) clear() {
 	if !x.isCloseDelimited {
 		x.Crashes.RecordServed(clock.Now(), x.suspects())
 	}
-	x.recordDone()
-	return true, nil
 }
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -92,6 +92,9 @@
 // Retry-After is the time after which a retry can still be served within the objective.
 func (q *request) refuseFull(admission board.Admission) *refusal {
 	q.admission = &admission
+	if q.Hedger != nil {
+		q.Hedger.RecordShortage(clock.Now(), q.service.Name)
+	}
 	q.Meters.Refused.Add(1, q.requester().Workspace, string(admission.Reason))
 	return &refusal{http.StatusServiceUnavailable, admission.Reason, admit.RetryAfter(q.callerHeaders.ID, q.route.LatencyObjective)}
 }
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,6 +111,17 @@
 	return 0, trials
 }
 
+// IsSuspect reports whether a target has ended while it ran one of the contents or parts, and none has
+// served it since.
+func (c *CrashTracker) IsSuspect(now clock.Stamp, fingerprints []uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(fingerprints, func(f uint64) bool {
+		_, losses := c.quarantineOf(f).Check(now, f)
+		return losses > 0
+	})
+}
+
 // RemainingWait returns how long a request is refused from now on.
 func (c *CrashTracker) RemainingWait(now clock.Stamp, fingerprints []uint64) time.Duration {
 	c.mu.Lock()
--- /dev/null
+++ b/relay/hedge_test.go
@@ -0,0 +1,152 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/hedge"
+	"chestnutstep.example/chestnutstep/stand"
+)
+
+// hedgeLog collects how hedges ended.
+type hedgeLog struct {
+	mu  sync.Mutex
+	won []string
+}
+
+// Write takes one line of the log.
+func (l *hedgeLog) Write(b []byte) (int, error) {
+	var line struct {
+		Event event.ID
+		Won   string
+	}
+	if err := json.NewDecoder(bytes.NewReader(b)).Decode(&line); err == nil && line.Event == event.RelayHedged {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.won = append(l.won, line.Won)
+	}
+	return len(b), nil
+}
+
+// newHedged returns a testRelay that hedges after 50 ms, so that the first target has the request by then.
+func newHedged(t *testing.T, ratio float64) (*testRelay, *hedgeLog) {
+	t.Helper()
+	g, l := newTestRelayWithTimeout(t, stallTimeout), &hedgeLog{}
+	g.relay.Log = &event.Log{Out: l}
+	g.relay.Hedger = &hedge.Hedger{Ratio: ratio}
+	for range 30 {
+		for _, route := range []string{"safe", "single", "unsafe", "stream", "resume"} {
+			g.relay.Hedger.Observe(clock.Now(), route, 50*time.Millisecond)
+		}
+	}
+	return g, l
+}
+
+// awaitIdle waits until no request is in progress at the relay.
+func (g *testRelay) awaitIdle(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if g.relay.InFlight() == 0 {
+			return poll.Success()
+		}
+		return poll.Continue("requests in progress")
+	}, poll.WithTimeout(stallTimeout), poll.WithDelay(time.Millisecond))
+}
+
+// TestHedges guards against answers that are mixed, lost or wrongly final when a request runs at two
+// targets at once: testdata/hedges has which target fails when. After each, two plain requests must
+// get their own answers, not a late one of a loser.
+func TestHedges(t *testing.T) {
+	datadriven.RunTest(t, "testdata/hedges", func(t *testing.T, d *datadriven.TestData) string {
+		kind, order, ratio := "", "", 1.0
+		d.ScanArgs(t, "kind", &kind)
+		d.ScanArgs(t, "order", &order)
+		d.MaybeScanArgs(t, "ratio", &ratio)
+		g, l := newHedged(t, ratio)
+		var list []stand.Behaviour
+		for _, b := range strings.Split(strings.ReplaceAll(order, "_", " "), "/") {
+			list = append(list, stand.Behaviour(b))
+		}
+		g.order.Set(list...)
+		out := g.doRequest(t, kind)
+		g.awaitIdle(t)
+		arrived, _ := g.countRequests()
+		won := append([]string{}, l.won...)
+		g.relay.Hedger = nil
+		for range 2 {
+			assert.Equal(t, g.doRequest(t, "safe"), "200 signed whole")
+		}
+		return fmt.Sprintf("%s; arrived %d, hedges %v\n", out, arrived, won)
+	})
+}
+
+// TestCallerLeavesRace guards against targets that go on for a caller who left while both worked, and
+// against a loser that goes on after the other has answered.
+func TestCallerLeavesRace(t *testing.T) {
+	for _, order := range [][]stand.Behaviour{{stand.Hangs, stand.Hangs}, {stand.Hangs, stand.Normal}} {
+		g, _ := newHedged(t, 1)
+		g.order.Set(order...)
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, g.server.URL+"/safe/x", strings.NewReader("b"))
+		assert.NilError(t, err)
+		r.Host = host
+		r.Header.Set("Attempt-Id", "leaver")
+		r.Header.Set("Credential", key)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if resp, err := http.DefaultClient.Do(r); err == nil {
+				_ = resp.Body.Close()
+			}
+		}()
+		g.waitArrived(t, 2)
+		if order[1] == stand.Hangs {
+			cancel()
+		}
+		<-done
+		cancel()
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			left := 0
+			for _, x := range g.targets {
+				for _, run := range x.Runs() {
+					if run.CallerLeft || run.Ended {
+						left++
+					}
+				}
+			}
+			if left == 2 {
+				return poll.Success()
+			}
+			return poll.Continue("a target works on")
+		}, poll.WithTimeout(stallTimeout), poll.WithDelay(5*time.Millisecond))
+		g.awaitIdle(t)
+	}
+}
+
+// TestLoserIsNoFailure guards against targets that are taken for dead or suspect, and contents that are
+// accused, because their attempts were canceled.
+func TestLoserIsNoFailure(t *testing.T) {
+	g, l := newHedged(t, 1)
+	for i := range 20 {
+		g.order.Set(stand.Hangs, stand.Normal)
+		assert.Equal(t, send(t, g.server, "safe", fmt.Sprint("req-", i), "same body"), "200 signed whole")
+		g.awaitIdle(t)
+	}
+	assert.Equal(t, len(l.won), 20)
+	for _, x := range g.targets {
+		assert.Assert(t, len(x.Runs()) > 5, "target %s gets nothing any more", x.Name)
+	}
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -18,9 +18,9 @@
 }
 
 // logSend logs that the request is sent, with the reasons for the choice of the target.
-func (q *request) logSend(c *board.Choice) {
+func (q *request) logSend(c *board.Choice, number int) {
 	q.log(event.RelaySent,
-		event.Str("target", c.ID), event.Str("service", q.service.Name), event.Int("try", int64(q.attempts.Sent+1)),
+		event.Str("target", c.ID), event.Str("service", q.service.Name), event.Int("try", int64(number)),
 		event.Float("running", c.Running), event.Int("own", int64(c.CachedTokens)), event.Int("held", int64(c.ReusableTokens())),
 		event.Int("shared", int64(c.Request.Shared)), event.Uint("prefix", c.Request.Key), event.Float("cost", c.Cost),
 		event.Int("of", int64(c.Eligible)), event.Bool("cold", c.Cold), event.Str("fetch", c.Donor.Address), event.Bool("fresh", c.NewConnection),
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -19,6 +19,7 @@
 	instance := pause.InstanceOf(&c.Target.Instance)
 	acquired := false
 	call := x.buildCall(c)
+	call.OnUnresponsive = x.onUnresponsive
 	call.Allow = func() error {
 		err := x.Pauses.Acquire(clock.Now(), instance)
 		acquired = err == nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/cursor"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/hedge"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/pause"
@@ -43,6 +44,8 @@
 	Pauses *pause.Tracker
 	Log    *event.Log
 	Meters *meter.Relay
+	// Hedger decides when a safe request is sent to a second target at the same time; nil for never.
+	Hedger *hedge.Hedger
 	// Origins records which build began a stream; if it is nil, a stream can be taken up only while
 	// its service has a single build.
 	Origins chestnutstep.Origins
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -126,6 +126,7 @@
 	}
 	for name, r := range map[string]chestnutstep.Route{
 		"safe":   {Kind: chestnutstep.RouteSafe, MaxAttempts: 2},
+		"single": {Kind: chestnutstep.RouteSafe, MaxAttempts: 1},
 		"unsafe": {Kind: chestnutstep.RouteUnsafe, MaxAttempts: 2},
 		"stream": {Kind: chestnutstep.RouteStream, MaxAttempts: 2},
 		"resume": {Kind: chestnutstep.RouteStream, MaxAttempts: 2, Resumable: true},
--- a/relay/run.go
+++ b/relay/run.go
@@ -14,7 +14,6 @@
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/place"
-	"chestnutstep.example/chestnutstep/roster"
 )
 
 const (
@@ -84,7 +83,10 @@
 
 // attempt sends the request to one target. If done is true, the caller has received its answer.
 func (q *request) attempt(c *board.Choice) (done bool, err error) {
-	x := q.start(c)
+	if plan, ok := q.hedgePlan(); ok {
+		return q.race(c, plan)
+	}
+	x := q.start(c, q.attempts.Sent+1)
 	defer x.cancel()
 	return x.finish(x.exchange())
 }
@@ -122,16 +124,15 @@
 	s.LastEventID, s.IsResume = q.stream.cursor.Last()
 	q.Codec.SetForwardHeaders(h, s)
 	return &link.Call{
-		Method:         q.r.Method,
-		URI:            q.r.RequestURI,
-		Host:           q.r.Host,
-		Header:         h,
-		Body:           q.body,
-		HasBody:        q.r.ContentLength != 0,
-		MaxIdle:        link.MaxIdle(q.service.MaxConnections, q.Board.EntryCount()),
-		NewConn:        c.NewConnection,
-		DialTimeout:    q.dialTimeout(c),
-		OnUnresponsive: q.onUnresponsive(c.Target),
+		Method:      q.r.Method,
+		URI:         q.r.RequestURI,
+		Host:        q.r.Host,
+		Header:      h,
+		Body:        q.body,
+		HasBody:     q.r.ContentLength != 0,
+		MaxIdle:     link.MaxIdle(q.service.MaxConnections, q.Board.EntryCount()),
+		NewConn:     c.NewConnection,
+		DialTimeout: q.dialTimeout(c),
 	}
 }
 
@@ -152,18 +153,14 @@
 	return max(time.Duration(verifyRatio*float64(q.route.LatencyObjective)), minVerifyTimeout)
 }
 
-// onUnresponsive returns the function that is called when the target's host does not acknowledge
-// the request. It reports whether the request must be abandoned there and retried on another
+// onUnresponsive is called when the target's host does not acknowledge the request. It reports whether the request must be abandoned there and retried on another
 // target, which requires that the request is idempotent and has attempts left, and that this
 // entry's own link is known to work.
-func (q *request) onUnresponsive(t *roster.Target) func() bool {
-	canRepeat := q.route.IsIdempotent() && q.attempts.Sent+1 < q.route.MaxAttempts
-	return func() bool {
-		q.Meters.Silent.Add(1, q.service.Name)
-		recorded := q.Board.RecordUnresponsive(clock.Now(), t)
-		q.log(event.TargetSilent, event.Str("target", t.ID), event.Bool("link", recorded), event.Bool("again", recorded && canRepeat))
-		return recorded && canRepeat
-	}
+func (x *attempt) onUnresponsive() bool {
+	x.Meters.Silent.Add(1, x.service.Name)
+	recorded := x.Board.RecordUnresponsive(clock.Now(), x.target)
+	x.log(event.TargetSilent, event.Str("target", x.target.ID), event.Bool("link", recorded), event.Bool("again", recorded && x.canRepeat))
+	return recorded && x.canRepeat
 }
 
 // isConnectionHeader reports whether the caller's Connection header lists the header name, which
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -58,7 +58,7 @@
 			a.Close(false)
 			return x.truncatedErr(a, err)
 		}
-		x.run.FirstByte(clock.Now())
+		x.atTarget.FirstByte(clock.Now())
 		raw, err := x.admitEvent(events, e)
 		if link.IsErrTooLarge(err) {
 			err = x.truncatedErr(a, err)
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -135,6 +135,7 @@
 	if x.isEndPlanned(x.target) {
 		return x.Pool.Probe(x.target.Address) == link.Refused
 	}
-	x.awaitProof(UnfinishedRun{Target: x.target, Suspects: x.suspects(), Events: x.stream.events})
+	u := UnfinishedRun{Target: x.target, Suspects: x.suspects(), Events: x.stream.events}
+	x.awaitProof(x.Crashes.RecordBroken(clock.Now(), x.Pool, u))
 	return x.Crashes.HasEnded(clock.Now(), x.target)
 }
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -49,7 +49,7 @@
 		e = link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonLink, Err: err}
 	}
 	callerLeft := x.hasCallerLeft()
-	x.run.End(now, outcome(e, callerLeft))
+	x.atTarget.End(now, outcome(e, callerLeft))
 	if e.Reason == chestnutstep.ReasonDown || isUnsent(err) {
 		x.attempts.Unreached++
 	} else {
@@ -64,6 +64,9 @@
 		event.Int("status", int64(x.answerHead.status)), event.Str("retry", x.answerHead.RetryAfter), event.Bool("leaving", x.answerHead.IsLeaving),
 		event.Str("framing", x.answerHead.framing), event.Int("first", x.stream.firstID), event.Int("after", x.callerHeaders.LastEventID),
 		event.Bool("reused", e.Reused), event.Int("last", x.resumePoint()), event.Uint("content", x.content), event.Str("parts", x.sharedParts()), event.Err(e.Err))
+	if x.Hedger != nil && (e.Reason == chestnutstep.ReasonFull || e.Reason == chestnutstep.ReasonPaused) {
+		x.Hedger.RecordShortage(now, x.service.Name)
+	}
 	x.recordTargetEnd(e, callerLeft)
 }
 
@@ -81,14 +84,16 @@
 	case callerLeft || e.Unresponsive || e.Reason == chestnutstep.ReasonTimeout:
 		x.Crashes.RecordAbandoned(clock.Now(), u)
 	case e.PeerClosed:
-		x.awaitProof(u)
+		x.proof = x.Crashes.RecordBroken(clock.Now(), x.Pool, u)
 	}
 }
 
 // awaitProof waits until a probe has found whether the target of a broken connection has ended, for
-// up to proofTimeout. The content must not be retried before that.
-func (q *request) awaitProof(u UnfinishedRun) {
-	probeDone := q.Crashes.RecordBroken(clock.Now(), q.Pool, u)
+// up to proofTimeout. The content must not be retried before that. probeDone is nil if no connection broke.
+func (q *request) awaitProof(probeDone <-chan struct{}) {
+	if probeDone == nil {
+		return
+	}
 	limit := time.NewTimer(proofTimeout)
 	defer limit.Stop()
 	select {
--- a/stand/target.go
+++ b/stand/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -46,6 +47,12 @@
 	NotFound      Behaviour = "missing"  // answers with 404, as if the stream were not known
 )
 
+// Late before a behaviour delays it by lateness, once for each time that it is repeated.
+const (
+	Late     = "late "
+	lateness = 400 * time.Millisecond
+)
+
 // Framing is how the end of an answer is marked.
 type Framing string
 
@@ -266,7 +273,7 @@
 		t.closeConnections(true)
 		return
 	}
-	behaviour := t.nextBehaviour()
+	behaviour := t.delay(r, t.nextBehaviour())
 	if want := r.Header.Get("Expect-Instance"); want != t.Name || behaviour == OtherInstance {
 		w.Header().Set("Instance-Id", "i-other")
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -297,6 +304,18 @@
 	t.mu.Unlock()
 }
 
+// delay waits as a behaviour says, and returns the behaviour after that.
+func (t *Target) delay(r *http.Request, b Behaviour) Behaviour {
+	rest, late := strings.CutPrefix(string(b), Late)
+	if !late {
+		return b
+	}
+	body, _ := io.ReadAll(r.Body) // net/http notices that a caller has left only once the body is read
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	t.wait(r, lateness)
+	return t.delay(r, Behaviour(rest))
+}
+
 // recordRun records a run that is about to begin.
 func (t *Target) recordRun(run *Run) {
 	t.mu.Lock()
