--- a/board/choose.go
+++ b/board/choose.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"slices"
 	"time"
 
 	"chestnutstep.example/chestnutstep"
@@ -18,6 +19,9 @@
 	// maxHolders limits how many holders of a prefix a choice evaluates: parts shared by many
 	// prompts are in every cache.
 	maxHolders = 32
+	// maxSpareSlowdown is the reported slowdown above which a target gets no request with Spare: a
+	// request that waits elsewhere is likely to be answered first there.
+	maxSpareSlowdown = 1.5
 )
 
 // Criteria describes which targets can take a request.
@@ -43,7 +47,7 @@
 	// the request must run at most once or has already lost time.
 	VerifyHost bool
 	// Spare is set if the request is only worth sending to a target in a good state: none that is
-	// cold, suspected or marked down.
+	// cold, suspected, marked down or slow by its own report.
 	Spare bool
 }
 
@@ -118,6 +122,9 @@
 	l.ceiling = b.ceiling(&l, ix)
 	req.Ceiling = l.ceiling
 	list := b.shortlist(&l, ix, &req)
+	if criteria.Spare {
+		list = slices.DeleteFunc(list, func(c place.Candidate) bool { return c.Slowdown > maxSpareSlowdown })
+	}
 	picked, ok := place.Pick(list, donor, req)
 	if !ok {
 		return c
--- a/cmd/standin/plot.go
+++ b/cmd/standin/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot"
@@ -82,6 +83,49 @@
 	return writePlots(file, plots)
 }
 
+// drawHedges writes an SVG file that plots tail latency against extra work. Policies without extra work are
+// horizontal lines.
+func drawHedges(file string, rows []trial.HedgeRow) error {
+	var plots []*plot.Plot
+	for _, c := range []struct {
+		title string
+		value func(r trial.HedgeResult) time.Duration
+	}{
+		{"p99 of safe requests, milliseconds", func(r trial.HedgeResult) time.Duration { return r.P99 }},
+		{"p99.9 of safe requests, milliseconds", func(r trial.HedgeResult) time.Duration { return r.P999 }},
+	} {
+		p, err := newPlot(c.title, "extra work, percent", hedgeCurves(rows, c.value))
+		if err != nil {
+			return err
+		}
+		p.Y.Min = 0
+		plots = append(plots, p)
+	}
+	return writePlots(file, plots)
+}
+
+// hedgeCurves returns a curve for each group of policies.
+func hedgeCurves(rows []trial.HedgeRow, value func(r trial.HedgeResult) time.Duration) []curve {
+	var curves []curve
+	most := 0.0
+	for _, r := range rows {
+		most = max(most, 100*r.Result.Extra)
+	}
+	for _, group := range []string{trial.HedgeNone, trial.HedgeFixed, trial.HedgeBudget, trial.HedgePerfect} {
+		var points plotter.XYs
+		for _, r := range rows {
+			if r.Group == group {
+				points = append(points, plotter.XY{X: 100 * r.Result.Extra, Y: milliseconds(value(r.Result))})
+			}
+		}
+		if len(points) == 1 {
+			points = append(points, plotter.XY{X: most, Y: points[0].Y})
+		}
+		curves = append(curves, curve{group, points})
+	}
+	return curves
+}
+
 // writePlots writes charts below each other into one SVG file.
 func writePlots(file string, plots []*plot.Plot) error {
 	canvas := vgsvg.New(plotWidth, plotHeight*vg.Length(len(plots)))
--- a/cmd/standin/plot_test.go
+++ b/cmd/standin/plot_test.go
@@ -41,3 +41,18 @@
 	assert.Equal(t, strings.Count(string(raw), "taking all"), 2)
 	assert.Equal(t, strings.Count(string(raw), "requests in time a second"), 1)
 }
+
+// TestDrawHedges guards against charts that omit a policy or draw nothing of one without extra work.
+func TestDrawHedges(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "hedge.svg")
+	var rows []trial.HedgeRow
+	for i, group := range []string{trial.HedgeNone, trial.HedgeFixed, trial.HedgeFixed, trial.HedgeBudget, trial.HedgePerfect} {
+		rows = append(rows, trial.HedgeRow{Group: group, Result: trial.HedgeResult{P99: time.Second, P999: 2 * time.Second, Extra: 0.01 * float64(i%4)}})
+	}
+	assert.NilError(t, drawHedges(file, rows))
+	raw, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for _, group := range []string{trial.HedgeNone, trial.HedgeFixed, trial.HedgeBudget, trial.HedgePerfect} {
+		assert.Equal(t, strings.Count(string(raw), ">"+group+"<"), 2)
+	}
+}
--- a/hedge/decide.go
+++ b/hedge/decide.go
@@ -8,6 +8,7 @@
 // The reasons, in the order in which they are checked.
 const (
 	Allowed      Denial = ""
+	CallerLeft   Denial = "left"     // the caller has left, or the deadline has passed
 	Overloaded   Denial = "overload" // the entry's processor is overloaded, and delays are its own
 	Suspect      Denial = "suspect"  // the content may have ended a target, and would reach two at once
 	Stale        Denial = "version"  // the configuration that accepts the caller is not confirmed
@@ -32,7 +33,7 @@
 	Stale bool
 	// Remaining is the time until the deadline.
 	Remaining time.Duration
-	// Short reports whether a request to the service was refused recently for lack of capacity.
+	// Short reports whether too many requests to the service were refused recently for lack of capacity.
 	Short bool
 	// Taken is the part of the places of the other targets that is taken.
 	Taken float64
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -11,18 +11,18 @@
 )
 
 const (
-	// minQuantile bounds the delay from below: an earlier hedge would mostly be of a request that is
-	// about to be answered.
-	minQuantile = 0.75
+	// minQuantile bounds the delay from below: before the median, most hedges would be of requests that
+	// are as usual.
+	minQuantile = 0.5
 	// minDelay is a round trip between failure domains and the start of a request: an earlier hedge
 	// could not save what it costs.
 	minDelay = 5 * time.Millisecond
 	// savingsWindow bounds the saved hedges to those that a service earns in it, so that a quiet time
 	// pays for no burst.
 	savingsWindow = 10 * time.Second
-	// shortageTTL is how long no hedge is sent after a request was refused for lack of capacity.
-	// Callers come back within about this time.
-	shortageTTL = 2 * time.Second
+	// maxRefused is the part of recent requests refused for lack of capacity above which targets are
+	// short of it. A single target that is full for a moment, while others have room, refuses less.
+	maxRefused = 0.01
 	// maxRoutes and maxServices bound the memory; each route takes some 30 KB.
 	maxRoutes   = 64
 	maxServices = 1024
@@ -45,8 +45,8 @@
 	tokens float64
 	// requests counts the requests of about the last savingsWindow, and hedgeable those of them that
 	// may be hedged.
-	requests, hedgeable decayingCounter
-	shortUntil          clock.Stamp
+	// refused counts those that were refused for lack of capacity.
+	requests, hedgeable, refused decayingCounter
 }
 
 // decayingCounter counts events with a linear loss over savingsWindow.
@@ -73,6 +73,11 @@
 	Typical time.Duration
 }
 
+// Again returns the time after which a denied hedge is considered again, for a request that has been
+// waiting for some time. The requests that wait longest, which make up the far tail, are then not those
+// that were denied once.
+func (p Plan) Again(elapsed time.Duration) time.Duration { return max(elapsed/2, minDelay) }
+
 // Arrive records a request of this entry. hedgeable reports whether it may be hedged.
 func (h *Hedger) Arrive(now clock.Stamp, name string, hedgeable bool) {
 	h.mu.Lock()
@@ -128,18 +133,22 @@
 	return Plan{max(r.quantile(q), minDelay), q, r.quantile(0.5)}, true
 }
 
-// RecordShortage records that a request to a service was refused for lack of capacity.
-func (h *Hedger) RecordShortage(now clock.Stamp, name string) {
+// RecordRefused records that a request to a service was refused for lack of capacity, by this entry or a
+// target.
+func (h *Hedger) RecordRefused(now clock.Stamp, name string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.service(name).shortUntil = now.Add(shortageTTL)
+	h.service(name).refused.add(now, 1)
 }
 
-// IsShort reports whether a request to a service was refused recently for lack of capacity.
+// IsShort reports whether too many requests to a service were refused recently for lack of capacity.
 func (h *Hedger) IsShort(now clock.Stamp, name string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return now < h.service(name).shortUntil
+	s := h.service(name)
+	s.requests.add(now, 0)
+	s.refused.add(now, 0)
+	return s.refused.count > maxRefused*s.requests.count
 }
 
 // Take takes one hedge from the budget of a service. It returns how many are left, and false if there
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -93,7 +93,7 @@
 func (q *request) refuseFull(admission board.Admission) *refusal {
 	q.admission = &admission
 	if q.Hedger != nil {
-		q.Hedger.RecordShortage(clock.Now(), q.service.Name)
+		q.Hedger.RecordRefused(clock.Now(), q.service.Name)
 	}
 	q.Meters.Refused.Add(1, q.requester().Workspace, string(admission.Reason))
 	return &refusal{http.StatusServiceUnavailable, admission.Reason, admit.RetryAfter(q.callerHeaders.ID, q.route.LatencyObjective)}
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -53,21 +53,35 @@
 	r.first = q.start(c, q.attempts.Sent+1)
 	defer r.first.cancel()
 	go r.first.run(r.results)
-	delay := time.NewTimer(plan.Delay)
-	defer delay.Stop()
-	select {
-	case got := <-r.results:
-		return got.attempt.finish(got.err)
-	case <-delay.C:
-	}
-	if !r.startSecond() {
-		got := <-r.results
+	if got := r.awaitFirst(); got != nil {
 		return got.attempt.finish(got.err)
 	}
 	defer r.second.cancel()
 	return r.decide()
 }
 
+// awaitFirst waits until the first attempt has a result, and returns it, or until the second one has
+// begun. A denied hedge is considered again while the first attempt works.
+func (r *race) awaitFirst() *result {
+	denial := hedge.Allowed
+	next := time.NewTimer(r.plan.Delay)
+	defer next.Stop()
+	for {
+		select {
+		case got := <-r.results:
+			if denial != hedge.Allowed {
+				r.Meters.HedgesDenied.Add(1, r.service.Name, string(denial))
+			}
+			return &got
+		case <-next.C:
+		}
+		if denial = r.startSecond(); denial == hedge.Allowed {
+			return nil
+		}
+		next.Reset(r.plan.Again(clock.Now().Sub(r.first.sentAt)))
+	}
+}
+
 // decide waits for the first complete and valid answer of both attempts.
 func (r *race) decide() (done bool, err error) {
 	got := <-r.results
@@ -145,21 +159,20 @@
 }
 
 // startSecond sends the request to a second target, unless that is denied.
-func (r *race) startSecond() bool {
+func (r *race) startSecond() hedge.Denial {
 	if r.ctx.Err() != nil || r.isCallerConnClosed() {
-		return false
+		return hedge.CallerLeft
 	}
 	now := clock.Now()
 	c, denial := r.chooseSecond(now)
 	if denial != hedge.Allowed {
-		r.Meters.HedgesDenied.Add(1, r.service.Name, string(denial))
-		return false
+		return denial
 	}
 	r.Meters.Hedges.Add(1, r.service.Name)
 	r.second = r.start(&c, r.attempts.Sent+2)
 	r.second.isHedge = true
 	go r.second.run(r.results)
-	return true
+	return hedge.Allowed
 }
 
 // chooseSecond selects the second target and withdraws the hedge from both budgets.
--- a/relay/validate.go
+++ b/relay/validate.go
@@ -65,7 +65,7 @@
 		event.Str("framing", x.answerHead.framing), event.Int("first", x.stream.firstID), event.Int("after", x.callerHeaders.LastEventID),
 		event.Bool("reused", e.Reused), event.Int("last", x.resumePoint()), event.Uint("content", x.content), event.Str("parts", x.sharedParts()), event.Err(e.Err))
 	if x.Hedger != nil && (e.Reason == chestnutstep.ReasonFull || e.Reason == chestnutstep.ReasonPaused) {
-		x.Hedger.RecordShortage(now, x.service.Name)
+		x.Hedger.RecordRefused(now, x.service.Name)
 	}
 	x.recordTargetEnd(e, callerLeft)
 }
