relay, hedge: tests that fail without the cancel of a loser and without its sample

With the cancel removed, TestCallerLeavesRace passed, as its caller closed the connection; with the samples of losers removed, TestDelayFollowsLoad passed, as its latencies came in order. Both fail now with those lines removed.

--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -57,7 +57,7 @@
 		for i := range n {
 			now = now.Add(10 * time.Millisecond)
 			h.Arrive(now, "s", true)
-			d := time.Duration(1+i%100) * scale
+			d := time.Duration(1+i*37%100) * scale
 			if p, ok := h.Plan(now, "s", "r"); ok && d > p.Delay {
 				if _, ok := h.Take("s"); ok {
 					d = min(d, p.Delay+scale) // the hedge answers soon after the delay
@@ -69,7 +69,7 @@
 	near := func(want time.Duration) {
 		t.Helper()
 		p, ok := h.Plan(now, "s", "r")
-		assert.Assert(t, ok && p.Delay > want*9/10 && p.Delay < want*11/10, "%v at %v", p.Delay, p.Quantile)
+		assert.Assert(t, ok && p.Delay > want*96/100 && p.Delay < want*104/100, "%v at %v", p.Delay, p.Quantile)
 	}
 	observe(3000, time.Millisecond)
 	near(95 * time.Millisecond)
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -44,7 +45,7 @@
 // newHedged returns a testRelay that hedges after 50 ms, so that the first target has the request by then.
 func newHedged(t *testing.T, ratio float64) (*testRelay, *hedgeLog) {
 	t.Helper()
-	g, l := newTestRelayWithTimeout(t, stallTimeout), &hedgeLog{}
+	g, l := newTestRelayWithTimeout(t, 3*stallTimeout), &hedgeLog{}
 	g.relay.Log = &event.Log{Out: l}
 	g.relay.Hedger = &hedge.Hedger{Ratio: ratio}
 	for range 30 {
@@ -109,6 +110,7 @@
 		go func() {
 			defer close(done)
 			if resp, err := http.DefaultClient.Do(r); err == nil {
+				_, _ = io.Copy(io.Discard, resp.Body) // the connection stays open
 				_ = resp.Body.Close()
 			}
 		}()
@@ -117,7 +119,6 @@
 			cancel()
 		}
 		<-done
-		cancel()
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			left := 0
 			for _, x := range g.targets {
@@ -133,6 +134,7 @@
 			return poll.Continue("a target works on")
 		}, poll.WithTimeout(stallTimeout), poll.WithDelay(5*time.Millisecond))
 		g.awaitIdle(t)
+		cancel()
 	}
 }
 
