--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -17,15 +17,17 @@
 	"gotest.tools/v3/poll"
 
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/hedge"
 	"chestnutstep.example/chestnutstep/stand"
 )
 
-// hedgeLog collects how hedges ended.
+// hedgeLog collects how hedges ended, and counts the targets that ended.
 type hedgeLog struct {
-	mu  sync.Mutex
-	won []string
+	mu    sync.Mutex
+	won   []string
+	ended int
 }
 
 // Write takes one line of the log.
@@ -34,10 +36,16 @@
 		Event event.ID
 		Won   string
 	}
-	if err := json.NewDecoder(bytes.NewReader(b)).Decode(&line); err == nil && line.Event == event.RelayHedged {
-		l.mu.Lock()
-		defer l.mu.Unlock()
+	if err := json.NewDecoder(bytes.NewReader(b)).Decode(&line); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch line.Event {
+	case event.RelayHedged:
 		l.won = append(l.won, line.Won)
+	case event.TargetEnded:
+		l.ended++
 	}
 	return len(b), nil
 }
@@ -47,6 +55,7 @@
 	t.Helper()
 	g, l := newTestRelayWithTimeout(t, 3*stallTimeout), &hedgeLog{}
 	g.relay.Log = &event.Log{Out: l}
+	g.relay.Crashes.Log = g.relay.Log
 	g.relay.Hedger = &hedge.Hedger{Ratio: ratio}
 	for range 30 {
 		for _, route := range []string{"safe", "single", "unsafe", "stream", "resume"} {
@@ -152,3 +161,24 @@
 		assert.Assert(t, len(x.Runs()) > 5, "target %s gets nothing any more", x.Name)
 	}
 }
+
+// TestTargetDiesWhileRaced guards against a death that is not seen because another target answers, and against
+// a content that stays accused of it although it was served.
+func TestTargetDiesWhileRaced(t *testing.T) {
+	g, l := newHedged(t, 1)
+	g.order.Set(stand.Hangs, stand.Late+stand.Late+stand.Late+stand.Normal)
+	got := make(chan string)
+	go func() { got <- send(t, g.server, "safe", "req-dies", "body") }()
+	g.waitArrived(t, 2)
+	for _, x := range g.targets {
+		if len(x.Runs()) > 0 { // the second target notes its run only after its delay
+			x.Kill(true)
+		}
+	}
+	assert.Equal(t, <-got, "200 signed whole")
+	g.awaitIdle(t)
+	assert.DeepEqual(t, l.won, []string{"second"})
+	assert.Equal(t, l.ended, 1)
+	content := crash.Fingerprint("ws", "POST /safe/x", []byte("body"))
+	assert.Assert(t, !g.relay.Crashes.IsSuspect(clock.Now(), []uint64{content}))
+}
