Merge hedged requests

Cause: operators accept some extra work for requests that may be repeated, if it cuts the slowest answers, within a limit that they set. Change: package hedge, the race of two attempts in relay, `--hedge PERCENT`; off by default. The state of one attempt is a type of its own.

--- a/board/choose.go
+++ b/board/choose.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"slices"
 	"time"
 
 	"chestnutstep.example/chestnutstep"
@@ -18,6 +19,9 @@
 	// maxHolders limits how many holders of a prefix a choice evaluates: parts shared by many
 	// prompts are in every cache.
 	maxHolders = 32
+	// maxSpareSlowdown is the reported slowdown above which a target gets no request with Spare: a
+	// request that waits elsewhere is likely to be answered first there.
+	maxSpareSlowdown = 1.5
 )
 
 // Criteria describes which targets can take a request.
@@ -42,6 +46,9 @@
 	// VerifyHost is set if a dead host would cost the request more than a handshake, because
 	// the request must run at most once or has already lost time.
 	VerifyHost bool
+	// Spare is set if the request is only worth sending to a target in a good state: none that is
+	// cold, suspected, marked down or slow by its own report.
+	Spare bool
 }
 
 // Choice is the result of choosing a target for a request.
@@ -63,6 +70,8 @@
 	PausedUntil clock.Stamp
 	// Eligible is the number of targets that could have taken the request.
 	Eligible int
+	// Taken is the part of the places that is taken at all of them.
+	Taken float64
 	// Admission is the result of admission; it is admitted if the request did not ask for a
 	// place.
 	Admission Admission
@@ -96,11 +105,11 @@
 	b.refreshTotals(now, ix)
 	l := b.newLookup(now, service, &criteria)
 	b.computeTotals(&l, ix)
-	if l.totals.Targets == 0 && !criteria.IncludeDown {
+	if l.totals.Targets == 0 && !criteria.IncludeDown && !criteria.Spare {
 		criteria.IncludeDown = true
 		b.computeTotals(&l, ix)
 	}
-	c := Choice{Request: req, Eligible: l.totals.Targets, Admission: Admission{Admitted: true}, PausedUntil: l.pausedUntil()}
+	c := Choice{Request: req, Eligible: l.totals.Targets, Taken: l.totals.Taken(), Admission: Admission{Admitted: true}, PausedUntil: l.pausedUntil()}
 	if criteria.Caller != nil {
 		if c.Admission = b.admitTo(now, &l); !c.Admission.Admitted {
 			return c
@@ -113,6 +122,9 @@
 	l.ceiling = b.ceiling(&l, ix)
 	req.Ceiling = l.ceiling
 	list := b.shortlist(&l, ix, &req)
+	if criteria.Spare {
+		list = slices.DeleteFunc(list, func(c place.Candidate) bool { return c.Slowdown > maxSpareSlowdown })
+	}
 	picked, ok := place.Pick(list, donor, req)
 	if !ok {
 		return c
--- a/relay/run.go
+++ b/relay/run.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -12,11 +11,9 @@
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/crash"
-	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/place"
-	"chestnutstep.example/chestnutstep/roster"
 )
 
 const (
@@ -86,56 +83,12 @@
 
 // attempt sends the request to one target. If done is true, the caller has received its answer.
 func (q *request) attempt(c *board.Choice) (done bool, err error) {
-	now, t := clock.Now(), c.Target
-	q.triedTargets = append(q.triedTargets, t.ID)
-	if q.attempts.Sent+q.attempts.Unreached == 0 {
-		q.Budgets.Deposit(time.Now(), q.service.Name)
-	}
-	q.stream.events, q.stream.firstID, q.answerHead, q.endState = 0, 0, answerHead{}, ""
-	run := q.Board.Start(now, t, q.service, q.callerHeaders.Parts, c.ReusableTokens(), q.requester())
-	q.logSend(c)
-	q.countTokens(c)
-	if c.NewConnection {
-		q.Meters.Verified.Add(1, q.service.Name)
-	}
-	ctx, cancel := context.WithCancel(q.ctx)
-	defer cancel()
-	defer q.releaseWitness()
-	witness := q.prepareWitness(t)
-	answer, err := q.send(ctx, c)
-	if err != nil {
-		q.witness = witness
-	} else {
-		err = q.forward(run, t, answer, witness)
-	}
-	if err != nil {
-		q.recordFailure(run, t, err)
-		return false, err
-	}
-	run.End(clock.Now(), board.Served)
-	q.attempts.Record(chestnutstep.RunYes)
-	if !answer.IsCloseDelimited() { // its end does not prove that the target lives
-		q.Crashes.RecordServed(clock.Now(), q.suspects())
-	}
-	q.recordDone(t)
-	return true, nil
-}
-
-// forward passes an answer of a target on to the caller.
-func (q *request) forward(run *board.Attempt, t *roster.Target, answer *link.Response, witness ending.Witness) error {
-	q.watchEnd(t, answer, witness)
-	q.answerHead = answerHead{answer.Status, answer.Framing(), q.Codec.TargetHeaders(answer.Status, answer.Header)}
-	if q.isOwnAnswer() {
-		q.RecordAnswer(t, q.callerHeaders.ID, q.answerHead.TargetHeaders)
-	}
-	if err := q.validate(answer, q.answerHead.TargetHeaders); err != nil {
-		answer.Close(false)
-		return err
+	if plan, ok := q.hedgePlan(); ok {
+		return q.race(c, plan)
 	}
-	if q.route.Kind == chestnutstep.RouteStream && answer.Status == http.StatusOK {
-		return q.forwardEvents(run, t, answer)
-	}
-	return q.collect(run, t, answer)
+	x := q.start(c, q.attempts.Sent+1)
+	defer x.cancel()
+	return x.finish(x.exchange())
 }
 
 // countTokens counts the tokens of the prompt by their expected source.
@@ -171,16 +124,15 @@
 	s.LastEventID, s.IsResume = q.stream.cursor.Last()
 	q.Codec.SetForwardHeaders(h, s)
 	return &link.Call{
-		Method:         q.r.Method,
-		URI:            q.r.RequestURI,
-		Host:           q.r.Host,
-		Header:         h,
-		Body:           q.body,
-		HasBody:        q.r.ContentLength != 0,
-		MaxIdle:        link.MaxIdle(q.service.MaxConnections, q.Board.EntryCount()),
-		NewConn:        c.NewConnection,
-		DialTimeout:    q.dialTimeout(c),
-		OnUnresponsive: q.onUnresponsive(c.Target),
+		Method:      q.r.Method,
+		URI:         q.r.RequestURI,
+		Host:        q.r.Host,
+		Header:      h,
+		Body:        q.body,
+		HasBody:     q.r.ContentLength != 0,
+		MaxIdle:     link.MaxIdle(q.service.MaxConnections, q.Board.EntryCount()),
+		NewConn:     c.NewConnection,
+		DialTimeout: q.dialTimeout(c),
 	}
 }
 
@@ -201,18 +153,14 @@
 	return max(time.Duration(verifyRatio*float64(q.route.LatencyObjective)), minVerifyTimeout)
 }
 
-// onUnresponsive returns the function that is called when the target's host does not acknowledge
-// the request. It reports whether the request must be abandoned there and retried on another
+// onUnresponsive is called when the target's host does not acknowledge the request. It reports whether the request must be abandoned there and retried on another
 // target, which requires that the request is idempotent and has attempts left, and that this
 // entry's own link is known to work.
-func (q *request) onUnresponsive(t *roster.Target) func() bool {
-	canRepeat := q.route.IsIdempotent() && q.attempts.Sent+1 < q.route.MaxAttempts
-	return func() bool {
-		q.Meters.Silent.Add(1, q.service.Name)
-		recorded := q.Board.RecordUnresponsive(clock.Now(), t)
-		q.log(event.TargetSilent, event.Str("target", t.ID), event.Bool("link", recorded), event.Bool("again", recorded && canRepeat))
-		return recorded && canRepeat
-	}
+func (x *attempt) onUnresponsive() bool {
+	x.Meters.Silent.Add(1, x.service.Name)
+	recorded := x.Board.RecordUnresponsive(clock.Now(), x.target)
+	x.log(event.TargetSilent, event.Str("target", x.target.ID), event.Bool("link", recorded), event.Bool("again", recorded && x.canRepeat))
+	return recorded && x.canRepeat
 }
 
 // isConnectionHeader reports whether the caller's Connection header lists the header name, which
