soak: hard load with reported figures, returns and hedges

Kept returns, hedges and readings of Server-Load had no random test. Targets report their load, some wrongly, are 2.5 times slower at times and have one slot each for half of the faults' time. Callers leave, and come back after refusals when told or at once.

New checks: an unsafe request runs once over all returns, a refused one has not run, attempts, retry budget, hedge limit, the whole answer of one target, and no work one second after a caller left (half of that allows for a busy machine). Attempts follow retry.Attempts: a request that no target ran may reach three targets where its route allows two, so a third arrival is a fault only if two targets ran the request.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -44,7 +45,11 @@
 			return
 		default:
 		}
-		c.send()
+		if c.soak.HardLoad {
+			c.sendUnderLoad()
+		} else {
+			c.send()
+		}
 		time.Sleep(time.Duration(c.rand.IntN(15)) * time.Millisecond)
 	}
 }
@@ -86,8 +91,9 @@
 	s.lastRequest++
 	req := &request{
 		id: fmt.Sprintf("req-%d", s.lastRequest), kind: kind, key: s.keys[c.rand.IntN(len(s.keys))],
-		entry: s.entries[c.rand.IntN(len(s.entries))],
+		entry: s.entries[c.rand.IntN(len(s.entries))], path: "/x", timeout: callerTimeout, stays: callerTimeout,
 	}
+	req.content = req.id
 	s.requests = append(s.requests, req)
 	return req
 }
@@ -95,8 +101,10 @@
 // do sends a request and records its outcome.
 func (c *caller) do(req *request) {
 	// net/http can't rewind a MultiReader and therefore doesn't retry the request itself.
-	sent := io.MultiReader(strings.NewReader("body of " + req.id))
-	r, err := http.NewRequest(http.MethodPost, "http://"+req.entry.frontendAddr+"/"+req.kind+"/x", sent)
+	sent := io.MultiReader(strings.NewReader("body of " + req.content))
+	ctx, cancel := context.WithTimeout(context.Background(), req.stays)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+req.entry.frontendAddr+"/"+req.kind+req.path, sent)
 	if err != nil {
 		req.result = "broken"
 		return
@@ -104,7 +112,7 @@
 	r.Host = "soak.example"
 	r.Header.Set("Attempt-Id", req.id)
 	r.Header.Set("Credential", req.key.text)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	r.Header.Set("Deadline-Ms", fmt.Sprint(req.timeout.Milliseconds()))
 	if req.resumes != "" {
 		r.Header.Set("Resumes", req.resumes)
 		r.Header.Set("Last-Event-Id", fmt.Sprint(req.after))
@@ -125,6 +133,7 @@
 	if err == nil && req.leaves && resp.StatusCode == http.StatusOK {
 		err = io.ErrUnexpectedEOF
 	}
+	req.retryAfter, _ = time.ParseDuration(resp.Header.Get("Retry-After") + "s") // 0 if it is missing
 	req.status, req.text = resp.StatusCode, stand.WithoutComments(string(raw))
 	req.result = resultOf(req, resp, err)
 }
@@ -194,7 +203,10 @@
 // resultOf classifies an answer: "whole", "refused", "broken", or a text that begins
 // with "wrong" for an answer that callers must never receive.
 func resultOf(x *request, resp *http.Response, err error) string {
-	isStream := strings.Contains(x.kind, "stream")
+	isStream, want := strings.Contains(x.kind, "stream"), "answer to "+x.id
+	if x.entry.soak.HardLoad {
+		want = stand.NamedAnswer(strings.TrimPrefix(resp.Header.Get("Server-Signature"), "sig-"), x.id)
+	}
 	switch {
 	case resp.StatusCode != http.StatusOK:
 		return "refused"
@@ -206,7 +218,7 @@
 		return "wrong: answer without Server-Signature"
 	case isStream && x.text != events(x.after, x.build):
 		return fmt.Sprintf("wrong: %q ended as a complete stream", x.text)
-	case isStream, x.text == "answer to "+x.id:
+	case isStream, x.text == want:
 		return "whole"
 	default:
 		return fmt.Sprintf("wrong: %q", x.text)
--- a/soak/check.go
+++ b/soak/check.go
@@ -49,6 +49,11 @@
 			runs[r.ID] = append(runs[r.ID], r)
 		}
 	}
+	if s.HardLoad {
+		if err := s.checkLimits(runs); err != nil {
+			return err
+		}
+	}
 	served, expected := 0, 0
 	returned, takenUp := 0, 0
 	for _, x := range s.requests {
@@ -62,7 +67,7 @@
 				takenUp++
 			}
 		}
-		left := x.leaves && x.result == "broken"
+		left := (x.leaves || x.path == stand.LongPath) && x.result == "broken"
 		if x.sentAt.After(healed) && x.key.revokedAt.IsZero() && !left {
 			expected++
 			if x.result == "whole" {
@@ -107,13 +112,16 @@
 	count := make(map[string]int)
 	for _, x := range s.requests {
 		class, _, _ := strings.Cut(x.result, ":")
+		if x.content != x.id {
+			class = "returned " + class
+		}
 		count[x.kind+" "+class]++
 	}
 	var list []string
 	for _, name := range slices.Sorted(maps.Keys(count)) {
 		list = append(list, fmt.Sprintf("%s %d", name, count[name]))
 	}
-	return strings.Join(list, ", ")
+	return strings.Join(append(list, fmt.Sprintf("second sends %d", len(s.again))), ", ")
 }
 
 func (s *Soak) checkRequest(x *request, runs []stand.Run) error {
@@ -131,7 +139,7 @@
 		return errors.Newf("%s (%s) ran although it was sent %s after its key was revoked", x.id, x.kind, x.sentAt.Sub(x.key.revokedAt))
 	}
 	for _, r := range runs {
-		if r.Workspace != "ws" || r.Body != "body of "+x.id {
+		if r.Workspace != "ws" || r.Body != "body of "+x.content {
 			return errors.Newf("%s ran as workspace %q with body %q", x.id, r.Workspace, r.Body)
 		}
 	}
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -36,6 +36,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// starts is the number of processes started.
+	starts int
 	// pausedAt is the time of the last SIGSTOP to a process of this entry.
 	pausedAt time.Time
 	// disturbances are the times in which the process did not run.
@@ -76,8 +78,8 @@
 		"internalPorts": []int{firstPort, lastPort},
 		"seeds":         []string{seed},
 		"bounds": map[string]any{
-			"graceS": gracePeriod.Seconds(), "revokeMs": revokeDelay.Milliseconds(), "retryBudgetRatio": 0.2, "retrySlack": 50,
-			"budgetWindowS": 10, "coldOverage": 1.5, "coldSlack": 5, "capFactor": 2, "contactMs": 3000,
+			"graceS": gracePeriod.Seconds(), "revokeMs": revokeDelay.Milliseconds(), "retryBudgetRatio": retryRatio, "retrySlack": retrySlack,
+			"budgetWindowS": budgetWindow.Seconds(), "coldOverage": 1.5, "coldSlack": 5, "capFactor": 2, "contactMs": 3000,
 		},
 		"platform": map[string]any{"address": e.relay.Addr(), "readsPerS": 1000},
 	}
@@ -102,6 +104,9 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(e.soak.Program, "entry")
+	if e.soak.HardLoad {
+		cmd.Args = append(cmd.Args, "--returns", "--hedge", strconv.Itoa(hedgePercent))
+	}
 	cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+e.file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -109,6 +114,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.starts++
 	e.cmd, e.exited = cmd, stand.WaitExit(cmd)
 	return nil
 }
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -61,6 +61,7 @@
 		}
 		if !s.StreamsOnly {
 			s.pauser.inject()
+			s.strainTargets(time.Since(start))
 		}
 		// With more than three active faults, a random one ends for each new one.
 		if len(undo) > 3 {
@@ -89,6 +90,7 @@
 		x.relay.Heal()
 		x.SetBehaviour(stand.Normal)
 	}
+	s.strainTargets(s.Duration)
 	s.killer.clear()
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,6 +23,7 @@
 	// can be down at the same time.
 	entryCount  = 5
 	targetCount = 4
+	targetSlots = 16
 	// unframedEvery is such that one in so many targets sends answers that end with their connection.
 	unframedEvery = 3
 	// One in longEventsEvery targets sends events of longEventBytes: longer than the buffers of an entry.
@@ -43,10 +44,11 @@
 	settleTime = 6 * time.Second
 )
 
-// pauseStream and killStream select the random numbers of the pauser and the killer.
+// pauseStream, killStream and strainStream select the random numbers of the pauser, the killer and the strain.
 const (
-	pauseStream = 1 << 32
-	killStream  = 1 << 33
+	pauseStream  = 1 << 32
+	killStream   = 1 << 33
+	strainStream = 1 << 34
 )
 
 // builds are the software versions of the targets, in turn.
@@ -68,6 +70,9 @@
 	CleanBreaks bool
 	// StreamsOnly limits the run to streams, to targets that are processes, and to faults of processes.
 	StreamsOnly bool
+	// HardLoad gives targets few slots and uneven speed, which they report, and starts entries with kept returns and
+	// hedges.
+	HardLoad bool
 
 	store   *stand.Store
 	entries []*entry
@@ -86,6 +91,9 @@
 	pauser     pauser
 	processes  []*process
 	killer     killer
+	strain     *rand.Rand
+	// again are the times of second sends; checkLimits sets it.
+	again []time.Time
 }
 
 // target is a target behind a relay that can hold back data and close connections.
@@ -116,6 +124,12 @@
 	after   int
 	// leaves is set if the caller leaves in the middle of the stream to take it up elsewhere.
 	leaves bool
+	// path is the end of the path: stand.LongPath if the caller leaves early.
+	path string
+	// content is the id of the caller's first attempt, which is another one if the caller came back after a refusal.
+	content string
+	// timeout is the caller's remaining time, stays the time until it leaves, retryAfter that of a refusal.
+	timeout, stays, retryAfter time.Duration
 	// build is the build that began the stream; empty if it is unknown.
 	build  string
 	status int
@@ -134,12 +148,17 @@
 	s.stop = make(chan struct{})
 	s.pauser = pauser{soak: s, rand: rand.New(rand.NewPCG(s.Seed, pauseStream))}
 	s.killer = killer{soak: s, rand: rand.New(rand.NewPCG(s.Seed, killStream))}
+	s.strain = rand.New(rand.NewPCG(s.Seed, strainStream))
 	defer s.close()
 	if err := s.start(); err != nil {
 		return err
 	}
 	var all sync.WaitGroup
-	for i := range callerCount {
+	callers := callerCount
+	if s.HardLoad {
+		callers = hardCallerCount
+	}
+	for i := range callers {
 		all.Add(1)
 		go (&caller{soak: s, number: i, rand: rand.New(rand.NewPCG(s.Seed, uint64(i)+1))}).run(&all)
 	}
@@ -199,6 +218,10 @@
 	if len(s.targets)%longEventsEvery == longEventsEvery-1 {
 		x.EventBytes = longEventBytes
 	}
+	if s.HardLoad {
+		x.NamesItself, x.BodyInterval = true, 5*time.Millisecond
+		x.SetCapacity(usualCapacity)
+	}
 	x.relay = &pipe.Relay{Backend: x.Address(), ResetOnBreak: x.Framing == stand.ByClose && !s.CleanBreaks}
 	if err := x.relay.Start(); err != nil {
 		return errors.Wrap(err, "start relay to the target")
@@ -210,7 +233,7 @@
 
 func (s *Soak) putTarget(x *target, state string) {
 	s.store.Put("servers/"+x.Name, map[string]any{
-		"service": "s", "address": x.relay.Addr(), "zone": "z", "slots": 16, "state": state, "born": time.Now().UnixMilli(), "version": x.Build,
+		"service": "s", "address": x.relay.Addr(), "zone": "z", "slots": targetSlots, "state": state, "born": time.Now().UnixMilli(), "version": x.Build,
 	})
 }
 
@@ -220,7 +243,7 @@
 	route := func(name, kind string, resumable bool) map[string]any {
 		return map[string]any{
 			"name": name, "host": "soak.example", "prefix": "/" + name + "/", "type": kind, "service": "s",
-			"timeoutMs": 1500, "latencyTargetMs": 200, "maxAttempts": 2, "resumable": resumable,
+			"timeoutMs": 1500, "latencyTargetMs": 200, "maxAttempts": maxAttempts, "resumable": resumable,
 		}
 	}
 	var keys []string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// TestSoakHardLoad guards against second sends, refusals and kept returns that break a guarantee while targets are
+// short of slots, uneven and report their load wrongly, beside the faults of TestSoak.
+func TestSoakHardLoad(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "chestnutstep")
+	out, err := exec.Command("go", "build", "-o", program, "../cmd/chestnutstep").CombinedOutput()
+	assert.NilError(t, err, string(out))
+	for seed := *first; seed < *first+*seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := &soak.Soak{Program: program, Dir: t.TempDir(), Seed: seed, Duration: *duration, HardLoad: true}
+			err := s.Run()
+			t.Log(s.Summary())
+			if err != nil {
+				keepLogs(t, s)
+				t.Fatalf("seed %d: %v\nfaults: %s", seed, err, strings.Join(s.Faults(), ", "))
+			}
+		})
+	}
+}
+
 // keptSeeds returns the seeds of testdata/seeds, which have failed before; that file
 // states their causes.
 func keptSeeds(t *testing.T) []uint64 {
