--- a/soak/limits.go
+++ b/soak/limits.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// These are set in routes and entries, but for maxNotRun: so many targets may get a request that none but the last
-	// ran (retry.Attempts).
+	// maxNotRun targets may get a request that none but the last ran (retry.Attempts); routes and entries set the others.
 	maxAttempts  = 2
 	maxNotRun    = 3
 	hedgePercent = 10
@@ -20,8 +19,6 @@
 	budgetWindow = 10 * time.Second
 	// workLimit is the time from a caller's leaving until no target works for it; half of it allows for a busy machine.
 	workLimit = time.Second
-	// minReturns is the number of returns of refused callers below which a run had too little load.
-	minReturns = 5
 )
 
 // checkLimits checks what a run with HardLoad adds to check. Each error names what it guards against.
@@ -63,14 +60,14 @@
 		}
 		s.again = append(s.again, list[1:]...)
 	}
-	if n := s.above(retryRatio, s.again, sent); n > 0 {
-		return errors.Newf("retries and hedges above the retry budget: %d in %s", n, budgetWindow)
-	}
 	if n := s.above(hedgePercent/100., hedges, sent); n > 0 {
 		return errors.Newf("hedges above their limit: %d in %s", n, budgetWindow)
 	}
-	if returns < minReturns {
-		return errors.Newf("run without load: %d returns of refused callers, minimum is %d", returns, minReturns)
+	if n := s.above(retryRatio, s.again, sent); n > 0 {
+		return errors.Newf("retries and hedges above the retry budget: %d in %s", n, budgetWindow)
+	}
+	if returns == 0 {
+		return errors.New("run without load: no refused caller returned")
 	}
 	return nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -92,8 +92,7 @@
 	processes  []*process
 	killer     killer
 	strain     *rand.Rand
-	// again are the times of second sends; checkLimits sets it.
-	again []time.Time
+	again      []time.Time // second sends, see checkLimits
 }
 
 // target is a target behind a relay that can hold back data and close connections.
--- a/soak/strain.go
+++ b/soak/strain.go
@@ -8,7 +8,7 @@
 
 const (
 	// hardCallerCount callers are too many for all targets in a shortage and not for two otherwise.
-	hardCallerCount = 16
+	hardCallerCount = 24
 	// One in slowEvery targets has slowPace at a time, and one in badReportEvery sends a bad report.
 	slowPace       = 250
 	slowEvery      = 7
@@ -20,7 +20,7 @@
 
 var (
 	usualCapacity = stand.Capacity{Slots: targetSlots, Queue: targetSlots, Work: 20 * time.Millisecond, Pace: 100}
-	shortCapacity = stand.Capacity{Slots: 1, Queue: 1, Work: 80 * time.Millisecond, Pace: 100}
+	shortCapacity = stand.Capacity{Slots: 1, Queue: 0, Work: 80 * time.Millisecond, Pace: 100}
 )
 
 // strainTargets makes some targets slow and some reports bad in a run with HardLoad; in its middle half all are short of
