--- a/stand/target.go
+++ b/stand/target.go
@@ -107,6 +107,8 @@
 	Ended bool
 	// CallerLeft reports whether the connection was closed during the run.
 	CallerLeft bool
+	// EndedAt is the time at which the run ended; zero while it lasts.
+	EndedAt time.Time
 }
 
 // Target emulates a server of the platform. Use NewTarget to create one.
@@ -130,6 +132,8 @@
 	EventBytes int
 	// AnswerBytes is the minimum size of an answer that is no stream; 0 for short ones.
 	AnswerBytes int
+	// NamesItself makes answers that are no streams repeat the target's name, see NamedAnswer.
+	NamesItself bool
 	// EventInterval is the time between two events of a stream.
 	EventInterval time.Duration
 	// BodyInterval is the time between the two halves of a body that is no stream; 0 writes it at once.
@@ -149,6 +153,8 @@
 	arrivals         []Arrival
 	restUntil        time.Time
 	leaving          bool
+	capacity         Capacity
+	running, waiting int
 	start            int
 	continued        int
 	connections      int
@@ -268,6 +274,7 @@
 		return
 	case HealthPath:
 		w.Header().Set("Instance-Id", t.Name)
+		t.reportLoad(w.Header())
 		return
 	case resetPath:
 		t.closeConnections(true)
@@ -288,11 +295,15 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
+	if !t.takeSlot(w, r) {
+		return
+	}
 	run := &Run{
 		ID: r.Header.Get("Attempt-Id"), Target: t.Name, Workspace: r.Header.Get("Tenant"),
 		Path: r.RequestURI, Body: string(body), Header: r.Header.Clone(),
 	}
 	t.recordRun(run)
+	defer t.releaseSlot(run)
 	if t.KillRule.matches(run) {
 		t.killDuringAnswer(w, r, run)
 		return
@@ -358,6 +369,7 @@
 func (t *Target) sign(h http.Header, id string) {
 	h.Set("Attempt-Id", id)
 	h.Set("Server-Signature", "sig-"+t.Name)
+	t.reportLoad(h)
 	if t.Framing == ByClose {
 		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the answer
 	}
@@ -383,6 +395,7 @@
 }
 
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, behaviour Behaviour, run *Run) {
+	t.work(r)
 	switch behaviour {
 	case Resets:
 		reset(w)
@@ -417,7 +430,7 @@
 		t.stream(w, r, behaviour)
 		return
 	}
-	text := "answer to " + run.ID
+	text := t.body(run.ID)
 	text += strings.Repeat("x", max(t.AnswerBytes-len(text), 0))
 	t.setLength(w.Header(), len(text))
 	if behaviour == Fails {
@@ -461,7 +474,7 @@
 		return
 	}
 	defer c.Close()
-	text := "answer to " + run.ID
+	text := t.body(run.ID)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: sig-%s\r\n", run.ID, t.Name)
 	switch behaviour {
 	case Garbage:
