--- a/header_codec.go
+++ b/header_codec.go
@@ -64,6 +64,8 @@
 	// Load is the load that the target reports about itself; zero if it reports none or the report is
 	// invalid.
 	Load TargetLoad
+	// HasInvalidLoad reports whether the target reports a load that is invalid.
+	HasInvalidLoad bool
 }
 
 // TargetLoad is the load that a target reports about itself in an answer.
