--- /dev/null
+++ b/gauge/gauge.go
@@ -0,0 +1,50 @@
+// Package gauge holds the load that targets report about themselves in their answers, and exchanges
+// it between entries. An entry of a large fleet gets an answer of each target less than once a
+// second, while the speed of a target can change several times a second. Only readings of targets
+// that state their speed are kept: they switch the use of reported load on.
+//
+// Times are those of this process; between entries only ages are exchanged, and they only grow.
+package gauge
+
+import (
+	"time"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+)
+
+// Lifetime is the age from which a reading has no weight: the length of the phases in which targets
+// are slow.
+const Lifetime = 600 * time.Millisecond
+
+// Weight returns the weight of a reading by its age, from 1 to 0. It answers load whose speed changes
+// within a second. A reading meets a phase of length Lifetime at a random moment, so the phase
+// still lasts after the given age with this probability.
+func Weight(age time.Duration) float64 {
+	return min(max(1-float64(age)/float64(Lifetime), 0), 1)
+}
+
+// Reading is the load that a target reported, and the time of the report; the zero Reading if there
+// is none.
+type Reading struct {
+	chestnutstep.TargetLoad
+	At clock.Stamp
+}
+
+// Weight returns the weight of the reading now; 0 if there is none.
+func (r *Reading) Weight(now clock.Stamp) float64 {
+	if r.TargetLoad.Slowdown <= 0 {
+		return 0
+	}
+	return Weight(now.Sub(r.At))
+}
+
+// Slowdown returns the expected slowdown by the weight of the reading; 1 if nothing is known.
+func (r *Reading) Slowdown(weight float64) float64 {
+	return 1 + (r.TargetLoad.Slowdown-1)*weight
+}
+
+// isNewer reports whether the reading replaces another one.
+func (r *Reading) isNewer(other *Reading) bool {
+	return other.TargetLoad.Slowdown <= 0 || r.At > other.At
+}
--- a/share/loop.go
+++ b/share/loop.go
@@ -21,6 +21,9 @@
 	// maxSendRate is the maximum send rate of an entry in bytes per second. The control budget of a
 	// node is 26 KB/s, of which 2 KB/s remain for packet headers and the source.
 	maxSendRate = 20000.0
+	// maxReservedRatio is the part of maxSendRate that messages can take: reports carry what keeps the
+	// limits of targets and of retries.
+	maxReservedRatio = 0.25
 	// packetOverhead is the size of the IPv4 and UDP headers of a datagram, in bytes.
 	packetOverhead = 28
 )
@@ -29,7 +32,7 @@
 func (p *Peers) Loop(ctx context.Context) {
 	p.initialize()
 	go p.receiveLoop(ctx)
-	pause := RoundInterval(p.sendRound(clock.Now()))
+	pause := p.sendAndPause(clock.Now())
 	for {
 		t := time.NewTimer(pause)
 		select {
@@ -39,13 +42,28 @@
 			return
 		case <-t.C:
 		}
-		pause = RoundInterval(p.sendRound(clock.Now()))
+		pause = p.sendAndPause(clock.Now())
 	}
 }
 
+// sendAndPause sends a round and returns the pause after it.
+func (p *Peers) sendAndPause(now clock.Stamp) time.Duration {
+	return roundInterval(p.sendRound(now), p.reportRate())
+}
+
+// reportRate returns the send rate of reports: maxSendRate without the part that messages take.
+func (p *Peers) reportRate() float64 {
+	if p.ReservedRate == nil {
+		return maxSendRate
+	}
+	return maxSendRate - min(max(p.ReservedRate(), 0), maxReservedRatio*maxSendRate)
+}
+
 // RoundInterval returns the pause after a round that sent the given number of bytes.
-func RoundInterval(bytes int) time.Duration {
-	pause := time.Duration(float64(bytes) / maxSendRate * float64(time.Second))
+func RoundInterval(bytes int) time.Duration { return roundInterval(bytes, maxSendRate) }
+
+func roundInterval(bytes int, rate float64) time.Duration {
+	pause := time.Duration(float64(bytes) / rate * float64(time.Second))
 	return min(max(pause, minRoundInterval), maxRoundInterval)
 }
 
--- a/share/message.go
+++ b/share/message.go
@@ -39,6 +39,15 @@
 	p.sentBytes += int64(n)
 }
 
+// RandomPeer returns a random live peer, or false if there is none.
+func (p *Peers) RandomPeer(now clock.Stamp) (netip.AddrPort, bool) {
+	list := p.randomPeers(now, 1)
+	if len(list) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return list[0], true
+}
+
 // handleMessage passes the content of a datagram to the handler of its kind.
 func (p *Peers) handleMessage(now clock.Stamp, kind MessageKind, b []byte) {
 	p.mu.Lock()
--- a/share/peers.go
+++ b/share/peers.go
@@ -67,6 +67,9 @@
 	Link uint32
 	// Handlers receive the datagrams that peers sent with SendMessage, by kind.
 	Handlers map[MessageKind]func(now clock.Stamp, b []byte) error
+	// ReservedRate returns the part of maxSendRate that messages take now, in bytes per second; nil for
+	// none.
+	ReservedRate func() float64
 
 	mu       sync.Mutex
 	peers    map[netip.AddrPort]*peer
@@ -265,9 +268,9 @@
 }
 
 // fanoutLimit returns the number of peers per round at which even the longest round interval keeps
-// maxSendRate. The caller holds p.mu.
+// the rate of reports. The caller holds p.mu.
 func (p *Peers) fanoutLimit() int {
-	round := maxSendRate * maxRoundInterval.Seconds()
+	round := p.reportRate() * maxRoundInterval.Seconds()
 	return min(max(int(round)/(p.lastReportSize+packetOverhead), minFanout), maxFanout)
 }
 
