board, relay, node: reported load is used for limits, totals and admission

The board fills Slowdown and Waiting, counts the reported requests with the weight of the reading's age, and lowers the limit of a slow target. Targets with an unusual reading are counted individually.

--- a/board/board.go
+++ b/board/board.go
@@ -16,6 +16,7 @@
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/admit"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/gauge"
 	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/place"
 	"chestnutstep.example/chestnutstep/roster"
@@ -44,6 +45,8 @@
 	Overloaded func() bool
 	// Pauses tracks the targets that asked to receive nothing for some time; nil for none.
 	Pauses *pause.Tracker
+	// Readings holds the load that targets reported about themselves; nil for none.
+	Readings *gauge.Store
 	// Self is this entry's address among its peers, and Domain the failure domain it runs in.
 	Self   netip.AddrPort
 	Domain string
@@ -96,6 +99,8 @@
 	suspicion     suspicion
 	// recentSent counts this entry's own requests that peers might not have a report of yet.
 	recentSent decayingCounter
+	// history is the recent course of running.
+	history runningHistory
 	// member is the target in the index of the newest view; nil if it is not indexed.
 	member *indexMember
 	// rank is this entry's rank among the entries that can send to the target while it is cold,
@@ -182,11 +187,14 @@
 	if cold && !b.canSendCold(l.now, m.key, s, l.service) {
 		return place.Candidate{}, false
 	}
-	limit := s.limit.At(l.now, m.Slots, l.serviceTime, l.patience)
+	r := b.reading(l.now, m)
+	limit := s.limit.At(l.now, m.Slots, slowedDown(l.serviceTime, r.slowdown), l.patience)
 	return place.Candidate{
 		ID:            m.ID,
 		Address:       m.Address,
-		Running:       float64(b.runningAt(m)),
+		Running:       r.running,
+		Waiting:       r.waiting,
+		Slowdown:      r.slowdown,
 		Limit:         limit,
 		Unreported:    b.unreported(l.now, s, limit),
 		PendingTokens: float64(s.pendingTokens + pendingTokensUnit*int(b.peerLoads[m.key].PendingPrefill)),
@@ -207,6 +215,7 @@
 		live[loadKey(t.ID)] = true
 		caches[CacheKey(&t.Instance)] = true
 	}
+	b.Readings.SetTargets(caches)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.initMaps()
--- a/board/index.go
+++ b/board/index.go
@@ -46,7 +46,8 @@
 type totalsKey struct{ domain, build string }
 
 // domainTotals sums up the members of one build in a failure domain that need no individual
-// evaluation: usable, warm, reachable, and without a binding limit of their own.
+// evaluation: usable, warm, reachable, without a binding limit of their own, and without a fresh
+// report of unusual load.
 type domainTotals struct {
 	totalsKey
 	// allowed reports whether the request of the current choice can go to the domain and build.
@@ -163,7 +164,7 @@
 
 // canAggregate reports whether the totals of the failure domain describe the target completely.
 func (b *Board) canAggregate(now clock.Stamp, m *indexMember) bool {
-	return m.usable && !b.Pauses.Tracks(pause.InstanceOf(&m.Instance)) && now >= m.ColdUntil && !m.state.health.isDown(now) && !m.state.limit.IsBinding(now)
+	return m.usable && !b.Pauses.Tracks(pause.InstanceOf(&m.Instance)) && now >= m.ColdUntil && !m.state.health.isDown(now) && !m.state.limit.IsBinding(now) && !b.hasUnusualReading(now, m)
 }
 
 // runningAt returns the number of requests in progress at a target, from all entries.
@@ -197,7 +198,8 @@
 }
 
 // addRunning adds n to the number of requests in progress at the target.
-func (s *targetState) addRunning(n int) {
+func (s *targetState) addRunning(now clock.Stamp, n int) {
+	s.history.add(now, s.running)
 	s.running += n
 	s.addToTotals(n)
 }
@@ -211,6 +213,7 @@
 
 // refreshTotals adds targets that no longer need individual evaluation to the totals again.
 func (b *Board) refreshTotals(now clock.Stamp, ix *serviceIndex) {
+	b.applyReadings(now)
 	kept := ix.individual[:0]
 	for _, m := range ix.individual {
 		switch {
--- /dev/null
+++ b/board/reading.go
@@ -0,0 +1,111 @@
+package board
+
+import (
+	"math"
+	"time"
+
+	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/gauge"
+)
+
+const (
+	// unusualSlowdown is the difference from the usual speed from which a target is evaluated
+	// individually: less changes the number of its places by less than one.
+	unusualSlowdown = 0.05
+	// unusualLoadRatio is the part of a target's slots by which the reported load can differ from
+	// the counted one without an individual evaluation.
+	unusualLoadRatio = 0.125
+	// maxHistory limits the changes kept of the number of requests at a target.
+	maxHistory = 32
+)
+
+// reading is what is known about the load of a target now.
+type reading struct {
+	// running is the estimated number of requests in progress at the target, those that wait for
+	// a slot included, and waiting that of the latter.
+	running, waiting float64
+	// slowdown is the expected slowdown; 1 if unknown.
+	slowdown float64
+}
+
+// reading returns what is known about the load of a target.
+func (b *Board) reading(now clock.Stamp, m *indexMember) reading {
+	return b.readingOf(now, m.state, m.key, m.cacheKey)
+}
+
+// readingOf estimates the load of a target from what it reported about itself, and from what this
+// entry and its peers count. A report is exact but ages within a second; it is carried on by the
+// change of this entry's own requests. Reports of peers can be older than that.
+func (b *Board) readingOf(now clock.Stamp, s *targetState, key, cacheKey uint32) reading {
+	counted := float64(s.running + int(b.peerLoads[key].Running))
+	r := b.Readings.Get(cacheKey)
+	w := r.Weight(now)
+	if w <= 0 {
+		return reading{running: counted, slowdown: 1}
+	}
+	others := max(r.Running+r.Waiting-s.history.at(r.At, s.running), 0)
+	reported := float64(others + s.running)
+	return reading{
+		running:  max(w*reported+(1-w)*counted, float64(s.running)),
+		waiting:  w * float64(r.Waiting),
+		slowdown: r.Slowdown(w),
+	}
+}
+
+// hasUnusualReading reports whether a target reported a load that the totals of its failure domain do
+// not describe.
+func (b *Board) hasUnusualReading(now clock.Stamp, m *indexMember) bool {
+	r := b.reading(now, m)
+	difference := math.Abs(r.running - float64(b.runningAt(m)))
+	return math.Abs(r.slowdown-1) > unusualSlowdown || r.waiting > 0 || difference > unusualLoadRatio*float64(m.Slots)
+}
+
+// applyReadings counts the targets individually that reported an unusual load since the last call.
+func (b *Board) applyReadings(now clock.Stamp) {
+	for _, key := range b.Readings.TakeChanged() {
+		for _, ix := range b.indexes {
+			if m := ix.caches[key]; m != nil && !m.individual && b.hasUnusualReading(now, m) {
+				b.countIndividually(m.state)
+			}
+		}
+	}
+}
+
+// slowedDown returns how long a request of the usual duration takes. A target that reports to be faster
+// than usual gets no higher limit: if the report is wrong, its requests are late.
+func slowedDown(d time.Duration, slowdown float64) time.Duration {
+	return time.Duration(float64(d) * max(slowdown, 1))
+}
+
+// runningHistory holds the recent changes of the number of this entry's own requests at a target,
+// oldest first.
+type runningHistory []runningChange
+
+// runningChange states the number of requests before a change.
+type runningChange struct {
+	at     clock.Stamp
+	before int
+}
+
+// add records that the number changes now.
+func (h *runningHistory) add(now clock.Stamp, before int) {
+	old := 0
+	for _, c := range *h {
+		if now.Sub(c.at) > gauge.Lifetime {
+			old++
+		}
+	}
+	old = max(old, len(*h)-maxHistory+1)
+	*h = append((*h)[:0], (*h)[old:]...)
+	*h = append(*h, runningChange{now, before})
+}
+
+// at returns the number at a time within the history; running is the number now.
+func (h runningHistory) at(t clock.Stamp, running int) int {
+	for _, c := range h {
+		if c.at > t {
+			return c.before
+		}
+	}
+	return running
+}
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -106,6 +106,10 @@
 	TargetResumed   ID = 7040
 
 	TargetAnnouncedLeaving ID = 7041
+
+	TargetLoadInvalid ID = 7050
+	TargetLoadUsed    ID = 7051
+	TargetLoadUnused  ID = 7052
 )
 
 // requestMaxPerSecond is the maximum number of lines per second of each event about single
@@ -697,4 +701,22 @@
 		Cause:   "The target is about to stop.",
 		Action:  "If the list of targets still shows it as ready after minutes, check the target.",
 	},
+	{
+		ID: TargetLoadInvalid, Name: "target_load_invalid", Level: Warn, RateLimited: true,
+		Meaning: "A target reported a load in the answer to the named request that is not valid; it is treated as not reported. There is at most one line a minute and target.",
+		Cause:   "The report is not three or four numbers, or one of them is out of range.",
+		Action:  "Check the software of the target.",
+	},
+	{
+		ID: TargetLoadUsed, Name: "target_load_used", Level: Info,
+		Meaning: "Targets report their speed, so this entry uses the load that they report, and exchanges it with its peers. The field targets counts those with a fresh report, slow those that are slow now.",
+		Cause:   "The first report with a speed since the start, or after 7052.",
+		Action:  "Nothing.",
+	},
+	{
+		ID: TargetLoadUnused, Name: "target_load_unused", Level: Info,
+		Meaning: "No target has reported its speed for a minute. Load is estimated from this entry's own requests and those that its peers report.",
+		Cause:   "Few requests, no peer is heard, or other software on the targets.",
+		Action:  "If there are requests and targets should report their speed, check 7050, and 7017 for the peers.",
+	},
 }
--- a/meter/set.go
+++ b/meter/set.go
@@ -100,6 +100,9 @@
 	Resumed           Counter   // streams that callers took up, by how their build was found
 	Pauses            Counter   // pauses that targets asked for, by service and result
 	PausedTargets     Gauge     // targets that must not receive requests now
+	Readings          Counter   // load reports of targets, by what became of them
+	FreshReadings     Gauge     // targets with a load report that is used now
+	SlowTargets       Gauge     // those of them that are slow
 }
 
 // Workspaces contains the metrics of the fairness report between workspaces, summed
@@ -192,6 +195,9 @@
 		{&s.Relay.Resumed, description{"relay_resumed_total", kindCounter, "streams", []string{labelResult}, "Streams that callers took up at this entry, by how the build that began them was found: record, sole (the service has no other) or not: gone (it has no target left) or unknown."}},
 		{&s.Relay.Pauses, description{"relay_pauses_total", kindCounter, "pauses", []string{labelService, labelResult}, "Pauses that targets asked for when they rejected a request: started, extended, or invalid (ignored, as the time is no positive number); and leaving: announcements of targets that they leave."}},
 		{&s.Relay.PausedTargets, description{"relay_paused_targets", kindGauge, "targets", nil, "Targets that must not receive requests now, as they asked for a pause."}},
+		{&s.Relay.Readings, description{"relay_readings_total", kindCounter, "readings", []string{labelResult}, "Loads that targets reported: own (by an answer to this entry), peer (by a peer, newer than the known one), old (not newer), unknown (of a target that is not listed), invalid. Only reports with the target's speed are counted, and invalid ones."}},
+		{&s.Relay.FreshReadings, description{"relay_reading_targets", kindGauge, "targets", nil, "Targets with a reported load that is young enough to be used."}},
+		{&s.Relay.SlowTargets, description{"relay_slow_targets", kindGauge, "targets", nil, "Those of them that report that work takes more than 1.25 times as long as usual."}},
 		{&s.Relay.CallerConnections, description{"relay_callers", kindGauge, "connections", nil, "Connections of callers that are held."}},
 		{&s.Workspaces.Requests, description{"workspace_requests_total", kindCounter, "requests", []string{labelWorkspace, labelResult}, "Requests of a workspace: ok, refused, broken or canceled."}},
 		{&s.Workspaces.Tokens, description{"workspace_tokens_total", kindCounter, "tokens", []string{labelWorkspace}, "Estimated work that the target did for a workspace."}},
--- a/node/direct.go
+++ b/node/direct.go
@@ -22,6 +22,7 @@
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/feed"
+	"chestnutstep.example/chestnutstep/gauge"
 	"chestnutstep.example/chestnutstep/guard"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
@@ -81,6 +82,8 @@
 	board    *board.Board
 	crashes  *relay.CrashTracker
 	pauses   *pause.Tracker
+	readings *gauge.Store
+	sender   *gauge.Sender
 	relay    *relay.Relay
 	callers  *relay.Listener
 	shed     *relay.Shedder
@@ -157,7 +160,7 @@
 
 // startBackground starts the background tasks.
 func (n *Direct) startBackground(workCtx context.Context) {
-	startTasks(workCtx, n.tickLoop, n.loadCacheIndex, n.peers.Loop, n.delays.loop,
+	startTasks(workCtx, n.tickLoop, n.loadCacheIndex, n.peers.Loop, n.delays.loop, n.sender.Loop,
 		n.watcher(chestnutstep.TopicTargets).Run, n.watcher(chestnutstep.TopicRouting).Run)
 	if n.Reloader != nil {
 		n.Reloader.OnChange, n.Reloader.OnError = n.reload, n.logRefusedSettings
@@ -188,13 +191,14 @@
 	n.roster = &roster.Roster{}
 	n.pool = &link.Pool{}
 	n.pauses = &pause.Tracker{Seed: uint64(randomIncarnation())}
+	n.readings = &gauge.Store{}
 	n.crashes = &relay.CrashTracker{Log: n.log, Meters: &n.meters.Relay, OnLoss: n.sendCrashes, Pauses: n.pauses, Seed: uint64(randomIncarnation())}
 	self, err := netip.ParseAddrPort(n.Settings.PeerAddr)
 	if err != nil {
 		return errors.Wrap(err, "parse peer address")
 	}
 	n.delays = &delayMonitor{node: n}
-	n.board = &board.Board{Self: self, Domain: n.Settings.Domain, ColdBounds: n.coldBounds, Overloaded: n.delays.isOverloaded, Pauses: n.pauses}
+	n.board = &board.Board{Self: self, Domain: n.Settings.Domain, ColdBounds: n.coldBounds, Overloaded: n.delays.isOverloaded, Pauses: n.pauses, Readings: n.readings}
 	n.relay = &relay.Relay{
 		Domain:      n.Settings.Domain,
 		Regions:     n.Settings.Regions,
@@ -205,6 +209,7 @@
 		Codec:       n.Codec,
 		Crashes:     n.crashes,
 		Pauses:      n.pauses,
+		Readings:    n.readings,
 		Log:         n.log,
 		Meters:      &n.meters.Relay,
 		IsBehind:    n.isBehind,
@@ -225,7 +230,12 @@
 	n.origins = &origin.Directory{
 		Self: origin.Member{Addr: self, Domain: board.DomainKey(n.Settings.Domain)}, Members: n.originMembers, Send: n.sendOrigins,
 	}
-	n.peers.Handlers = map[share.MessageKind]func(clock.Stamp, []byte) error{share.MessageOrigins: n.origins.Receive}
+	n.sender = &gauge.Sender{Store: n.readings, Incarnation: n.peers.Incarnation, Peer: n.peers.RandomPeer, Send: n.sendReadings}
+	n.peers.ReservedRate = func() float64 { return n.sender.Rate(clock.Now()) }
+	n.peers.Handlers = map[share.MessageKind]func(clock.Stamp, []byte) error{
+		share.MessageOrigins:  n.origins.Receive,
+		share.MessageReadings: n.readings.Receive,
+	}
 	n.relay.Origins = n.origins
 	return nil
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,6 +20,7 @@
 	dropped, opened, out, in int64
 	peers                    int
 	manyCallers              bool
+	readings                 reportedReadings
 }
 
 // updateMetrics transfers counts kept by other parts into the metrics and logs their changes.
@@ -42,7 +43,8 @@
 	if manyCallers != c.manyCallers {
 		n.setGCPercent(open, manyCallers)
 	}
-	n.reported = reportedCounts{dropped, opened, out, in, live, manyCallers}
+	n.updateReadings(clock.Now())
+	n.reported = reportedCounts{dropped, opened, out, in, live, manyCallers, c.readings}
 	m.CallerConnections.Set(float64(open))
 	m.PausedTargets.Set(float64(n.pauses.Paused(clock.Now())))
 	for _, p := range n.board.Places(clock.Now()) {
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -51,6 +51,7 @@
 	if h.Misdirected {
 		return
 	}
+	e.recordLoad(t, id, h)
 	if h.IsLeaving {
 		e.recordLeaving(t, id)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"chestnutstep.example/chestnutstep/cursor"
 	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/gauge"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
 	"chestnutstep.example/chestnutstep/pause"
@@ -42,8 +43,11 @@
 	// Pauses tracks the targets that asked to receive nothing for some time; nil for none. The Board
 	// and the CrashTracker must use the same.
 	Pauses *pause.Tracker
-	Log    *event.Log
-	Meters *meter.Relay
+	// Readings receives the load that targets report in their answers; nil for none. The Board must use
+	// the same.
+	Readings *gauge.Store
+	Log      *event.Log
+	Meters   *meter.Relay
 	// Origins records which build began a stream; if it is nil, a stream can be taken up only while
 	// its service has a single build.
 	Origins chestnutstep.Origins
