--- a/gauge/sender.go
+++ b/gauge/sender.go
@@ -15,9 +15,9 @@
 	// MaxRate is the largest send rate of readings in bytes per second, packet headers included. While
 	// readings are sent, reports take this much less.
 	MaxRate = 2000.0
-	// maxBatch is the number of readings in a datagram: more make them older on the way, fewer spend
-	// most of the rate on packet headers.
-	maxBatch = 8
+	// maxBatch is the number of readings in a datagram. At the same rate larger datagrams are sent less
+	// often, which makes readings older; smaller ones spend more of the rate on packet headers.
+	maxBatch = 4
 	// datagramOverhead is the size of the IPv4 and UDP headers and of the kind, in bytes.
 	datagramOverhead = 29
 	// idlePause is the pause if there is nothing to send.
--- a/gauge/store.go
+++ b/gauge/store.go
@@ -13,9 +13,9 @@
 const (
 	// maxTargets limits the targets with a record; each record takes about 100 bytes.
 	maxTargets = 8192
-	// maxSends is how often an entry sends the same reading. With fewer, a reading often ends before it
-	// has reached the fleet; more are rarely new to their receiver.
-	maxSends = 8
+	// maxSends is how often an entry sends the same reading. With two, the oldest known readings are
+	// older; with more than four, traffic grows and ages stay the same.
+	maxSends = 4
 	// invalidLogInterval is the minimum time between two log lines about invalid reports of one target.
 	invalidLogInterval = time.Minute
 )
--- /dev/null
+++ b/gauge/store_test.go
@@ -0,0 +1,179 @@
+package gauge
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/clock"
+)
+
+const (
+	start = clock.Stamp(time.Hour)
+	key   = 7
+)
+
+var slow = chestnutstep.TargetLoad{Running: 5, Waiting: 3, Slots: 6, Slowdown: 2.5}
+
+// newStore returns a store that knows the targets with the given keys.
+func newStore(keys ...uint32) *Store {
+	s, m := &Store{}, make(map[uint32]bool)
+	for _, k := range keys {
+		m[k] = true
+	}
+	s.SetTargets(m)
+	return s
+}
+
+// datagram returns the next datagram of a store.
+func datagram(t *testing.T, s *Store, now clock.Stamp) []byte {
+	var sent []byte
+	x := Sender{
+		Store: s, Incarnation: 1,
+		Peer: func(clock.Stamp) (netip.AddrPort, bool) { return netip.AddrPort{}, true },
+		Send: func(_ netip.AddrPort, b []byte) { sent = b },
+	}
+	x.Step(now)
+	assert.Assert(t, sent != nil && x.Rate(now) == MaxRate && x.Rate(now.Add(2*activeWindow)) == 0)
+	return sent
+}
+
+// receive passes a datagram with one reading to the store.
+func receive(t *testing.T, s *Store, now clock.Stamp, sentMs uint64, w wireReading) {
+	b, err := cbor.Marshal(message{Incarnation: 1, Sent: sentMs, Readings: []wireReading{w}})
+	assert.NilError(t, err)
+	assert.NilError(t, s.Receive(now, b))
+}
+
+// TestThreeFiguresAreIgnored guards against a change for deployments whose targets don't report a speed.
+func TestThreeFiguresAreIgnored(t *testing.T) {
+	s := newStore(key)
+	s.Record(start, key, chestnutstep.TargetLoad{Running: 5, Slots: 6})
+	assert.Equal(t, s.Get(key), Reading{})
+	assert.Assert(t, !s.canSend(start) && len(s.TakeChanged()) == 0)
+}
+
+// TestReadingsOfDeadTargetsAreForgotten guards against the last reading of a target that is gone or has
+// restarted, here and on its way back from a peer.
+func TestReadingsOfDeadTargetsAreForgotten(t *testing.T) {
+	s := newStore(key)
+	s.Record(start, key, slow)
+	late := datagram(t, s, start)
+	s.SetTargets(map[uint32]bool{key + 1: true})
+	assert.NilError(t, s.Receive(start.Add(time.Millisecond), late))
+	assert.Equal(t, s.Get(key), Reading{})
+	assert.Equal(t, s.Summary(start).Unknown, int64(1))
+}
+
+// TestDuplicatesAreNotNewer guards against a reading that circles between entries and stays young.
+func TestDuplicatesAreNotNewer(t *testing.T) {
+	a, b := newStore(key), newStore(key)
+	a.Record(start, key, slow)
+	first := a.Get(key).At
+	for now := start.Add(time.Millisecond); now < start.Add(40*time.Millisecond); now = now.Add(10 * time.Millisecond) {
+		from, to := a, b
+		if now.Sub(start)%(20*time.Millisecond) < 10*time.Millisecond {
+			from, to = b, a
+		}
+		if from.canSend(now) {
+			assert.NilError(t, to.Receive(now, datagram(t, from, now)))
+		}
+	}
+	assert.Equal(t, a.Get(key).At, first)
+	assert.Assert(t, b.Get(key).At <= first)
+	assert.Equal(t, a.Summary(start).Peer, int64(0))
+}
+
+// TestLateDatagramsAreOld guards against a datagram that was held up and replaces a newer reading. The
+// clocks of both entries are days apart.
+func TestLateDatagramsAreOld(t *testing.T) {
+	s := newStore(key)
+	const offset = 48 * 3600 * 1000
+	receive(t, s, start, offset, wireReading{Target: key, Slots: 6, Percent: 100, AgeMs: 1})
+	s.Record(start.Add(200*time.Millisecond), key, slow)
+	// Sent after 100 ms, arrived after 400.
+	receive(t, s, start.Add(400*time.Millisecond), offset+100, wireReading{Target: key, Slots: 6, Percent: 100, AgeMs: 1})
+	assert.Equal(t, s.Get(key).TargetLoad, slow)
+	receive(t, s, start.Add(500*time.Millisecond), offset+500, wireReading{Target: key, Slots: 6, Percent: 100, AgeMs: 1})
+	assert.Equal(t, s.Get(key).TargetLoad.Slowdown, 1.0)
+}
+
+// TestPeersAreNotTrusted guards against readings out of range, from the future, or in endless number.
+func TestPeersAreNotTrusted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, now := newStore(key), start
+		for range rapid.IntRange(1, 20).Draw(t, "datagrams") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			w := wireReading{Target: rapid.Uint32Range(0, 10).Draw(t, "target"), Slots: rapid.Uint16().Draw(t, "slots"), Percent: rapid.Uint16().Draw(t, "percent"), AgeMs: rapid.Uint16().Draw(t, "age")}
+			b, _ := cbor.Marshal(message{Incarnation: rapid.Uint32().Draw(t, "from"), Sent: rapid.Uint64().Draw(t, "sent"), Readings: []wireReading{w}})
+			_ = s.Receive(now, append(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")], rapid.SliceOfN(rapid.Byte(), 0, 4).Draw(t, "end")...))
+			r := s.Get(key)
+			assert.Assert(t, r == Reading{} || r.Slots > 0 && r.At < now && r.TargetLoad.Slowdown > 0 && r.TargetLoad.Slowdown <= maxSlowdown, "%v", r)
+			assert.Assert(t, len(s.records) <= 1)
+		}
+	})
+}
+
+// TestMemoryIsBounded guards against memory that grows with the targets and senders that peers name.
+func TestMemoryIsBounded(t *testing.T) {
+	s := &Store{}
+	for i := range uint32(2 * maxTargets) {
+		s.Record(start, i, slow)
+		s.senders.delay(start, i, uint64(i))
+	}
+	assert.Assert(t, len(s.records) == maxTargets && len(s.changed) == maxTargets && len(s.senders) == maxSenders)
+	assert.Equal(t, s.senders.delay(start.Add(2*offsetWindow), 1<<31, 1), time.Duration(0), "silent senders make room")
+}
+
+// TestNewestReadingsGoFirst guards against old readings that take the place of newer ones, and against
+// one that is sent for ever.
+func TestNewestReadingsGoFirst(t *testing.T) {
+	s := newStore(0, 1, 2, 3, 4, 5)
+	for i := range uint32(6) {
+		s.Record(start.Add(time.Duration(i)*time.Millisecond), i, slow)
+	}
+	now := start.Add(10 * time.Millisecond)
+	for range maxSends {
+		batch := s.takeBatch(now, 2)
+		assert.Assert(t, batch[0].Target == 5 && batch[1].Target == 4 && batch[0].AgeMs == 5)
+	}
+	assert.Equal(t, s.takeBatch(now, 2)[0].Target, uint32(3))
+	assert.Assert(t, !s.canSend(start.Add(Lifetime+10*time.Millisecond)))
+}
+
+// TestInvalidReportsAreLoggedOnceAMinute guards against a line for each answer of a faulty target.
+func TestInvalidReportsAreLoggedOnceAMinute(t *testing.T) {
+	s, lines := newStore(key), 0
+	for now := start; now < start.Add(3*time.Minute); now = now.Add(time.Second) {
+		if s.RecordInvalid(now, key) {
+			lines++
+		}
+	}
+	assert.Equal(t, lines, 3)
+	assert.Assert(t, !s.RecordInvalid(start, key+1), "unknown target")
+}
+
+// BenchmarkExchange measures a datagram that one entry encodes and another merges, with all 2,700 targets
+// known.
+func BenchmarkExchange(b *testing.B) {
+	from, to := &Store{}, &Store{}
+	now, size := start, 0
+	for i := range uint32(2700) {
+		from.Record(now, i, slow)
+	}
+	x := Sender{
+		Store: from, Peer: func(clock.Stamp) (netip.AddrPort, bool) { return netip.AddrPort{}, true },
+		Send: func(_ netip.AddrPort, d []byte) { size = len(d); _ = to.Receive(now, d) },
+	}
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(time.Microsecond)
+		from.Record(now, uint32(n%2700), slow)
+		x.Step(now)
+	}
+	b.ReportMetric(float64(size), "datagram-B")
+}
