board, relay, share: tests of reported load

Without a measured duration a slow target kept its limit, as the limit then assumes the patience: found by the test of ages, mended. Stand-in targets can report a load.

--- a/board/board.go
+++ b/board/board.go
@@ -188,7 +188,7 @@
 		return place.Candidate{}, false
 	}
 	r := b.reading(l.now, m)
-	limit := s.limit.At(l.now, m.Slots, slowedDown(l.serviceTime, r.slowdown), l.patience)
+	limit := s.limit.At(l.now, m.Slots, l.holdTime(r.slowdown), l.patience)
 	return place.Candidate{
 		ID:            m.ID,
 		Address:       m.Address,
--- a/board/export_test.go
+++ b/board/export_test.go
@@ -67,3 +67,6 @@
 	b.computeTotals(&l, ix)
 	return l.totals
 }
+
+// LoadKey exports loadKey for tests.
+func LoadKey(id string) uint32 { return loadKey(id) }
--- a/board/reading.go
+++ b/board/reading.go
@@ -71,10 +71,15 @@
 	}
 }
 
-// slowedDown returns how long a request of the usual duration takes. A target that reports to be faster
-// than usual gets no higher limit: if the report is wrong, its requests are late.
-func slowedDown(d time.Duration, slowdown float64) time.Duration {
-	return time.Duration(float64(d) * max(slowdown, 1))
+// holdTime returns how long a request is expected to take at a target. Without a measured time it is the
+// patience, as in admit.Capacity. A target that reports to be faster than usual gets no higher limit: if
+// the report is wrong, its requests are late.
+func (l *lookup) holdTime(slowdown float64) time.Duration {
+	hold := l.serviceTime
+	if hold <= 0 {
+		hold = l.patience
+	}
+	return time.Duration(float64(hold) * max(slowdown, 1))
 }
 
 // runningHistory holds the recent changes of the number of this entry's own requests at a target,
--- /dev/null
+++ b/relay/load_test.go
@@ -0,0 +1,39 @@
+package relay_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/gauge"
+	"chestnutstep.example/chestnutstep/stand"
+)
+
+// TestLoadOfAnswers guards against reported load that is lost with an error, or taken from the answer to
+// another request or from an invalid report.
+func TestLoadOfAnswers(t *testing.T) {
+	for _, c := range []struct {
+		behaviour stand.Behaviour
+		load      string
+		want      chestnutstep.TargetLoad
+	}{
+		{stand.Normal, "5,2,8,250", chestnutstep.TargetLoad{Running: 5, Waiting: 2, Slots: 8, Slowdown: 2.5}},
+		{stand.Fails, "5,2,8,250", chestnutstep.TargetLoad{Running: 5, Waiting: 2, Slots: 8, Slowdown: 2.5}},
+		{stand.Misdelivered, "5,2,8,250", chestnutstep.TargetLoad{}},
+		{stand.Normal, "5,2,8", chestnutstep.TargetLoad{}},
+		{stand.Normal, "5,2,0,250", chestnutstep.TargetLoad{}},
+	} {
+		t.Run(string(c.behaviour)+" "+c.load, func(t *testing.T) {
+			g := newTestRelayOf(t, stallTimeout, "i-a")
+			g.relay.Readings = &gauge.Store{}
+			g.relay.Board.Readings = g.relay.Readings
+			g.targets[0].SetLoad(c.load)
+			g.targets[0].SetBehaviour(c.behaviour)
+			send(t, g.server, "unsafe", "req", g.body(t, "unsafe"))
+			got := g.relay.Readings.Get(board.CacheKey(&g.roster.View().ByID["i-a"].Instance))
+			assert.Equal(t, got.TargetLoad, c.want)
+		})
+	}
+}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -174,6 +174,19 @@
 	}
 }
 
+// TestMessagesTakeTheirRateFromReports guards against reports and readings that exceed the budget together,
+// and against messages that take all of it.
+func TestMessagesTakeTheirRateFromReports(t *testing.T) {
+	p, reserved := &Peers{lastReportSize: 1000}, 0.0
+	p.ReservedRate = func() float64 { return reserved }
+	for r, want := range map[float64]float64{-1: maxSendRate, 0: maxSendRate, 2000: maxSendRate - 2000, 1e9: (1 - maxReservedRatio) * maxSendRate} {
+		reserved = r
+		assert.Equal(t, p.reportRate(), want)
+		perSecond := 7000 / roundInterval(7000, p.reportRate()).Seconds()
+		assert.Assert(t, perSecond <= want+1, "%v bytes/s", perSecond)
+	}
+}
+
 // BenchmarkRound measures the CPU time of one round of datagrams without sockets.
 func BenchmarkRound(b *testing.B) {
 	for _, size := range fleetSizes {
--- a/stand/target.go
+++ b/stand/target.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -133,6 +134,9 @@
 	// KillRule selects the requests that kill the target; nil for none.
 	KillRule *KillRule
 
+	// load is the load that answers report; nil for none.
+	load atomic.Pointer[string]
+
 	server           *httptest.Server
 	mu               sync.Mutex
 	nextBehaviours   []Behaviour
@@ -195,6 +199,9 @@
 	t.defaultBehaviour, t.nextBehaviours = behaviour, next
 }
 
+// SetLoad sets the load that answers report from now on, as in the header Server-Load.
+func (t *Target) SetLoad(text string) { t.load.Store(&text) }
+
 // SetCachedParts sets the parts in the target's answers to cache list calls.
 func (t *Target) SetCachedParts(parts ...string) {
 	t.mu.Lock()
@@ -339,6 +346,9 @@
 func (t *Target) sign(h http.Header, id string) {
 	h.Set("Attempt-Id", id)
 	h.Set("Server-Signature", "sig-"+t.Name)
+	if text := t.load.Load(); text != nil {
+		h.Set("Server-Load", *text)
+	}
 	if t.Framing == ByClose {
 		h.Set("Transfer-Encoding", "identity") // net/http then closes the connection after the answer
 	}
