--- a/gauge/sender.go
+++ b/gauge/sender.go
@@ -20,8 +20,10 @@
 	maxBatch = 4
 	// datagramOverhead is the size of the IPv4 and UDP headers and of the kind, in bytes.
 	datagramOverhead = 29
-	// idlePause is the pause if there is nothing to send.
-	idlePause = 20 * time.Millisecond
+	// idlePause is the pause if there is nothing to send, and quietPause that after activeWindow without
+	// a datagram: deployments whose targets don't report their speed should not pay for the part.
+	idlePause  = 20 * time.Millisecond
+	quietPause = 100 * time.Millisecond
 	// activeWindow is how long the rate stays reserved after a datagram, so that the rate of reports
 	// does not change with each pause.
 	activeWindow = time.Second
@@ -49,22 +51,30 @@
 // Step sends at most one datagram and returns the pause until the next step, which keeps MaxRate.
 func (s *Sender) Step(now clock.Stamp) time.Duration {
 	if !s.Store.canSend(now) {
-		return idlePause
+		return s.idlePause(now)
 	}
 	to, ok := s.Peer(now)
 	if !ok {
-		return idlePause
+		return s.idlePause(now)
 	}
 	batch := s.Store.takeBatch(now, maxBatch)
 	b, err := cbor.Marshal(message{Incarnation: s.Incarnation, Sent: milliseconds(now), Readings: batch})
 	if err != nil {
-		return idlePause // numbers always have an encoding
+		return s.idlePause(now) // numbers always have an encoding
 	}
 	s.Send(to, b)
 	s.lastSent.Store(int64(now))
 	return time.Duration(float64(len(b)+datagramOverhead) / MaxRate * float64(time.Second))
 }
 
+// idlePause returns the pause if nothing can be sent.
+func (s *Sender) idlePause(now clock.Stamp) time.Duration {
+	if s.Rate(now) == 0 {
+		return quietPause
+	}
+	return idlePause
+}
+
 // Rate returns the send rate to reserve for readings now, in bytes per second.
 func (s *Sender) Rate(now clock.Stamp) float64 {
 	if last := clock.Stamp(s.lastSent.Load()); last == 0 || now.Sub(last) > activeWindow {
--- a/gauge/store_test.go
+++ b/gauge/store_test.go
@@ -57,6 +57,7 @@
 	s.Record(start, key, chestnutstep.TargetLoad{Running: 5, Slots: 6})
 	assert.Equal(t, s.Get(key), Reading{})
 	assert.Assert(t, !s.canSend(start) && len(s.TakeChanged()) == 0)
+	assert.Equal(t, (&Sender{Store: s}).Step(start), quietPause)
 }
 
 // TestReadingsOfDeadTargetsAreForgotten guards against the last reading of a target that is gone or has
