board, place: a queue at one target does not close the service

Cause: the running and waiting requests that a target reports were added to the totals without a bound, so a long queue at one target used up the capacity of idle ones.

Change: the load of a target with a fresh report, and the estimate of unreported requests there, count in the totals and in the mean for the ceiling up to the target's limit. The candidate's own count stays as it is. Targets without a fresh report count as before.

Result: with three targets of 4 slots, one of which reports 4 running and 24 waiting at a slowdown of 2.5, 1.30 of the places were taken and the request was refused as full; now it is admitted below 0.5 and goes to one of the others. TestFullTargetLeavesOthersOpen fails before.

--- a/board/board.go
+++ b/board/board.go
@@ -194,6 +194,7 @@
 		Address:       m.Address,
 		Running:       r.running,
 		Waiting:       r.waiting,
+		Reported:      r.weight > 0,
 		Slowdown:      r.slowdown,
 		Limit:         limit,
 		Unreported:    b.unreported(l.now, s, limit),
--- a/board/reading.go
+++ b/board/reading.go
@@ -26,6 +26,8 @@
 	running, waiting float64
 	// slowdown is the expected slowdown; 1 if unknown.
 	slowdown float64
+	// weight is the weight of the target's own report; 0 if there is none.
+	weight float64
 }
 
 // reading returns what is known about the load of a target.
@@ -49,6 +51,7 @@
 		running:  max(w*reported+(1-w)*counted, float64(s.running)),
 		waiting:  w * float64(r.Waiting),
 		slowdown: r.ExpectedSlowdown(w),
+		weight:   w,
 	}
 }
 
--- a/board/reading_test.go
+++ b/board/reading_test.go
@@ -107,6 +107,22 @@
 	assert.Assert(t, taken(now) < 0.5, "idle by their own reports: %v", taken(now))
 }
 
+// TestFullTargetLeavesOthersOpen guards against a service that is closed because one of its targets reports
+// a long queue while the others are idle.
+func TestFullTargetLeavesOthersOpen(t *testing.T) {
+	b, v := newReadingBoard(3)
+	choose := func(now clock.Stamp) board.Choice {
+		return b.Choose(now, v, plain, board.Criteria{Caller: &board.Caller{}}, place.Request{})
+	}
+	choose(start)
+	report(start, b, v.ByID["t0"], chestnutstep.TargetLoad{Running: 4, Waiting: 24, Slots: 4, Slowdown: 2.5})
+	for age := time.Duration(0); age < gauge.Lifetime; age += 50 * time.Millisecond {
+		c := choose(start.Add(age))
+		assert.Assert(t, c.Admission.Admitted && c.Admission.Taken < 0.5, "%v: %+v", age, c.Admission)
+		assert.Assert(t, c.ID == "t1" || c.ID == "t2", "%v: %s", age, c.ID)
+	}
+}
+
 // TestRestartInvalidatesReadings guards against the load of a process that is gone at its successor.
 func TestRestartInvalidatesReadings(t *testing.T) {
 	b, v := newReadingBoard(2)
--- a/place/place.go
+++ b/place/place.go
@@ -65,6 +65,9 @@
 	// Waiting is the number of requests that wait at the target for a slot, as it reported; 0 if
 	// unknown.
 	Waiting float64
+	// Reported is set if Running follows a fresh report of the target, which counts the requests in
+	// its queue.
+	Reported bool
 	// Slowdown is how long work takes at the target relative to its usual speed, as it reported. 0
 	// and 1 mean the usual speed.
 	Slowdown float64
@@ -111,16 +114,27 @@
 	Unlimited bool
 }
 
+// load returns the requests that use up the capacity of the target. The queue that a target reports
+// counts up to its limit: what waits there does not use the capacity of other targets.
+func (c *Candidate) load() (running, unreported float64) {
+	if !c.Reported || c.Limit <= 0 {
+		return c.Running, c.Unreported
+	}
+	running = min(c.Running, c.Limit)
+	return running, min(c.Unreported, c.Limit-running)
+}
+
 // Add adds one target.
 func (t *Totals) Add(c *Candidate) {
+	running, unreported := c.load()
 	t.Targets++
-	t.Running += c.Running
-	t.Unreported += c.Unreported
+	t.Running += running
+	t.Unreported += unreported
 	t.Capacity += c.Limit
 	t.Unlimited = t.Unlimited || c.Limit <= 0 || c.Cold && c.hasCapacity()
 	if !c.Cold {
 		t.Warm++
-		t.WarmRunning += c.Running
+		t.WarmRunning += running
 	}
 }
 
