platform, gauge, board: a load that no target can have is not used

Cause: a report was accepted with 65535 running and waiting requests and slots, so a faulty target or peer could state any load. Readings of peers were accepted with a slowdown down to 0.01, reports only from 0.1.

Change: TargetLoad.IsPlausible states the bounds once: 4,096 slots, twice the slots running, 64 times the slots waiting, a slowdown of 0.1 to 100.

--- a/board/reading.go
+++ b/board/reading.go
@@ -32,17 +32,18 @@
 
 // reading returns what is known about the load of a target.
 func (b *Board) reading(now clock.Stamp, m *indexMember) reading {
-	return b.readingOf(now, m.state, m.key, m.cacheKey)
+	return b.readingOf(now, m.state, m.key, m.cacheKey, m.Slots)
 }
 
 // readingOf estimates the load of a target from what it reported about itself, and from what this
 // entry and its peers count. A report is exact but ages within a second; it is carried on by the
-// change of this entry's own requests. Reports of peers can be older than that.
-func (b *Board) readingOf(now clock.Stamp, s *targetState, key, cacheKey uint32) reading {
+// change of this entry's own requests. Reports of peers can be older than that. A report that a target
+// with these slots can't make is ignored: a peer passes on no slots.
+func (b *Board) readingOf(now clock.Stamp, s *targetState, key, cacheKey uint32, slots int) reading {
 	counted := float64(s.running + int(b.peerLoads[key].Running))
 	r := b.Readings.Get(cacheKey)
 	w := r.Weight(now)
-	if w <= 0 {
+	if w <= 0 || !r.IsPlausible(slots) {
 		return reading{running: counted, slowdown: 1}
 	}
 	others := max(r.Running+r.Waiting-s.history.at(r.At, s.running), 0)
--- a/board/reading_test.go
+++ b/board/reading_test.go
@@ -123,6 +123,21 @@
 	}
 }
 
+// TestImplausibleReadingsAreIgnored guards against a target that is closed by a report which a target with its
+// slots can't make.
+func TestImplausibleReadingsAreIgnored(t *testing.T) {
+	b, v := newReadingBoard(2)
+	for i, l := range []chestnutstep.TargetLoad{
+		{Running: 9, Slots: 64, Slowdown: 2.5},
+		{Running: 4, Waiting: 257, Slots: 64, Slowdown: 2.5},
+	} {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		report(now, b, v.ByID["t0"], l)
+		c := candidateOf(t, now, b, v, "t0")
+		assert.Assert(t, c.Running == 0 && c.Waiting == 0 && c.Slowdown == 1, "%+v", c)
+	}
+}
+
 // TestRestartInvalidatesReadings guards against the load of a process that is gone at its successor.
 func TestRestartInvalidatesReadings(t *testing.T) {
 	b, v := newReadingBoard(2)
--- a/board/run.go
+++ b/board/run.go
@@ -49,7 +49,7 @@
 		s.cold.take()
 	}
 	r := &Attempt{board: b, key: key, instance: pause.InstanceOf(&t.Instance), cacheKey: CacheKey(&t.Instance), parts: parts, domain: t.Domain, service: b.serviceState(service.Name), caller: caller, startedAt: now}
-	r.runningAtStart = b.readingOf(now, s, key, r.cacheKey).running
+	r.runningAtStart = b.readingOf(now, s, key, r.cacheKey, t.Slots).running
 	r.slots, r.isEngine = t.Slots, service.IsEngine
 	b.domains[t.Domain].recordStart(now)
 	r.service.fair.Start(caller.Urgency, caller.Workspace)
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -38,6 +38,12 @@
 	return Reading{Running: l.Running, Waiting: l.Waiting, Slowdown: l.Slowdown, At: now}
 }
 
+// IsPlausible reports whether a target with the given slots can have the load; 0 if they are unknown.
+func (r *Reading) IsPlausible(slots int) bool {
+	l := chestnutstep.TargetLoad{Running: r.Running, Waiting: r.Waiting, Slots: slots, Slowdown: r.Slowdown}
+	return l.IsPlausible()
+}
+
 // Weight returns the weight of the reading now; 0 if there is none.
 func (r *Reading) Weight(now clock.Stamp) float64 {
 	if r.Slowdown <= 0 {
--- a/gauge/message.go
+++ b/gauge/message.go
@@ -16,8 +16,6 @@
 	hopAge = 2 * time.Millisecond
 	// maxReadingsAccepted limits the readings that are read of one datagram.
 	maxReadingsAccepted = 64
-	// maxSlowdown is the largest slowdown accepted from a peer.
-	maxSlowdown = 100.0
 )
 
 // message is a datagram with readings.
@@ -53,7 +51,7 @@
 func (w *wireReading) decode(now clock.Stamp, delay time.Duration) (Reading, bool) {
 	age := time.Duration(w.AgeMs)*time.Millisecond + hopAge + delay
 	r := Reading{Running: int(w.Running), Waiting: int(w.Waiting), Slowdown: float64(w.Percent) / 100, At: now.Add(-age)}
-	return r, r.Slowdown > 0 && r.Slowdown <= maxSlowdown && age < Lifetime
+	return r, r.Slowdown > 0 && r.IsPlausible(0) && age < Lifetime
 }
 
 // Receive merges the readings of a peer. It returns an error if the datagram is not valid. The
--- a/header_codec.go
+++ b/header_codec.go
@@ -79,6 +79,33 @@
 	Slowdown float64
 }
 
+const (
+	// maxReportedSlots is the largest number of slots in a valid load report: 32 times the 128 slots of
+	// the largest engines.
+	maxReportedSlots = 4096
+	// maxRunningRatio limits the requests that run, as a multiple of the slots. Some can be counted
+	// until their answer has been sent, when their slot is already in use again.
+	maxRunningRatio = 2
+	// maxWaitingRatio limits the requests that wait, as a multiple of the slots. Targets queue 4 for each
+	// slot; behind 64, even work of 15 ms would begin after the longest wait of its callers, 600 ms.
+	maxWaitingRatio = 64
+	// minSlowdown and maxSlowdown limit the slowdown. Targets report 1 to 2.5.
+	minSlowdown, maxSlowdown = 0.1, 100.0
+)
+
+// IsPlausible reports whether a target can have the load. A slowdown of 0 is not reported. Without slots,
+// the bounds of the largest target hold.
+func (l *TargetLoad) IsPlausible() bool {
+	slots := l.Slots
+	if slots <= 0 {
+		slots = maxReportedSlots
+	}
+	return slots <= maxReportedSlots &&
+		l.Running >= 0 && l.Running <= maxRunningRatio*slots &&
+		l.Waiting >= 0 && l.Waiting <= maxWaitingRatio*slots &&
+		(l.Slowdown == 0 || l.Slowdown >= minSlowdown && l.Slowdown <= maxSlowdown)
+}
+
 // HeaderCodec translates between HTTP headers and their parsed values. It makes no decisions.
 type HeaderCodec interface {
 	// CallerHeaders parses the headers of a caller's request.
