gauge: the delay of sparse senders is measured

Cause: the offset of a sender's clock was forgotten after 10 s of silence. At 350 entries a pair hears each other about every 17 s, so most datagrams had no measure and counted as on time.

Change: the window is a minute. Clocks drift by some 6 ms in it (12 ms over the two windows that count), against a lifetime of 600 ms.

Result: with a datagram every 17 s and a drift of 0.1 ms a second, every datagram that is 300 ms late counts as 300 to 313 ms late; before, as on time. TestLateDatagramsOfSparseSendersAreOld fails before.

--- a/gauge/delay.go
+++ b/gauge/delay.go
@@ -9,9 +9,12 @@
 const (
 	// maxSenders limits the senders whose delay is measured.
 	maxSenders = 1024
-	// offsetWindow is the time for which the least difference of two clocks counts, at least. Clocks
-	// drift by less than 1 ms in it, and a route that has become slower counts as delay no longer.
-	offsetWindow = 10 * time.Second
+	// offsetWindow is the time for which the least difference of two clocks counts, at least, and at most
+	// twice that. At 350 entries a pair hears each other about every 17 s, so a window holds some three
+	// datagrams. Clocks drift by some 6 ms in it, which is little of Lifetime: if the clock here is the
+	// faster one, readings count as that much older. A route that has become slower counts as delay
+	// until the window has passed.
+	offsetWindow = time.Minute
 )
 
 // senders measures how late datagrams are. Clocks of two hosts can't be compared, but their
--- a/gauge/store_test.go
+++ b/gauge/store_test.go
@@ -105,6 +105,23 @@
 	assert.Equal(t, s.Get(key).Slowdown, 1.0)
 }
 
+// TestLateDatagramsOfSparseSendersAreOld guards against late datagrams that count as fresh because their
+// sender has been silent for long: at 350 entries a pair hears each other about every 17 s.
+func TestLateDatagramsOfSparseSendersAreOld(t *testing.T) {
+	const late, drift = 300 * time.Millisecond, 1e-4
+	var s senders
+	for i := range 60 {
+		sent := time.Duration(i) * 17 * time.Second
+		clockHere := start.Add(sent + time.Duration(drift*float64(sent)))
+		want := time.Duration(0)
+		if i%4 == 3 {
+			want = late
+		}
+		got := s.delay(clockHere.Add(want), 1, uint16(sent/time.Millisecond))
+		assert.Assert(t, got >= want && got <= want+13*time.Millisecond, "datagram %d: %v, want %v", i, got, want)
+	}
+}
+
 // TestPeersAreNotTrusted guards against readings out of range, from the future, or in endless number.
 func TestPeersAreNotTrusted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
