board: a fresh report counts what peers have sent

Cause: the estimate of requests that peers have sent since their reports was added in full on top of a target's own report, which counts them.

Change: what was sent before the report is left out by the weight of the report. What was sent since stays in the estimate.

Result: with one peer, one request of this entry and a report 1 ms later, the estimate was 1 and is 0; a request sent after the report counts 1. TestReportsCountRequestsOfPeers fails before.

--- a/board/board.go
+++ b/board/board.go
@@ -197,7 +197,7 @@
 		Reported:      r.weight > 0,
 		Slowdown:      r.slowdown,
 		Limit:         limit,
-		Unreported:    b.unreported(l.now, s, limit),
+		Unreported:    b.unreported(r, limit),
 		PendingTokens: float64(s.pendingTokens + pendingTokensUnit*int(b.peerLoads[m.key].PendingPrefill)),
 		Slots:         m.Slots,
 		CachedTokens:  b.cachedTokens(l.now, m.cacheKey, l.criteria.Parts, false),
--- a/board/choose.go
+++ b/board/choose.go
@@ -170,7 +170,7 @@
 	}
 	for _, m := range ix.recentlySent {
 		if !m.individual && m.totals.allowed {
-			l.totals.Unreported += b.unreported(l.now, m.state, l.requestsPerSlot*float64(m.Slots))
+			l.totals.Unreported += b.unreported(b.reading(l.now, m), l.requestsPerSlot*float64(m.Slots))
 		}
 	}
 	for _, id := range l.criteria.Skip {
@@ -212,7 +212,7 @@
 	l.totals.Running -= running
 	l.totals.WarmRunning -= running
 	l.totals.Capacity -= l.requestsPerSlot * float64(m.Slots)
-	l.totals.Unreported -= b.unreported(l.now, m.state, l.requestsPerSlot*float64(m.Slots))
+	l.totals.Unreported -= b.unreported(b.reading(l.now, m), l.requestsPerSlot*float64(m.Slots))
 }
 
 // shortlist returns the targets to evaluate: in the order of the request's hash until enough of
--- a/board/index.go
+++ b/board/index.go
@@ -199,7 +199,7 @@
 
 // addRunning adds n to the number of requests in progress at the target.
 func (s *targetState) addRunning(now clock.Stamp, n int) {
-	s.history.add(now, s.running)
+	s.history.add(now, runningChange{before: s.running, sent: s.recentSent})
 	s.running += n
 	s.addToTotals(n)
 }
--- a/board/reading.go
+++ b/board/reading.go
@@ -28,6 +28,9 @@
 	slowdown float64
 	// weight is the weight of the target's own report; 0 if there is none.
 	weight float64
+	// recentSent is the number of this entry's own requests that neither the reports of peers nor that
+	// of the target might count.
+	recentSent float64
 }
 
 // reading returns what is known about the load of a target.
@@ -44,15 +47,19 @@
 	r := b.Readings.Get(cacheKey)
 	w := r.Weight(now)
 	if w <= 0 || !r.IsPlausible(slots) {
-		return reading{running: counted, slowdown: 1}
+		return reading{running: counted, slowdown: 1, recentSent: s.recentSent.at(now)}
 	}
-	others := max(r.Running+r.Waiting-s.history.at(r.At, s.running), 0)
+	then := s.history.at(r.At, runningChange{before: s.running, sent: s.recentSent})
+	others := max(r.Running+r.Waiting-then.before, 0)
 	reported := float64(others + s.running)
 	return reading{
 		running:  max(w*reported+(1-w)*counted, float64(s.running)),
 		waiting:  w * float64(r.Waiting),
 		slowdown: r.ExpectedSlowdown(w),
 		weight:   w,
+		// The target counted what was sent before its report; the rest of the weight is for reports of
+		// peers, which might not count it.
+		recentSent: max(s.recentSent.at(now)-w*then.sent.at(now), 0),
 	}
 }
 
@@ -90,14 +97,15 @@
 // oldest first.
 type runningHistory []runningChange
 
-// runningChange states the number of requests before a change.
+// runningChange states the number of requests before a change, and those sent recently.
 type runningChange struct {
 	at     clock.Stamp
 	before int
+	sent   decayingCounter
 }
 
 // add records that the number changes now.
-func (h *runningHistory) add(now clock.Stamp, before int) {
+func (h *runningHistory) add(now clock.Stamp, c runningChange) {
 	old := 0
 	for _, c := range *h {
 		if now.Sub(c.at) > gauge.Lifetime {
@@ -106,15 +114,16 @@
 	}
 	old = max(old, len(*h)-maxHistory+1)
 	*h = append((*h)[:0], (*h)[old:]...)
-	*h = append(*h, runningChange{now, before})
+	c.at = now
+	*h = append(*h, c)
 }
 
-// at returns the number at a time within the history; running is the number now.
-func (h runningHistory) at(t clock.Stamp, running int) int {
-	for _, c := range h {
-		if c.at > t {
-			return c.before
+// at returns the state at a time within the history; c is the state now.
+func (h runningHistory) at(t clock.Stamp, c runningChange) runningChange {
+	for _, x := range h {
+		if x.at > t {
+			return x
 		}
 	}
-	return running
+	return c
 }
--- a/board/reading_test.go
+++ b/board/reading_test.go
@@ -80,6 +80,33 @@
 	assert.Equal(t, running(), 1.0, "not fewer than the own ones")
 }
 
+// TestReportsCountRequestsOfPeers guards against an estimate of what peers have sent on top of a report that
+// counts it already, and against no estimate for what was sent since.
+func TestReportsCountRequestsOfPeers(t *testing.T) {
+	b, v := newReadingBoard(2)
+	b.MergeReport(start, &share.Report{From: addr(1)})
+	t0, now := v.ByID["t0"], start
+	isNear := func(want float64) {
+		t.Helper()
+		got := candidateOf(t, now, b, v, "t0").Unreported
+		assert.Assert(t, math.Abs(got-want) < 0.05, "%v, want %v", got, want)
+		sum := b.Totals(now, v, plain, board.Criteria{}).Unreported
+		assert.Assert(t, math.Abs(sum-want) < 0.05, "%v, want %v in the totals", sum, want)
+	}
+	b.Start(now, t0, plain, nil, 0, board.Caller{})
+	isNear(1)
+	now = now.Add(time.Millisecond)
+	report(now, b, t0, chestnutstep.TargetLoad{Running: 2, Slots: 4, Slowdown: 1})
+	isNear(0)
+	now = now.Add(time.Millisecond)
+	b.Start(now, t0, plain, nil, 0, board.Caller{})
+	isNear(1)
+	now = now.Add(50 * time.Millisecond)
+	isNear(0.5 + 0.04)
+	report(now, b, t0, chestnutstep.TargetLoad{Running: 1, Slots: 4, Slowdown: 1})
+	isNear(0)
+}
+
 // TestFullTargetsByTheirReports guards against requests admitted to targets that peers have filled since
 // their last reports, and against refusals by reports of peers that have become wrong.
 func TestFullTargetsByTheirReports(t *testing.T) {
--- a/board/usage.go
+++ b/board/usage.go
@@ -76,9 +76,9 @@
 // as many from each as this entry has sent, capped at a part of the limit. Without the
 // estimate, all entries see the same free place and each gives it to a request of its own.
 // Without the cap, one request of this entry would close an idle target if there are hundreds
-// of peers.
-func (b *Board) unreported(now clock.Stamp, s *targetState, limit float64) float64 {
-	return min(s.recentSent.at(now)*float64(len(b.peers)), maxUnreportedRatio*limit)
+// of peers. Requests that the target's own report counts are left out.
+func (b *Board) unreported(r reading, limit float64) float64 {
+	return min(r.recentSent*float64(len(b.peers)), maxUnreportedRatio*limit)
 }
 
 // decayingCounter counts recent requests with exponential decay.
