board: the history of the own count covers the lifetime of a reading

Cause: 32 changes were kept. Above some 27 requests a second of one entry at one target they did not cover 600 ms, and a reading was carried on from a later count.

Change: changes before the newest reading are dropped, as only newer readings replace it, and the others are merged in steps of 20 ms: 31 entries at most, over the whole lifetime.

Result: with 500 requests a second after a report, the count stays within 0.01 of the exact one for 400 ms and the history within 31 entries. TestHistoryCoversTheLifetime fails before (at the 32nd change).

--- a/board/export_test.go
+++ b/board/export_test.go
@@ -68,5 +68,8 @@
 	return l.totals
 }
 
+// HistoryLen returns the length of the history of a target.
+func (b *Board) HistoryLen(id string) int { return len(b.targets[loadKey(id)].history) }
+
 // LoadKey exports loadKey for tests.
 func LoadKey(id string) uint32 { return loadKey(id) }
--- a/board/index.go
+++ b/board/index.go
@@ -197,9 +197,10 @@
 	ix.recentlySent = append(ix.recentlySent, m)
 }
 
-// addRunning adds n to the number of requests in progress at the target.
-func (s *targetState) addRunning(now clock.Stamp, n int) {
-	s.history.add(now, runningChange{before: s.running, sent: s.recentSent})
+// addRunning adds n to the number of requests in progress at the target; readingAt is the time of its
+// newest reading.
+func (s *targetState) addRunning(now, readingAt clock.Stamp, n int) {
+	s.history.add(now, readingAt, runningChange{before: s.running, sent: s.recentSent})
 	s.running += n
 	s.addToTotals(n)
 }
--- a/board/reading.go
+++ b/board/reading.go
@@ -15,8 +15,10 @@
 	// unusualLoadRatio is the part of a target's slots by which the reported load can differ from
 	// the counted one without an individual evaluation.
 	unusualLoadRatio = 0.125
-	// maxHistory limits the changes kept of the number of requests at a target.
-	maxHistory = 32
+	// historyStep is the time within which changes of the number of requests at a target are merged. It
+	// bounds the history to 31 entries over gauge.Lifetime; a limit on the number of changes would not
+	// cover that time at a target with many requests.
+	historyStep = 20 * time.Millisecond
 )
 
 // reading is what is known about the load of a target now.
@@ -93,29 +95,30 @@
 	return time.Duration(float64(hold) * max(slowdown, 1))
 }
 
-// runningHistory holds the recent changes of the number of this entry's own requests at a target,
-// oldest first.
+// runningHistory holds the changes of the number of this entry's own requests at a target since its
+// newest reading, oldest first. Changes within a historyStep are merged.
 type runningHistory []runningChange
 
-// runningChange states the number of requests before a change, and those sent recently.
+// runningChange states the number of requests before the changes of a step, and those sent recently.
 type runningChange struct {
 	at     clock.Stamp
 	before int
 	sent   decayingCounter
 }
 
-// add records that the number changes now.
-func (h *runningHistory) add(now clock.Stamp, c runningChange) {
-	old := 0
-	for _, c := range *h {
-		if now.Sub(c.at) > gauge.Lifetime {
-			old++
-		}
+// add records that the number changes now. Earlier changes than the newest reading are not needed: each
+// reading that replaces it is newer.
+func (h *runningHistory) add(now, readingAt clock.Stamp, c runningChange) {
+	list, old := *h, 0
+	for old < len(list) && (list[old].at <= readingAt || now.Sub(list[old].at) > gauge.Lifetime) {
+		old++
+	}
+	list = append(list[:0], list[old:]...)
+	if n := len(list); n == 0 || now.Sub(list[n-1].at) >= historyStep {
+		c.at = now
+		list = append(list, c)
 	}
-	old = max(old, len(*h)-maxHistory+1)
-	*h = append((*h)[:0], (*h)[old:]...)
-	c.at = now
-	*h = append(*h, c)
+	*h = list
 }
 
 // at returns the state at a time within the history; c is the state now.
--- a/board/reading_test.go
+++ b/board/reading_test.go
@@ -80,6 +80,23 @@
 	assert.Equal(t, running(), 1.0, "not fewer than the own ones")
 }
 
+// TestHistoryCoversTheLifetime guards against a report that is carried on from a later count, because the target
+// had more changes since than the history holds, and against a history that grows with the requests.
+func TestHistoryCoversTheLifetime(t *testing.T) {
+	b, v := newReadingBoard(2)
+	t0, now := v.ByID["t0"], start
+	report(now, b, t0, chestnutstep.TargetLoad{Running: 4, Waiting: 200, Slots: 4, Slowdown: 1})
+	for n := 1; n <= 200; n++ {
+		now = now.Add(2 * time.Millisecond)
+		b.Start(now, t0, plain, nil, 0, board.Caller{})
+		w := gauge.Weight(now.Sub(start))
+		want := w*float64(204+n) + (1-w)*float64(n)
+		got := candidateOf(t, now, b, v, "t0").Running
+		assert.Assert(t, math.Abs(got-want) < 0.01, "%d requests since: %v, want %v", n, got, want)
+		assert.Assert(t, b.HistoryLen("t0") <= 31)
+	}
+}
+
 // TestReportsCountRequestsOfPeers guards against an estimate of what peers have sent on top of a report that
 // counts it already, and against no estimate for what was sent since.
 func TestReportsCountRequestsOfPeers(t *testing.T) {
--- a/board/run.go
+++ b/board/run.go
@@ -43,12 +43,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key, s := b.instanceState(&t.Instance)
-	s.addRunning(now, 1)
+	cacheKey := CacheKey(&t.Instance)
+	s.addRunning(now, b.Readings.Get(cacheKey).At, 1)
 	b.recordSent(now, s)
 	if service.ColdRate > 0 && now < t.ColdUntil {
 		s.cold.take()
 	}
-	r := &Attempt{board: b, key: key, instance: pause.InstanceOf(&t.Instance), cacheKey: CacheKey(&t.Instance), parts: parts, domain: t.Domain, service: b.serviceState(service.Name), caller: caller, startedAt: now}
+	r := &Attempt{board: b, key: key, instance: pause.InstanceOf(&t.Instance), cacheKey: cacheKey, parts: parts, domain: t.Domain, service: b.serviceState(service.Name), caller: caller, startedAt: now}
 	r.runningAtStart = b.readingOf(now, s, key, r.cacheKey, t.Slots).running
 	r.slots, r.isEngine = t.Slots, service.IsEngine
 	b.domains[t.Domain].recordStart(now)
@@ -89,7 +90,7 @@
 	defer r.board.mu.Unlock()
 	r.finishReading()
 	s := r.board.state(r.key)
-	s.addRunning(now, -1)
+	s.addRunning(now, r.board.Readings.Get(r.cacheKey).At, -1)
 	s.health.record(now, o)
 	if s.health.isDown(now) {
 		r.board.countIndividually(s)
