board, gauge: no cost while no target reports its speed

Cause: each target that a choice evaluated took the lock of the store, up to three times, and each request kept a history, also where no target reports its speed.

Change: the store states by an atomic number until when any reading has a weight. While there are readings, a choice determines what is known of a target once, and looks up none for targets without a recent one in the totals.

TestNoReadingsCostNoLock, TestNoHistoryWithoutReadings are new; they use IsActive and could not be built before.

--- a/board/board.go
+++ b/board/board.go
@@ -85,6 +85,8 @@
 	// indexes holds the index of each service's targets.
 	indexes map[string]*serviceIndex
 	scratch []place.Candidate
+	// choices counts the choices; currentChoice is the number of the one in progress, 0 for none.
+	choices, currentChoice uint64
 }
 
 // targetState is the state of one target.
@@ -197,7 +199,7 @@
 		Reported:      r.weight > 0,
 		Slowdown:      r.slowdown,
 		Limit:         limit,
-		Unreported:    b.unreported(r, limit),
+		Unreported:    b.unreported(r.recentSent, limit),
 		PendingTokens: float64(s.pendingTokens + pendingTokensUnit*int(b.peerLoads[m.key].PendingPrefill)),
 		Slots:         m.Slots,
 		CachedTokens:  b.cachedTokens(l.now, m.cacheKey, l.criteria.Parts, false),
--- a/board/choose.go
+++ b/board/choose.go
@@ -92,6 +92,8 @@
 	defer b.mu.Unlock()
 	b.initMaps()
 	b.expire(now)
+	b.startChoice()
+	defer b.endChoice()
 	ix := b.serviceIndex(now, v, service)
 	b.refreshTotals(now, ix)
 	l := b.newLookup(now, service, &criteria)
@@ -170,7 +172,7 @@
 	}
 	for _, m := range ix.recentlySent {
 		if !m.individual && m.totals.allowed {
-			l.totals.Unreported += b.unreported(b.reading(l.now, m), l.requestsPerSlot*float64(m.Slots))
+			l.totals.Unreported += b.unreportedInTotals(l, m)
 		}
 	}
 	for _, id := range l.criteria.Skip {
@@ -204,6 +206,16 @@
 	l.totals.Unlimited = l.totals.Unlimited || d.unlimited > 0
 }
 
+// unreportedInTotals estimates the unreported requests at a target that is in the totals. Many targets have
+// none of the recent readings; these are not looked up.
+func (b *Board) unreportedInTotals(l *lookup, m *indexMember) float64 {
+	sent := m.state.recentSent.at(l.now)
+	if l.now < m.readingUntil {
+		sent = b.reading(l.now, m).recentSent
+	}
+	return b.unreported(sent, l.requestsPerSlot*float64(m.Slots))
+}
+
 // subtractSkipped removes a target that already received the request from the totals.
 func (l *lookup) subtractSkipped(b *Board, m *indexMember) {
 	running := float64(b.runningAt(m))
@@ -212,7 +224,7 @@
 	l.totals.Running -= running
 	l.totals.WarmRunning -= running
 	l.totals.Capacity -= l.requestsPerSlot * float64(m.Slots)
-	l.totals.Unreported -= b.unreported(b.reading(l.now, m), l.requestsPerSlot*float64(m.Slots))
+	l.totals.Unreported -= b.unreportedInTotals(l, m)
 }
 
 // shortlist returns the targets to evaluate: in the order of the request's hash until enough of
--- a/board/index.go
+++ b/board/index.go
@@ -3,6 +3,7 @@
 import (
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/gauge"
 	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/place"
 	"chestnutstep.example/chestnutstep/roster"
@@ -40,6 +41,11 @@
 	// choiceSeq is the last choice that evaluated the member, and viewSeq the last view that
 	// contains it.
 	choiceSeq, viewSeq uint64
+	// reading is what the choice with the number readingChoice knows of the target's load.
+	reading       reading
+	readingChoice uint64
+	// readingUntil is the time from which the target has no fresh reading, unless a new one arrives.
+	readingUntil clock.Stamp
 }
 
 // totalsKey identifies the members that are summed up together.
@@ -130,6 +136,9 @@
 		ix.totals[totals] = m.totals
 	}
 	m.totals.members++
+	if b.Readings.IsActive(now) {
+		m.readingUntil = now.Add(gauge.Lifetime)
+	}
 	ix.members[slot] = m
 	ix.caches[m.cacheKey] = m
 	if b.canAggregate(now, m) {
@@ -197,10 +206,14 @@
 	ix.recentlySent = append(ix.recentlySent, m)
 }
 
-// addRunning adds n to the number of requests in progress at the target; readingAt is the time of its
-// newest reading.
-func (s *targetState) addRunning(now, readingAt clock.Stamp, n int) {
-	s.history.add(now, readingAt, runningChange{before: s.running, sent: s.recentSent})
+// addRunning adds n to the number of requests in progress at the target. The course of the number is kept
+// only while readings are in use.
+func (b *Board) addRunning(now clock.Stamp, s *targetState, cacheKey uint32, n int) {
+	if b.Readings.IsActive(now) {
+		s.history.add(now, b.Readings.Get(cacheKey).At, runningChange{before: s.running, sent: s.recentSent})
+	} else {
+		s.history = nil
+	}
 	s.running += n
 	s.addToTotals(n)
 }
--- a/board/reading.go
+++ b/board/reading.go
@@ -35,17 +35,35 @@
 	recentSent float64
 }
 
-// reading returns what is known about the load of a target.
+// reading returns what is known about the load of a target. During a choice it is determined once.
 func (b *Board) reading(now clock.Stamp, m *indexMember) reading {
-	return b.readingOf(now, m.state, m.key, m.cacheKey, m.Slots)
+	if b.currentChoice == 0 || !b.Readings.IsActive(now) {
+		return b.readingOf(now, m.state, m.key, m.cacheKey, m.Slots)
+	}
+	if m.readingChoice != b.currentChoice {
+		m.reading, m.readingChoice = b.readingOf(now, m.state, m.key, m.cacheKey, m.Slots), b.currentChoice
+	}
+	return m.reading
+}
+
+// startChoice begins a choice, during which the readings of targets stay the same.
+func (b *Board) startChoice() {
+	b.choices++
+	b.currentChoice = b.choices
 }
 
+// endChoice ends the choice.
+func (b *Board) endChoice() { b.currentChoice = 0 }
+
 // readingOf estimates the load of a target from what it reported about itself, and from what this
 // entry and its peers count. A report is exact but ages within a second; it is carried on by the
 // change of this entry's own requests. Reports of peers can be older than that. A report that a target
 // with these slots can't make is ignored: a peer passes on no slots.
 func (b *Board) readingOf(now clock.Stamp, s *targetState, key, cacheKey uint32, slots int) reading {
 	counted := float64(s.running + int(b.peerLoads[key].Running))
+	if !b.Readings.IsActive(now) {
+		return reading{running: counted, slowdown: 1, recentSent: s.recentSent.at(now)}
+	}
 	r := b.Readings.Get(cacheKey)
 	w := r.Weight(now)
 	if w <= 0 || !r.IsPlausible(slots) {
@@ -77,7 +95,12 @@
 func (b *Board) applyReadings(now clock.Stamp) {
 	for _, key := range b.Readings.TakeChanged() {
 		for _, ix := range b.indexes {
-			if m := ix.caches[key]; m != nil && !m.individual && b.hasUnusualReading(now, m) {
+			m := ix.caches[key]
+			if m == nil {
+				continue
+			}
+			m.readingUntil = now.Add(gauge.Lifetime)
+			if !m.individual && b.hasUnusualReading(now, m) {
 				b.countIndividually(m.state)
 			}
 		}
--- a/board/reading_test.go
+++ b/board/reading_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// TestNoHistoryWithoutReadings guards against memory and work for each request where targets don't report their
+// speed.
+func TestNoHistoryWithoutReadings(t *testing.T) {
+	b, v := newReadingBoard(2)
+	t0 := v.ByID["t0"]
+	b.Start(start, t0, plain, nil, 0, board.Caller{})
+	assert.Equal(t, b.HistoryLen("t0"), 0)
+	report(start, b, t0, chestnutstep.TargetLoad{Running: 1, Slots: 4, Slowdown: 1})
+	b.Start(start.Add(time.Millisecond), t0, plain, nil, 0, board.Caller{})
+	assert.Equal(t, b.HistoryLen("t0"), 1)
+	b.Start(start.Add(gauge.Lifetime), t0, plain, nil, 0, board.Caller{})
+	assert.Equal(t, b.HistoryLen("t0"), 0)
+}
+
 // TestReportsCountRequestsOfPeers guards against an estimate of what peers have sent on top of a report that
 // counts it already, and against no estimate for what was sent since.
 func TestReportsCountRequestsOfPeers(t *testing.T) {
--- a/board/run.go
+++ b/board/run.go
@@ -44,7 +44,7 @@
 	defer b.mu.Unlock()
 	key, s := b.instanceState(&t.Instance)
 	cacheKey := CacheKey(&t.Instance)
-	s.addRunning(now, b.Readings.Get(cacheKey).At, 1)
+	b.addRunning(now, s, cacheKey, 1)
 	b.recordSent(now, s)
 	if service.ColdRate > 0 && now < t.ColdUntil {
 		s.cold.take()
@@ -90,7 +90,7 @@
 	defer r.board.mu.Unlock()
 	r.finishReading()
 	s := r.board.state(r.key)
-	s.addRunning(now, r.board.Readings.Get(r.cacheKey).At, -1)
+	r.board.addRunning(now, s, r.cacheKey, -1)
 	s.health.record(now, o)
 	if s.health.isDown(now) {
 		r.board.countIndividually(s)
--- a/board/usage.go
+++ b/board/usage.go
@@ -77,8 +77,8 @@
 // estimate, all entries see the same free place and each gives it to a request of its own.
 // Without the cap, one request of this entry would close an idle target if there are hundreds
 // of peers. Requests that the target's own report counts are left out.
-func (b *Board) unreported(r reading, limit float64) float64 {
-	return min(r.recentSent*float64(len(b.peers)), maxUnreportedRatio*limit)
+func (b *Board) unreported(recentSent, limit float64) float64 {
+	return min(recentSent*float64(len(b.peers)), maxUnreportedRatio*limit)
 }
 
 // decayingCounter counts recent requests with exponential decay.
--- a/gauge/store.go
+++ b/gauge/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chestnutstep.example/chestnutstep"
@@ -34,6 +35,11 @@
 	toSend  []uint32
 	senders senders
 	counts  Counts
+	// freshUntil is the time at which the newest of all readings loses its weight, and hasChanged reports
+	// whether changed is not empty. They are read without the lock: deployments whose targets don't report
+	// their speed should not pay for the part.
+	freshUntil atomic.Int64
+	hasChanged atomic.Bool
 }
 
 // record is the state of one target.
@@ -128,9 +134,11 @@
 		return false
 	}
 	x.Reading, x.sends = r, 0
+	s.freshUntil.Store(max(s.freshUntil.Load(), int64(r.At.Add(Lifetime))))
 	if !x.isChanged {
 		x.isChanged = true
 		s.changed = append(s.changed, key)
+		s.hasChanged.Store(true)
 	}
 	if !x.isQueued {
 		x.isQueued = true
@@ -139,9 +147,14 @@
 	return true
 }
 
+// IsActive reports whether any target has a reading with a weight.
+func (s *Store) IsActive(now clock.Stamp) bool {
+	return s != nil && now < clock.Stamp(s.freshUntil.Load())
+}
+
 // Get returns the newest reading of a target; the zero Reading if there is none.
 func (s *Store) Get(key uint32) Reading {
-	if s == nil {
+	if s == nil || s.freshUntil.Load() == 0 {
 		return Reading{}
 	}
 	s.mu.Lock()
@@ -155,12 +168,13 @@
 // TakeChanged returns the targets with a new reading since the last call. The list is valid until the
 // next call.
 func (s *Store) TakeChanged() []uint32 {
-	if s == nil {
+	if s == nil || !s.hasChanged.Load() {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.changed
+	s.hasChanged.Store(false)
 	for _, key := range list {
 		if x := s.records[key]; x != nil {
 			x.isChanged = false
--- a/gauge/store_test.go
+++ b/gauge/store_test.go
@@ -60,6 +60,25 @@
 	assert.Equal(t, (&Sender{Store: s}).Step(start), quietPause)
 }
 
+// TestNoReadingsCostNoLock guards against a lock for each target and choice in deployments whose targets don't
+// report their speed, or have stopped to.
+func TestNoReadingsCostNoLock(t *testing.T) {
+	s := newStore(key)
+	s.Record(start, key, chestnutstep.TargetLoad{Running: 5, Slots: 6})
+	for range 2 {
+		s.mu.Lock() // the calls below would not return if they took it
+		assert.Assert(t, !s.IsActive(start) && len(s.TakeChanged()) == 0)
+		assert.Equal(t, s.Get(key), Reading{})
+		s.mu.Unlock()
+	}
+	s.Record(start, key, slow)
+	assert.Assert(t, s.IsActive(start) && s.IsActive(start.Add(Lifetime-1)) && !s.IsActive(start.Add(Lifetime)))
+	assert.Equal(t, len(s.TakeChanged()), 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, !s.IsActive(start.Add(Lifetime)) && len(s.TakeChanged()) == 0)
+}
+
 // TestReadingsOfDeadTargetsAreForgotten guards against the last reading of a target that is gone or has
 // restarted, here and on its way back from a peer.
 func TestReadingsOfDeadTargetsAreForgotten(t *testing.T) {
