board: state what unusualSlowdown leaves out

The comment said that a smaller slowdown changes the places of a target by less than one. That holds only up to 20 places; it is up to 5% of them.

--- a/board/reading.go
+++ b/board/reading.go
@@ -10,7 +10,9 @@
 
 const (
 	// unusualSlowdown is the difference from the usual speed from which a target is evaluated
-	// individually: less changes the number of its places by less than one.
+	// individually. A smaller one is left out of the totals, which changes the places of a target by up to
+	// 5%: less than one at up to 20 places, several at an engine. Deployments report 1 or 2.5; the weight
+	// brings the latter below it in the last 20 ms.
 	unusualSlowdown = 0.05
 	// unusualLoadRatio is the part of a target's slots by which the reported load can differ from
 	// the counted one without an individual evaluation.
