gauge: one-way times up to 3.4 ms, and up to 6 ms without circling

Cause: a hop added 2 ms to an age, but datagrams take up to 3.4 ms in the simulation, and the first one of a sender has no measured delay. A reading that came back could count as newer than itself.

Change: a hop adds 4 ms, and a peer's reading must be newer by more than 4 ms to replace the known one. The comments no longer say that ages only grow.

TestDuplicatesAreNotNewer also runs at 0, 3.4 and 6 ms one way; at 3.4 and 6 it fails before. TestPeersAreNotTrusted and the others name the renamed field.

--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -3,7 +3,8 @@
 // second, while the speed of a target can change several times a second. Only readings of targets
 // that state their speed are kept: they switch the use of reported load on.
 //
-// Times are those of this process; between entries only ages are exchanged, and they only grow.
+// Times are those of this process; between entries only ages are exchanged. Each hop adds to them more than the usual
+// time on the network.
 package gauge
 
 import (
@@ -57,7 +58,7 @@
 	return 1 + (r.Slowdown-1)*weight
 }
 
-// isNewer reports whether the reading replaces another one.
-func (r *Reading) isNewer(other *Reading) bool {
-	return other.Slowdown <= 0 || r.At > other.At
+// isNewer reports whether the reading replaces another one: it is newer by more than the margin.
+func (r *Reading) isNewer(other *Reading, margin time.Duration) bool {
+	return other.Slowdown <= 0 || r.At.Sub(other.At) > margin
 }
--- a/gauge/message.go
+++ b/gauge/message.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// hopAge is added to an age at each hop, for the time on the network: more than the one-way time
-	// between failure domains. A reading that comes back to its entry is therefore never newer.
-	hopAge = 2 * time.Millisecond
+	// hopAge is added to an age at each hop, for the time on the network: more than the usual one-way
+	// time between failure domains, which is up to 3.4 ms. A datagram that takes longer without being
+	// measured, such as the first one of a sender, makes a reading younger by the difference.
+	hopAge = 4 * time.Millisecond
+	// hopError is by how much a peer's reading must be newer than the known one to replace it. Rounding and
+	// unmeasured delay change the age of the same reading by less at each hop, so that it is not taken
+	// for a newer one.
+	hopError = 4 * time.Millisecond
 	// maxReadingsAccepted limits the readings that are read of one datagram.
 	maxReadingsAccepted = 64
 )
@@ -33,24 +38,31 @@
 	_                struct{} `cbor:",toarray"`
 	Target           uint32
 	Running, Waiting uint16
-	// Percent is the slowdown times 100, and AgeMs the age in milliseconds, rounded up.
-	Percent, AgeMs uint16
+	// Excess is the slowdown above the usual one in percent, which takes one byte at the usual speed, and
+	// AgeMs the age in milliseconds, rounded up.
+	Excess int16
+	AgeMs  uint16
 }
 
 func encodeReading(now clock.Stamp, key uint32, r *Reading) wireReading {
 	return wireReading{
 		Target: key, Running: clampCount(r.Running), Waiting: clampCount(r.Waiting),
-		Percent: clampCount(int(math.Round(100 * r.Slowdown))),
-		AgeMs:   clampCount(int((now.Sub(r.At) + time.Millisecond - 1) / time.Millisecond)),
+		Excess: int16(min(max(math.Round(100*r.Slowdown)-100, -100), math.MaxInt16)),
+		AgeMs:  clampCount(int((now.Sub(r.At) + time.Millisecond - 1) / time.Millisecond)),
 	}
 }
 
 func clampCount(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
 
+// age returns the age at the arrival of a datagram with the given delay.
+func (w *wireReading) age(delay time.Duration) time.Duration {
+	return time.Duration(w.AgeMs)*time.Millisecond + hopAge + delay
+}
+
 // decode returns the reading, and false if it is out of range or too old to have a weight.
 func (w *wireReading) decode(now clock.Stamp, delay time.Duration) (Reading, bool) {
-	age := time.Duration(w.AgeMs)*time.Millisecond + hopAge + delay
-	r := Reading{Running: int(w.Running), Waiting: int(w.Waiting), Slowdown: float64(w.Percent) / 100, At: now.Add(-age)}
+	age := w.age(delay)
+	r := Reading{Running: int(w.Running), Waiting: int(w.Waiting), Slowdown: float64(int(w.Excess)+100) / 100, At: now.Add(-age)}
 	return r, r.Slowdown > 0 && r.IsPlausible(0) && age < Lifetime
 }
 
@@ -69,10 +81,10 @@
 		r, ok := w.decode(now, delay)
 		switch {
 		case ok:
-			if s.add(w.Target, r) {
+			if s.add(w.Target, r, hopError) {
 				s.counts.Peer++
 			}
-		case time.Duration(w.AgeMs)*time.Millisecond+hopAge+delay >= Lifetime:
+		case w.age(delay) >= Lifetime:
 			s.counts.Old++
 		default:
 			s.counts.Invalid++
--- a/gauge/store.go
+++ b/gauge/store.go
@@ -83,7 +83,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.add(key, newReading(now, l)) {
+	if s.add(key, newReading(now, l), 0) {
 		s.counts.Own++
 	}
 }
@@ -122,14 +122,15 @@
 	return x
 }
 
-// add replaces the reading of a target by a newer one, and reports whether it did.
-func (s *Store) add(key uint32, r Reading) bool {
+// add replaces the reading of a target by one that is newer by more than the margin, and reports whether it
+// did.
+func (s *Store) add(key uint32, r Reading, margin time.Duration) bool {
 	x := s.record(key)
 	switch {
 	case x == nil:
 		s.counts.Unknown++
 		return false
-	case !r.isNewer(&x.Reading):
+	case !r.isNewer(&x.Reading, margin):
 		s.counts.Old++
 		return false
 	}
