gauge, share, board: lists, random peers, targets without slots

- SetTargets also drops keys from the lists of changed readings and of those to send; a target that came back was listed twice.
- The sender asks for a batch once.
Between canSend and takeBatch a reading could become too old, and an empty datagram was sent.
- RandomPeer draws one peer without a list and a shuffle, and leaves out peers that are leaving.
- Senders that are no longer heard are looked for once a second, not for each datagram of an unknown sender while the table is full.
- A target that publishes no slots was evaluated individually for a difference of one request; now from an eighth of its requests, two at least.
- The comment on the sender's pauses says what has no cost.

--- a/board/export_test.go
+++ b/board/export_test.go
@@ -71,5 +71,8 @@
 // HistoryLen returns the length of the history of a target.
 func (b *Board) HistoryLen(id string) int { return len(b.targets[loadKey(id)].history) }
 
+// IndividualCount returns the number of targets of a service that are evaluated individually.
+func (b *Board) IndividualCount(service string) int { return len(b.indexes[service].individual) }
+
 // LoadKey exports loadKey for tests.
 func LoadKey(id string) uint32 { return loadKey(id) }
--- a/board/reading.go
+++ b/board/reading.go
@@ -89,8 +89,12 @@
 // not describe.
 func (b *Board) hasUnusualReading(now clock.Stamp, m *indexMember) bool {
 	r := b.reading(now, m)
-	difference := math.Abs(r.running - float64(b.runningAt(m)))
-	return math.Abs(r.slowdown-1) > unusualSlowdown || r.waiting > 0 || difference > unusualLoadRatio*float64(m.Slots)
+	counted := float64(b.runningAt(m))
+	slots := float64(m.Slots)
+	if m.Slots <= 0 { // it has no limit: the count matters only for the mean
+		slots = max(counted, 1/unusualLoadRatio)
+	}
+	return math.Abs(r.slowdown-1) > unusualSlowdown || r.waiting > 0 || math.Abs(r.running-counted) > unusualLoadRatio*slots
 }
 
 // applyReadings counts the targets individually that reported an unusual load since the last call.
--- a/board/reading_test.go
+++ b/board/reading_test.go
@@ -111,6 +111,20 @@
 	assert.Equal(t, b.HistoryLen("t0"), 0)
 }
 
+// TestUsualReadingsWithoutSlots guards against an individual evaluation of all targets that publish no slots, for
+// a difference of one request.
+func TestUsualReadingsWithoutSlots(t *testing.T) {
+	b, v := newReadingBoard(2)
+	t0 := v.ByID["t0"]
+	t0.Slots = 0
+	for running, want := range []int{0, 0, 1} {
+		now := start.Add(time.Duration(running) * time.Millisecond)
+		report(now, b, t0, chestnutstep.TargetLoad{Running: running, Slots: 4, Slowdown: 1})
+		b.Totals(now, v, plain, board.Criteria{})
+		assert.Equal(t, b.IndividualCount("s"), want, "%d running", running)
+	}
+}
+
 // TestReportsCountRequestsOfPeers guards against an estimate of what peers have sent on top of a report that
 // counts it already, and against no estimate for what was sent since.
 func TestReportsCountRequestsOfPeers(t *testing.T) {
--- a/gauge/delay.go
+++ b/gauge/delay.go
@@ -15,12 +15,18 @@
 	// faster one, readings count as that much older. A route that has become slower counts as delay
 	// until the window has passed.
 	offsetWindow = time.Minute
+	// evictInterval is the minimum time between two scans for senders that are no longer heard.
+	evictInterval = time.Second
 )
 
 // senders measures how late datagrams are. Clocks of two hosts can't be compared, but their
 // difference is nearly constant. The least difference between arrival and sending belongs to the fastest
 // datagram; another datagram was delayed by as much as its difference is larger.
-type senders map[uint32]*offset
+type senders struct {
+	// offsets holds the offset of each sender by its incarnation.
+	offsets   map[uint32]*offset
+	evictedAt clock.Stamp
+}
 
 // offset holds the least difference between the clock here at an arrival and the sender's clock, in the
 // current window and the one before. Differences are in milliseconds modulo 2^16.
@@ -38,17 +44,17 @@
 // delay returns how much longer a datagram took than the fastest recent one of its sender; Lifetime if
 // that cannot be said.
 func (s *senders) delay(now clock.Stamp, incarnation uint32, sent uint16) time.Duration {
-	if *s == nil {
-		*s = make(senders)
+	if s.offsets == nil {
+		s.offsets = make(map[uint32]*offset)
 	}
 	difference := milliseconds(now) - sent
-	x := (*s)[incarnation]
-	if x == nil && len(*s) >= maxSenders && !s.evict(now) {
+	x := s.offsets[incarnation]
+	if x == nil && len(s.offsets) >= maxSenders && !s.evict(now) {
 		return Lifetime
 	}
 	if x == nil || now.Sub(x.lastSeen) > offsetWindow {
 		x = &offset{current: difference, previous: difference, rotatedAt: now}
-		(*s)[incarnation] = x
+		s.offsets[incarnation] = x
 	}
 	if now.Sub(x.rotatedAt) > offsetWindow {
 		x.previous, x.current, x.rotatedAt = x.current, difference, now
@@ -64,13 +70,18 @@
 	return time.Duration(difference-least) * time.Millisecond
 }
 
-// evict removes the senders that are no longer heard, and reports whether there were any.
+// evict removes the senders that are no longer heard, and reports whether there were any. It scans at most
+// once in evictInterval.
 func (s *senders) evict(now clock.Stamp) bool {
-	before := len(*s)
-	for i, x := range *s {
+	if s.evictedAt != 0 && now.Sub(s.evictedAt) < evictInterval {
+		return false
+	}
+	s.evictedAt = now
+	before := len(s.offsets)
+	for i, x := range s.offsets {
 		if now.Sub(x.lastSeen) > offsetWindow {
-			delete(*s, i)
+			delete(s.offsets, i)
 		}
 	}
-	return len(*s) < before
+	return len(s.offsets) < before
 }
--- a/gauge/sender.go
+++ b/gauge/sender.go
@@ -21,7 +21,7 @@
 	// datagramOverhead is the size of the IPv4 and UDP headers and of the kind, in bytes.
 	datagramOverhead = 29
 	// idlePause is the pause if there is nothing to send, and quietPause that after activeWindow without
-	// a datagram: deployments whose targets don't report their speed should not pay for the part.
+	// a datagram: deployments whose targets don't report their speed should have little cost.
 	idlePause  = 20 * time.Millisecond
 	quietPause = 100 * time.Millisecond
 	// activeWindow is how long the rate stays reserved after a datagram, so that the rate of reports
@@ -50,7 +50,7 @@
 
 // Step sends at most one datagram and returns the pause until the next step, which keeps MaxRate.
 func (s *Sender) Step(now clock.Stamp) time.Duration {
-	if !s.Store.canSend(now) {
+	if !s.Store.IsActive(now) {
 		return s.idlePause(now)
 	}
 	to, ok := s.Peer(now)
@@ -58,6 +58,9 @@
 		return s.idlePause(now)
 	}
 	batch := s.Store.takeBatch(now, maxBatch)
+	if len(batch) == 0 {
+		return s.idlePause(now)
+	}
 	b, err := cbor.Marshal(message{Incarnation: s.Incarnation, Sent: milliseconds(now), Readings: batch})
 	if err != nil {
 		return s.idlePause(now) // numbers always have an encoding
--- a/gauge/store.go
+++ b/gauge/store.go
@@ -37,7 +37,7 @@
 	counts  Counts
 	// freshUntil is the time at which the newest of all readings loses its weight, and hasChanged reports
 	// whether changed is not empty. They are read without the lock: deployments whose targets don't report
-	// their speed should not pay for the part.
+	// their speed should have no cost.
 	freshUntil atomic.Int64
 	hasChanged atomic.Bool
 }
@@ -74,6 +74,9 @@
 			delete(s.records, key)
 		}
 	}
+	isGone := func(key uint32) bool { return !keys[key] }
+	s.changed = slices.DeleteFunc(s.changed, isGone)
+	s.toSend = slices.DeleteFunc(s.toSend, isGone)
 }
 
 // Record records the load that a target reported in an answer. A report without slowdown is ignored.
@@ -216,14 +219,6 @@
 // mustSend reports whether a reading is worth sending.
 func (x *record) mustSend(now clock.Stamp) bool { return x.sends < maxSends && x.Weight(now) > 0 }
 
-// canSend reports whether there is a reading to send.
-func (s *Store) canSend(now clock.Stamp) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.pruneToSend(now)
-	return len(s.toSend) > 0
-}
-
 // pruneToSend removes the targets from toSend whose reading is not worth sending.
 func (s *Store) pruneToSend(now clock.Stamp) {
 	kept := s.toSend[:0]
@@ -239,11 +234,15 @@
 	s.toSend = kept
 }
 
-// takeBatch returns the newest readings to send, at most n, and counts them as sent.
+// takeBatch returns the newest readings to send, at most n, and counts them as sent. It returns none
+// if there is nothing to send.
 func (s *Store) takeBatch(now clock.Stamp, n int) []wireReading {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pruneToSend(now)
+	if len(s.toSend) == 0 {
+		return nil
+	}
 	slices.SortFunc(s.toSend, func(a, b uint32) int { return cmp.Compare(s.records[b].At, s.records[a].At) })
 	batch := make([]wireReading, 0, n)
 	for _, key := range s.toSend[:min(len(s.toSend), n)] {
--- a/gauge/store_test.go
+++ b/gauge/store_test.go
@@ -31,6 +31,14 @@
 	return s
 }
 
+// canSend reports whether there is a reading to send.
+func (s *Store) canSend(now clock.Stamp) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pruneToSend(now)
+	return len(s.toSend) > 0
+}
+
 // datagram returns the next datagram of a store.
 func datagram(t *testing.T, s *Store, now clock.Stamp) []byte {
 	var sent []byte
@@ -186,10 +194,43 @@
 		s.Record(start, i, slow)
 		s.senders.delay(start, i, uint16(i))
 	}
-	assert.Assert(t, len(s.records) == maxTargets && len(s.changed) == maxTargets && len(s.senders) == maxSenders)
+	assert.Assert(t, len(s.records) == maxTargets && len(s.changed) == maxTargets && len(s.senders.offsets) == maxSenders)
 	assert.Equal(t, s.senders.delay(start.Add(2*offsetWindow), 1<<31, 1), time.Duration(0), "silent senders make room")
 }
 
+// TestSendersAreEvictedOnceASecond guards against a scan of all senders for each datagram of an unknown one.
+func TestSendersAreEvictedOnceASecond(t *testing.T) {
+	var s senders
+	for i := range uint32(maxSenders) {
+		s.delay(start.Add(time.Duration(i)*time.Millisecond), i, 0)
+	}
+	now := start.Add(offsetWindow)
+	assert.Equal(t, s.delay(now, maxSenders, 0), Lifetime, "all are heard")
+	assert.Equal(t, s.delay(now.Add(evictInterval-time.Millisecond), maxSenders, 0), Lifetime)
+	assert.Equal(t, len(s.offsets), maxSenders)
+	assert.Equal(t, s.delay(now.Add(evictInterval), maxSenders, 0), time.Duration(0))
+	assert.Assert(t, len(s.offsets) < maxSenders)
+}
+
+// TestListsFollowTheTargets guards against a target that is listed twice after it was gone and came back, and
+// against a datagram without readings.
+func TestListsFollowTheTargets(t *testing.T) {
+	s := newStore(key)
+	for range 3 {
+		s.Record(start, key, slow)
+		s.SetTargets(map[uint32]bool{key + 1: true})
+		s.SetTargets(map[uint32]bool{key: true})
+	}
+	x := Sender{
+		Store: s, Peer: func(clock.Stamp) (netip.AddrPort, bool) { return netip.AddrPort{}, true },
+		Send: func(netip.AddrPort, []byte) { t.Error("sent without readings") },
+	}
+	x.Step(start)
+	assert.Equal(t, len(s.TakeChanged()), 0)
+	s.Record(start, key, slow)
+	assert.Assert(t, len(s.toSend) == 1 && len(s.TakeChanged()) == 1)
+}
+
 // TestNewestReadingsGoFirst guards against old readings that take the place of newer ones, and against
 // one that is sent for ever.
 func TestNewestReadingsGoFirst(t *testing.T) {
--- a/share/message.go
+++ b/share/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 
 	"chestnutstep.example/chestnutstep/clock"
@@ -39,13 +40,21 @@
 	p.sentBytes += int64(n)
 }
 
-// RandomPeer returns a random live peer, or false if there is none.
+// RandomPeer returns a random live peer that is not leaving, or false if there is none.
 func (p *Peers) RandomPeer(now clock.Stamp) (netip.AddrPort, bool) {
-	list := p.randomPeers(now, 1)
-	if len(list) == 0 {
-		return netip.AddrPort{}, false
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var to netip.AddrPort
+	n := 0
+	for a, x := range p.peers {
+		if !x.isLive(now) || x.leaving {
+			continue
+		}
+		if n++; rand.IntN(n) == 0 {
+			to = a
+		}
 	}
-	return list[0], true
+	return to, n > 0
 }
 
 // handleMessage passes the content of a datagram to the handler of its kind.
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -220,6 +220,30 @@
 	assert.Assert(t, p.peers[deadAddr] == nil)
 }
 
+// TestRandomPeerIsLiveAndStays guards against datagrams to peers that are leaving or not live, and against a
+// live one that gets none.
+func TestRandomPeerIsLiveAndStays(t *testing.T) {
+	now := clock.Stamp(time.Hour)
+	addr := func(port uint16) netip.AddrPort {
+		return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
+	}
+	p := &Peers{peers: map[netip.AddrPort]*peer{
+		addr(1): {lastSeen: now, leaving: true},
+		addr(2): {lastSeen: now.Add(-2 * livenessTimeout)},
+		addr(3): {},
+	}}
+	_, ok := p.RandomPeer(now)
+	assert.Assert(t, !ok)
+	p.peers[addr(4)], p.peers[addr(5)] = &peer{lastSeen: now}, &peer{lastSeen: now}
+	drawn := make(map[netip.AddrPort]int)
+	for range 1000 {
+		a, ok := p.RandomPeer(now)
+		assert.Assert(t, ok)
+		drawn[a]++
+	}
+	assert.Assert(t, len(drawn) == 2 && drawn[addr(4)] > 400 && drawn[addr(5)] > 400, "%v", drawn)
+}
+
 // recordingConn records the recipients of datagrams.
 type recordingConn struct {
 	net.PacketConn
