Merge reported load

Cause: nothing read the load that targets report; an entry of a large fleet sees a target of a small service less than once a second. Change: package gauge; entries pass readings on at up to 2 KB/s; the board uses them for limits, totals and admission of services whose targets report their speed. Without that nothing changes.

--- a/board/index.go
+++ b/board/index.go
@@ -3,6 +3,7 @@
 import (
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/gauge"
 	"chestnutstep.example/chestnutstep/pause"
 	"chestnutstep.example/chestnutstep/place"
 	"chestnutstep.example/chestnutstep/roster"
@@ -40,13 +41,19 @@
 	// choiceSeq is the last choice that evaluated the member, and viewSeq the last view that
 	// contains it.
 	choiceSeq, viewSeq uint64
+	// reading is what the choice with the number readingChoice knows of the target's load.
+	reading       reading
+	readingChoice uint64
+	// readingUntil is the time from which the target has no fresh reading, unless a new one arrives.
+	readingUntil clock.Stamp
 }
 
 // totalsKey identifies the members that are summed up together.
 type totalsKey struct{ domain, build string }
 
 // domainTotals sums up the members of one build in a failure domain that need no individual
-// evaluation: usable, warm, reachable, and without a binding limit of their own.
+// evaluation: usable, warm, reachable, without a binding limit of their own, and without a fresh
+// report of unusual load.
 type domainTotals struct {
 	totalsKey
 	// allowed reports whether the request of the current choice can go to the domain and build.
@@ -129,6 +136,9 @@
 		ix.totals[totals] = m.totals
 	}
 	m.totals.members++
+	if b.Readings.IsActive(now) {
+		m.readingUntil = now.Add(gauge.Lifetime)
+	}
 	ix.members[slot] = m
 	ix.caches[m.cacheKey] = m
 	if b.canAggregate(now, m) {
@@ -163,7 +173,7 @@
 
 // canAggregate reports whether the totals of the failure domain describe the target completely.
 func (b *Board) canAggregate(now clock.Stamp, m *indexMember) bool {
-	return m.usable && !b.Pauses.Tracks(pause.InstanceOf(&m.Instance)) && now >= m.ColdUntil && !m.state.health.isDown(now) && !m.state.limit.IsBinding(now)
+	return m.usable && !b.Pauses.Tracks(pause.InstanceOf(&m.Instance)) && now >= m.ColdUntil && !m.state.health.isDown(now) && !m.state.limit.IsBinding(now) && !b.hasUnusualReading(now, m)
 }
 
 // runningAt returns the number of requests in progress at a target, from all entries.
@@ -196,8 +206,14 @@
 	ix.recentlySent = append(ix.recentlySent, m)
 }
 
-// addRunning adds n to the number of requests in progress at the target.
-func (s *targetState) addRunning(n int) {
+// addRunning adds n to the number of requests in progress at the target. The course of the number is kept
+// only while readings are in use.
+func (b *Board) addRunning(now clock.Stamp, s *targetState, cacheKey uint32, n int) {
+	if b.Readings.IsActive(now) {
+		s.history.add(now, b.Readings.Get(cacheKey).At, runningChange{before: s.running, sent: s.recentSent})
+	} else {
+		s.history = nil
+	}
 	s.running += n
 	s.addToTotals(n)
 }
@@ -211,6 +227,7 @@
 
 // refreshTotals adds targets that no longer need individual evaluation to the totals again.
 func (b *Board) refreshTotals(now clock.Stamp, ix *serviceIndex) {
+	b.applyReadings(now)
 	kept := ix.individual[:0]
 	for _, m := range ix.individual {
 		switch {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/cursor"
 	"chestnutstep.example/chestnutstep/event"
+	"chestnutstep.example/chestnutstep/gauge"
 	"chestnutstep.example/chestnutstep/hedge"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/meter"
@@ -42,8 +43,11 @@
 	// Pauses tracks the targets that asked to receive nothing for some time; nil for none. The Board
 	// and the CrashTracker must use the same.
 	Pauses *pause.Tracker
-	Log    *event.Log
-	Meters *meter.Relay
+	// Readings receives the load that targets report in their answers; nil for none. The Board must use
+	// the same.
+	Readings *gauge.Store
+	Log      *event.Log
+	Meters   *meter.Relay
 	// Hedger decides when a safe request is sent to a second target at the same time; nil for never.
 	Hedger *hedge.Hedger
 	// Origins records which build began a stream; if it is nil, a stream can be taken up only while
--- a/share/message.go
+++ b/share/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 
 	"chestnutstep.example/chestnutstep/clock"
@@ -39,6 +40,23 @@
 	p.sentBytes += int64(n)
 }
 
+// RandomPeer returns a random live peer that is not leaving, or false if there is none.
+func (p *Peers) RandomPeer(now clock.Stamp) (netip.AddrPort, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var to netip.AddrPort
+	n := 0
+	for a, x := range p.peers {
+		if !x.isLive(now) || x.leaving {
+			continue
+		}
+		if n++; rand.IntN(n) == 0 {
+			to = a
+		}
+	}
+	return to, n > 0
+}
+
 // handleMessage passes the content of a datagram to the handler of its kind.
 func (p *Peers) handleMessage(now clock.Stamp, kind MessageKind, b []byte) {
 	p.mu.Lock()
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -174,6 +174,19 @@
 	}
 }
 
+// TestMessagesTakeTheirRateFromReports guards against reports and readings that exceed the budget together,
+// and against messages that take all of it.
+func TestMessagesTakeTheirRateFromReports(t *testing.T) {
+	p, reserved := &Peers{lastReportSize: 1000}, 0.0
+	p.ReservedRate = func() float64 { return reserved }
+	for r, want := range map[float64]float64{-1: maxSendRate, 0: maxSendRate, 2000: maxSendRate - 2000, 1e9: (1 - maxReservedRatio) * maxSendRate} {
+		reserved = r
+		assert.Equal(t, p.reportRate(), want)
+		perSecond := 7000 / roundInterval(7000, p.reportRate()).Seconds()
+		assert.Assert(t, perSecond <= want+1, "%v bytes/s", perSecond)
+	}
+}
+
 // BenchmarkRound measures the CPU time of one round of datagrams without sockets.
 func BenchmarkRound(b *testing.B) {
 	for _, size := range fleetSizes {
@@ -207,6 +220,30 @@
 	assert.Assert(t, p.peers[deadAddr] == nil)
 }
 
+// TestRandomPeerIsLiveAndStays guards against datagrams to peers that are leaving or not live, and against a
+// live one that gets none.
+func TestRandomPeerIsLiveAndStays(t *testing.T) {
+	now := clock.Stamp(time.Hour)
+	addr := func(port uint16) netip.AddrPort {
+		return netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
+	}
+	p := &Peers{peers: map[netip.AddrPort]*peer{
+		addr(1): {lastSeen: now, leaving: true},
+		addr(2): {lastSeen: now.Add(-2 * livenessTimeout)},
+		addr(3): {},
+	}}
+	_, ok := p.RandomPeer(now)
+	assert.Assert(t, !ok)
+	p.peers[addr(4)], p.peers[addr(5)] = &peer{lastSeen: now}, &peer{lastSeen: now}
+	drawn := make(map[netip.AddrPort]int)
+	for range 1000 {
+		a, ok := p.RandomPeer(now)
+		assert.Assert(t, ok)
+		drawn[a]++
+	}
+	assert.Assert(t, len(drawn) == 2 && drawn[addr(4)] > 400 && drawn[addr(5)] > 400, "%v", drawn)
+}
+
 // recordingConn records the recipients of datagrams.
 type recordingConn struct {
 	net.PacketConn
--- a/stand/load.go
+++ b/stand/load.go
@@ -45,6 +45,10 @@
 
 // reportLoad sets the header that reports the target's load.
 func (t *Target) reportLoad(h http.Header) {
+	if text := t.load.Load(); text != nil {
+		h.Set(headerServerLoad, *text)
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch c := t.capacity; {
--- a/stand/target.go
+++ b/stand/target.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -144,6 +145,9 @@
 	// KillRule selects the requests that kill the target; nil for none.
 	KillRule *KillRule
 
+	// load is the load that answers report; nil for none.
+	load atomic.Pointer[string]
+
 	server           *httptest.Server
 	mu               sync.Mutex
 	nextBehaviours   []Behaviour
@@ -208,6 +212,9 @@
 	t.defaultBehaviour, t.nextBehaviours = behaviour, next
 }
 
+// SetLoad sets the load that answers report from now on, as in the header Server-Load.
+func (t *Target) SetLoad(text string) { t.load.Store(&text) }
+
 // SetCachedParts sets the parts in the target's answers to cache list calls.
 func (t *Target) SetCachedParts(parts ...string) {
 	t.mu.Lock()
