--- a/board/board.go
+++ b/board/board.go
@@ -44,6 +44,9 @@
 	Overloaded func() bool
 	// Pauses tracks the targets that asked to receive nothing for some time; nil for none.
 	Pauses *pause.Tracker
+	// Claims returns the places that new requests must leave to callers that were told to return; nil
+	// for none.
+	Claims ClaimReserve
 	// Self is this entry's address among its peers, and Domain the failure domain it runs in.
 	Self   netip.AddrPort
 	Domain string
--- a/board/choose.go
+++ b/board/choose.go
@@ -36,6 +36,11 @@
 	IncludeDown bool
 	// Caller is set if the request needs a place; nil if it already has one.
 	Caller *Caller
+	// Claimed is set if the caller was told to return now, see package claim.
+	Claimed bool
+	// Late is set if the request can't meet its objective any more, because its caller was refused
+	// before.
+	Late bool
 	// CapFactor is the multiple of the mean load that no target should exceed; 0 for the
 	// default.
 	CapFactor float64
@@ -156,7 +161,7 @@
 	if l.criteria.Build != "" {
 		return Admission{Admitted: taken < 1, Taken: taken, Reason: chestnutstep.ReasonFull}
 	}
-	return b.admit(now, l.service.Name, taken, *l.criteria.Caller)
+	return b.admit(now, l, taken)
 }
 
 // computeTotals sums up the targets that can take the request.
--- a/board/export_test.go
+++ b/board/export_test.go
@@ -53,7 +53,7 @@
 	for i := range list {
 		sum.Add(&list[i])
 	}
-	return b.admit(now, service, sum.Taken(), caller)
+	return b.admit(now, &lookup{service: &chestnutstep.Service{Name: service}, criteria: &Criteria{Caller: &caller}, totals: sum}, sum.Taken())
 }
 
 // Totals returns the totals of the targets as Choose computes them.
--- a/board/usage.go
+++ b/board/usage.go
@@ -39,8 +39,26 @@
 	fair      admit.FairLimiter
 	// taken is the part of all places that was taken at the last request.
 	taken float64
+	// released is the rate of places that requests of this entry release.
+	released rate
 }
 
+// rate measures events per second with exponential decay.
+type rate struct {
+	perSecond float64
+	last      clock.Stamp
+}
+
+// rateTime is the time constant of a rate: long enough for some tens of events at an entry of a
+// large fleet, short enough to follow a surge.
+const rateTime = time.Second
+
+func (r *rate) at(now clock.Stamp) float64 {
+	return r.perSecond * math.Exp(-max(now.Sub(r.last), 0).Seconds()/rateTime.Seconds())
+}
+
+func (r *rate) add(now clock.Stamp) { r.perSecond, r.last = r.at(now)+1/rateTime.Seconds(), now }
+
 func (b *Board) serviceState(service string) *serviceState {
 	u := b.services[service]
 	if u == nil {
@@ -117,15 +135,33 @@
 	Yield admit.Yield
 	// Kept is the part of the places that is reserved for requests within their share.
 	Kept float64
+	// Capacity is the number of places, and Hold how long a request uses one on average. Released is
+	// the number of places per second that this entry's requests have released recently.
+	Capacity float64
+	Hold     time.Duration
+	Released float64
+}
+
+// ClaimReserve returns how many places new requests must leave to callers that were told to return.
+type ClaimReserve interface {
+	// Reserve returns the part of a service's places, less than 1. It must not call the Board.
+	Reserve(now clock.Stamp, service string, capacity float64, entries int) float64
 }
 
+// claimMargin is the part of the places by which requests with a claim may exceed them. The number of
+// places that are taken is an estimate from reports that can be a second old: without the margin, an
+// entry that takes others' requests for too many refuses the callers that it told to return. The
+// queues of targets bear it, because claims take only a part of the places that become free.
+const claimMargin = 0.25
+
 // admit decides whether a request can take a place, given the part of all places that is taken
 // and the share of its workspace.
-func (b *Board) admit(now clock.Stamp, service string, taken float64, caller Caller) Admission {
-	r := Admission{Taken: taken, Reason: chestnutstep.ReasonFull}
-	u := b.serviceState(service)
-	u.taken = r.Taken
-	r.Admitted, r.Yield = u.fair.Admit(now, caller.Urgency, caller.Workspace, r.Taken)
+func (b *Board) admit(now clock.Stamp, l *lookup, taken float64) Admission {
+	r := Admission{Taken: taken, Reason: chestnutstep.ReasonFull, Capacity: l.totals.Capacity, Hold: l.serviceTime}
+	u := b.serviceState(l.service.Name)
+	u.taken, r.Released = r.Taken, u.released.at(now)
+	caller := l.criteria.Caller
+	r.Admitted, r.Yield = u.fair.Admit(now, caller.Urgency, caller.Workspace, b.effectiveTaken(now, l, taken))
 	r.Kept = u.fair.Reserve(now)
 	if r.Taken < 1 {
 		r.Reason = chestnutstep.ReasonShare
@@ -133,6 +169,31 @@
 	return r
 }
 
+const (
+	// lateReserve is the part of the places that a request which can't meet its objective any more
+	// leaves to others while claims are granted: it would be served in place of one in time.
+	lateReserve = 0.15
+	// minReserveTaken is the part of the places below which nothing is reserved for claims.
+	minReserveTaken = 0.6
+)
+
+// effectiveTaken returns the part of the places that counts as taken for a request: of those that are
+// left by claims for a new request, and of some more for one with a claim. The shares are then those
+// of the same places.
+func (b *Board) effectiveTaken(now clock.Stamp, l *lookup, taken float64) float64 {
+	if l.criteria.Claimed {
+		return taken / (1 + claimMargin)
+	}
+	if b.Claims == nil || taken < minReserveTaken {
+		return taken
+	}
+	reserve := b.Claims.Reserve(now, l.service.Name, l.totals.Capacity, b.entryCount())
+	if reserve > 0 && l.criteria.Late {
+		reserve += lateReserve
+	}
+	return taken / (1 - reserve)
+}
+
 // Places is the state of a service's places.
 type Places struct {
 	Service string
@@ -188,6 +249,7 @@
 	r.service.fair.End(r.caller.Urgency, r.caller.Workspace)
 	switch o {
 	case Served, Failed, Canceled:
+		r.service.released.add(now)
 		r.service.durations.Measure(now.Sub(r.startedAt), 1)
 	case Refused:
 		r.recordLate(now)
