--- a/board/usage.go
+++ b/board/usage.go
@@ -8,6 +8,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/admit"
+	"chestnutstep.example/chestnutstep/claim"
 	"chestnutstep.example/chestnutstep/clock"
 )
 
@@ -144,15 +145,15 @@
 
 // ClaimReserve returns how many places new requests must leave to callers that were told to return.
 type ClaimReserve interface {
-	// Reserve returns the part of a service's places, less than 1. It must not call the Board.
-	Reserve(now clock.Stamp, service string, capacity float64, entries int) float64
+	// Reserve returns the part of a service's capacity places, less than 1. It must not call the Board.
+	Reserve(now clock.Stamp, service string, a claim.Asker, capacity float64, entries int) float64
 }
 
 // claimMargin is the part of the places by which requests with a claim may exceed them. The number of
 // places that are taken is an estimate from reports that can be a second old: without the margin, an
 // entry that takes others' requests for too many refuses the callers that it told to return. The
 // queues of targets bear it, because claims take only a part of the places that become free.
-const claimMargin = 0.25
+const claimMargin = 0.8
 
 // admit decides whether a request can take a place, given the part of all places that is taken
 // and the share of its workspace.
@@ -169,13 +170,9 @@
 	return r
 }
 
-const (
-	// lateReserve is the part of the places that a request which can't meet its objective any more
-	// leaves to others while claims are granted: it would be served in place of one in time.
-	lateReserve = 0.15
-	// minReserveTaken is the part of the places below which nothing is reserved for claims.
-	minReserveTaken = 0.6
-)
+// minReserveTaken is the part of the places below which none are reserved for claims: they would stay
+// unused.
+const minReserveTaken = 0.6
 
 // effectiveTaken returns the part of the places that counts as taken for a request: of those that are
 // left by claims for a new request, and of some more for one with a claim. The shares are then those
@@ -187,11 +184,8 @@
 	if b.Claims == nil || taken < minReserveTaken {
 		return taken
 	}
-	reserve := b.Claims.Reserve(now, l.service.Name, l.totals.Capacity, b.entryCount())
-	if reserve > 0 && l.criteria.Late {
-		reserve += lateReserve
-	}
-	return taken / (1 - reserve)
+	asker := claim.Asker{Workspace: l.criteria.Caller.Workspace, Late: l.criteria.Late}
+	return taken / (1 - b.Claims.Reserve(now, l.service.Name, asker, l.totals.Capacity, b.entryCount()))
 }
 
 // Places is the state of a service's places.
--- a/event/catalog.go
+++ b/event/catalog.go
@@ -106,6 +106,8 @@
 	TargetResumed   ID = 7040
 
 	TargetAnnouncedLeaving ID = 7041
+
+	ClaimUsed ID = 7050
 )
 
 // requestMaxPerSecond is the maximum number of lines per second of each event about single
@@ -502,7 +504,7 @@
 	{
 		ID: RelayRefused, Name: "relay_refused", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
 		Meaning: "The entry refused a request: it did not run.",
-		Cause:   "See reason; proof is the age of the proof that the configuration is current. For full and share, taken is the fraction of the service's places that was taken, kept is the fraction reserved for requests within their share, and yield reports whether the rank (1), the workspace (2) or both (3) exceeded theirs.",
+		Cause:   "See reason; proof is the age of the proof that the configuration is current. For full and share, taken is the fraction of the service's places that was taken, kept is the fraction reserved for requests within their share, and yield reports whether the rank (1), the workspace (2) or both (3) exceeded theirs. With --returns, claim reports whether the caller was promised a place after the time in after, and elapsed is the estimated time since its first attempt.",
 		Action:  "For target see 7012, for version see 7014, for full and share see docs/operate/saturated.md, for paused docs/operate/paused.md.",
 	},
 	{
@@ -697,4 +699,10 @@
 		Cause:   "The target is about to stop.",
 		Action:  "If the list of targets still shows it as ready after minutes, check the target.",
 	},
+	{
+		ID: ClaimUsed, Name: "claim_used", Level: Info, RateLimited: true, MaxPerSecond: requestMaxPerSecond,
+		Meaning: "A caller that was refused returned when it was told to, and its claim was used: with admitted it goes before new requests. The field elapsed is the estimated time since its first attempt.",
+		Cause:   "Its first attempt was refused with a claim: see 7004 with claim true.",
+		Action:  "Nothing. If admitted is often false, see docs/operate/returns.md.",
+	},
 }
--- a/meter/set.go
+++ b/meter/set.go
@@ -97,6 +97,9 @@
 	TargetsEnded      Counter   // targets that ended while requests ran on them, by proof
 	CrashAge          Histogram // age of a crash when a peer reported it
 	Ends              Counter   // answers without length or chunks, by what showed whether they are whole
+	Claims            Counter   // claims of refused callers, by service and what became of them
+	ClaimLookups      Counter   // lookups of claims, by result
+	ClaimsExpired     Counter   // claims that nobody used, at their first holder
 	Resumed           Counter   // streams that callers took up, by how their build was found
 	Pauses            Counter   // pauses that targets asked for, by service and result
 	PausedTargets     Gauge     // targets that must not receive requests now
@@ -189,6 +192,9 @@
 		{&s.Relay.TargetsEnded, description{"relay_targets_ended_total", kindCounter, "targets", []string{labelProof}, "Targets that ended without notice while requests ran on them, by what proved it: refused, list or peer."}},
 		{&s.Relay.CrashAge, description{"relay_crash_age_seconds", kindHistogram, "seconds", nil, "Age of a crash when a peer's report of it came, less the time on the way."}},
 		{&s.Relay.Ends, description{"relay_ends_total", kindCounter, "answers", []string{labelResult}, "Answers with neither a length nor chunks that were read to the end of their connection, by the state of their target's process after it: lives, ended or replaced, refused (nothing listens at its address), listens (which proves little) or paused (it could not be asked)."}},
+		{&s.Relay.Claims, description{"relay_claims_total", kindCounter, "claims", []string{labelService, labelResult}, "Claims of refused callers, with --returns: granted; none (a caller refused without a claim, which is told a time after its deadline); honoured (a caller that returned as told and got a place); full (it got none)."}},
+		{&s.Relay.ClaimLookups, description{"relay_claim_lookups_total", kindCounter, "lookups", []string{labelResult}, "Lookups of claims for requests that would be refused: valid, early, used, or unknown (also if no holder answered)."}},
+		{&s.Relay.ClaimsExpired, description{"relay_claims_expired_total", kindCounter, "claims", nil, "Claims held here that nobody used in time. Only the first of their two holders counts them."}},
 		{&s.Relay.Resumed, description{"relay_resumed_total", kindCounter, "streams", []string{labelResult}, "Streams that callers took up at this entry, by how the build that began them was found: record, sole (the service has no other) or not: gone (it has no target left) or unknown."}},
 		{&s.Relay.Pauses, description{"relay_pauses_total", kindCounter, "pauses", []string{labelService, labelResult}, "Pauses that targets asked for when they rejected a request: started, extended, or invalid (ignored, as the time is no positive number); and leaving: announcements of targets that they leave."}},
 		{&s.Relay.PausedTargets, description{"relay_paused_targets", kindGauge, "targets", nil, "Targets that must not receive requests now, as they asked for a pause."}},
--- a/node/direct.go
+++ b/node/direct.go
@@ -18,6 +18,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/claim"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/event"
@@ -88,6 +89,8 @@
 	pool     *link.Pool
 	peers    *share.Peers
 	origins  *origin.Directory
+	// claims is nil unless the settings ask for it.
+	claims *claim.Keeper
 	// wake ends the current watch of the configuration.
 	wake chan struct{}
 	// breaker and backoff suspend calls of a failing source.
@@ -105,6 +108,8 @@
 	// cacheIndexSettled is closed once the index is loaded, or requests no longer wait for it.
 	cacheIndexSettled chan struct{}
 	reported          reportedCounts
+	// claimsExpired is the count that metrics have.
+	claimsExpired int64
 }
 
 // Run serves until ctx ends, then drains requests in progress.
@@ -227,6 +232,7 @@
 	}
 	n.peers.Handlers = map[share.MessageKind]func(clock.Stamp, []byte) error{share.MessageOrigins: n.origins.Receive}
 	n.relay.Origins = n.origins
+	n.keepReturns()
 	return nil
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -24,6 +24,7 @@
 
 // updateMetrics transfers counts kept by other parts into the metrics and logs their changes.
 func (n *Direct) updateMetrics() {
+	n.updateClaims()
 	m, c := &n.meters.Relay, &n.reported
 	dropped, opened := n.async.Dropped(), n.pool.Opened()
 	out, in := n.peers.TrafficBytes()
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chestnutstep.example/chestnutstep"
-	"chestnutstep.example/chestnutstep/admit"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/crash"
@@ -42,8 +41,14 @@
 	criteria := q.criteria()
 	if requester := q.requester(); q.attempts.Sent == 0 {
 		criteria.Caller = &requester
+		q.prepareClaim(now, &criteria)
 	}
 	c := q.Board.Choose(now, q.view, q.service, criteria, q.placement())
+	if !c.Admission.Admitted && q.findClaim() {
+		criteria.Claimed = true
+		c = q.Board.Choose(clock.Now(), q.view, q.service, criteria, q.placement())
+		q.recordClaim(c.Admission.Admitted)
+	}
 	switch {
 	case !c.Admission.Admitted:
 		return c, q.refuseFull(c.Admission)
@@ -89,11 +94,12 @@
 }
 
 // refuseFull returns the refusal for a request for which no target has a free place. Its
-// Retry-After is the time after which a retry can still be served within the objective.
+// Retry-After is the time after which a retry can still be served within the objective, or with claims
+// the time that the caller was promised or after which the backlog is cleared.
 func (q *request) refuseFull(admission board.Admission) *refusal {
 	q.admission = &admission
 	q.Meters.Refused.Add(1, q.requester().Workspace, string(admission.Reason))
-	return &refusal{http.StatusServiceUnavailable, admission.Reason, admit.RetryAfter(q.callerHeaders.ID, q.route.LatencyObjective)}
+	return &refusal{http.StatusServiceUnavailable, admission.Reason, q.retryAfterFull(admission)}
 }
 
 // allowsDomain reports whether the request may be sent to targets of a failure domain. If both the
--- a/relay/log.go
+++ b/relay/log.go
@@ -82,6 +82,9 @@
 	if q.admission != nil {
 		fields = append(fields, event.Str("workspace", q.requester().Workspace), event.Float("taken", q.admission.Taken),
 			event.Float("kept", q.admission.Kept), event.Int("yield", int64(q.admission.Yield)), event.Dur("after", f.retryAfter))
+		if q.Claims != nil {
+			fields = append(fields, event.Bool("claim", q.claim.granted), event.Dur("elapsed", q.claim.elapsed))
+		}
 	}
 	if f.reason == chestnutstep.ReasonBuild {
 		fields = append(fields, event.Str("build", q.stream.build), event.Int("after", q.resumePoint()), event.Str("resumes", q.callerHeaders.Resumes))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
+	"chestnutstep.example/chestnutstep/claim"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/config"
 	"chestnutstep.example/chestnutstep/cursor"
@@ -47,6 +48,8 @@
 	// Origins records which build began a stream; if it is nil, a stream can be taken up only while
 	// its service has a single build.
 	Origins chestnutstep.Origins
+	// Claims grants and honours claims of refused callers; nil for none. The Board must use the same.
+	Claims *claim.Keeper
 	// IsBehind reports whether a peer has a newer configuration than this entry.
 	IsBehind func() bool
 	// CachesKnown is closed when the entry has the list of prefixes cached by targets, or does not
@@ -109,6 +112,7 @@
 	// admission is the state of the targets' places when the request was refused for lack of one;
 	// nil otherwise.
 	admission *board.Admission
+	claim     claimState
 }
 
 // ServeHTTP handles one request of a caller.
