--- a/claim/planner.go
+++ b/claim/planner.go
@@ -17,8 +17,8 @@
 	// patienceRatio is the part of their remaining time that callers wait as told.
 	patienceRatio = 1.0 / 3
 	// startFactor is the multiple of the mean time at a place, and startRatio the part of the objective,
-	// that a returning caller needs to be served: it comes when all places are taken. With 1 and 0.5, a
-	// third of the returning callers was late.
+	// that a returning caller needs to be served: it comes when all places are taken. With 1 and 0.5,
+	// more than a third of the returning callers was late.
 	startFactor = 3
 	startRatio  = 0.8
 	// minReleased is the number of released places per second below which an entry knows too little to
