trial: shortage in clumps, the same callers with and without claims

A play with real load showed fewer requests in time with claims, and the plays of a steady surge did not. AnnexClumps offers 1.1 to 3.5 times what targets carry in periods of 100 to 500 ms with 0.8 more and less. Callers come from a generator of their own, so that the plays with and without claims have the same ones. A plan without a time is now the usual time, as in relay, and claims are counted at the first attempt.

--- a/trial/claims.go
+++ b/trial/claims.go
@@ -21,6 +21,10 @@
 	// Usual is the load before and after the surge, Offered that during the surge, as multiples of
 	// what the targets carry.
 	Usual, Offered float64
+	// Clump is the mean length of the alternating periods of the surge with more and with less than
+	// the offered load, Swing the part of it by which they differ from it; 0 for an even load.
+	Clump time.Duration
+	Swing float64
 	// HotFactor is the load of workspace w0 during the surge as a multiple of its usual load, with
 	// that of the others unchanged; 0 for a surge of all workspaces.
 	HotFactor float64
@@ -69,6 +73,10 @@
 	Busy float64
 	// BytesPerEntry is the number of bytes per second of datagrams about claims that an entry sent.
 	BytesPerEntry float64
+	// Late is the number of requests that were served after their objective.
+	Late int
+	// ClaimServed is the ratio of callers with a claim that were served.
+	ClaimServed float64
 	// Latency99 is the 99th percentile of the time to the answer of served requests.
 	Latency99 time.Duration
 }
@@ -90,11 +98,21 @@
 	return cfg
 }
 
+// AnnexClumps returns a surge of offered times what the targets carry, in clumps of a few hundred milliseconds.
+func AnnexClumps(seed uint64, claims bool, offered float64) ClaimsConfig {
+	cfg := AnnexSurge(seed, claims)
+	cfg.Offered, cfg.Clump, cfg.Swing = offered, 300*time.Millisecond, 0.8
+	return cfg
+}
+
 // RunClaims simulates cfg and returns its measurements.
 func RunClaims(cfg ClaimsConfig) ClaimsResult {
 	s := newClaimsRun(cfg)
 	s.every(cfg.ReportInterval, s.exchangeReports)
 	s.after(0, s.arrive)
+	if cfg.Clump > 0 {
+		s.after(cfg.Warmup, s.turn)
+	}
 	if cfg.Gone > 0 {
 		s.after(cfg.Warmup+cfg.Surge/2, func() { s.gone = cfg.Gone })
 	}
@@ -104,7 +122,7 @@
 
 func (s *claimsRun) result() ClaimsResult {
 	r := ClaimsResult{Busy: s.busy.Seconds() / (s.cfg.Surge.Seconds() * float64(s.cfg.Targets*s.cfg.Slots))}
-	var small, hot, claims, told [2]int
+	var small, hot, claims, claimed, told [2]int
 	inTime, hotClaims := 0, 0
 	var latencies []time.Duration
 	for _, c := range s.callers {
@@ -122,15 +140,18 @@
 		}
 		if c.claimed {
 			add(&claims, c.honoured)
+			add(&claimed, c.served)
 			hotClaims += toInt(c.workspace == 0)
 		}
 		if c.told {
 			add(&told, c.served)
 		}
 	}
-	r.Served, r.Goodput = len(latencies), float64(inTime)/s.cfg.Surge.Seconds()
+	r.Served, r.Late = len(latencies), len(latencies)-inTime
+	r.Goodput = float64(inTime) / s.cfg.Surge.Seconds()
 	r.Told, r.ToldServed = told[0], ratio(told[1], told[0])
 	r.Claims, r.Honoured, r.HotClaims = claims[0], ratio(claims[1], claims[0]), ratio(hotClaims, claims[0])
+	r.ClaimServed = ratio(claimed[1], claimed[0])
 	r.AttemptsPerServed = ratio(r.Attempts, r.Served)
 	r.SmallInTime, r.HotInTime = ratio(small[1], small[0]), ratio(hot[1], hot[0])
 	r.BytesPerEntry = float64(s.bytes) / s.cfg.Surge.Seconds() / float64(s.cfg.Entries)
--- a/trial/claims_run.go
+++ b/trial/claims_run.go
@@ -21,18 +21,21 @@
 // claimsRun is the state of one RunClaims.
 type claimsRun struct {
 	eventLoop
-	cfg     ClaimsConfig
-	rand    *rand.Rand
-	service *chestnutstep.Service
-	view    *roster.View
-	entries []*claimsEntry
-	members []origin.Member
-	targets map[string]*claimsTarget
-	callers []*claimsCaller
-	seq     int
-	gone    int
-	busy    time.Duration
-	bytes   int
+	cfg ClaimsConfig
+	// arrivals generates the callers, the same ones with and without claims; rand all else.
+	arrivals, rand *rand.Rand
+	service        *chestnutstep.Service
+	view           *roster.View
+	entries        []*claimsEntry
+	members        []origin.Member
+	targets        map[string]*claimsTarget
+	callers        []*claimsCaller
+	seq            int
+	gone           int
+	// swing is the part of the offered load by which the load of this moment differs from it.
+	swing float64
+	busy  time.Duration
+	bytes int
 }
 
 // claimsEntry is one entry.
@@ -85,7 +88,7 @@
 
 func newClaimsRun(cfg ClaimsConfig) *claimsRun {
 	s := &claimsRun{
-		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 2)), targets: make(map[string]*claimsTarget),
+		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, 2)), arrivals: rand.New(rand.NewPCG(cfg.Seed, 3)), targets: make(map[string]*claimsTarget),
 		service: &chestnutstep.Service{Name: serviceName, LatencyObjective: cfg.Objective},
 		view: &roster.View{
 			Services: make(map[string][]*roster.Target), ByID: make(map[string]*roster.Target), Out: make(map[string]bool),
@@ -131,6 +134,16 @@
 	return at >= s.cfg.Warmup && at < s.cfg.Warmup+s.cfg.Surge
 }
 
+// turn begins the next period with more or less than the offered load, of a third to five thirds of the mean length.
+func (s *claimsRun) turn() {
+	if s.swing > 0 {
+		s.swing = -s.cfg.Swing
+	} else {
+		s.swing = s.cfg.Swing
+	}
+	s.after(time.Duration((1+(s.arrivals.Float64()*2-1)*2/3)*float64(s.cfg.Clump)), s.turn)
+}
+
 // arrive generates a caller and schedules the next arrival.
 func (s *claimsRun) arrive() {
 	load, hot := s.cfg.Usual, hotShare
@@ -140,14 +153,14 @@
 		load *= 1 + hotShare*(s.cfg.HotFactor-1)
 		hot = hotShare * s.cfg.HotFactor * s.cfg.Usual / load
 	default:
-		load = s.cfg.Offered
+		load = s.cfg.Offered * (1 + s.swing)
 	}
 	rate := load * float64(s.cfg.Targets*s.cfg.Slots) / s.cfg.Work.Seconds()
-	s.after(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), s.arrive)
+	s.after(time.Duration(s.arrivals.ExpFloat64()/rate*float64(time.Second)), s.arrive)
 	s.seq++
-	c := &claimsCaller{content: uint64(s.seq), arrivedAt: s.now, impatient: s.rand.Float64() < s.cfg.Impatient}
-	if s.rand.Float64() >= hot {
-		c.workspace = 1 + s.rand.IntN(claimsWorkspaces-1)
+	c := &claimsCaller{content: uint64(s.seq), arrivedAt: s.now, impatient: s.arrivals.Float64() < s.cfg.Impatient}
+	if s.arrivals.Float64() >= hot {
+		c.workspace = 1 + s.arrivals.IntN(claimsWorkspaces-1)
 	}
 	if s.inSurge(s.now) {
 		s.callers = append(s.callers, c)
@@ -257,8 +270,11 @@
 		Remaining: s.remaining(c), Elapsed: elapsed, Objective: s.cfg.Objective,
 		Hold: c.admission.Hold, Released: c.admission.Released,
 	})
+	if plan.Wait == 0 {
+		plan.Wait = admit.RetryAfter(id, s.cfg.Objective)
+	}
 	if plan.Granted {
-		c.claimed = true
+		c.claimed = c.claimed || c.attempts == 1
 		for i, h := range origin.Holders(origin.StreamID(c.content), s.members, 2) {
 			s.datagram(e, h, func(holder *claimsEntry) {
 				holder.ledger.Add(s.clock(), c.content, plan.Wait-s.cfg.OneWay, i == 0)
--- a/trial/claims_test.go
+++ b/trial/claims_test.go
@@ -19,7 +19,11 @@
 		sum.Requests += r.Requests
 		sum.Attempts += r.Attempts
 		sum.Served += r.Served
+		sum.Late += r.Late
+		sum.Told += r.Told
 		sum.Claims += r.Claims
+		sum.ClaimServed += r.ClaimServed / claimSeeds
+		sum.Latency99 += r.Latency99 / claimSeeds
 		sum.Goodput += r.Goodput / claimSeeds
 		sum.ToldServed += r.ToldServed / claimSeeds
 		sum.SmallInTime += r.SmallInTime / claimSeeds
@@ -113,3 +117,25 @@
 	assert.Assert(t, got.Goodput >= before.Goodput, "%.1f in time per second, %.1f without claims", got.Goodput, before.Goodput)
 	assert.Assert(t, float64(got.Claims) <= 0.01*float64(got.Requests), "%d claims", got.Claims)
 }
+
+// checkClumps compares plays whose requests come in clumps. Only callers with a claim are promised a place.
+func checkClumps(t *testing.T, loads ...float64) {
+	t.Helper()
+	for _, offered := range loads {
+		play := func(seed uint64, claims bool) ClaimsConfig { return AnnexClumps(seed, claims, offered) }
+		got, before := sumOfPlays(play, true, asItIs), sumOfPlays(play, false, asItIs)
+		for name, r := range map[string]ClaimsResult{"with": got, "without": before} {
+			t.Logf("load %.1f, %s claims: in time %.1f/s, late %d and served %d of %d, p99 %v, told %d, of these served %.2f, claims %d, of these served %.2f",
+				offered, name, r.Goodput, r.Late, r.Served, r.Requests, r.Latency99, r.Told, r.ToldServed, r.Claims, r.ClaimServed)
+		}
+		assert.Check(t, got.Goodput >= 0.99*before.Goodput, "load %.1f: %.1f in time per second, %.1f without claims", offered, got.Goodput, before.Goodput)
+		assert.Check(t, got.Claims == 0 || got.ClaimServed >= 0.8, "load %.1f: %.2f of the callers with a claim were served", offered, got.ClaimServed)
+	}
+}
+
+// TestClaimsKeepGoodputInMildClumps guards against callers that are told to return so late that they are served in
+// place of requests in time, although the shortage is mild and lasts for moments.
+func TestClaimsKeepGoodputInMildClumps(t *testing.T) { checkClumps(t, 1.1, 1.3, 1.6) }
+
+// TestClaimsKeepGoodputInClumps guards against the same in a shortage that is not mild.
+func TestClaimsKeepGoodputInClumps(t *testing.T) { checkClumps(t, 2, 3.5) }
