claim, board: tell the usual time in a shortage of moments, late requests yield

A refusal without a claim told a time not less than the remaining one. Callers wait a third of that and come back after their objective, in place of requests in time, although in a shortage of moments places are free every few hundred milliseconds. The board now measures the part of the time in which places are free between refusals (freeTime); from likelyRatio on, a caller without a claim is told the usual time, claims take 0.15 of the released places instead of 0.5, and no workspace is held back for the sake of claims.

TestPlanCanBeKept stays as it is, for no free time, where a refusal without a claim still promises nothing below the remaining time; TestPlanInMoments checks both sides of the new rule, also the limit of claims.

--- a/board/usage.go
+++ b/board/usage.go
@@ -42,6 +42,7 @@
 	taken float64
 	// released is the rate of places that requests of this entry release.
 	released rate
+	free     freeTime
 }
 
 // rate measures events per second with exponential decay.
@@ -60,6 +61,46 @@
 
 func (r *rate) add(now clock.Stamp) { r.perSecond, r.last = r.at(now)+1/rateTime.Seconds(), now }
 
+// freeTime measures the part of the recent time in which places were free although requests were refused
+// shortly before, with exponential decay: how much of a shortage consists of moments. Requests come mostly
+// while places are short, so the part of the requests that found one would be far below it.
+type freeTime struct {
+	ratio float64
+	// admitted is the number of requests admitted in a row, and refusedAt the time of the last refusal.
+	admitted  int
+	refusedAt clock.Stamp
+	last      clock.Stamp
+}
+
+const (
+	// freeTimeDecay is the time constant of freeTime: several periods of some hundred milliseconds with
+	// more and with less load.
+	freeTimeDecay = 2 * time.Second
+	// maxFreeStep is the longest time for which the state at one request counts: after that nothing is known.
+	maxFreeStep = 500 * time.Millisecond
+	// minFreeRun is the number of requests admitted in a row from which places count as free. In a lasting
+	// shortage one request in seven finds a place that has just been released. With 2, up to a tenth of the time
+	// counted as free in it.
+	minFreeRun = 3
+	// maxRefusalAge is the time since the last refusal after which free places say nothing of a shortage.
+	maxRefusalAge = time.Second
+)
+
+// observe records whether a request found a place. The state after the request before counts for the time
+// since then.
+func (f *freeTime) observe(now clock.Stamp, admitted bool) {
+	step := min(max(now.Sub(f.last), 0), maxFreeStep)
+	f.ratio *= math.Exp(-step.Seconds() / freeTimeDecay.Seconds())
+	if f.admitted >= minFreeRun && f.refusedAt > 0 && now.Sub(f.refusedAt) <= maxRefusalAge {
+		f.ratio += 1 - math.Exp(-step.Seconds()/freeTimeDecay.Seconds())
+	}
+	f.last = now
+	f.admitted++
+	if !admitted {
+		f.admitted, f.refusedAt = 0, now
+	}
+}
+
 func (b *Board) serviceState(service string) *serviceState {
 	u := b.services[service]
 	if u == nil {
@@ -141,6 +182,9 @@
 	Capacity float64
 	Hold     time.Duration
 	Released float64
+	// Free is the part of the recent time in which places were free although requests had been refused
+	// shortly before.
+	Free float64
 }
 
 // ClaimReserve returns how many places new requests must leave to callers that were told to return.
@@ -163,6 +207,10 @@
 	u.taken, r.Released = r.Taken, u.released.at(now)
 	caller := l.criteria.Caller
 	r.Admitted, r.Yield = u.fair.Admit(now, caller.Urgency, caller.Workspace, b.effectiveTaken(now, l, taken))
+	if !l.criteria.Claimed && !l.criteria.Late {
+		u.free.observe(now, r.Admitted)
+	}
+	r.Free = u.free.ratio
 	r.Kept = u.fair.Reserve(now)
 	if r.Taken < 1 {
 		r.Reason = chestnutstep.ReasonShare
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -79,6 +79,45 @@
 	}
 }
 
+// TestPlanInMoments guards against callers that are told that no place is likely, and return too late to be in
+// time, although places are free every few hundred milliseconds; and against claims that take most places then.
+func TestPlanInMoments(t *testing.T) {
+	for free, wanted := range map[float64]bool{0: false, likelyRatio / 2: false, likelyRatio: true, 1: true} {
+		var p Planner
+		granted := 0
+		for i := range 5000 {
+			s := shortage(fmt.Sprint("w", i%24))
+			s.ID, s.Free = fmt.Sprint(i), free
+			plan := p.Plan(start.Add(time.Duration(i)*time.Millisecond), s)
+			granted += toInt(plan.Granted)
+			switch {
+			case plan.Granted:
+				assert.Assert(t, plan.Wait <= s.Objective-startFactor*s.Hold, "due after %s", plan.Wait)
+			case wanted:
+				assert.Equal(t, plan.Wait, time.Duration(0), "free %.2f: not the usual time", free)
+			default:
+				assert.Assert(t, plan.Wait >= s.Remaining, "free %.2f: a refusal without a claim promises %s", free, plan.Wait)
+			}
+		}
+		if wanted {
+			assert.Assert(t, float64(granted) <= momentGrantRatio*20*6+1, "%d claims", granted)
+		}
+	}
+}
+
+// TestLateRequestsYieldWithoutClaims guards against late requests that take the places of those in time while
+// no claims are granted, and against refusals of late ones once the shortage is over.
+func TestLateRequestsYieldWithoutClaims(t *testing.T) {
+	var p Planner
+	s := shortage("w")
+	s.WithinShare = false
+	assert.Assert(t, !p.Plan(start, s).Granted)
+	late := Asker{Workspace: "w", Late: true}
+	assert.Equal(t, p.Reserve(start, late, 50, 21), lateReserve)
+	assert.Equal(t, p.Reserve(start, Asker{Workspace: "w"}, 50, 21), 0.0)
+	assert.Equal(t, p.Reserve(start.Add(5*time.Second), late, 50, 21), 0.0)
+}
+
 // TestNoClaim guards against claims for those over their share, who would be late, or at an entry that does not
 // know how fast places become free.
 func TestNoClaim(t *testing.T) {
--- a/claim/planner.go
+++ b/claim/planner.go
@@ -12,6 +12,14 @@
 	// grantRatio is the part of the places that become free that claims may take. The rest remains for
 	// new requests.
 	grantRatio = 0.5
+	// momentGrantRatio is the same while a place is likely without a claim. The queues of targets are
+	// longest then, and with 0.5 a tenth of the returns with a claim were late.
+	momentGrantRatio = 0.15
+	// likelyRatio is the part of the time in which places must be free in a shortage for one to count as
+	// likely. In the simulation a lasting shortage is mostly below 0.02, one of moments above 0.03.
+	likelyRatio = 0.03
+	// refusalTime is the time constant of the number of recent refusals.
+	refusalTime = time.Second
 	// creditTime is the time for which unused due times remain available: refusals come in bursts.
 	creditTime = 500 * time.Millisecond
 	// patienceRatio is the part of their remaining time that callers wait as told.
@@ -43,6 +51,8 @@
 	// per second that requests of this entry release: its part of all that become free.
 	Hold     time.Duration
 	Released float64
+	// Free is the part of the recent time in which places were free between refusals.
+	Free float64
 }
 
 // latestStart returns the wait after which a request can still be admitted and be in time for its
@@ -57,6 +67,18 @@
 	return elapsed >= MinWait && (objective <= 0 || elapsed <= objective)
 }
 
+// isLikely reports whether a caller that returns soon is likely to find a place without a claim: the shortage
+// is one of moments.
+func (s *Shortage) isLikely() bool { return s.Free >= likelyRatio }
+
+// grantRatio returns the part of the places that become free that claims may take.
+func (s *Shortage) grantRatio() float64 {
+	if s.isLikely() {
+		return momentGrantRatio
+	}
+	return grantRatio
+}
+
 // latestDue returns the latest wait after which the caller still returns as told and is served within
 // its objective, or before its deadline if it has none. A caller that would be late in any case gets
 // no claim: its place serves another one in time.
@@ -71,7 +93,8 @@
 // Plan is what a refused caller is told.
 type Plan struct {
 	// Granted reports whether the caller gets a claim that is due after Wait. Without a claim, Wait is
-	// the time after which the backlog is cleared, and not less than the remaining time; 0 if unknown.
+	// the time after which the backlog is cleared, and not less than the remaining time; 0 if a place is likely
+	// soon, or nothing is known.
 	Granted bool
 	Wait    time.Duration
 }
@@ -84,6 +107,10 @@
 	// grants counts the claims of the last moments.
 	grants decayingSum
 	parts  parts
+	// refusals counts the refusals of the last moments, and likely reports whether a place was likely
+	// without a claim at the last one.
+	refusals decayingSum
+	likely   bool
 	// backlog is the number of requests that were refused without a claim, less those for which
 	// places have become free since.
 	backlog   float64
@@ -93,6 +120,8 @@
 // Plan decides on the claim of a refused request.
 func (p *Planner) Plan(now clock.Stamp, s Shortage) Plan {
 	p.parts.refuse(now, s.Workspace)
+	p.refusals.add(now, refusalTime)
+	p.likely = s.isLikely()
 	p.backlog = max(p.backlog-s.Released*now.Sub(p.backlogAt).Seconds(), 0)
 	p.backlogAt = now
 	if s.Released < minReleased {
@@ -106,13 +135,16 @@
 		}
 	}
 	p.backlog++
+	if p.likely {
+		return Plan{}
+	}
 	return Plan{false, max(seconds(p.backlog/s.Released), s.Remaining, MinWait)}
 }
 
 // assign returns the wait until the next due time, if the caller can keep it. Due times are one
 // interval apart on average, and spread by the request's id.
 func (p *Planner) assign(now clock.Stamp, s *Shortage) (time.Duration, bool) {
-	interval := seconds(1 / (s.Released * grantRatio))
+	interval := seconds(1 / (s.Released * s.grantRatio()))
 	p.next = max(p.next, now.Add(-creditTime))
 	start := max(p.next.Sub(now), MinWait)
 	room := s.latestDue() - start
--- a/claim/reserve.go
+++ b/claim/reserve.go
@@ -25,6 +25,8 @@
 	overReserve = 0.15
 	// minGrants is the decayed number of recent claims below which nothing is reserved.
 	minGrants = 0.1
+	// minRefusals is the decayed number of recent refusals below which late requests are not held back.
+	minRefusals = 0.1
 )
 
 // Asker is a request that asks for a place.
@@ -36,18 +38,20 @@
 
 // Reserve returns the part of capacity places that a new request leaves to claims that fall due soon, and
 // to requests that are in time and within their part. It assumes that the other entries grant as many
-// claims as this one, and is 0 a second after the last one.
+// claims as this one. Late requests leave places to others as long as requests are refused; all else is 0 a
+// second after the last claim.
 func (p *Planner) Reserve(now clock.Stamp, a Asker, capacity float64, entries int) float64 {
+	reserve := 0.0
+	if a.Late && p.refusals.at(now, refusalTime) >= minRefusals {
+		reserve = lateReserve
+	}
 	recent := p.grants.at(now, grantTime)
 	if recent < minGrants {
-		return 0
+		return reserve
 	}
 	due := recent / grantTime.Seconds() * reserveTime.Seconds() * float64(entries)
-	reserve := min(due/max(capacity, 1), maxReserve)
-	if a.Late {
-		reserve += lateReserve
-	}
-	if p.parts.isOver(now, a.Workspace) {
+	reserve += min(due/max(capacity, 1), maxReserve)
+	if !p.likely && p.parts.isOver(now, a.Workspace) {
 		reserve += overReserve
 	}
 	return reserve
--- a/relay/claim.go
+++ b/relay/claim.go
@@ -77,7 +77,7 @@
 	plan := q.Claims.Refuse(clock.Now(), q.service.Name, q.content, claim.Shortage{
 		ID: q.callerHeaders.ID, Workspace: q.requester().Workspace, WithinShare: a.Yield == admit.YieldNone,
 		Remaining: time.Until(q.deadline), Objective: q.route.LatencyObjective, Elapsed: q.claim.elapsed,
-		Hold: a.Hold, Released: a.Released,
+		Hold: a.Hold, Released: a.Released, Free: a.Free,
 	})
 	q.claim.granted = plan.Granted
 	switch {
--- a/trial/claims_run.go
+++ b/trial/claims_run.go
@@ -268,7 +268,7 @@
 	plan := e.planner.Plan(s.clock(), claim.Shortage{
 		ID: id, Workspace: fmt.Sprint("w", c.workspace), WithinShare: !c.admission.Admitted && c.admission.Yield == admit.YieldNone,
 		Remaining: s.remaining(c), Elapsed: elapsed, Objective: s.cfg.Objective,
-		Hold: c.admission.Hold, Released: c.admission.Released,
+		Hold: c.admission.Hold, Released: c.admission.Released, Free: c.admission.Free,
 	})
 	if plan.Wait == 0 {
 		plan.Wait = admit.RetryAfter(id, s.cfg.Objective)
