--- a/board/board.go
+++ b/board/board.go
@@ -47,6 +47,9 @@
 	Pauses *pause.Tracker
 	// Readings holds the load that targets reported about themselves; nil for none.
 	Readings *gauge.Store
+	// Claims returns the places that new requests must leave to callers that were told to return; nil
+	// for none.
+	Claims ClaimReserve
 	// Self is this entry's address among its peers, and Domain the failure domain it runs in.
 	Self   netip.AddrPort
 	Domain string
--- a/board/usage.go
+++ b/board/usage.go
@@ -8,6 +8,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/admit"
+	"chestnutstep.example/chestnutstep/claim"
 	"chestnutstep.example/chestnutstep/clock"
 )
 
@@ -39,6 +40,65 @@
 	fair      admit.FairLimiter
 	// taken is the part of all places that was taken at the last request.
 	taken float64
+	// released is the rate of places that requests of this entry release.
+	released rate
+	free     freeTime
+}
+
+// rate measures events per second with exponential decay.
+type rate struct {
+	perSecond float64
+	last      clock.Stamp
+}
+
+// rateTime is the time constant of a rate: long enough for some tens of events at an entry of a
+// large fleet, short enough to follow a surge.
+const rateTime = time.Second
+
+func (r *rate) at(now clock.Stamp) float64 {
+	return r.perSecond * math.Exp(-max(now.Sub(r.last), 0).Seconds()/rateTime.Seconds())
+}
+
+func (r *rate) add(now clock.Stamp) { r.perSecond, r.last = r.at(now)+1/rateTime.Seconds(), now }
+
+// freeTime measures the part of the recent time in which places were free although requests were refused
+// shortly before, with exponential decay: how much of a shortage consists of moments. Requests come mostly
+// while places are short, so the part of the requests that found one would be far below it.
+type freeTime struct {
+	ratio float64
+	// admitted is the number of requests admitted in a row, and refusedAt the time of the last refusal.
+	admitted  int
+	refusedAt clock.Stamp
+	last      clock.Stamp
+}
+
+const (
+	// freeTimeDecay is the time constant of freeTime: several periods of some hundred milliseconds with
+	// more and with less load.
+	freeTimeDecay = 2 * time.Second
+	// maxFreeStep is the longest time for which the state at one request counts: after that nothing is known.
+	maxFreeStep = 500 * time.Millisecond
+	// minFreeRun is the number of requests admitted in a row from which places count as free. In a lasting
+	// shortage one request in seven finds a place that has just been released. With 2, up to a tenth of the time
+	// counted as free in it.
+	minFreeRun = 3
+	// maxRefusalAge is the time since the last refusal after which free places say nothing of a shortage.
+	maxRefusalAge = time.Second
+)
+
+// observe records whether a request found a place. The state after the request before counts for the time
+// since then.
+func (f *freeTime) observe(now clock.Stamp, admitted bool) {
+	step := min(max(now.Sub(f.last), 0), maxFreeStep)
+	f.ratio *= math.Exp(-step.Seconds() / freeTimeDecay.Seconds())
+	if f.admitted >= minFreeRun && f.refusedAt > 0 && now.Sub(f.refusedAt) <= maxRefusalAge {
+		f.ratio += 1 - math.Exp(-step.Seconds()/freeTimeDecay.Seconds())
+	}
+	f.last = now
+	f.admitted++
+	if !admitted {
+		f.admitted, f.refusedAt = 0, now
+	}
 }
 
 func (b *Board) serviceState(service string) *serviceState {
@@ -117,15 +177,40 @@
 	Yield admit.Yield
 	// Kept is the part of the places that is reserved for requests within their share.
 	Kept float64
+	// Capacity is the number of places, and Hold how long a request uses one on average. Released is
+	// the number of places per second that this entry's requests have released recently.
+	Capacity float64
+	Hold     time.Duration
+	Released float64
+	// Free is the part of the recent time in which places were free although requests had been refused
+	// shortly before.
+	Free float64
 }
 
+// ClaimReserve returns how many places new requests must leave to callers that were told to return.
+type ClaimReserve interface {
+	// Reserve returns the part of a service's capacity places, less than 1. It must not call the Board.
+	Reserve(now clock.Stamp, service string, a claim.Asker, capacity float64, entries int) float64
+}
+
+// claimMargin is the part of the places by which requests with a claim may exceed them. The number of
+// places that are taken is an estimate from reports that can be a second old: without the margin, an
+// entry that takes others' requests for too many refuses the callers that it told to return. The
+// queues of targets bear it, because claims take only a part of the places that become free.
+const claimMargin = 0.8
+
 // admit decides whether a request can take a place, given the part of all places that is taken
 // and the share of its workspace.
-func (b *Board) admit(now clock.Stamp, service string, taken float64, caller Caller) Admission {
-	r := Admission{Taken: taken, Reason: chestnutstep.ReasonFull}
-	u := b.serviceState(service)
-	u.taken = r.Taken
-	r.Admitted, r.Yield = u.fair.Admit(now, caller.Urgency, caller.Workspace, r.Taken)
+func (b *Board) admit(now clock.Stamp, l *lookup, taken float64) Admission {
+	r := Admission{Taken: taken, Reason: chestnutstep.ReasonFull, Capacity: l.totals.Capacity, Hold: l.serviceTime}
+	u := b.serviceState(l.service.Name)
+	u.taken, r.Released = r.Taken, u.released.at(now)
+	caller := l.criteria.Caller
+	r.Admitted, r.Yield = u.fair.Admit(now, caller.Urgency, caller.Workspace, b.effectiveTaken(now, l, taken))
+	if !l.criteria.Claimed && !l.criteria.Late {
+		u.free.observe(now, r.Admitted)
+	}
+	r.Free = u.free.ratio
 	r.Kept = u.fair.Reserve(now)
 	if r.Taken < 1 {
 		r.Reason = chestnutstep.ReasonShare
@@ -133,6 +218,24 @@
 	return r
 }
 
+// minReserveTaken is the part of the places below which none are reserved for claims: they would stay
+// unused.
+const minReserveTaken = 0.6
+
+// effectiveTaken returns the part of the places that counts as taken for a request: of those that are
+// left by claims for a new request, and of some more for one with a claim. The shares are then those
+// of the same places.
+func (b *Board) effectiveTaken(now clock.Stamp, l *lookup, taken float64) float64 {
+	if l.criteria.Claimed {
+		return taken / (1 + claimMargin)
+	}
+	if b.Claims == nil || taken < minReserveTaken {
+		return taken
+	}
+	asker := claim.Asker{Workspace: l.criteria.Caller.Workspace, Late: l.criteria.Late}
+	return taken / (1 - b.Claims.Reserve(now, l.service.Name, asker, l.totals.Capacity, b.entryCount()))
+}
+
 // Places is the state of a service's places.
 type Places struct {
 	Service string
@@ -188,6 +291,7 @@
 	r.service.fair.End(r.caller.Urgency, r.caller.Workspace)
 	switch o {
 	case Served, Failed, Canceled:
+		r.service.released.add(now)
 		r.service.durations.Measure(now.Sub(r.startedAt), 1)
 	case Refused:
 		r.recordLate(now)
