place: slow targets get less, full ones none, by readings

A target that works slower, or that has requests waiting, got as many requests as the others. The cost now counts both, and where any candidate is reported slow or full the choice is random by the request's hash, with weights, as all entries see the same old readings.

--- a/place/place.go
+++ b/place/place.go
@@ -92,8 +92,10 @@
 func (c *Candidate) hasCapacity() bool { return c.Limit <= 0 || c.Running+c.Unreported < c.Limit }
 
 // Fits reports whether one more request would start in time and keep the load at or below the
-// ceiling.
-func (c *Candidate) Fits(ceiling float64) bool { return c.hasCapacity() && c.Running+1 <= ceiling }
+// ceiling. A target that reports waiting requests has no free slot.
+func (c *Candidate) Fits(ceiling float64) bool {
+	return c.hasCapacity() && c.Running+1 <= ceiling && c.waiting() == 0
+}
 
 // Totals sums up the targets that can take a request.
 type Totals struct {
@@ -185,11 +187,13 @@
 // holders of the prefix and the first target by hash (if the request shares enough tokens), both
 // with the other targets by hash, all targets below the ceiling, all with capacity, all targets.
 // Thus entries that need a new prefix at the same moment send it to the same target, where it is
-// read once.
+// read once. A slow target is not the first for a new prefix, and if any target is reported slow or
+// full, the choice is spread, see spread.
 func Pick(list []Candidate, donor Donor, req Request) (Choice, bool) {
 	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, withCapacity, anyTarget}
+	uneven := isUneven(list)
 	for _, allowed := range passes {
-		if best := cheapest(list, donor, &req, allowed); best.Index >= 0 {
+		if best := cheapest(list, donor, &req, allowed, uneven); best.Index >= 0 {
 			return best, true
 		}
 	}
@@ -197,7 +201,7 @@
 }
 
 func holderOrFirst(c *Candidate, req *Request) bool {
-	return req.Shared >= minFetchTokens && belowCeiling(c, req) && (isHolder(c, req) || c.HashRank == 1)
+	return req.Shared >= minFetchTokens && belowCeiling(c, req) && (isHolder(c, req) || c.HashRank == 1 && c.slowdown() == 1)
 }
 
 func holderOrHashed(c *Candidate, req *Request) bool {
@@ -225,41 +229,53 @@
 // it.
 func isHolder(c *Candidate, req *Request) bool { return c.CachedTokens >= MinHolderTokens(req.Shared) }
 
-// cheapest returns the candidate with the lowest cost among the allowed ones.
-func cheapest(list []Candidate, donor Donor, req *Request, allowed func(c *Candidate, req *Request) bool) Choice {
-	best := Choice{Index: -1, Cost: math.Inf(1)}
+// cheapest returns the allowed candidate with the lowest cost, or if the targets are uneven, with
+// the lowest spread cost.
+func cheapest(list []Candidate, donor Donor, req *Request, allowed func(c *Candidate, req *Request) bool, uneven bool) Choice {
+	best, lowest := Choice{Index: -1}, math.Inf(1)
 	for i := range list {
-		if !allowed(&list[i], req) {
+		c := &list[i]
+		if !allowed(c, req) {
 			continue
 		}
-		cost, fetch := expectedCost(&list[i], donor, req)
-		if cost < best.Cost {
-			best = Choice{Index: i, Cost: cost, Fetch: fetch}
+		cost, fetch := expectedCost(c, donor, req, uneven)
+		score := cost
+		if uneven {
+			score = spread(c, req.Key, cost)
+		}
+		if score < lowest {
+			best, lowest = Choice{Index: i, Cost: cost, Fetch: fetch}, score
 		}
 	}
 	return best
 }
 
 // expectedCost returns the expected time to the first byte in milliseconds, and whether
-// fetching the prefix shortens it.
-func expectedCost(c *Candidate, donor Donor, req *Request) (float64, bool) {
-	ms := c.Running*LoadCost + c.PendingTokens/PrefillRate + c.FailureRatio*failureCost
+// fetching the prefix shortens it. All work at a slow target takes longer. Ties are broken here
+// unless the cost is spread.
+func expectedCost(c *Candidate, donor Donor, req *Request, uneven bool) (float64, bool) {
+	slow := c.slowdown()
+	ms := slow*(c.Running*LoadCost+c.PendingTokens/PrefillRate) + c.FailureRatio*failureCost
+	excess := c.waiting()
 	if c.Slots > 0 && c.Running >= float64(c.Slots) {
-		ms += (c.Running - float64(c.Slots) + 1) * queueCost
+		excess = max(excess, c.Running-float64(c.Slots)+1)
 	}
+	ms += slow * excess * queueCost
 	if c.OtherDomain {
 		ms += otherDomainCost
 	}
 	if c.Suspected {
 		ms += suspectCost
 	}
-	ms += tieBreakCost * unitHash(c.ID, req.Key)
+	if !uneven {
+		ms += tieBreakCost * unitHash(c.ID, req.Key)
+	}
 	missing := float64(max(req.Tokens-c.CachedTokens, 0))
 	gain := donor.CachedTokens - c.CachedTokens
 	if donor.ID == c.ID || gain < minFetchTokens {
-		return ms + missing/PrefillRate, false
+		return ms + slow*missing/PrefillRate, false
 	}
-	return ms + float64(gain)/FetchRate + (missing-float64(gain))/PrefillRate + fetchCost, true
+	return ms + float64(gain)/FetchRate + slow*(missing-float64(gain))/PrefillRate + fetchCost, true
 }
 
 const (
