place: spread by what readings still tell, slow targets as far as needed

Cause: with weights by a fixed power of the speed, targets of usual speed were overloaded when all slots were needed, and differences of load that were over when the reading arrived drew all requests to one target. A new prefix whose first targets by hash were over the ceiling was read at a slow one.

The weight of slow targets now follows from the demand that the others cannot carry at 60% of their slots. A difference of load counts by how long requests last relative to the age of a reading (Candidate.Hold). A slow target reads as many new prefixes as its weight; the first one of usual speed takes the others.

--- a/place/place.go
+++ b/place/place.go
@@ -68,6 +68,9 @@
 	// Slowdown is how long work takes at the target relative to its usual speed, as it reported. 0
 	// and 1 mean the usual speed.
 	Slowdown float64
+	// Hold is how long a request holds a slot on average, in milliseconds; 0 if unknown. It is used
+	// only with readings.
+	Hold float64
 	// Limit is the number of requests below which one more starts in time; 0 for no limit.
 	Limit float64
 	// PendingTokens is the number of prompt tokens that were sent and are not read yet.
@@ -92,9 +95,9 @@
 func (c *Candidate) hasCapacity() bool { return c.Limit <= 0 || c.Running+c.Unreported < c.Limit }
 
 // Fits reports whether one more request would start in time and keep the load at or below the
-// ceiling. A target that reports waiting requests has no free slot.
+// ceiling. A target that is full by its reading has no slot soon.
 func (c *Candidate) Fits(ceiling float64) bool {
-	return c.hasCapacity() && c.Running+1 <= ceiling && c.waiting() == 0
+	return c.hasCapacity() && c.Running+1 <= ceiling && !isFull(c)
 }
 
 // Totals sums up the targets that can take a request.
@@ -166,6 +169,10 @@
 	Shared int
 	// Ceiling is the load that no target should exceed, see Totals.Ceiling.
 	Ceiling float64
+	// readings sums up the candidates' readings, and firstRank is the hash rank of the target that
+	// reads a new prefix.
+	readings  readings
+	firstRank int
 }
 
 // Choice is the chosen target and whether it fetches the prefix.
@@ -188,12 +195,13 @@
 // with the other targets by hash, all targets below the ceiling, all with capacity, all targets.
 // Thus entries that need a new prefix at the same moment send it to the same target, where it is
 // read once. A slow target is not the first for a new prefix, and if any target is reported slow or
-// full, the choice is spread, see spread.
+// full, the choice is spread, see readings.spread.
 func Pick(list []Candidate, donor Donor, req Request) (Choice, bool) {
+	req.readings = sumUp(list)
+	req.firstRank = firstRank(list, &req)
 	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, withCapacity, anyTarget}
-	uneven := isUneven(list)
 	for _, allowed := range passes {
-		if best := cheapest(list, donor, &req, allowed, uneven); best.Index >= 0 {
+		if best := cheapest(list, donor, &req, allowed); best.Index >= 0 {
 			return best, true
 		}
 	}
@@ -201,11 +209,11 @@
 }
 
 func holderOrFirst(c *Candidate, req *Request) bool {
-	return req.Shared >= minFetchTokens && belowCeiling(c, req) && (isHolder(c, req) || c.HashRank == 1 && c.slowdown() == 1)
+	return req.Shared >= minFetchTokens && belowCeiling(c, req) && (isHolder(c, req) || c.HashRank > 0 && c.HashRank == req.firstRank)
 }
 
 func holderOrHashed(c *Candidate, req *Request) bool {
-	return belowCeiling(c, req) && (isHolder(c, req) || c.HashRank > 0)
+	return belowCeiling(c, req) && (isHolder(c, req) || c.HashRank > 0 && req.readings.takesPrefix(c, req))
 }
 
 func belowCeiling(c *Candidate, req *Request) bool { return c.Fits(req.Ceiling) }
@@ -231,17 +239,17 @@
 
 // cheapest returns the allowed candidate with the lowest cost, or if the targets are uneven, with
 // the lowest spread cost.
-func cheapest(list []Candidate, donor Donor, req *Request, allowed func(c *Candidate, req *Request) bool, uneven bool) Choice {
+func cheapest(list []Candidate, donor Donor, req *Request, allowed func(c *Candidate, req *Request) bool) Choice {
 	best, lowest := Choice{Index: -1}, math.Inf(1)
 	for i := range list {
 		c := &list[i]
 		if !allowed(c, req) {
 			continue
 		}
-		cost, fetch := expectedCost(c, donor, req, uneven)
+		cost, fetch := expectedCost(c, donor, req)
 		score := cost
-		if uneven {
-			score = spread(c, req.Key, cost)
+		if req.readings.uneven {
+			score = req.readings.spread(c, req.Key, cost)
 		}
 		if score < lowest {
 			best, lowest = Choice{Index: i, Cost: cost, Fetch: fetch}, score
@@ -253,21 +261,21 @@
 // expectedCost returns the expected time to the first byte in milliseconds, and whether
 // fetching the prefix shortens it. All work at a slow target takes longer. Ties are broken here
 // unless the cost is spread.
-func expectedCost(c *Candidate, donor Donor, req *Request, uneven bool) (float64, bool) {
+func expectedCost(c *Candidate, donor Donor, req *Request) (float64, bool) {
 	slow := c.slowdown()
-	ms := slow*(c.Running*LoadCost+c.PendingTokens/PrefillRate) + c.FailureRatio*failureCost
+	ms := slow*(req.readings.relevance(c)*c.Running*LoadCost+c.PendingTokens/PrefillRate) + c.FailureRatio*failureCost
 	excess := c.waiting()
 	if c.Slots > 0 && c.Running >= float64(c.Slots) {
 		excess = max(excess, c.Running-float64(c.Slots)+1)
 	}
-	ms += slow * excess * queueCost
+	ms += slow * req.readings.relevance(c) * excess * req.readings.slotWait(c)
 	if c.OtherDomain {
 		ms += otherDomainCost
 	}
 	if c.Suspected {
 		ms += suspectCost
 	}
-	if !uneven {
+	if !req.readings.uneven {
 		ms += tieBreakCost * unitHash(c.ID, req.Key)
 	}
 	missing := float64(max(req.Tokens-c.CachedTokens, 0))
--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -95,3 +95,106 @@
 		}
 	})
 }
+
+// plainTargets returns targets of a plain service with short requests.
+func plainTargets(n int, running float64) []place.Candidate {
+	var list []place.Candidate
+	for i := range n {
+		list = append(list, place.Candidate{ID: fmt.Sprint("t", i), Running: running, Slots: 6, Hold: 16, Slowdown: 1})
+	}
+	return list
+}
+
+// parts returns the part of requests with different keys that each target gets.
+func parts(list []place.Candidate, req place.Request) []float64 {
+	const n = 20000
+	got := make([]float64, len(list))
+	for key := range uint64(n) {
+		req.Key = key * 0x9e3779b97f4a7c15
+		if c, ok := pick(list, place.Donor{}, req); ok {
+			got[c.Index] += 1.0 / n
+		}
+	}
+	return got
+}
+
+// TestStuckSlowTargetKeepsSomeRequests guards against a target that gets nothing for ever because of
+// a reading that is stuck, so that no answer can correct it, and against one that gets less after it
+// has recovered.
+func TestStuckSlowTargetKeepsSomeRequests(t *testing.T) {
+	for _, req := range []place.Request{{}, {Tokens: 3000, Shared: 2000}} {
+		for _, slowdown := range []float64{2.5, 1e300, math.Inf(1)} {
+			list := plainTargets(3, 0)
+			list[1].Slowdown = slowdown
+			got := parts(list, req)
+			assert.Assert(t, got[1] > 0.002 && got[1] < 0.02, "%v at slowdown %g", got, slowdown)
+			list[1].Slowdown = 1
+			got = parts(list, req)
+			assert.Assert(t, got[1] > 0.25, "%v after recovery", got)
+		}
+	}
+}
+
+// TestAllTargetsSlow guards against readings that leave no target, or one, when all are slow.
+func TestAllTargetsSlow(t *testing.T) {
+	list := plainTargets(3, 1)
+	for i := range list {
+		list[i].Slowdown = 2.5
+	}
+	for _, req := range []place.Request{{}, {Tokens: 3000, Shared: 2000}} {
+		for i, part := range parts(list, req) {
+			assert.Assert(t, part > 0.25, "%f at target %d", part, i)
+		}
+		assert.DeepEqual(t, parts(list[:1], req), parts(plainTargets(1, 1), req))
+	}
+}
+
+// TestInvalidReadingsChangeNothing guards against a garbled reading that takes a target out, or
+// draws all requests to it.
+func TestInvalidReadingsChangeNothing(t *testing.T) {
+	for _, invalid := range []float64{math.NaN(), -1, math.Inf(-1), -1e300} {
+		list, usual := plainTargets(3, 1), plainTargets(3, 1)
+		list[0].Slowdown, list[1].Waiting = invalid, invalid
+		assert.DeepEqual(t, parts(list, place.Request{}), parts(usual, place.Request{}))
+	}
+	list := plainTargets(3, 1)
+	list[2].Waiting = math.Inf(1)
+	assert.Equal(t, parts(list, place.Request{})[2], 0.0)
+	c, ok := pick(list[2:], place.Donor{}, place.Request{})
+	assert.Assert(t, ok && c.Index == 0 && !math.IsInf(c.Cost, 0), "%+v", c)
+}
+
+// TestEqualStaleReadingsDontHerd guards against entries that all send to the target that was idle at
+// the last reading, while one of the others is slow. Its part may be half as large again as that of
+// a target that was busy.
+func TestEqualStaleReadingsDontHerd(t *testing.T) {
+	list := plainTargets(4, 6)
+	list[0].Slowdown, list[1].Running = 2.5, 0
+	got := parts(list, place.Request{})
+	assert.Assert(t, got[1] < 1.5*got[2] && got[1] < 1.5*got[3], "%v", got)
+	for i := range list {
+		list[i].Slowdown, list[i].Running = 2.5, 3
+	}
+	for _, part := range parts(list, place.Request{}) {
+		assert.Assert(t, part > 0.2 && part < 0.3)
+	}
+}
+
+// TestFullTargetGetsNothing guards against requests that queue at a target at capacity while
+// another one has room.
+func TestFullTargetGetsNothing(t *testing.T) {
+	list := plainTargets(3, 1)
+	list[0].Waiting = 24
+	assert.Equal(t, parts(list, place.Request{})[0], 0.0)
+	list[0].Waiting, list[0].Hold = 1, 2500 // a slot is free in 400 ms
+	assert.Equal(t, parts(list, place.Request{})[0], 0.0)
+}
+
+// TestSlowTargetsServeWhatOthersCannot guards against overloading the targets of usual speed when
+// all slots are needed: the parts are then in proportion to the speed.
+func TestSlowTargetsServeWhatOthersCannot(t *testing.T) {
+	list := plainTargets(3, 5)
+	list[0].Slowdown = 2.5
+	got := parts(list, place.Request{})
+	assert.Assert(t, got[0] > 0.12 && got[0] < 0.2, "%v, fair is 0.17", got)
+}
