board: tell place how long requests hold their slots

A difference of load between targets is over when requests are shorter than the age of the reading that shows it; place.Candidate.Hold says how long they are.

--- a/board/board.go
+++ b/board/board.go
@@ -187,6 +187,7 @@
 		ID:            m.ID,
 		Address:       m.Address,
 		Running:       float64(b.runningAt(m)),
+		Hold:          float64(l.serviceTime) / float64(time.Millisecond),
 		Limit:         limit,
 		Unreported:    b.unreported(l.now, s, limit),
 		PendingTokens: float64(s.pendingTokens + pendingTokensUnit*int(b.peerLoads[m.key].PendingPrefill)),
