--- a/cmd/standin/lab.go
+++ b/cmd/standin/lab.go
@@ -18,6 +18,7 @@
 	minutes int
 	domain  bool
 	surge   bool
+	uneven  bool
 	plot    string
 	out     io.Writer
 }
@@ -32,6 +33,7 @@
 	c.Int(&l.minutes, "m", "minutes", "of the load, the first half to warm up; with --domain it is always 10")
 	c.Bool(&l.domain, "d", "domain", "take a failure domain out and bring it back")
 	c.Bool(&l.surge, "u", "surge", "play loads from half to three times of what targets carry; the plot shows goodput")
+	c.Bool(&l.uneven, "n", "uneven", "play targets of which some are slow for a short time, by the age of the readings of their load")
 	c.String(&l.plot, "p", "plot", "file to draw reuse, wait and evenness over time into, as SVG")
 	return command{c, l.run}
 }
@@ -55,6 +57,9 @@
 	if l.surge {
 		return l.runSurge()
 	}
+	if l.uneven {
+		return l.runUneven()
+	}
 	w := tabwriter.NewWriter(l.out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "policy\tin time\treuse\tfetched\tlargest/mean\tin 99 of 100 s\twait 95%\tcrashes")
 	var lines []plotLine
@@ -92,3 +97,35 @@
 	}
 	return drawSurge(l.plot, rows)
 }
+
+// runUneven simulates two fleets with targets that are slow for short times and prints a table row
+// for each age of the readings and each policy.
+func (l *labOptions) runUneven() error {
+	w := tabwriter.NewWriter(l.out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "fleet\tage of readings\tpolicy\tfirst byte 50%\t99%\t99.9%\tlargest part/fair\tat slow targets\tprompts read\trefused")
+	fleets := []unevenFleet{
+		{"plain service", trial.UnevenRows(trial.PlainFleet(l.seed))},
+		{"engines", trial.UnevenRows(trial.EngineFleet(l.seed))},
+	}
+	for _, f := range fleets {
+		for _, row := range f.rows {
+			age := row.Age.String()
+			if row.Age < 0 {
+				age = "none"
+			}
+			for _, p := range unevenPolicies {
+				r := p.result(row)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%.1f%%\t%.1f%%\t%d\n", f.name, age, p.name,
+					r.P50.Round(time.Millisecond/10), r.P99.Round(time.Millisecond/10), r.P999.Round(time.Millisecond/10),
+					r.LargestPart, 100*r.SlowPart, 100*r.Misses, r.Refused)
+			}
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if l.plot == "" {
+		return nil
+	}
+	return drawUneven(l.plot, fleets)
+}
--- a/cmd/standin/plot.go
+++ b/cmd/standin/plot.go
@@ -82,6 +82,56 @@
 	return writePlots(file, plots)
 }
 
+// unevenFleet is the comparison of one fleet with uneven targets.
+type unevenFleet struct {
+	name string
+	rows []trial.UnevenRow
+}
+
+// unevenPolicies are the compared policies, and equal targets.
+var unevenPolicies = []struct {
+	name   string
+	result func(r trial.UnevenRow) trial.UnevenResult
+}{
+	{"equal targets", func(r trial.UnevenRow) trial.UnevenResult { return r.Equal }},
+	{"speed not used", func(r trial.UnevenRow) trial.UnevenResult { return r.WithoutSpeed }},
+	{"speed used", func(r trial.UnevenRow) trial.UnevenResult { return r.WithSpeed }},
+	{"perfect but for the age of speeds", func(r trial.UnevenRow) trial.UnevenResult { return r.BestAtAge }},
+	{"perfect knowledge", func(r trial.UnevenRow) trial.UnevenResult { return r.Perfect }},
+}
+
+// drawUneven writes an SVG file that plots the time to the first byte and the part of the requests
+// at slow targets against the age of readings.
+func drawUneven(file string, fleets []unevenFleet) error {
+	var plots []*plot.Plot
+	for _, f := range fleets {
+		for _, c := range []struct {
+			title string
+			value func(r trial.UnevenResult) float64
+		}{
+			{"time to the first byte of 99 in 100, milliseconds", func(r trial.UnevenResult) float64 { return 1000 * r.P99.Seconds() }},
+			{"requests at slow targets, percent", func(r trial.UnevenResult) float64 { return 100 * r.SlowPart }},
+		} {
+			var curves []curve
+			for _, p := range unevenPolicies {
+				var points plotter.XYs
+				for _, row := range f.rows {
+					if row.Age >= 0 {
+						points = append(points, plotter.XY{X: 1000 * row.Age.Seconds(), Y: c.value(p.result(row))})
+					}
+				}
+				curves = append(curves, curve{p.name, points})
+			}
+			p, err := newPlot(f.name+": "+c.title, "age of readings, milliseconds", curves)
+			if err != nil {
+				return err
+			}
+			plots = append(plots, p)
+		}
+	}
+	return writePlots(file, plots)
+}
+
 // writePlots writes charts below each other into one SVG file.
 func writePlots(file string, plots []*plot.Plot) error {
 	canvas := vgsvg.New(plotWidth, plotHeight*vg.Length(len(plots)))
--- a/cmd/standin/plot_test.go
+++ b/cmd/standin/plot_test.go
@@ -41,3 +41,16 @@
 	assert.Equal(t, strings.Count(string(raw), "taking all"), 2)
 	assert.Equal(t, strings.Count(string(raw), "requests in time a second"), 1)
 }
+
+// TestDrawUneven guards against charts that omit a policy, and against drawing the row without
+// readings as an age.
+func TestDrawUneven(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "uneven.svg")
+	rows := []trial.UnevenRow{{Age: 0}, {Age: time.Second, WithSpeed: trial.UnevenResult{P99: time.Second}}, {Age: -1}}
+	assert.NilError(t, drawUneven(file, []unevenFleet{{"plain service", rows}, {"engines", rows}}))
+	raw, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for _, p := range unevenPolicies {
+		assert.Assert(t, strings.Count(string(raw), ">"+p.name+"<") == 4, p.name)
+	}
+}
