place: weights relative to the fastest target

Weights distinguished targets of exactly the usual speed from all others: a target whose reading has nearly aged to 1 would get a hundredth, and where all are slow, by different factors, all got the same. Weights are now relative to the fastest target and continuous, and without published slots in proportion to the speed.

--- a/place/uneven.go
+++ b/place/uneven.go
@@ -13,9 +13,12 @@
 	// It spreads then about as much as tieBreakCost.
 	spreadCost    = 6.0
 	minSpreadCost = 1.0
-	// maxUsualLoad is the part of their slots that the targets of usual speed are filled to before
-	// slow ones get more than minSlowWeight.
-	maxUsualLoad = 0.6
+	// maxFastLoad is the part of their slots that the fastest targets are filled to before slower ones
+	// are used for more than slowPower allows.
+	maxFastLoad = 0.6
+	// slowPower is the power of its relative speed by which the capacity of a slower target is used
+	// while the fastest can carry the demand.
+	slowPower = 4.0
 	// minSlowWeight is the lowest weight by speed: a target with a reading that is stuck still gets
 	// requests, and their answers bring new readings.
 	minSlowWeight = 0.01
@@ -53,31 +56,54 @@
 type readings struct {
 	// uneven is set if a reading distinguishes a target from one without readings.
 	uneven bool
-	// slowUse is the part of the capacity of slow targets that is needed, from 0 to 1.
+	// fastest is the lowest slowdown.
+	fastest float64
+	// slowUse is the part of the unused capacity of slower targets that is needed, from 0 to 1.
 	slowUse float64
 }
 
 // sumUp computes the demand and the capacity in slots at the usual speed: a request holds a slow
-// target's slot for longer.
+// target's slot for longer. All capacity is used if a target does not tell its slots.
 func sumUp(list []Candidate) readings {
-	var r readings
-	usual, slow, demand := 0.0, 0.0, 0.0
+	r := readings{fastest: maxSlowdown}
+	for i := range list {
+		r.uneven = r.uneven || list[i].slowdown() > 1 || list[i].waiting() > 0
+		r.fastest = min(r.fastest, list[i].slowdown())
+	}
+	if !r.uneven {
+		return r
+	}
+	used, capacity, demand := 0.0, 0.0, 0.0
 	for i := range list {
 		c := &list[i]
-		r.uneven = r.uneven || c.slowdown() > 1 || c.waiting() > 0
+		if c.Slots <= 0 {
+			r.slowUse = 1
+			return r
+		}
 		demand += max(c.Running, c.waiting()) / c.slowdown()
-		if c.slowdown() > 1 {
-			slow += float64(c.Slots) / c.slowdown()
-		} else {
-			usual += float64(c.Slots)
+		if !c.Cold {
+			capacity += float64(c.Slots) / c.slowdown()
+			used += float64(c.Slots) / c.slowdown() * r.preference(c)
 		}
 	}
-	if slow > 0 {
-		r.slowUse = min(max((demand/maxUsualLoad-usual)/slow, 0), 1)
+	if capacity > used {
+		r.slowUse = min(max((demand/maxFastLoad-used)/(capacity-used), 0), 1)
 	}
 	return r
 }
 
+// preference returns the part of a target's capacity that is used while the fastest targets can
+// carry the demand. It is continuous, as a reading that ages comes near 1 by and by.
+func (r *readings) preference(c *Candidate) float64 {
+	return math.Pow(r.fastest/c.slowdown(), slowPower)
+}
+
+// weight returns the weight of a target by its speed, 1 for the fastest.
+func (r *readings) weight(c *Candidate) float64 {
+	speed := r.fastest / c.slowdown()
+	return max(speed*(r.slowUse+(1-r.slowUse)*r.preference(c)), minSlowWeight)
+}
+
 // slotWait returns how long each request beyond the slots delays the next one, in milliseconds at
 // the usual speed.
 func (r *readings) slotWait(c *Candidate) float64 {
@@ -102,18 +128,10 @@
 	return c.waiting()*c.slowdown()*r.slotWait(c) >= fullWait
 }
 
-// weight returns the weight of a target by its speed, 1 at the usual speed.
-func (r *readings) weight(c *Candidate) float64 {
-	if c.slowdown() == 1 {
-		return 1
-	}
-	return max(r.slowUse/c.slowdown(), minSlowWeight)
-}
-
 // takesPrefix reports whether a target may be chosen by hash to read a shared prefix, which takes
 // long at a slow one: those read as many of the prefixes as their weight.
 func (r *readings) takesPrefix(c *Candidate, req *Request) bool {
-	return c.slowdown() == 1 || req.Shared < minFetchTokens || unitHash(c.ID, ^req.Key) < r.weight(c)
+	return req.Shared < minFetchTokens || unitHash(c.ID, ^req.Key) < r.weight(c)
 }
 
 // firstRank returns the hash rank of the target that reads a new prefix, 0 if there is none.
--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -135,17 +135,21 @@
 	}
 }
 
-// TestAllTargetsSlow guards against readings that leave no target, or one, when all are slow.
+// TestAllTargetsSlow guards against readings that leave no target when all are slow, and against
+// treating targets that are slower by different factors alike.
 func TestAllTargetsSlow(t *testing.T) {
-	list := plainTargets(3, 1)
-	for i := range list {
-		list[i].Slowdown = 2.5
-	}
 	for _, req := range []place.Request{{}, {Tokens: 3000, Shared: 2000}} {
+		list := plainTargets(3, 1)
+		for i := range list {
+			list[i].Slowdown = 2.5
+		}
 		for i, part := range parts(list, req) {
 			assert.Assert(t, part > 0.25, "%f at target %d", part, i)
 		}
 		assert.DeepEqual(t, parts(list[:1], req), parts(plainTargets(1, 1), req))
+		list[0].Slowdown, list[1].Slowdown = 9, 1.05
+		got := parts(list, req)
+		assert.Assert(t, got[0] < 0.05 && got[2] < 0.05 && got[1] > 0.9, "%v at different speeds", got)
 	}
 }
 
