place: readings do not lift the ceiling

Cause: where every target below the ceiling had a short queue by its reading, Pick came to the pass of all targets with capacity, which knows neither ceiling nor queue. Change: a pass before it that keeps the ceiling and ignores the readings. Without readings it equals the pass before.

--- a/place/place.go
+++ b/place/place.go
@@ -192,14 +192,15 @@
 
 // Pick returns the best candidate, or false if there is none. It considers, in this order:
 // holders of the prefix and the first target by hash (if the request shares enough tokens), both
-// with the other targets by hash, all targets below the ceiling, all with capacity, all targets.
+// with the other targets by hash, all targets below the ceiling, the same regardless of readings, all
+// with capacity, all targets.
 // Thus entries that need a new prefix at the same moment send it to the same target, where it is
 // read once. A slow target is not the first for a new prefix, and if any target is reported slow or
 // full, the choice is spread, see readings.spread.
 func Pick(list []Candidate, donor Donor, req Request) (Choice, bool) {
 	req.readings = sumUp(list)
 	req.firstRank = firstRank(list, &req)
-	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, withCapacity, anyTarget}
+	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, underCeiling, withCapacity, anyTarget}
 	for _, allowed := range passes {
 		if best := cheapest(list, donor, &req, allowed); best.Index >= 0 {
 			return best, true
@@ -218,6 +219,11 @@
 
 func belowCeiling(c *Candidate, req *Request) bool { return c.Fits(req.Ceiling) }
 
+// underCeiling ignores the readings: a queue at one target must not put another one above the ceiling.
+func underCeiling(c *Candidate, req *Request) bool {
+	return c.hasCapacity() && c.Running+1 <= req.Ceiling
+}
+
 func withCapacity(c *Candidate, _ *Request) bool { return c.hasCapacity() }
 
 func anyTarget(*Candidate, *Request) bool { return true }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -78,7 +78,9 @@
 		list[i].HashRank = hashed
 		return hashed < place.HashCandidates
 	})
-	req.Ceiling = sum.Ceiling(0)
+	if req.Ceiling == 0 {
+		req.Ceiling = sum.Ceiling(0)
+	}
 	return place.Pick(list, donor, req)
 }
 
--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -202,3 +202,17 @@
 	got := parts(list, place.Request{})
 	assert.Assert(t, got[0] > 0.12 && got[0] < 0.2, "%v, fair is 0.17", got)
 }
+
+// TestReadingsKeepTheCeiling guards against a short queue at the only target below the ceiling that
+// sends requests to targets above it.
+func TestReadingsKeepTheCeiling(t *testing.T) {
+	list := []place.Candidate{
+		{ID: "t0", Running: 2, Slots: 6, Hold: 16, Waiting: 24},
+		{ID: "t1", Running: 50, Slots: 6, Hold: 16},
+		{ID: "t2", Running: 50, Slots: 6, Hold: 16, Waiting: 24},
+	}
+	for _, req := range []place.Request{{Ceiling: 8}, {Ceiling: 8, Tokens: 3000, Shared: 2000}} {
+		got := parts(list, req)
+		assert.Assert(t, got[0] > 0 && got[1] == 0 && got[2] == 0, "%v", got)
+	}
+}
