place: slow targets do not make suspected, failing or cold ones preferred

Cause: costs of suspicion and failures are fixed, those of slowness and queues are not; and a full target left the choice even if only such targets remained. Change: while targets are uneven, a suspected one is used only if no other below the ceiling, or with capacity, is left. Full targets are left out only if one that is warm, unsuspected and not failing has room. Cold, suspected and failing targets have no advantage over the fastest and the shortest queue of the others. takesPrefix is true while targets are not uneven, as there is no fastest then.

--- a/place/place.go
+++ b/place/place.go
@@ -196,9 +196,10 @@
 // with capacity, all targets.
 // Thus entries that need a new prefix at the same moment send it to the same target, where it is
 // read once. A slow target is not the first for a new prefix, and if any target is reported slow or
-// full, the choice is spread, see readings.spread.
+// full, the choice is spread, see readings.spread, and suspected targets are left to the pass that
+// ignores the readings.
 func Pick(list []Candidate, donor Donor, req Request) (Choice, bool) {
-	req.readings = sumUp(list)
+	req.readings = sumUp(list, req.Ceiling)
 	req.firstRank = firstRank(list, &req)
 	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, underCeiling, withCapacity, anyTarget}
 	for _, allowed := range passes {
@@ -217,14 +218,18 @@
 	return belowCeiling(c, req) && (isHolder(c, req) || c.HashRank > 0 && req.readings.takesPrefix(c, req))
 }
 
-func belowCeiling(c *Candidate, req *Request) bool { return c.Fits(req.Ceiling) }
+func belowCeiling(c *Candidate, req *Request) bool {
+	return underCeiling(c, req) && req.readings.isUsable(c) && (req.readings.allFull || !isFull(c))
+}
 
 // underCeiling ignores the readings: a queue at one target must not put another one above the ceiling.
 func underCeiling(c *Candidate, req *Request) bool {
 	return c.hasCapacity() && c.Running+1 <= req.Ceiling
 }
 
-func withCapacity(c *Candidate, _ *Request) bool { return c.hasCapacity() }
+func withCapacity(c *Candidate, req *Request) bool {
+	return c.hasCapacity() && req.readings.isUsable(c)
+}
 
 func anyTarget(*Candidate, *Request) bool { return true }
 
@@ -268,9 +273,9 @@
 // fetching the prefix shortens it. All work at a slow target takes longer. Ties are broken here
 // unless the cost is spread.
 func expectedCost(c *Candidate, donor Donor, req *Request) (float64, bool) {
-	slow := c.slowdown()
+	slow := req.readings.slowdown(c)
 	ms := slow*(req.readings.relevance(c)*c.Running*LoadCost+c.PendingTokens/PrefillRate) + c.FailureRatio*failureCost
-	excess := c.waiting()
+	excess := req.readings.waiting(c)
 	if c.Slots > 0 && c.Running >= float64(c.Slots) {
 		excess = max(excess, c.Running-float64(c.Slots)+1)
 	}
--- a/place/uneven.go
+++ b/place/uneven.go
@@ -56,23 +56,42 @@
 type readings struct {
 	// uneven is set if a reading distinguishes a target from one without readings.
 	uneven bool
-	// fastest is the lowest slowdown.
+	// fastest is the lowest slowdown of a trusted target, or of all if there is none.
 	fastest float64
+	// shortest is the lowest number of requests that wait at a trusted target, 0 if there is none.
+	shortest float64
+	// unsuspected is set if a target has capacity that is not suspected, and allFull if no trusted
+	// target has room, so that queues exclude none.
+	unsuspected, allFull bool
 	// slowUse is the part of the unused capacity of slower targets that is needed, from 0 to 1.
 	slowUse float64
 }
 
 // sumUp computes the demand and the capacity in slots at the usual speed: a request holds a slow
 // target's slot for longer. All capacity is used if a target does not tell its slots.
-func sumUp(list []Candidate) readings {
-	r := readings{fastest: maxSlowdown}
+func sumUp(list []Candidate, ceiling float64) readings {
+	r := readings{}
 	for i := range list {
 		r.uneven = r.uneven || list[i].slowdown() > 1 || list[i].waiting() > 0
-		r.fastest = min(r.fastest, list[i].slowdown())
 	}
 	if !r.uneven {
 		return r
 	}
+	r.fastest, r.shortest, r.allFull = math.Inf(1), math.Inf(1), true
+	for i := range list {
+		c := &list[i]
+		r.unsuspected = r.unsuspected || !c.Suspected && c.hasCapacity()
+		if isTrusted(c) {
+			r.fastest, r.shortest = min(r.fastest, c.slowdown()), min(r.shortest, c.waiting())
+			r.allFull = r.allFull && !c.Fits(ceiling)
+		}
+	}
+	if math.IsInf(r.fastest, 1) {
+		r.shortest = 0
+		for i := range list {
+			r.fastest = min(r.fastest, list[i].slowdown())
+		}
+	}
 	used, capacity, demand := 0.0, 0.0, 0.0
 	for i := range list {
 		c := &list[i]
@@ -92,15 +111,42 @@
 	return r
 }
 
+// isTrusted reports whether a target is known to work: it is warm, not suspected, and its failures
+// cost less than the wait at a full one.
+func isTrusted(c *Candidate) bool {
+	return !c.Cold && !c.Suspected && c.FailureRatio*failureCost < fullWait
+}
+
+// isUsable reports whether a target is considered while another one has room. How much slower or
+// busier the others are must not outweigh that a host did not answer.
+func (r *readings) isUsable(c *Candidate) bool { return !r.uneven || !c.Suspected || !r.unsuspected }
+
+// slowdown returns the slowdown that counts for a target. One that is not trusted has no advantage
+// over the trusted ones by its speed.
+func (r *readings) slowdown(c *Candidate) float64 {
+	if r.uneven && !isTrusted(c) {
+		return max(c.slowdown(), r.fastest)
+	}
+	return c.slowdown()
+}
+
+// waiting returns the number of waiting requests that counts for a target, as slowdown does.
+func (r *readings) waiting(c *Candidate) float64 {
+	if r.uneven && !isTrusted(c) {
+		return max(c.waiting(), r.shortest)
+	}
+	return c.waiting()
+}
+
 // preference returns the part of a target's capacity that is used while the fastest targets can
 // carry the demand. It is continuous, as a reading that ages comes near 1 by and by.
 func (r *readings) preference(c *Candidate) float64 {
-	return math.Pow(r.fastest/c.slowdown(), slowPower)
+	return math.Pow(r.fastest/r.slowdown(c), slowPower)
 }
 
 // weight returns the weight of a target by its speed, 1 for the fastest.
 func (r *readings) weight(c *Candidate) float64 {
-	speed := r.fastest / c.slowdown()
+	speed := r.fastest / r.slowdown(c)
 	return max(speed*(r.slowUse+(1-r.slowUse)*r.preference(c)), minSlowWeight)
 }
 
@@ -131,7 +177,7 @@
 // takesPrefix reports whether a target may be chosen by hash to read a shared prefix, which takes
 // long at a slow one: those read as many of the prefixes as their weight.
 func (r *readings) takesPrefix(c *Candidate, req *Request) bool {
-	return req.Shared < minFetchTokens || unitHash(c.ID, ^req.Key) < r.weight(c)
+	return !r.uneven || req.Shared < minFetchTokens || unitHash(c.ID, ^req.Key) < r.weight(c)
 }
 
 // firstRank returns the hash rank of the target that reads a new prefix, 0 if there is none.
@@ -142,7 +188,7 @@
 	first := 0
 	for i := range list {
 		c := &list[i]
-		if c.HashRank > 0 && (first == 0 || c.HashRank < first) && req.readings.takesPrefix(c, req) {
+		if c.HashRank > 0 && (first == 0 || c.HashRank < first) && req.readings.isUsable(c) && req.readings.takesPrefix(c, req) {
 			first = c.HashRank
 		}
 	}
--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -216,3 +216,44 @@
 		assert.Assert(t, got[0] > 0 && got[1] == 0 && got[2] == 0, "%v", got)
 	}
 }
+
+// engineTargets returns engines, of which all but the first have the slowdown and queue.
+func engineTargets(n int, slowdown, waiting float64) []place.Candidate {
+	list := []place.Candidate{{ID: "t0", Running: 4, Slots: 64, Hold: 2500, Slowdown: 1}}
+	for i := 1; i < n; i++ {
+		list = append(list, place.Candidate{ID: fmt.Sprint("t", i), Running: 4, Slots: 64, Hold: 2500, Slowdown: slowdown, Waiting: waiting})
+	}
+	return list
+}
+
+// TestUntrustedTargetsGainNothingFromSlowOthers guards against readings that outweigh that a target
+// is suspected, fails or is cold.
+func TestUntrustedTargetsGainNothingFromSlowOthers(t *testing.T) {
+	for _, others := range []struct{ slowdown, waiting float64 }{{2.5, 0}, {1, 1}, {2.5, 24}, {10, 0}} {
+		for _, req := range []place.Request{{}, {Tokens: 6500}, {Tokens: 6500, Shared: 6000}} {
+			list := engineTargets(3, others.slowdown, others.waiting)
+			list[0].Suspected = true
+			assert.Equal(t, parts(list, req)[0], 0.0, "suspected, others %v", others)
+			list[0].Suspected, list[0].Cold = false, true
+			assert.Assert(t, parts(list, req)[0] < 0.4, "%v, cold, others %v", parts(list, req), others)
+			list[0].Cold, list[0].FailureRatio = false, 0.5
+			bound := 0.01
+			if req.Shared > 0 {
+				bound = 0.4 // the first target by hash reads a new prefix, as without readings
+			}
+			assert.Assert(t, parts(list, req)[0] < bound, "%v, failing, others %v", parts(list, req), others)
+		}
+	}
+}
+
+// TestSuspectedTargetIsTheLastResort guards against refusing a target that is suspected where no
+// other has room.
+func TestSuspectedTargetIsTheLastResort(t *testing.T) {
+	list := engineTargets(3, 2.5, 0)
+	list[0].Suspected = true
+	for i := 1; i < 3; i++ {
+		list[i].Limit = 4
+	}
+	got := parts(list, place.Request{})
+	assert.Assert(t, got[1] == 0 && got[2] == 0 && got[0] > 0.99, "%v", got)
+}
