place: targets that take no request do not set the weights

Cause: the fastest target, and the slots that the demand is compared with, were those of all candidates, also of suspected, full and cold ones. Change: they are those of targets that are warm, unsuspected, not failing and not full; if there are none, of the trusted ones or of all. Relative speed is at most 1. Without any capacity all of it is used.

--- a/place/uneven.go
+++ b/place/uneven.go
@@ -56,7 +56,8 @@
 type readings struct {
 	// uneven is set if a reading distinguishes a target from one without readings.
 	uneven bool
-	// fastest is the lowest slowdown of a trusted target, or of all if there is none.
+	// fastest is the lowest slowdown of the trusted targets that are not full; if there are none, of all
+	// trusted ones, or of all.
 	fastest float64
 	// shortest is the lowest number of requests that wait at a trusted target, 0 if there is none.
 	shortest float64
@@ -68,7 +69,9 @@
 }
 
 // sumUp computes the demand and the capacity in slots at the usual speed: a request holds a slow
-// target's slot for longer. All capacity is used if a target does not tell its slots.
+// target's slot for longer. Capacity is that of the trusted targets that are not full, or of all
+// trusted ones, or of all. The demand includes the requests at the others, as their successors come here. All
+// capacity is used if a target does not publish its slots.
 func sumUp(list []Candidate, ceiling float64) readings {
 	r := readings{}
 	for i := range list {
@@ -77,40 +80,62 @@
 	if !r.uneven {
 		return r
 	}
-	r.fastest, r.shortest, r.allFull = math.Inf(1), math.Inf(1), true
+	r.shortest, r.allFull = math.Inf(1), true
 	for i := range list {
 		c := &list[i]
 		r.unsuspected = r.unsuspected || !c.Suspected && c.hasCapacity()
 		if isTrusted(c) {
-			r.fastest, r.shortest = min(r.fastest, c.slowdown()), min(r.shortest, c.waiting())
+			r.shortest = min(r.shortest, c.waiting())
 			r.allFull = r.allFull && !c.Fits(ceiling)
 		}
 	}
-	if math.IsInf(r.fastest, 1) {
+	if math.IsInf(r.shortest, 1) {
 		r.shortest = 0
-		for i := range list {
-			r.fastest = min(r.fastest, list[i].slowdown())
-		}
 	}
+	counts := r.setFastest(list)
 	used, capacity, demand := 0.0, 0.0, 0.0
 	for i := range list {
 		c := &list[i]
+		demand += max(c.Running, c.waiting()) / c.slowdown()
+		if !counts(c) {
+			continue
+		}
 		if c.Slots <= 0 {
 			r.slowUse = 1
 			return r
 		}
-		demand += max(c.Running, c.waiting()) / c.slowdown()
-		if !c.Cold {
-			capacity += float64(c.Slots) / c.slowdown()
-			used += float64(c.Slots) / c.slowdown() * r.preference(c)
-		}
+		capacity += float64(c.Slots) / c.slowdown()
+		used += float64(c.Slots) / c.slowdown() * r.preference(c)
 	}
-	if capacity > used {
+	switch {
+	case capacity > used:
 		r.slowUse = min(max((demand/maxFastLoad-used)/(capacity-used), 0), 1)
+	case capacity <= 0:
+		r.slowUse = 1
 	}
 	return r
 }
 
+// setFastest sets fastest and returns which targets it was computed of.
+func (r *readings) setFastest(list []Candidate) (counts func(c *Candidate) bool) {
+	r.fastest = math.Inf(1)
+	for _, counts = range [...]func(c *Candidate) bool{isTrustedAndFree, isTrusted, isAny} {
+		for i := range list {
+			if counts(&list[i]) {
+				r.fastest = min(r.fastest, list[i].slowdown())
+			}
+		}
+		if !math.IsInf(r.fastest, 1) {
+			break
+		}
+	}
+	return counts
+}
+
+func isTrustedAndFree(c *Candidate) bool { return isTrusted(c) && !isFull(c) }
+
+func isAny(*Candidate) bool { return true }
+
 // isTrusted reports whether a target is known to work: it is warm, not suspected, and its failures
 // cost less than the wait at a full one.
 func isTrusted(c *Candidate) bool {
@@ -138,16 +163,18 @@
 	return c.waiting()
 }
 
+// speed returns the speed of a target relative to the fastest.
+func (r *readings) speed(c *Candidate) float64 { return min(r.fastest/r.slowdown(c), 1) }
+
 // preference returns the part of a target's capacity that is used while the fastest targets can
 // carry the demand. It is continuous, as a reading that ages comes near 1 by and by.
 func (r *readings) preference(c *Candidate) float64 {
-	return math.Pow(r.fastest/r.slowdown(c), slowPower)
+	return math.Pow(r.speed(c), slowPower)
 }
 
 // weight returns the weight of a target by its speed, 1 for the fastest.
 func (r *readings) weight(c *Candidate) float64 {
-	speed := r.fastest / r.slowdown(c)
-	return max(speed*(r.slowUse+(1-r.slowUse)*r.preference(c)), minSlowWeight)
+	return max(r.speed(c)*(r.slowUse+(1-r.slowUse)*r.preference(c)), minSlowWeight)
 }
 
 // slotWait returns how long each request beyond the slots delays the next one, in milliseconds at
--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -257,3 +257,26 @@
 	got := parts(list, place.Request{})
 	assert.Assert(t, got[1] == 0 && got[2] == 0 && got[0] > 0.99, "%v", got)
 }
+
+// TestUnusableTargetsDontCountAsFastest guards against parts of the others that depend on the speed and
+// the slots of a target that takes no request.
+func TestUnusableTargetsDontCountAsFastest(t *testing.T) {
+	for _, change := range []func(c *place.Candidate){
+		func(c *place.Candidate) { c.Waiting = 24 },
+		func(c *place.Candidate) { c.Suspected = true },
+		func(c *place.Candidate) { c.Slots = 0; c.Suspected = true },
+	} {
+		for _, running := range []float64{4, 50} {
+			list := engineTargets(3, 2, 0)
+			list[2].Slowdown = 2.5
+			for i := range list {
+				list[i].Running = running
+			}
+			list[0].Running = 0
+			want := parts(list[1:], place.Request{})
+			change(&list[0])
+			got := parts(list, place.Request{})
+			assert.Assert(t, got[0] == 0 && math.Abs(got[1]-want[0]) < 0.03, "%v, %v without the first", got, want)
+		}
+	}
+}
