place: a slow target keeps requests that cost does not take away

Cause: the lowest weight of 0.01 did not hold for engines, as a request there costs more than the weight's logarithm times the scale of the spread. Change: for 1% of the keys, by a hash of key and target, cost and weight of a slow target are those at its usual speed; not for suspected and full ones. It replaces the lowest weight. TestStuckSlowTargetKeepsSomeRequests also has engines (Hold 2500, idle and busy others) with prompts. Its upper bound does not apply where a prompt is missing and the others are busy: the idle slow target is the better choice then.

--- a/place/place.go
+++ b/place/place.go
@@ -199,7 +199,7 @@
 // full, the choice is spread, see readings.spread, and suspected targets are left to the pass that
 // ignores the readings.
 func Pick(list []Candidate, donor Donor, req Request) (Choice, bool) {
-	req.readings = sumUp(list, req.Ceiling)
+	req.readings = sumUp(list, &req)
 	req.firstRank = firstRank(list, &req)
 	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, underCeiling, withCapacity, anyTarget}
 	for _, allowed := range passes {
--- a/place/uneven.go
+++ b/place/uneven.go
@@ -1,6 +1,9 @@
 package place
 
-import "math"
+import (
+	"math"
+	"math/bits"
+)
 
 // With readings of the targets' load, a choice also answers targets that are slow or full for a
 // short time. All entries see the same readings, some hundred milliseconds late: if each chose the
@@ -19,9 +22,10 @@
 	// slowPower is the power of its relative speed by which the capacity of a slower target is used
 	// while the fastest can carry the demand.
 	slowPower = 4.0
-	// minSlowWeight is the lowest weight by speed: a target with a reading that is stuck still gets
-	// requests, and their answers bring new readings.
-	minSlowWeight = 0.01
+	// probeRatio is the part of the keys for which a target counts as if it had its usual speed: one
+	// with a reading that is stuck still gets requests, and their answers bring new readings. A lowest
+	// weight does not give that, as the cost of slow work outweighs it.
+	probeRatio = 0.01
 	// maxSlowdown is the largest slowdown that is believed.
 	maxSlowdown = 10.0
 	// minWaiting is the least number of waiting requests that counts. Less is what remains of an
@@ -64,6 +68,8 @@
 	// unsuspected is set if a target has capacity that is not suspected, and allFull if no trusted
 	// target has room, so that queues exclude none.
 	unsuspected, allFull bool
+	// key is the key of the request.
+	key uint64
 	// slowUse is the part of the unused capacity of slower targets that is needed, from 0 to 1.
 	slowUse float64
 }
@@ -72,8 +78,8 @@
 // target's slot for longer. Capacity is that of the trusted targets that are not full, or of all
 // trusted ones, or of all. The demand includes the requests at the others, as their successors come here. All
 // capacity is used if a target does not publish its slots.
-func sumUp(list []Candidate, ceiling float64) readings {
-	r := readings{}
+func sumUp(list []Candidate, req *Request) readings {
+	r := readings{key: req.Key}
 	for i := range list {
 		r.uneven = r.uneven || list[i].slowdown() > 1 || list[i].waiting() > 0
 	}
@@ -86,7 +92,7 @@
 		r.unsuspected = r.unsuspected || !c.Suspected && c.hasCapacity()
 		if isTrusted(c) {
 			r.shortest = min(r.shortest, c.waiting())
-			r.allFull = r.allFull && !c.Fits(ceiling)
+			r.allFull = r.allFull && !c.Fits(req.Ceiling)
 		}
 	}
 	if math.IsInf(r.shortest, 1) {
@@ -105,7 +111,7 @@
 			return r
 		}
 		capacity += float64(c.Slots) / c.slowdown()
-		used += float64(c.Slots) / c.slowdown() * r.preference(c)
+		used += float64(c.Slots) / c.slowdown() * math.Pow(r.speed(c.slowdown()), slowPower)
 	}
 	switch {
 	case capacity > used:
@@ -149,10 +155,20 @@
 // slowdown returns the slowdown that counts for a target. One that is not trusted has no advantage
 // over the trusted ones by its speed.
 func (r *readings) slowdown(c *Candidate) float64 {
+	slow := c.slowdown()
+	if r.isProbe(c) {
+		slow = 1
+	}
 	if r.uneven && !isTrusted(c) {
-		return max(c.slowdown(), r.fastest)
+		slow = max(slow, r.fastest)
 	}
-	return c.slowdown()
+	return slow
+}
+
+// isProbe reports whether the request goes to a slow target as if that had its usual speed. The hash
+// is by target, so that a popular prefix is not placed regardless of the speed of all its holders.
+func (r *readings) isProbe(c *Candidate) bool {
+	return c.slowdown() > 1 && !c.Suspected && !isFull(c) && unitHash(c.ID, bits.RotateLeft64(r.key, 32)) < probeRatio
 }
 
 // waiting returns the number of waiting requests that counts for a target, as slowdown does.
@@ -163,18 +179,15 @@
 	return c.waiting()
 }
 
-// speed returns the speed of a target relative to the fastest.
-func (r *readings) speed(c *Candidate) float64 { return min(r.fastest/r.slowdown(c), 1) }
-
-// preference returns the part of a target's capacity that is used while the fastest targets can
-// carry the demand. It is continuous, as a reading that ages comes near 1 by and by.
-func (r *readings) preference(c *Candidate) float64 {
-	return math.Pow(r.speed(c), slowPower)
-}
+// speed returns the speed at a slowdown relative to the fastest target.
+func (r *readings) speed(slowdown float64) float64 { return min(r.fastest/slowdown, 1) }
 
-// weight returns the weight of a target by its speed, 1 for the fastest.
+// weight returns the weight of a target by its speed, 1 for the fastest. Slower ones have less than in
+// proportion to their speed while the fastest can carry the demand. The weight is continuous, as
+// readings age towards 1.
 func (r *readings) weight(c *Candidate) float64 {
-	return max(r.speed(c)*(r.slowUse+(1-r.slowUse)*r.preference(c)), minSlowWeight)
+	speed := r.speed(r.slowdown(c))
+	return speed * (r.slowUse + (1-r.slowUse)*math.Pow(speed, slowPower))
 }
 
 // slotWait returns how long each request beyond the slots delays the next one, in milliseconds at
--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -122,15 +122,21 @@
 // a reading that is stuck, so that no answer can correct it, and against one that gets less after it
 // has recovered.
 func TestStuckSlowTargetKeepsSomeRequests(t *testing.T) {
-	for _, req := range []place.Request{{}, {Tokens: 3000, Shared: 2000}} {
+	for _, req := range []place.Request{{}, {Tokens: 3000, Shared: 2000}, {Tokens: 6500, Shared: 6000}, {Tokens: 6500}} {
 		for _, slowdown := range []float64{2.5, 1e300, math.Inf(1)} {
-			list := plainTargets(3, 0)
-			list[1].Slowdown = slowdown
-			got := parts(list, req)
-			assert.Assert(t, got[1] > 0.002 && got[1] < 0.02, "%v at slowdown %g", got, slowdown)
-			list[1].Slowdown = 1
-			got = parts(list, req)
-			assert.Assert(t, got[1] > 0.25, "%v after recovery", got)
+			busy := engineTargets(3, 1, 0)
+			busy[1].Running = 0
+			for _, list := range [][]place.Candidate{plainTargets(3, 0), engineTargets(3, 1, 0), busy} {
+				list[1].Slowdown = slowdown
+				got := parts(list, req)
+				assert.Assert(t, got[1] > 0.002, "%v of %+v", got, list[1])
+				if req.Tokens > 0 || list[0].Running == list[1].Running { // without a prompt, an idle target is worth it
+					assert.Assert(t, got[1] < 0.02, "%v of %+v", got, list[1])
+				}
+				list[1].Slowdown = 1
+				got = parts(list, req)
+				assert.Assert(t, got[1] > 0.25, "%v after recovery", got)
+			}
 		}
 	}
 }
