place: a slowdown below 1.05 does not count

Cause: any slowdown above 1 turned the spread on, also what remains of a reading that ages to 1. Change: a slowdown below 1.05 is the usual speed.

--- a/place/uneven.go
+++ b/place/uneven.go
@@ -26,6 +26,9 @@
 	// with a reading that is stuck still gets requests, and their answers bring new readings. A lowest
 	// weight does not give that, as the cost of slow work outweighs it.
 	probeRatio = 0.01
+	// minSlowdown is the least slowdown that counts. Less is what remains of an old reading, and must not
+	// spread the requests of idle targets to other failure domains.
+	minSlowdown = 1.05
 	// maxSlowdown is the largest slowdown that is believed.
 	maxSlowdown = 10.0
 	// minWaiting is the least number of waiting requests that counts. Less is what remains of an
@@ -40,9 +43,9 @@
 	fullWait = 30.0
 )
 
-// slowdown returns the reported slowdown, 1 if it is missing or invalid.
+// slowdown returns the reported slowdown, 1 if it is missing, small or invalid.
 func (c *Candidate) slowdown() float64 {
-	if c.Slowdown > 1 { // false for NaN
+	if c.Slowdown >= minSlowdown { // false for NaN
 		return min(c.Slowdown, maxSlowdown)
 	}
 	return 1
--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -286,3 +286,13 @@
 		}
 	}
 }
+
+// TestAgedReadingChangesNothing guards against a reading that has nearly aged to the usual speed and
+// sends requests of idle targets to other failure domains.
+func TestAgedReadingChangesNothing(t *testing.T) {
+	list := plainTargets(3, 0)
+	list[1].OtherDomain, list[2].OtherDomain = true, true
+	list[0].Slowdown = 1.01
+	assert.Equal(t, parts(list, place.Request{})[1], 0.0)
+	assert.Equal(t, parts(list, place.Request{})[2], 0.0)
+}
