--- a/place/uneven_test.go
+++ b/place/uneven_test.go
@@ -73,25 +73,32 @@
 	amount := rapid.SampledFrom([]float64{0, 0, 1, 3, 7.5, 30, 64, 90})
 	rapid.Check(t, func(t *rapid.T) {
 		var list []place.Candidate
-		for i := range rapid.IntRange(0, 12).Draw(t, "targets") {
+		for i := range rapid.OneOf(rapid.IntRange(0, 12), rapid.IntRange(6, 12)).Draw(t, "targets") {
 			list = append(list, place.Candidate{
 				ID: fmt.Sprint("t", i), Running: amount.Draw(t, "running"), Slots: rapid.SampledFrom([]int{0, 6, 64}).Draw(t, "slots"),
 				Unreported: amount.Draw(t, "unreported"), Limit: 2 * amount.Draw(t, "limit"), PendingTokens: 100 * amount.Draw(t, "pending"),
-				CachedTokens: tokens.Draw(t, "cached"), FailureRatio: rapid.Float64Range(0, 1).Draw(t, "failures"),
+				CachedTokens: tokens.Draw(t, "cached"), FailureRatio: rapid.OneOf(rapid.Just(0.0), rapid.Float64Range(0, 1)).Draw(t, "failures"),
 				Suspected: rapid.Bool().Draw(t, "suspected"), OtherDomain: rapid.Bool().Draw(t, "other"),
-				HashRank: rapid.IntRange(0, 3).Draw(t, "rank"), Slowdown: rapid.SampledFrom([]float64{0, 1}).Draw(t, "slowdown"),
+				HashRank: rapid.SampledFrom([]int{0, 0, 0, 1, 2, 3}).Draw(t, "rank"), Cold: rapid.Bool().Draw(t, "cold"), Hold: 100 * amount.Draw(t, "hold"),
+				Slowdown: rapid.SampledFrom([]float64{0, 1, 0.4, -3, 1.049, math.NaN(), math.Inf(-1)}).Draw(t, "slowdown"),
+				Waiting:  rapid.SampledFrom([]float64{0, 0.3, 0.49, -2, math.NaN(), math.Inf(-1)}).Draw(t, "waiting"),
 			})
 		}
 		donor := place.Donor{ID: rapid.SampledFrom([]string{"", "t1", "other"}).Draw(t, "donor"), CachedTokens: tokens.Draw(t, "donated")}
 		req := place.Request{
 			Key: rapid.Uint64().Draw(t, "key"), Tokens: tokens.Draw(t, "tokens"), Shared: tokens.Draw(t, "shared"),
-			Ceiling: 1 + amount.Draw(t, "ceiling"),
 		}
-		got, ok := place.Pick(list, donor, req)
-		want, wantOK := pickWithoutReadings(list, donor, req)
-		assert.Equal(t, ok, wantOK)
-		if ok {
-			assert.Equal(t, got, want)
+		for _, req.Ceiling = range []float64{1, 2, 4, 8.5, 31, 65, 91} {
+			// One ceiling and one length of the shared prefix for each list rarely reach the later passes.
+			for _, req.Shared = range []int{0, 100, 500, 3000, prefixTokens} {
+				req.Key = req.Key*0x9e3779b97f4a7c15 + 1
+				got, ok := place.Pick(list, donor, req)
+				want, wantOK := pickWithoutReadings(list, donor, req)
+				assert.Equal(t, ok, wantOK)
+				if ok {
+					assert.Equal(t, got, want)
+				}
+			}
 		}
 	})
 }
--- a/trial/uneven_test.go
+++ b/trial/uneven_test.go
@@ -42,7 +42,7 @@
 // TestEnginesKeepToTheirPart guards against evading slow engines by crowding onto a few others.
 func TestEnginesKeepToTheirPart(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			got := runPolicy(EngineFleet(seed), WithSpeed)
 			assert.Assert(t, got.LargestPart <= aimedPart, "%.2f times its part", got.LargestPart)
 		})
