--- a/place/uneven.go
+++ b/place/uneven.go
@@ -5,14 +5,14 @@
 	"math/bits"
 )
 
-// With readings of the targets' load, a choice also answers targets that are slow or full for a
-// short time. All entries see the same readings, some hundred milliseconds late: if each chose the
+// With readings of the targets' load, a choice also accounts for targets that are slow or full
+// for a short time. All entries see the same readings, some hundred milliseconds late: if each chose the
 // cheapest target, all would choose the same one until the next reading. The choice among the
 // candidates of a pass is therefore random by the request's hash, with weights.
 
 const (
 	// spreadCost is the additional cost at which a target gets 1/e of the requests of another one,
-	// in milliseconds, if readings tell nothing about the load of now; minSpreadCost if they tell all.
+	// in milliseconds, if readings tell nothing about the current load; minSpreadCost if they tell all.
 	// It spreads then about as much as tieBreakCost.
 	spreadCost    = 6.0
 	minSpreadCost = 1.0
@@ -29,12 +29,12 @@
 	// minSlowdown is the least slowdown that counts. Less is what remains of an old reading, and must not
 	// spread the requests of idle targets to other failure domains.
 	minSlowdown = 1.05
-	// maxSlowdown is the largest slowdown that is believed.
+	// maxSlowdown is the largest slowdown that counts.
 	maxSlowdown = 10.0
 	// minWaiting is the least number of waiting requests that counts. Less is what remains of an
 	// old reading.
 	minWaiting = 0.5
-	// maxWaiting is the largest number of waiting requests that is believed.
+	// maxWaiting is the largest number of waiting requests that counts.
 	maxWaiting = 1000.0
 	// readingAge is the usual age of a reading, in milliseconds.
 	readingAge = 150.0
--- a/trial/uneven.go
+++ b/trial/uneven.go
@@ -28,6 +28,8 @@
 	// PartWindow is the time over which the parts of targets are compared, long enough for some
 	// hundred requests to each, so that random variation is small.
 	PartWindow time.Duration
+	// Patience is how long a request can wait for a slot, which limits the requests at a target.
+	Patience time.Duration
 	// Duration is the end of the load.
 	Duration time.Duration
 }
@@ -56,9 +58,6 @@
 	// LargestPart is the largest part of the requests in a PartWindow that a target received, as a
 	// multiple of its fair part, which is in proportion to its speed at each moment.
 	LargestPart float64
-	// LargestLoad is the load of the busiest target as a multiple of the mean load, exceeded in one of
-	// a hundred moments with a mean of at least four requests.
-	LargestLoad float64
 	// SlowPart is the part of the requests that began at a slow target. Misses is the part that read
 	// a shared prefix.
 	SlowPart, Misses float64
@@ -91,16 +90,18 @@
 	newPrefixRatio = 0.04
 	unevenShared   = 6000
 	unevenOwn      = 500
+	// shortlistSize is the number of targets with room that a choice evaluates besides the holders of
+	// the prefix, as in package board.
+	shortlistSize = 16
 	// sampleInterval is the resolution of readings.
 	sampleInterval = 10 * time.Millisecond
-	minSampledMean = 4
 )
 
 // PlainFleet returns the plain service of the pairing fleet, see docs/hard-load.md.
 func PlainFleet(seed uint64) UnevenConfig {
 	return UnevenConfig{
 		Seed: seed, Targets: 3, Slots: 6, Rate: 100.7, SlowRatio: 0.15,
-		PartWindow: 10 * time.Second, Duration: 5 * time.Minute,
+		PartWindow: 10 * time.Second, Patience: 60 * time.Millisecond, Duration: 5 * time.Minute,
 	}
 }
 
@@ -108,7 +109,7 @@
 func EngineFleet(seed uint64) UnevenConfig {
 	return UnevenConfig{
 		Seed: seed, Targets: 55, Slots: 64, Rate: 287, Engine: true, SlowRatio: 0.15,
-		PartWindow: time.Minute, Duration: 5 * time.Minute,
+		PartWindow: time.Minute, Patience: 500 * time.Millisecond, Duration: 5 * time.Minute,
 	}
 }
 
@@ -147,12 +148,8 @@
 	s.after(0, s.arrive)
 	s.runUntil(cfg.Duration)
 	slices.Sort(s.firstBytes)
-	slices.Sort(s.loads)
 	r := s.result
 	r.P50, r.P99, r.P999 = quantile(s.firstBytes, 0.5), quantile(s.firstBytes, 0.99), quantile(s.firstBytes, 0.999)
-	if len(s.loads) > 0 {
-		r.LargestLoad = quantile(s.loads, 0.99)
-	}
 	r.SlowPart, r.Misses = ratio(s.slow, len(s.firstBytes)), ratio(s.misses, len(s.firstBytes))
 	return r
 }
--- a/trial/uneven_run.go
+++ b/trial/uneven_run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"chestnutstep.example/chestnutstep/admit"
 	"chestnutstep.example/chestnutstep/place"
 )
 
@@ -21,10 +22,12 @@
 	// prefixes holds the keys of the prefixes in use.
 	prefixes   []uint64
 	nextPrefix uint64
-	list       []place.Candidate
+	// all holds every target as the entry sees it, list the candidates of a choice and indexes their
+	// indexes in targets.
+	all, list  []place.Candidate
+	indexes    []int
 	arrived    int
 	firstBytes []time.Duration
-	loads      []float64
 	slow       int
 	misses     int
 	result     UnevenResult
@@ -108,21 +111,15 @@
 // sample records a reading of each target, and the part of the last arrivals that would have been
 // fair for it.
 func (s *unevenRun) sample() {
-	speed, sum, most := 0.0, 0, 0
+	speed := 0.0
 	for _, g := range s.targets {
 		g.readings = append(g.readings, g.reading(s.now))
 		speed += 1 / g.slowdown
-		n := g.running + len(g.waiting)
-		sum += n
-		most = max(most, n)
 	}
 	for _, g := range s.targets {
 		g.fair += float64(s.arrived) / g.slowdown / speed
 	}
 	s.arrived = 0
-	if mean := float64(sum) / float64(len(s.targets)); mean >= minSampledMean {
-		s.loads = append(s.loads, float64(most)/mean)
-	}
 }
 
 func (s *unevenRun) closeWindow() {
@@ -182,23 +179,47 @@
 		return s.earliest(r)
 	}
 	var totals place.Totals
-	s.list = s.list[:0]
+	s.all = s.all[:0]
 	for i, g := range s.targets {
-		s.list = append(s.list, s.candidate(r, i, g))
-		totals.Add(&s.list[i])
+		s.all = append(s.all, s.candidate(r, i, g))
+		totals.Add(&s.all[i])
 	}
 	req := place.Request{Key: r.key, Ceiling: totals.Ceiling(0)}
 	if s.cfg.Engine {
 		req.Tokens, req.Shared = unevenShared+unevenOwn, unevenShared
 	}
-	rank := 0
-	s.ring.Walk(r.key, func(i int) bool {
-		rank++
-		s.list[i].HashRank = rank
-		return rank < place.HashCandidates
-	})
+	s.shortlist(&req)
 	c, _ := place.Pick(s.list, place.Donor{}, req)
-	return c.Index
+	return s.indexes[c.Index]
+}
+
+// shortlist selects the candidates as package board does: in the order of the request's hash until
+// enough of them have room, plus those that hold the prefix.
+func (s *unevenRun) shortlist(req *place.Request) {
+	s.list, s.indexes = s.list[:0], s.indexes[:0]
+	listed, fitting := make([]bool, len(s.all)), 0
+	add := func(i int) {
+		listed[i] = true
+		s.list, s.indexes = append(s.list, s.all[i]), append(s.indexes, i)
+	}
+	s.ring.Walk(req.Key, func(i int) bool {
+		if len(s.list) < place.HashCandidates {
+			s.all[i].HashRank = len(s.list) + 1
+		}
+		add(i)
+		if s.all[i].Fits(req.Ceiling) {
+			fitting++
+		}
+		return fitting < shortlistSize
+	})
+	if req.Shared == 0 {
+		return
+	}
+	for i := range s.all {
+		if !listed[i] && s.all[i].CachedTokens >= place.MinHolderTokens(req.Shared) {
+			add(i)
+		}
+	}
 }
 
 // candidate returns a target as an entry sees it.
@@ -208,6 +229,7 @@
 	if s.cfg.Engine {
 		c.Hold = milliseconds(streamTime)
 	}
+	c.Limit = admit.Capacity(s.cfg.Slots, time.Duration(c.Hold*float64(time.Millisecond)), s.cfg.Patience)
 	if g.cached[r.key] {
 		c.CachedTokens = unevenShared
 	}
