Merge placement with uneven targets

Cause: slow targets got as many requests as the others, and entries with the same old readings chose the same target.

--- a/board/board.go
+++ b/board/board.go
@@ -204,6 +204,7 @@
 		Waiting:       r.waiting,
 		Reported:      r.weight > 0,
 		Slowdown:      r.slowdown,
+		Hold:          float64(l.serviceTime) / float64(time.Millisecond),
 		Limit:         limit,
 		Unreported:    b.unreported(r.recentSent, limit),
 		PendingTokens: float64(s.pendingTokens + pendingTokensUnit*int(b.peerLoads[m.key].PendingPrefill)),
--- a/place/place.go
+++ b/place/place.go
@@ -71,6 +71,9 @@
 	// Slowdown is how long work takes at the target relative to its usual speed, as it reported. 0
 	// and 1 mean the usual speed.
 	Slowdown float64
+	// Hold is how long a request holds a slot on average, in milliseconds; 0 if unknown. It is used
+	// only with readings.
+	Hold float64
 	// Limit is the number of requests below which one more starts in time; 0 for no limit.
 	Limit float64
 	// PendingTokens is the number of prompt tokens that were sent and are not read yet.
@@ -95,8 +98,10 @@
 func (c *Candidate) hasCapacity() bool { return c.Limit <= 0 || c.Running+c.Unreported < c.Limit }
 
 // Fits reports whether one more request would start in time and keep the load at or below the
-// ceiling.
-func (c *Candidate) Fits(ceiling float64) bool { return c.hasCapacity() && c.Running+1 <= ceiling }
+// ceiling. A target that is full by its reading has no slot soon.
+func (c *Candidate) Fits(ceiling float64) bool {
+	return c.hasCapacity() && c.Running+1 <= ceiling && !isFull(c)
+}
 
 // Totals sums up the targets that can take a request.
 type Totals struct {
@@ -178,6 +183,10 @@
 	Shared int
 	// Ceiling is the load that no target should exceed, see Totals.Ceiling.
 	Ceiling float64
+	// readings sums up the candidates' readings, and firstRank is the hash rank of the target that
+	// reads a new prefix.
+	readings  readings
+	firstRank int
 }
 
 // Choice is the chosen target and whether it fetches the prefix.
@@ -197,11 +206,16 @@
 
 // Pick returns the best candidate, or false if there is none. It considers, in this order:
 // holders of the prefix and the first target by hash (if the request shares enough tokens), both
-// with the other targets by hash, all targets below the ceiling, all with capacity, all targets.
+// with the other targets by hash, all targets below the ceiling, the same regardless of readings, all
+// with capacity, all targets.
 // Thus entries that need a new prefix at the same moment send it to the same target, where it is
-// read once.
+// read once. A slow target is not the first for a new prefix, and if any target is reported slow or
+// full, the choice is spread, see readings.spread, and suspected targets are left to the pass that
+// ignores the readings.
 func Pick(list []Candidate, donor Donor, req Request) (Choice, bool) {
-	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, withCapacity, anyTarget}
+	req.readings = sumUp(list, &req)
+	req.firstRank = firstRank(list, &req)
+	passes := [...]func(c *Candidate, req *Request) bool{holderOrFirst, holderOrHashed, belowCeiling, underCeiling, withCapacity, anyTarget}
 	for _, allowed := range passes {
 		if best := cheapest(list, donor, &req, allowed); best.Index >= 0 {
 			return best, true
@@ -211,16 +225,25 @@
 }
 
 func holderOrFirst(c *Candidate, req *Request) bool {
-	return req.Shared >= minFetchTokens && belowCeiling(c, req) && (isHolder(c, req) || c.HashRank == 1)
+	return req.Shared >= minFetchTokens && belowCeiling(c, req) && (isHolder(c, req) || c.HashRank > 0 && c.HashRank == req.firstRank)
 }
 
 func holderOrHashed(c *Candidate, req *Request) bool {
-	return belowCeiling(c, req) && (isHolder(c, req) || c.HashRank > 0)
+	return belowCeiling(c, req) && (isHolder(c, req) || c.HashRank > 0 && req.readings.takesPrefix(c, req))
 }
 
-func belowCeiling(c *Candidate, req *Request) bool { return c.Fits(req.Ceiling) }
+func belowCeiling(c *Candidate, req *Request) bool {
+	return underCeiling(c, req) && req.readings.isUsable(c) && (req.readings.allFull || !isFull(c))
+}
 
-func withCapacity(c *Candidate, _ *Request) bool { return c.hasCapacity() }
+// underCeiling ignores the readings: a queue at one target must not put another one above the ceiling.
+func underCeiling(c *Candidate, req *Request) bool {
+	return c.hasCapacity() && c.Running+1 <= req.Ceiling
+}
+
+func withCapacity(c *Candidate, req *Request) bool {
+	return c.hasCapacity() && req.readings.isUsable(c)
+}
 
 func anyTarget(*Candidate, *Request) bool { return true }
 
@@ -239,41 +262,53 @@
 // it.
 func isHolder(c *Candidate, req *Request) bool { return c.CachedTokens >= MinHolderTokens(req.Shared) }
 
-// cheapest returns the candidate with the lowest cost among the allowed ones.
+// cheapest returns the allowed candidate with the lowest cost, or if the targets are uneven, with
+// the lowest spread cost.
 func cheapest(list []Candidate, donor Donor, req *Request, allowed func(c *Candidate, req *Request) bool) Choice {
-	best := Choice{Index: -1, Cost: math.Inf(1)}
+	best, lowest := Choice{Index: -1}, math.Inf(1)
 	for i := range list {
-		if !allowed(&list[i], req) {
+		c := &list[i]
+		if !allowed(c, req) {
 			continue
 		}
-		cost, fetch := expectedCost(&list[i], donor, req)
-		if cost < best.Cost {
-			best = Choice{Index: i, Cost: cost, Fetch: fetch}
+		cost, fetch := expectedCost(c, donor, req)
+		score := cost
+		if req.readings.uneven {
+			score = req.readings.spread(c, req.Key, cost)
+		}
+		if score < lowest {
+			best, lowest = Choice{Index: i, Cost: cost, Fetch: fetch}, score
 		}
 	}
 	return best
 }
 
 // expectedCost returns the expected time to the first byte in milliseconds, and whether
-// fetching the prefix shortens it.
+// fetching the prefix shortens it. All work at a slow target takes longer. Ties are broken here
+// unless the cost is spread.
 func expectedCost(c *Candidate, donor Donor, req *Request) (float64, bool) {
-	ms := c.Running*LoadCost + c.PendingTokens/PrefillRate + c.FailureRatio*failureCost
+	slow := req.readings.slowdown(c)
+	ms := slow*(req.readings.relevance(c)*c.Running*LoadCost+c.PendingTokens/PrefillRate) + c.FailureRatio*failureCost
+	excess := req.readings.waiting(c)
 	if c.Slots > 0 && c.Running >= float64(c.Slots) {
-		ms += (c.Running - float64(c.Slots) + 1) * queueCost
+		excess = max(excess, c.Running-float64(c.Slots)+1)
 	}
+	ms += slow * req.readings.relevance(c) * excess * req.readings.slotWait(c)
 	if c.OtherDomain {
 		ms += otherDomainCost
 	}
 	if c.Suspected {
 		ms += suspectCost
 	}
-	ms += tieBreakCost * unitHash(c.ID, req.Key)
+	if !req.readings.uneven {
+		ms += tieBreakCost * unitHash(c.ID, req.Key)
+	}
 	missing := float64(max(req.Tokens-c.CachedTokens, 0))
 	gain := donor.CachedTokens - c.CachedTokens
 	if donor.ID == c.ID || gain < minFetchTokens {
-		return ms + missing/PrefillRate, false
+		return ms + slow*missing/PrefillRate, false
 	}
-	return ms + float64(gain)/FetchRate + (missing-float64(gain))/PrefillRate + fetchCost, true
+	return ms + float64(gain)/FetchRate + slow*(missing-float64(gain))/PrefillRate + fetchCost, true
 }
 
 const (
