place: less work in a choice without readings

Cause: without readings Pick still looked at trust, probes and queues of each candidate. Change: slowdown, waiting and isFull return at once while targets are not uneven. The weight is still computed up to three times per candidate.

--- a/place/place.go
+++ b/place/place.go
@@ -219,7 +219,7 @@
 }
 
 func belowCeiling(c *Candidate, req *Request) bool {
-	return underCeiling(c, req) && req.readings.isUsable(c) && (req.readings.allFull || !isFull(c))
+	return underCeiling(c, req) && req.readings.isUsable(c) && !req.readings.isFull(c)
 }
 
 // underCeiling ignores the readings: a queue at one target must not put another one above the ceiling.
--- a/place/uneven.go
+++ b/place/uneven.go
@@ -155,14 +155,20 @@
 // busier the others are must not outweigh that a host did not answer.
 func (r *readings) isUsable(c *Candidate) bool { return !r.uneven || !c.Suspected || !r.unsuspected }
 
+// isFull reports whether a target is left out because it has no slot soon.
+func (r *readings) isFull(c *Candidate) bool { return r.uneven && !r.allFull && isFull(c) }
+
 // slowdown returns the slowdown that counts for a target. One that is not trusted has no advantage
 // over the trusted ones by its speed.
 func (r *readings) slowdown(c *Candidate) float64 {
+	if !r.uneven {
+		return 1
+	}
 	slow := c.slowdown()
 	if r.isProbe(c) {
 		slow = 1
 	}
-	if r.uneven && !isTrusted(c) {
+	if !isTrusted(c) {
 		slow = max(slow, r.fastest)
 	}
 	return slow
@@ -176,7 +182,10 @@
 
 // waiting returns the number of waiting requests that counts for a target, as slowdown does.
 func (r *readings) waiting(c *Candidate) float64 {
-	if r.uneven && !isTrusted(c) {
+	if !r.uneven {
+		return 0
+	}
+	if !isTrusted(c) {
 		return max(c.waiting(), r.shortest)
 	}
 	return c.waiting()
