relay: the loser of a race keeps its own failure

Once the other attempt had an answer, the loser's result was discarded: a target that was full, refused the connection or broke it just before that counted as outraced, so neither its health nor the crash tracker saw the failure.

The result is kept. An error that is not the cancellation is recorded as ever, with the proof awaited before the content is cleared; the loser's run is recorded as "maybe" only without a result of its own. A connection that was being opened at the cancellation is no refusal.

TestLoserKeepsItsOwnFailure fails before this change (no failure recorded for a 503) and passes with it. TestCanceledDialIsNoRefusal fails without the case of the dial, and passes with it. go test ./relay -run 'Hedge|Leaves|Loser|Race|Dial': ok.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -1,14 +1,18 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/hedge"
+	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/roster"
 )
 
@@ -112,27 +116,47 @@
 	x.deliver()
 	// The handler returns only when the loser has ended.
 	_ = http.NewResponseController(r.w).Flush() // fails if the caller has left
-	r.attempts.Record(chestnutstep.RunMaybe)
 	x.serve()
+	got := <-r.results
+	switch {
+	case got.err == nil || loser.isCanceled(got.err):
+		loser.lose(got.err)
+	default: // failed before it was canceled
+		loser.fail(got.err)
+		r.awaitProof(loser.proof) // as in decide
+	}
 	x.clear()
-	<-r.results
-	loser.lose()
 	r.logHedge(r.name(x))
 }
 
+// isCanceled reports whether the error of an attempt that was canceled is the cancellation, and not its own.
+func (x *attempt) isCanceled(err error) bool {
+	var e link.ErrCall
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Reason {
+	case chestnutstep.ReasonCanceled:
+		return true
+	case chestnutstep.ReasonTimeout:
+		return x.ctx.Err() != nil
+	case chestnutstep.ReasonDown: // the connection was being opened
+		return errors.Is(e.Err, context.Canceled)
+	}
+	return false
+}
+
 // lose records an attempt that was canceled because the other one has won. If its answer was complete
-// by then, it counts as one.
-func (x *attempt) lose() {
-	outcome := board.Outraced
-	if x.answer != nil {
-		outcome = board.Served
-		if x.answer.status >= http.StatusInternalServerError {
-			outcome = board.Failed
-		}
+// by then, err is nil and it counts as one.
+func (x *attempt) lose(err error) {
+	outcome, run := board.Outraced, chestnutstep.RunMaybe
+	if err == nil {
+		outcome, run = board.Served, chestnutstep.RunYes
 		x.segments.put(x.answer)
 	}
 	now := clock.Now()
 	x.atTarget.End(now, outcome)
+	x.attempts.Record(run)
 	x.observe(now)
 	x.Meters.Tries.Add(1, x.service.Name, "outraced")
 }
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,9 +14,11 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/crash"
 	"chestnutstep.example/chestnutstep/event"
@@ -23,18 +26,20 @@
 	"chestnutstep.example/chestnutstep/stand"
 )
 
-// hedgeLog collects how hedges ended, and counts the targets that ended.
+// hedgeLog collects how hedges ended and why attempts failed, and counts the targets that ended.
 type hedgeLog struct {
-	mu    sync.Mutex
-	won   []string
-	ended int
+	mu     sync.Mutex
+	won    []string
+	failed []string
+	ended  int
 }
 
 // Write takes one line of the log.
 func (l *hedgeLog) Write(b []byte) (int, error) {
 	var line struct {
-		Event event.ID
-		Won   string
+		Event  event.ID
+		Won    string
+		Reason string
 	}
 	if err := json.NewDecoder(bytes.NewReader(b)).Decode(&line); err != nil {
 		return 0, err
@@ -44,6 +49,8 @@
 	switch line.Event {
 	case event.RelayHedged:
 		l.won = append(l.won, line.Won)
+	case event.RelayFailed:
+		l.failed = append(l.failed, line.Reason)
 	case event.TargetEnded:
 		l.ended++
 	}
@@ -53,7 +60,13 @@
 // newHedged returns a testRelay that hedges after 50 ms, so that the first target has the request by then.
 func newHedged(t *testing.T, ratio float64) (*testRelay, *hedgeLog) {
 	t.Helper()
-	g, l := newTestRelayWithTimeout(t, 3*stallTimeout), &hedgeLog{}
+	return newHedgedOf(t, ratio, "i-a", "i-b", "i-c")
+}
+
+// newHedgedOf is like newHedged, with the named targets.
+func newHedgedOf(t *testing.T, ratio float64, names ...string) (*testRelay, *hedgeLog) {
+	t.Helper()
+	g, l := newTestRelayOf(t, 3*stallTimeout, names...), &hedgeLog{}
 	g.relay.Log = &event.Log{Out: l}
 	g.relay.Crashes.Log = g.relay.Log
 	g.relay.Hedger = &hedge.Hedger{Ratio: ratio}
@@ -162,6 +175,71 @@
 	}
 }
 
+// holdingCodec holds each answer that is no signed 200 until release is closed.
+type holdingCodec struct {
+	chestnutstep.HeaderCodec
+	release chan struct{}
+}
+
+func (c holdingCodec) TargetHeaders(status int, h http.Header) chestnutstep.TargetHeaders {
+	got := c.HeaderCodec.TargetHeaders(status, h)
+	if status != http.StatusOK || !got.IsSigned {
+		<-c.release
+	}
+	return got
+}
+
+// TestLoserKeepsItsOwnFailure guards against failures that are taken for a cancellation because they arrive
+// while the answer of the other target is sent: a full target would get the next request, too.
+func TestLoserKeepsItsOwnFailure(t *testing.T) {
+	for first, reason := range map[stand.Behaviour]string{stand.Shed: "full", stand.Fails: "crashed", stand.Unsigned: "short"} {
+		g, l := newHedged(t, 1)
+		codec := holdingCodec{g.relay.Codec, make(chan struct{})}
+		g.relay.Codec = codec
+		g.order.Set(first, stand.Normal)
+		assert.Equal(t, g.doRequest(t, "safe"), "200 signed whole")
+		close(codec.release)
+		g.awaitIdle(t)
+		assert.DeepEqual(t, l.won, []string{"second"})
+		assert.DeepEqual(t, l.failed, []string{reason})
+		assert.Equal(t, g.relay.Hedger.IsShort(clock.Now(), "shop"), first == stand.Shed)
+	}
+}
+
+// addFullListener adds a target that accepts no connection and refuses none, as its backlog is full.
+func (g *testRelay) addFullListener(t *testing.T) {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	assert.NilError(t, unix.Listen(fd, 0))
+	name, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	g.roster.Apply(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Facts: []chestnutstep.Fact{{
+		Kind: chestnutstep.FactInstance, Name: "i-full", Revision: 9,
+		Instance: &chestnutstep.Instance{ID: "i-full", Service: "shop", Address: address, Domain: "d", Slots: 8, Build: "1"},
+	}}}, false)
+}
+
+// TestCanceledDialIsNoRefusal guards against a target that counts as unreachable because its connection was
+// being opened when the other target answered.
+func TestCanceledDialIsNoRefusal(t *testing.T) {
+	g, l := newHedgedOf(t, 1, "i-a")
+	g.addFullListener(t)
+	g.order.Set(stand.Slow) // less than a dial may take
+	assert.Equal(t, g.doRequest(t, "safe"), "200 signed whole")
+	g.awaitIdle(t)
+	assert.Equal(t, len(l.won), 1)
+	assert.Equal(t, len(l.failed), 0, "%v", l.failed)
+}
+
 // TestTargetDiesWhileRaced guards against a death that is not seen because another target answers, and against
 // a content that stays accused of it although it was served.
 func TestTargetDiesWhileRaced(t *testing.T) {
