hedge: answers before a quiet time are not used again

The first answer after a pause began a new histogram and kept the former one as the older, with a new time, so that a hedge could follow latencies of any age.

Each histogram has the time of its last answer. The older one is dropped, and the sum with it, once that is older than maxAge; a route without any answer within maxAge is unknown.

TestDelayFollowsLoad, with one answer after ten minutes, fails before and passes now. go test ./hedge: ok.

--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -78,6 +78,11 @@
 	now = now.Add(10 * time.Minute)
 	_, ok = h.Plan(now, "s", "r")
 	assert.Assert(t, !ok, "planned by answers that are ten minutes old")
+	h.Observe(now, "r", time.Millisecond)
+	_, ok = h.Plan(now, "s", "r")
+	assert.Assert(t, !ok, "planned by one answer and those that are ten minutes old")
+	observe(100, time.Millisecond)
+	near(95 * time.Millisecond)
 }
 
 // TestDelayUsesTheWholeBudget guards against a budget that is left over where only some of a service's
--- a/hedge/route.go
+++ b/hedge/route.go
@@ -28,7 +28,8 @@
 // replaced when the newer is full or old.
 type route struct {
 	newer, older *hdrhistogram.Histogram
-	newerAt      clock.Stamp
+	// newerAt is when the newer one began; newerLast and olderLast are the times of their last answers.
+	newerAt, newerLast, olderLast clock.Stamp
 	// all is the sum of both when samples was allSamples.
 	all                 *hdrhistogram.Histogram
 	samples, allSamples int64
@@ -39,28 +40,33 @@
 		r.rotate(now)
 	}
 	_ = r.newer.RecordValue(min(max(int64(d/unit), 1), int64(maxLatency/unit))) // within its range
+	r.newerLast = now
 	r.samples++
 }
 
+// rotate makes the newer histogram the older one, unless its answers are too old, and begins a new one.
 func (r *route) rotate(now clock.Stamp) {
 	spare := r.older
 	if spare == nil {
 		spare = newHistogram()
 	}
 	spare.Reset()
-	r.older = r.newer
+	r.older, r.olderLast = r.newer, r.newerLast
 	r.newer, r.newerAt = spare, now
+	r.dropOld(now)
 }
 
-// isKnown reports whether enough recent answers are known, and drops those that are too old.
-func (r *route) isKnown(now clock.Stamp) bool {
-	if r.older != nil && now.Sub(r.newerAt) > maxAge {
+// dropOld drops the older histogram if its answers are too old.
+func (r *route) dropOld(now clock.Stamp) {
+	if r.older != nil && now.Sub(r.olderLast) > maxAge {
 		r.older, r.all = nil, nil
 	}
-	if now.Sub(r.newerAt) > 2*maxAge {
-		return false
-	}
-	return r.count() >= minSamples
+}
+
+// isKnown reports whether enough recent answers are known, and drops those that are too old.
+func (r *route) isKnown(now clock.Stamp) bool {
+	r.dropOld(now)
+	return now.Sub(r.newerLast) <= maxAge && r.count() >= minSamples
 }
 
 func (r *route) count() int64 {
