relay: the answer after a failed attempt of a race is sent at once

When one attempt had failed and the other had an answer, that stayed in the buffer of the caller's connection until the other target was probed, up to 50 ms.

deliverNow delivers and flushes, for both ways in which a race is won.

TestAnswerIsSentAtOnce fails before (the answer came only with the end of the handler) and passes now.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -103,19 +103,24 @@
 		return false, err
 	}
 	r.logHedge(r.name(last.attempt))
-	last.attempt.deliver()
+	last.attempt.deliverNow()
 	last.attempt.serve()
 	r.awaitProof(got.attempt.proof) // the loss of the other target must not count after the content was cleared
 	last.attempt.clear()
 	return true, nil
 }
 
+// deliverNow sends a complete answer to the caller at once, as the handler returns only when the other attempt
+// has ended and its target was probed.
+func (x *attempt) deliverNow() {
+	x.deliver()
+	_ = http.NewResponseController(x.w).Flush() // fails if the caller has left
+}
+
 // win sends the answer of an attempt to the caller and cancels the other one.
 func (r *race) win(x, loser *attempt) {
 	loser.cancel()
-	x.deliver()
-	// The handler returns only when the loser has ended.
-	_ = http.NewResponseController(r.w).Flush() // fails if the caller has left
+	x.deliverNow()
 	x.serve()
 	got := <-r.results
 	switch {
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -32,6 +32,10 @@
 	won    []string
 	failed []string
 	ended  int
+	// answered, if set, is closed when the caller has its answer; until then, the line of a request that
+	// was served is held, and noAnswer counts the lines that were held in vain.
+	answered chan struct{}
+	noAnswer int
 }
 
 // Write takes one line of the log.
@@ -46,6 +50,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if line.Event == event.RelayDone && l.answered != nil {
+		select {
+		case <-l.answered:
+		case <-time.After(stallTimeout / 2):
+			l.noAnswer++
+		}
+	}
 	switch line.Event {
 	case event.RelayHedged:
 		l.won = append(l.won, line.Won)
@@ -240,6 +251,21 @@
 	assert.Equal(t, len(l.failed), 0, "%v", l.failed)
 }
 
+// TestAnswerIsSentAtOnce guards against an answer that stays in the buffer of its connection while the entry
+// awaits the proof of the other target's end.
+func TestAnswerIsSentAtOnce(t *testing.T) {
+	for _, order := range [][]stand.Behaviour{{stand.Hangs, stand.Normal}, {stand.Late + stand.Resets, stand.Late + stand.Late + stand.Normal}} {
+		g, l := newHedged(t, 1)
+		l.answered = make(chan struct{})
+		g.order.Set(order...)
+		assert.Equal(t, g.doRequest(t, "safe"), "200 signed whole")
+		close(l.answered)
+		g.awaitIdle(t)
+		assert.Equal(t, l.noAnswer, 0)
+		assert.DeepEqual(t, l.won, []string{"second"})
+	}
+}
+
 // TestTargetDiesWhileRaced guards against a death that is not seen because another target answers, and against
 // a content that stays accused of it although it was served.
 func TestTargetDiesWhileRaced(t *testing.T) {
