relay: a panic in one attempt of a race does not end the entry

net/http recovers panics of a handler, but the attempts of a race run in goroutines of their own, so that a panic there ended the process with all requests.

attempt.run recovers and reports "maybe run" and "link" as the result, whose log line has the panic and its stack.

TestPanicEndsOnlyItsAttempt ends the test process before and passes now.

--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,8 +34,18 @@
 	taken, budget float64
 }
 
-// run exchanges the request and reports the result.
-func (x *attempt) run(results chan<- result) { results <- result{x, x.exchange()} }
+// run exchanges the request and reports the result. A panic, which would end the process here and only the
+// request in the handler's goroutine, is the failure of the attempt.
+func (x *attempt) run(results chan<- result) {
+	got := result{attempt: x}
+	defer func() {
+		if v := recover(); v != nil {
+			got.err = link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonLink, Err: errors.Newf("panic: %v\n%s", v, debug.Stack())}
+		}
+		results <- got
+	}()
+	got.err = x.exchange()
+}
 
 // isHedgeable reports whether the request can be sent to a second target at the same time. An engine would
 // read its prompt in vain.
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -266,6 +266,35 @@
 	}
 }
 
+// panickingCodec panics at each answer with status 500.
+type panickingCodec struct{ chestnutstep.HeaderCodec }
+
+func (c panickingCodec) TargetHeaders(status int, h http.Header) chestnutstep.TargetHeaders {
+	if status == http.StatusInternalServerError {
+		panic("status 500")
+	}
+	return c.HeaderCodec.TargetHeaders(status, h)
+}
+
+// TestPanicEndsOnlyItsAttempt guards against a fault in one attempt that ends the entry with all its requests.
+func TestPanicEndsOnlyItsAttempt(t *testing.T) {
+	for _, c := range []struct {
+		order []stand.Behaviour
+		want  string
+	}{
+		{[]stand.Behaviour{stand.Fails, stand.Normal}, "200 signed whole"},
+		{[]stand.Behaviour{stand.Late + stand.Fails, stand.Late + stand.Late + stand.Normal}, "200 signed whole"},
+		{[]stand.Behaviour{stand.Late + stand.Fails, stand.Fails}, "502"},
+	} {
+		g, l := newHedged(t, 1)
+		g.relay.Codec = panickingCodec{g.relay.Codec}
+		g.order.Set(c.order...)
+		assert.Equal(t, g.doRequest(t, "safe"), c.want)
+		g.awaitIdle(t)
+		assert.Assert(t, len(l.failed) > 0 && l.failed[0] == "link", "%v", l.failed)
+	}
+}
+
 // TestTargetDiesWhileRaced guards against a death that is not seen because another target answers, and against
 // a content that stays accused of it although it was served.
 func TestTargetDiesWhileRaced(t *testing.T) {
