relay: the earlier order of what ends an attempt

With the state of an attempt in its own type, the witness was released before the failure was recorded and its proof awaited, and the log said that a request was served before its content was cleared. Neither was intended, and both held without hedges too.

The witness is released when the attempt has ended, and recordDone follows clear. As that is later in a race, the time of the answer is taken when the caller has it.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -40,6 +40,8 @@
 	endState string
 	// isCloseDelimited reports whether the end of the answer does not prove that the target lives.
 	isCloseDelimited bool
+	// servedIn is the time until the caller had the answer, without that until a racing attempt has ended.
+	servedIn time.Duration
 	// answer is the answer if it was read to its end and is not a stream.
 	answer *bufferedAnswer
 }
@@ -72,10 +74,15 @@
 	}
 }
 
+// end releases what an attempt holds, after its result was recorded.
+func (x *attempt) end() {
+	x.releaseWitness()
+	x.cancel()
+}
+
 // exchange sends the request and reads the answer. Events of a stream go to the caller at once, other
 // answers are kept.
 func (x *attempt) exchange() error {
-	defer x.releaseWitness()
 	witness := x.prepareWitness(x.target)
 	answer, err := x.send()
 	if err != nil {
@@ -114,6 +121,7 @@
 	x.deliver()
 	x.serve()
 	x.clear()
+	x.recordDone()
 	return true, nil
 }
 
@@ -139,7 +147,7 @@
 	x.atTarget.End(now, board.Served)
 	x.observe(now)
 	x.attempts.Record(chestnutstep.RunYes)
-	x.recordDone()
+	x.servedIn = time.Since(x.startedAt)
 }
 
 // clear records that the content was served to its end.
--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -66,12 +66,12 @@
 func (q *request) race(c *board.Choice, plan hedge.Plan) (done bool, err error) {
 	r := &race{request: q, plan: plan, results: make(chan result, 2)}
 	r.first = q.start(c, q.attempts.Sent+1)
-	defer r.first.cancel()
+	defer r.first.end()
 	go r.first.run(r.results)
 	if got := r.awaitFirst(); got != nil {
 		return got.attempt.finish(got.err)
 	}
-	defer r.second.cancel()
+	defer r.second.end()
 	return r.decide()
 }
 
@@ -118,6 +118,7 @@
 	last.attempt.serve()
 	r.awaitProof(got.attempt.proof) // the loss of the other target must not count after the content was cleared
 	last.attempt.clear()
+	last.attempt.recordDone()
 	return true, nil
 }
 
@@ -142,6 +143,7 @@
 		r.awaitProof(loser.proof) // as in decide
 	}
 	x.clear()
+	x.recordDone()
 	r.logHedge(r.name(x))
 }
 
--- a/relay/hedge_test.go
+++ b/relay/hedge_test.go
@@ -36,6 +36,8 @@
 	// was served is held, and noAnswer counts the lines that were held in vain.
 	answered chan struct{}
 	noAnswer int
+	// onDone, if set, is called with each line of a request that was served.
+	onDone func()
 }
 
 // Write takes one line of the log.
@@ -57,6 +59,9 @@
 			l.noAnswer++
 		}
 	}
+	if line.Event == event.RelayDone && l.onDone != nil {
+		l.onDone()
+	}
 	switch line.Event {
 	case event.RelayHedged:
 		l.won = append(l.won, line.Won)
@@ -295,6 +300,33 @@
 	}
 }
 
+// TestContentIsClearedBeforeItsEndIsLogged guards against a content that is accused of the end of a target after the
+// log says that it was served, without hedges too.
+func TestContentIsClearedBeforeItsEndIsLogged(t *testing.T) {
+	g, l := newHedged(t, 1)
+	g.relay.Hedger = nil
+	content, lines, suspect := crash.Fingerprint("ws", "POST /safe/x", []byte("body")), 0, false
+	l.onDone = func() {
+		lines++
+		suspect = g.relay.Crashes.IsSuspect(clock.Now(), []uint64{content})
+	}
+	g.order.Set(stand.Hangs, stand.Late+stand.Normal)
+	got := make(chan string)
+	go func() { got <- send(t, g.server, "safe", "req-dies", "body") }()
+	g.waitArrived(t, 1)
+	for _, x := range g.targets {
+		if len(x.Runs()) > 0 {
+			x.Kill(true)
+		}
+	}
+	g.waitArrived(t, 2)
+	assert.Assert(t, g.relay.Crashes.IsSuspect(clock.Now(), []uint64{content}), "the end of the target was not seen")
+	assert.Equal(t, <-got, "200 signed whole")
+	g.awaitIdle(t)
+	assert.Equal(t, lines, 1)
+	assert.Assert(t, !suspect)
+}
+
 // TestTargetDiesWhileRaced guards against a death that is not seen because another target answers, and against
 // a content that stays accused of it although it was served.
 func TestTargetDiesWhileRaced(t *testing.T) {
--- a/relay/log.go
+++ b/relay/log.go
@@ -54,11 +54,11 @@
 // recordDone counts and logs a request that was served.
 func (x *attempt) recordDone() {
 	x.Meters.Requests.Add(1, x.routeKind(), "ok")
-	x.Meters.Answer.Observe(time.Since(x.startedAt), x.routeKind())
+	x.Meters.Answer.Observe(x.servedIn, x.routeKind())
 	x.Meters.Tries.Add(1, x.service.Name, "ok")
 	x.log(event.RelayDone,
 		event.Str("route", x.route.Name), event.Str("target", x.target.ID), event.Int("tries", int64(x.attempts.Sent)),
-		event.Dur("took", time.Since(x.startedAt)), event.Int("last", x.resumePoint()), event.Bool("leaving", x.answerHead.IsLeaving),
+		event.Dur("took", x.servedIn), event.Int("last", x.resumePoint()), event.Bool("leaving", x.answerHead.IsLeaving),
 		event.Str("framing", x.answerHead.framing), event.Int("first", x.stream.firstID), event.Int("after", x.callerHeaders.LastEventID), event.Str("process", x.endState))
 }
 
--- a/relay/run.go
+++ b/relay/run.go
@@ -87,7 +87,7 @@
 		return q.race(c, plan)
 	}
 	x := q.start(c, q.attempts.Sent+1)
-	defer x.cancel()
+	defer x.end()
 	return x.finish(x.exchange())
 }
 
