--- a/relay/hedge.go
+++ b/relay/hedge.go
@@ -1,14 +1,19 @@
 package relay
 
 import (
+	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/board"
 	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/hedge"
+	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/roster"
 )
 
@@ -29,8 +34,18 @@
 	taken, budget float64
 }
 
-// run exchanges the request and reports the result.
-func (x *attempt) run(results chan<- result) { results <- result{x, x.exchange()} }
+// run exchanges the request and reports the result. A panic, which would end the process here and only the
+// request in the handler's goroutine, is the failure of the attempt.
+func (x *attempt) run(results chan<- result) {
+	got := result{attempt: x}
+	defer func() {
+		if v := recover(); v != nil {
+			got.err = link.ErrCall{Run: chestnutstep.RunMaybe, Reason: chestnutstep.ReasonLink, Err: errors.Newf("panic: %v\n%s", v, debug.Stack())}
+		}
+		results <- got
+	}()
+	got.err = x.exchange()
+}
 
 // isHedgeable reports whether the request can be sent to a second target at the same time. An engine would
 // read its prompt in vain.
@@ -51,12 +66,12 @@
 func (q *request) race(c *board.Choice, plan hedge.Plan) (done bool, err error) {
 	r := &race{request: q, plan: plan, results: make(chan result, 2)}
 	r.first = q.start(c, q.attempts.Sent+1)
-	defer r.first.cancel()
+	defer r.first.end()
 	go r.first.run(r.results)
 	if got := r.awaitFirst(); got != nil {
 		return got.attempt.finish(got.err)
 	}
-	defer r.second.cancel()
+	defer r.second.end()
 	return r.decide()
 }
 
@@ -99,40 +114,67 @@
 		return false, err
 	}
 	r.logHedge(r.name(last.attempt))
-	last.attempt.deliver()
+	last.attempt.deliverNow()
 	last.attempt.serve()
 	r.awaitProof(got.attempt.proof) // the loss of the other target must not count after the content was cleared
 	last.attempt.clear()
+	last.attempt.recordDone()
 	return true, nil
 }
 
+// deliverNow sends a complete answer to the caller at once, as the handler returns only when the other attempt
+// has ended and its target was probed.
+func (x *attempt) deliverNow() {
+	x.deliver()
+	_ = http.NewResponseController(x.w).Flush() // fails if the caller has left
+}
+
 // win sends the answer of an attempt to the caller and cancels the other one.
 func (r *race) win(x, loser *attempt) {
 	loser.cancel()
-	x.deliver()
-	// The handler returns only when the loser has ended.
-	_ = http.NewResponseController(r.w).Flush() // fails if the caller has left
-	r.attempts.Record(chestnutstep.RunMaybe)
+	x.deliverNow()
 	x.serve()
+	got := <-r.results
+	switch {
+	case got.err == nil || loser.isCanceled(got.err):
+		loser.lose(got.err)
+	default: // failed before it was canceled
+		loser.fail(got.err)
+		r.awaitProof(loser.proof) // as in decide
+	}
 	x.clear()
-	<-r.results
-	loser.lose()
+	x.recordDone()
 	r.logHedge(r.name(x))
 }
 
+// isCanceled reports whether the error of an attempt that was canceled is the cancellation, and not its own.
+func (x *attempt) isCanceled(err error) bool {
+	var e link.ErrCall
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Reason {
+	case chestnutstep.ReasonCanceled:
+		return true
+	case chestnutstep.ReasonTimeout:
+		return x.ctx.Err() != nil
+	case chestnutstep.ReasonDown: // the connection was being opened
+		return errors.Is(e.Err, context.Canceled)
+	}
+	return false
+}
+
 // lose records an attempt that was canceled because the other one has won. If its answer was complete
-// by then, it counts as one.
-func (x *attempt) lose() {
-	outcome := board.Outraced
-	if x.answer != nil {
-		outcome = board.Served
-		if x.answer.status >= http.StatusInternalServerError {
-			outcome = board.Failed
-		}
+// by then, err is nil and it counts as one.
+func (x *attempt) lose(err error) {
+	outcome, run := board.Outraced, chestnutstep.RunMaybe
+	if err == nil {
+		outcome, run = board.Served, chestnutstep.RunYes
 		x.segments.put(x.answer)
 	}
 	now := clock.Now()
 	x.atTarget.End(now, outcome)
+	x.attempts.Record(run)
 	x.observe(now)
 	x.Meters.Tries.Add(1, x.service.Name, "outraced")
 }
