link: a witness is examined after its time, too

Cause: the loop compared the clock before it looked at the connection. An entry that stood still for 20 ms took a target that had ended for one that lives, and passed on a part of an answer without length or chunks as the whole. Change: the last look at the connection comes after the time.

--- a/link/witness.go
+++ b/link/witness.go
@@ -187,12 +187,15 @@
 // observe decides by whether the connection stays open.
 func (w *Witness) observe() ending.Process {
 	defer w.conn.reset()
-	for end := time.Now().Add(witnessSettle); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(witnessSettle); ; time.Sleep(time.Millisecond) {
+		isLast := !time.Now().Before(end) // the connection is examined after the time, even if this process stood still
 		if IsClosed(w.conn.Conn) {
 			return ending.Ended
 		}
+		if isLast {
+			return ending.Lives
+		}
 	}
-	return ending.Lives
 }
 
 // Release ends a witness that is not needed. It does not wait.
