relay: plays of deadly parts confirm their configuration

Cause: TestDeadlyPartIsStopped failed under load with "a sound request got 503": its cluster confirmed the configuration once, which counts for 4.7 s, and plays took longer. 503 is right then. Change: each request confirms it first, as a reachable source does. No bound changes.

--- a/relay/part_test.go
+++ b/relay/part_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chestnutstep.example/chestnutstep/clock"
 	"chestnutstep.example/chestnutstep/stand"
 )
 
@@ -39,6 +40,7 @@
 // sendPrompt sends a request whose body and last part no other request has.
 func (f *cluster) sendPrompt(t *testing.T, entry int, kind, parts string) string {
 	t.Helper()
+	f.roster.ConfirmVersion(clock.Now()) // as a reachable source does; the plays last longer than one confirmation
 	f.requestCount++
 	prompt := fmt.Sprintf(parts, 0xf0000+f.requestCount)
 	id := fmt.Sprintf("visit-%d", f.requestCount)
