--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -25,7 +25,7 @@
 	// maxRefused is the part of recent requests refused for lack of capacity above which targets are
 	// short of it. A single target that is full for a moment, while others have room, refuses less.
 	maxRefused = 0.01
-	// maxRoutes and maxServices bound the memory; each route takes some 30 KB.
+	// maxRoutes and maxServices bound the memory; each route takes some 45 KB.
 	maxRoutes   = 64
 	maxServices = 1024
 )
--- a/relay/run.go
+++ b/relay/run.go
@@ -153,9 +153,9 @@
 	return max(time.Duration(verifyRatio*float64(q.route.LatencyObjective)), minVerifyTimeout)
 }
 
-// onUnresponsive is called when the target's host does not acknowledge the request. It reports whether the request must be abandoned there and retried on another
-// target, which requires that the request is idempotent and has attempts left, and that this
-// entry's own link is known to work.
+// onUnresponsive is called when the target's host does not acknowledge the request. It reports whether
+// the request must be abandoned there and retried on another target, which requires that the request is
+// idempotent and has attempts left, and that this entry's own link is known to work.
 func (x *attempt) onUnresponsive() bool {
 	x.Meters.Silent.Add(1, x.service.Name)
 	recorded := x.Board.RecordUnresponsive(clock.Now(), x.target)
