--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -17,11 +17,9 @@
 	// minDelay is a round trip between failure domains and the start of a request: an earlier hedge
 	// could not save what it costs.
 	minDelay = 5 * time.Millisecond
-	// maxSavings bounds the saved hedges to those that a service earns in it, so that a quiet time pays for
-	// no burst: with those of ten seconds, a window of as many could have twice the ratio.
-	maxSavings = time.Second
-	// countWindow is the time over which requests and refusals are counted.
-	countWindow = 10 * time.Second
+	// savingsWindow bounds the saved hedges to those that a service earns in it, so that a quiet time
+	// pays for no burst.
+	savingsWindow = 10 * time.Second
 	// maxRefused is the part of recent requests refused for lack of capacity above which targets are
 	// short of it. A single target that is full for a moment, while others have room, refuses less.
 	maxRefused = 0.01
@@ -45,12 +43,13 @@
 // service is the budget of one service.
 type service struct {
 	tokens float64
-	// requests counts the requests of about the last countWindow, hedgeable those of them that may be
-	// hedged, and refused those that were refused for lack of capacity.
+	// requests counts the requests of about the last savingsWindow, and hedgeable those of them that
+	// may be hedged.
+	// refused counts those that were refused for lack of capacity.
 	requests, hedgeable, refused decayingCounter
 }
 
-// decayingCounter counts events with a linear loss over countWindow.
+// decayingCounter counts events with a linear loss over savingsWindow.
 type decayingCounter struct {
 	count float64
 	last  clock.Stamp
@@ -58,7 +57,7 @@
 
 func (c *decayingCounter) add(now clock.Stamp, n float64) {
 	if elapsed := now.Sub(c.last); elapsed > 0 {
-		c.count *= max(0, 1-elapsed.Seconds()/countWindow.Seconds())
+		c.count *= max(0, 1-elapsed.Seconds()/savingsWindow.Seconds())
 		c.last = now
 	}
 	c.count += n
@@ -88,7 +87,7 @@
 	if hedgeable {
 		s.hedgeable.add(now, 1)
 	}
-	s.tokens = min(s.tokens+h.Ratio, max(1, h.Ratio*s.requests.count*maxSavings.Seconds()/countWindow.Seconds()))
+	s.tokens = min(s.tokens+h.Ratio, max(1, h.Ratio*s.requests.count))
 }
 
 func (h *Hedger) service(name string) *service {
