--- a/review/rig/latecopy.go
+++ b/review/rig/latecopy.go
@@ -33,7 +33,7 @@
 	// are faulty for faultySpan of each faultyEvery.
 	copyShare   = 0.03
 	faultySpan  = 5 * time.Second
-	faultyEvery = 8 * time.Second
+	faultyEvery = 6 * time.Second
 )
 
 func init() { plays["late-copy"] = playLateCopy }
@@ -71,13 +71,13 @@
 	return judgeOnce(c, &l, servers), nil
 }
 
-// returnUntil sends requests, two of three unsafe ones, and repeats one that was refused once.
+// returnUntil sends requests, five of six unsafe ones, and repeats one that was refused once.
 func returnUntil(end time.Time, c *client, l *log) {
 	defer c.close()
 	const deadline = 1500 * time.Millisecond
 	for n := 0; time.Now().Before(end); n++ {
 		method, path := http.MethodPost, "/puxa403/2f"
-		if n%3 == 0 {
+		if n%6 == 0 {
 			method, path = http.MethodGet, "/cufi504/fi50/2f"
 		}
 		start := time.Now()
