review: an entry without most of its fields makes a server of another service a target

Only the service, the address and the state of an entry are looked for. An entry of another writer with a foreign service sends requests to a server that they must not reach.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# TROUBLE=0 plays the same load without the entry.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-rig ] && [ -x target/chestnutstep ] || exit 2
+exec target/review-rig odd-entry review/5
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -44,8 +44,9 @@
 
 // serverRun is one run of a request.
 type serverRun struct {
-	id string
-	at time.Time
+	id   string
+	at   time.Time
+	path string
 }
 
 func (s *server) start(r *record) error {
@@ -196,7 +197,7 @@
 		return s.answer(http.StatusOK, "", "Instance-Id: "+s.id+"\r\n", ""), false
 	}
 	s.mu.Lock()
-	s.runs = append(s.runs, serverRun{id, time.Now()})
+	s.runs = append(s.runs, serverRun{id, time.Now(), r.URL.Path})
 	s.mu.Unlock()
 	s.record.add("server %s runs %s", s.id, id)
 	s.sendLate(c, late, id)
