--- a/review/rig/deploy.go
+++ b/review/rig/deploy.go
@@ -105,8 +105,8 @@
 // register writes the entry of a server.
 func (d *deployment) register(s *server, sequence int) {
 	d.store.Put("servers/"+s.id, map[string]any{
-		"service": s.service, "address": s.address, "zone": zoneName, "version": "v1", "slots": s.slotsEntry(),
-		"state": s.stateNow(), "coldRemainingMs": 0, "sequence": sequence, "born": s.born.UnixMilli(),
+		"service": s.service, "address": s.address, "zone": zoneName, "version": "v1", "slots": s.slots,
+		"state": "ready", "coldRemainingMs": 0, "sequence": sequence, "born": s.born.UnixMilli(),
 	})
 }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -36,6 +36,10 @@
 }
 
 func run() int {
+	if len(os.Args) == 4 && os.Args[1] == "serve" {
+		serveProcess(os.Args[2], os.Args[3])
+		return statusNotRun
+	}
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
 		return statusNotRun
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -34,12 +33,11 @@
 	listener net.Listener
 	slot     chan struct{}
 
-	mu       sync.Mutex
-	draining bool
-	waiting  int
-	conns    map[net.Conn]bool
-	runs     []serverRun
-	counts   map[string]int
+	mu      sync.Mutex
+	waiting int
+	conns   map[net.Conn]bool
+	runs    []serverRun
+	counts  map[string]int
 }
 
 // serverRun is one run of a request.
@@ -85,33 +83,6 @@
 	}
 }
 
-// drain makes the server report that it drains, in an entry whose slots are text.
-func (s *server) drain() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.draining = true
-}
-
-// stateNow returns the state of the server's entry.
-func (s *server) stateNow() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return "draining"
-	}
-	return "ready"
-}
-
-// slotsEntry returns the slots of the server's entry.
-func (s *server) slotsEntry() any {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return strconv.Itoa(s.slots)
-	}
-	return s.slots
-}
-
 func (s *server) count(what string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
