--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts. Run after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/review-rig ./review/rig
+go build -o target/review-rig ./review/stand
--- a/review/rig/killed.go
+++ b/review/stand/killed.go
@@ -97,6 +97,8 @@
 	*server
 	deployment *deployment
 	cmd        *exec.Cmd
+	// recorded is closed when all that the process has written is recorded.
+	recorded chan struct{}
 }
 
 func newKilled(d *deployment, number int) (*killed, error) {
@@ -113,15 +115,29 @@
 func (k *killed) start() error {
 	k.cmd = exec.Command(os.Args[0], "serve", k.id, k.address)
 	k.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	runs, err := k.cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
 	if err := k.cmd.Start(); err != nil {
 		return err
 	}
+	k.recorded = make(chan struct{})
+	go k.recordRuns(runs)
 	k.born = time.Now()
 	time.Sleep(startupTime)
 	k.deployment.register(k.server, 1)
 	return nil
 }
 
+// recordRuns records the lines that the process writes, until it ends.
+func (k *killed) recordRuns(r io.Reader) {
+	defer close(k.recorded)
+	for lines := bufio.NewScanner(r); lines.Scan(); {
+		k.deployment.run.record.add("server %s %s", k.id, lines.Text())
+	}
+}
+
 // killUntil kills the process and starts it again, if trouble is set.
 func (k *killed) killUntil(end time.Time, trouble bool) {
 	for time.Now().Before(end) {
@@ -135,6 +151,7 @@
 		}
 		time.Sleep(wait)
 		_ = k.cmd.Process.Kill()
+		<-k.recorded
 		_ = k.cmd.Wait()
 		k.deployment.run.record.add("server %s is killed", k.id)
 		time.Sleep(killedDown)
@@ -238,11 +255,14 @@
 			_, _ = io.WriteString(c, s.answer(http.StatusMisdirectedRequest, id, "Instance-Id: "+s.id+"\r\n", ""))
 			continue
 		}
+		fmt.Println("runs", id)
 		time.Sleep(time.Duration(rand.IntN(maxFirstHalf)) * time.Millisecond)
 		half := strings.Repeat("b", wholeBody/2)
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: sig-%s-%s\r\n\r\n%s", id, s.id, id, half)
 		time.Sleep(time.Duration(rand.IntN(maxAnswerPause)) * time.Millisecond)
-		_, _ = io.WriteString(c, half)
+		if _, err := io.WriteString(c, half); err == nil {
+			fmt.Println("has sent the whole answer to", id)
+		}
 		return
 	}
 }
