--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -1,4 +1,4 @@
-// Command rig plays the scripted cases of the review: it starts the entries of a small deployment as
+// Command review-rig plays the scripted cases of the review: it starts the entries of a small deployment as
 // separate processes, emulates the store, the servers, the clients and the balancer, and compares what
 // the clients got with what the servers ran.
 package main
@@ -41,7 +41,7 @@
 		return statusNotRun
 	}
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review-rig CASE FOLDER")
 		return statusNotRun
 	}
 	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
