--- /dev/null
+++ b/review/second/stand/process.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// serveCommand makes this program a server, so that it can be killed as one.
+const serveCommand = "serve-streams"
+
+// processIdle is how long the channels of a server that is a process stay open without a request.
+const processIdle = 20 * time.Second
+
+// serverProcess is a server that runs as a process of its own.
+type serverProcess struct {
+	id, address string
+	cmd         *exec.Cmd
+	exited      chan struct{}
+}
+
+// startServer starts a server whose streams have no length.
+func (l *lab) startServer(id string) (*serverProcess, error) {
+	s := &serverProcess{id: id, exited: make(chan struct{})}
+	s.cmd = exec.Command(os.Args[0], serveCommand, id)
+	s.cmd.Stderr = os.Stderr
+	out, err := s.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := s.cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "start a server")
+	}
+	l.servers = append(l.servers, s)
+	lines := bufio.NewScanner(out)
+	if !lines.Scan() {
+		return nil, errors.New("a server tells no address")
+	}
+	s.address = lines.Text()
+	go s.read(l, lines)
+	return s, nil
+}
+
+// read adds what the server tells to the record, until it ends.
+func (s *serverProcess) read(l *lab, lines *bufio.Scanner) {
+	for lines.Scan() {
+		_, text, _ := strings.Cut(strings.TrimSpace(lines.Text()), " ")
+		l.note("%s", text)
+	}
+	_ = s.cmd.Wait()
+	close(s.exited)
+}
+
+// crash kills the process.
+func (s *serverProcess) crash() {
+	_ = s.cmd.Process.Kill() // fails if it has ended
+	<-s.exited
+}
+
+// serveStreams is the process of a server. It writes its address and then its runs.
+func serveStreams(id string) int {
+	l := &lab{start: time.Now(), record: os.Stdout}
+	s, err := l.newServer(id, processIdle)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	s.answer = s.streamUnframed
+	fmt.Println(s.address())
+	s.run()
+	return exitHeld
+}
