--- a/review/second/stand/client.go
+++ b/review/second/stand/client.go
@@ -32,6 +32,8 @@
 	id     string
 	status int
 	body   string
+	// signature is that of the server.
+	signature string
 	// complete reports whether the answer has ended as its framing says.
 	complete bool
 	// kept reports whether the channel had carried a request before.
@@ -88,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	a.status = resp.StatusCode
+	a.status, a.signature = resp.StatusCode, resp.Header.Get("Server-Signature")
 	body, err := io.ReadAll(resp.Body)
 	a.body = string(body)
 	if err != nil {
--- a/review/second/stand/extra.go
+++ b/review/second/stand/extra.go
@@ -41,7 +41,7 @@
 	if err := l.startEntries(2); err != nil {
 		return false, err
 	}
-	replies := l.callAll(extraCallers, begin.Add(extraTime), request{http.MethodPost, "/puxa403/2f", 1500 * time.Millisecond, []byte("confirm bay four")}, 80*time.Millisecond)
+	replies := l.callAll("c", extraCallers, begin.Add(extraTime), request{http.MethodPost, "/puxa403/2f", 1500 * time.Millisecond, []byte("confirm bay four")}, 80*time.Millisecond)
 	time.Sleep(500 * time.Millisecond)
 	found := l.countTwice(replies, servers)
 	if found.ok < len(replies)/2 {
@@ -81,12 +81,12 @@
 }
 
 // callAll lets callers send a request again and again, with a pause, until a time.
-func (l *lab) callAll(n int, until time.Time, r request, pause time.Duration) []reply {
+func (l *lab) callAll(name string, n int, until time.Time, r request, pause time.Duration) []reply {
 	var mu sync.Mutex
 	var all []reply
 	var wg sync.WaitGroup
 	for i := range n {
-		c := &caller{lab: l, name: fmt.Sprintf("c%d", i), to: l.entries[i%len(l.entries)]}
+		c := &caller{lab: l, name: fmt.Sprintf("%s%d", name, i), to: l.entries[i%len(l.entries)]}
 		wg.Go(func() {
 			defer c.close()
 			for time.Now().Before(until) {
--- a/review/second/stand/lab.go
+++ b/review/second/stand/lab.go
@@ -81,7 +81,10 @@
 		_ = e.cmd.Process.Kill() // fails if it has ended
 		<-e.exited
 	}
-	for _, s := range l.servers {
+	l.mu.Lock()
+	servers := l.servers
+	l.mu.Unlock()
+	for _, s := range servers {
 		s.crash()
 	}
 	l.server.Close()
@@ -126,9 +129,14 @@
 
 // listAt writes the entry of a server that is reached at an address.
 func (l *lab) listAt(id, address, service string, slots int) {
+	l.listBorn(id, address, service, slots, time.Now().Add(-bornAgo))
+}
+
+// listBorn writes the entry of a server that has started at a time.
+func (l *lab) listBorn(id, address, service string, slots int, born time.Time) {
 	l.store.PutTarget(id, stand.TargetEntry{
 		Service: service, Address: address, Zone: zone, Version: "v1", Slots: slots, State: "ready", Sequence: 4,
-		BornMs: time.Now().Add(-bornAgo).UnixMilli(),
+		BornMs: born.UnixMilli(),
 	})
 }
 
--- a/review/second/stand/later.go
+++ b/review/second/stand/later.go
@@ -26,7 +26,7 @@
 	const service = "huvo11a"
 	var servers []*server
 	for i := range laterServers {
-		s, err := l.newServerWithWindow(fmt.Sprintf("i-%d", i), 8*time.Second, laterWindow)
+		s, err := l.newServerAt(anyPort, fmt.Sprintf("i-%d", i), 8*time.Second, laterWindow)
 		if err != nil {
 			return false, err
 		}
--- a/review/second/stand/main.go
+++ b/review/second/stand/main.go
@@ -26,11 +26,11 @@
 type play func(l *lab) (broken bool, err error)
 
 var plays = map[string]play{
-	"extra-rejection":   playExtraRejection,
-	"unframed-stream":   playUnframedStream,
-	"body-read-later":   playBodyReadLater,
-	"increasing-events": playIncreasingEvents,
-	"silent-channels":   playSilentChannels,
+	"extra-rejection": playExtraRejection,
+	"unframed-stream": playUnframedStream,
+	"body-read-later": playBodyReadLater,
+	"silent-channels": playSilentChannels,
+	"full-servers":    playFullServers,
 }
 
 func main() {
@@ -38,8 +38,8 @@
 }
 
 func run() int {
-	if len(os.Args) == 3 && os.Args[1] == serveCommand {
-		return serveStreams(os.Args[2])
+	if len(os.Args) == 5 && os.Args[1] == serveCommand {
+		return serveStreams(os.Args[2], os.Args[3], os.Args[4])
 	}
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-rig-2 CASE FOLDER")
--- a/review/second/stand/process.go
+++ b/review/second/stand/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,10 +25,10 @@
 	exited      chan struct{}
 }
 
-// startServer starts a server whose streams have no length.
-func (l *lab) startServer(id string) (*serverProcess, error) {
+// startServer starts a server whose streams have no length. It runs a number of requests at once; 0 for any.
+func (l *lab) startServer(id, address string, slots int) (*serverProcess, error) {
 	s := &serverProcess{id: id, exited: make(chan struct{})}
-	s.cmd = exec.Command(os.Args[0], serveCommand, id)
+	s.cmd = exec.Command(os.Args[0], serveCommand, id, address, strconv.Itoa(slots))
 	s.cmd.Stderr = os.Stderr
 	out, err := s.cmd.StdoutPipe()
 	if err != nil {
@@ -36,7 +37,9 @@
 	if err := s.cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, "start a server")
 	}
+	l.mu.Lock()
 	l.servers = append(l.servers, s)
+	l.mu.Unlock()
 	lines := bufio.NewScanner(out)
 	if !lines.Scan() {
 		return nil, errors.New("a server tells no address")
@@ -63,14 +66,17 @@
 }
 
 // serveStreams is the process of a server. It writes its address and then its runs.
-func serveStreams(id string) int {
+func serveStreams(id, address, places string) int {
 	l := &lab{start: time.Now(), record: os.Stdout}
-	s, err := l.newServer(id, processIdle)
+	s, err := l.newServerAt(address, id, processIdle, 0)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	s.answer = s.streamUnframed
+	if n, _ := strconv.Atoi(places); n > 0 {
+		s.answer, s.slots = s.streamInSlot, make(slots, n)
+	}
 	fmt.Println(s.address())
 	s.run()
 	return exitHeld
--- a/review/second/stand/server.go
+++ b/review/second/stand/server.go
@@ -26,6 +26,7 @@
 	answer func(c *channel, r *http.Request) bool
 
 	listener net.Listener
+	slots    slots
 	mu       sync.Mutex
 	runs     map[string]int
 }
@@ -40,11 +41,15 @@
 }
 
 func (l *lab) newServer(id string, idle time.Duration) (*server, error) {
-	return l.newServerWithWindow(id, idle, 0)
+	return l.newServerAt(anyPort, id, idle, 0)
 }
 
-// newServerWithWindow is newServer for a server whose host takes a number of unread bytes of a channel; 0 for the usual one.
-func (l *lab) newServerWithWindow(id string, idle time.Duration, window int) (*server, error) {
+// anyPort is an address with a free port.
+const anyPort = "127.0.0.1:0"
+
+// newServerAt is newServer for a server at an address, whose host takes a number of unread bytes of a channel; 0 for the
+// usual one.
+func (l *lab) newServerAt(address, id string, idle time.Duration, window int) (*server, error) {
 	s := &server{lab: l, id: id, idle: idle, runs: make(map[string]int)}
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		if window == 0 {
@@ -60,7 +65,7 @@
 		return failed
 	}}
 	var err error
-	if s.listener, err = config.Listen(context.Background(), "tcp", "127.0.0.1:0"); err != nil {
+	if s.listener, err = config.Listen(context.Background(), "tcp", address); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -98,6 +103,12 @@
 // serve serves one request and reports whether the channel stays open.
 func (c *channel) serve(r *http.Request) bool {
 	if r.URL.Path == healthPath {
+		ctx, cancel := c.whileOpen()
+		defer cancel()
+		if !c.server.slots.take(ctx) {
+			return false
+		}
+		defer c.server.slots.release()
 		return c.write("HTTP/1.1 200 OK\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", c.server.id, c.server.keepAlive())
 	}
 	if strings.HasPrefix(r.URL.Path, "/api/") {
@@ -151,3 +162,33 @@
 
 // chunk returns a chunk of a chunked answer.
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// whileOpen returns a context that ends when the caller has closed the channel.
+func (c *channel) whileOpen() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if c.server.slots != nil {
+		go c.watch(ctx, cancel)
+	}
+	return ctx, cancel
+}
+
+// watch looks every few milliseconds whether the caller has closed the channel.
+func (c *channel) watch(ctx context.Context, left context.CancelFunc) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		closed := false
+		_ = raw.Control(func(fd uintptr) {
+			var b [1]byte
+			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			closed = n == 0 && err == nil || err == syscall.ECONNRESET
+		})
+		if closed {
+			left()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/review/second/stand/silent.go
+++ b/review/second/stand/silent.go
@@ -4,14 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
 
 const (
 	silentServers = 6
-	silentCallers = 120
+	silentCallers = 240
 	// silentShare is the share of the open channels that go silent, as that of reset_conns. One of six servers crashes.
 	silentShare = 0.5
 	// silentAt is when they do, and silentCrash when one server crashes: before the keep-alive of the project would have
@@ -28,7 +27,7 @@
 	var servers []*serverProcess
 	var proxies []*proxy
 	for i := range silentServers {
-		s, err := l.startServer(fmt.Sprintf("i-%d", i))
+		s, err := l.startServer(fmt.Sprintf("i-%d", i), anyPort, 0)
 		if err != nil {
 			return false, err
 		}
@@ -52,16 +51,7 @@
 	}
 	replies := l.callOnKept(silentCallers, request{http.MethodPost, "/lohu930/2f", 12 * time.Second, []byte("plan")})
 	wg.Wait()
-	short := 0
-	for _, a := range replies {
-		pieces := strings.Count(a.body, "data: piece")
-		if a.status == http.StatusOK && a.complete && pieces < unframedEvents {
-			short++
-			l.note("ORDER: the stream of %s has ended as complete after %d of %d pieces", a.id, pieces, unframedEvents)
-		}
-	}
-	l.note("%d streams, %d have ended as complete before their last piece", len(replies), short)
-	return short > 0, nil
+	return l.judgeStreams(replies, unframedEvents)
 }
 
 func (l *lab) silenceAndCrash(proxies []*proxy, crashed *serverProcess) {
