--- a/review/second/stand/lab.go
+++ b/review/second/stand/lab.go
@@ -43,7 +43,11 @@
 	server  *stand.StoreServer
 	entries []*entry
 	servers []*serverProcess
-	closed  bool
+
+	// processes is held while a process is started; none is after close has begun.
+	processes sync.Mutex
+	closed    bool
+	closing   sync.Once
 }
 
 // entry is a process of the project.
@@ -69,22 +73,28 @@
 	fmt.Fprintf(l.record, "%8.3f %s\n", time.Since(l.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (l *lab) close() {
-	l.mu.Lock()
-	done := l.closed
-	l.closed = true
-	l.mu.Unlock()
-	if done {
-		return
+// launch calls a function that starts a process, unless the case has been ended.
+func (l *lab) launch(start func() error) error {
+	l.processes.Lock()
+	defer l.processes.Unlock()
+	if l.closed {
+		return errors.New("the case was ended")
 	}
+	return start()
+}
+
+// close ends all processes. A second call waits for the first.
+func (l *lab) close() { l.closing.Do(l.end) }
+
+func (l *lab) end() {
+	l.processes.Lock()
+	defer l.processes.Unlock()
+	l.closed = true
 	for _, e := range l.entries {
 		_ = e.cmd.Process.Kill() // fails if it has ended
 		<-e.exited
 	}
-	l.mu.Lock()
-	servers := l.servers
-	l.mu.Unlock()
-	for _, s := range servers {
+	for _, s := range l.servers {
 		s.crash()
 	}
 	l.server.Close()
@@ -212,12 +222,14 @@
 	e.cmd = exec.Command("target/chestnutstep", "entry", "--metrics", strconv.Itoa(ports[4]))
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CHESTNUTSTEP_NODE_FILE=" + file}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
-	if err := e.cmd.Start(); err != nil {
-		return errors.Wrap(err, "start an entry")
-	}
-	go e.wait()
-	l.entries = append(l.entries, e)
-	return nil
+	return l.launch(func() error {
+		if err := e.cmd.Start(); err != nil {
+			return errors.Wrap(err, "start an entry")
+		}
+		go e.wait()
+		l.entries = append(l.entries, e)
+		return nil
+	})
 }
 
 func (e *entry) wait() {
--- a/review/second/stand/process.go
+++ b/review/second/stand/process.go
@@ -34,23 +34,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.cmd.Start(); err != nil {
-		return nil, errors.Wrap(err, "start a server")
-	}
-	l.mu.Lock()
-	l.servers = append(l.servers, s)
-	l.mu.Unlock()
 	lines := bufio.NewScanner(out)
-	if !lines.Scan() {
+	told := make(chan string, 1)
+	err = l.launch(func() error {
+		if err := s.cmd.Start(); err != nil {
+			return errors.Wrap(err, "start a server")
+		}
+		go s.read(l, lines, told)
+		l.servers = append(l.servers, s)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if s.address = <-told; s.address == "" {
 		return nil, errors.New("a server tells no address")
 	}
-	s.address = lines.Text()
-	go s.read(l, lines)
 	return s, nil
 }
 
-// read adds what the server tells to the record, until it ends.
-func (s *serverProcess) read(l *lab, lines *bufio.Scanner) {
+// read passes on the address that the server tells first, and adds the rest to the record, until the server ends.
+func (s *serverProcess) read(l *lab, lines *bufio.Scanner, told chan<- string) {
+	lines.Scan()
+	told <- lines.Text()
 	for lines.Scan() {
 		_, text, _ := strings.Cut(strings.TrimSpace(lines.Text()), " ")
 		l.note("%s", text)
