link: two connections together prove that a process lives after its answer

Cause: one state of the witness stood for the state of the process. Open without an answer in 150 ms: alive, though a late answer hid the end, or silence did. Closed for the fifth time, or before there was an answer: dead, though the server only closes idle connections. None, as at maxConnections: nothing was known.

Why this works: ending.Evidence holds what the witness and a connection that is opened after the end show, and is the only place that decides. A check that is in progress is read to its end, however late, and a new one is sent after the end: only its answer proves life by itself. The connection of the answer is known before the request is written, so that a witness that closes while it is open is no sign of an end. A fresh connection proves life by itself only within 50 ms of the last look at the open answer; the tests of processes that come back at once are as they were.

No limit on replacements: pauses of 50 ms to 1 s, and a check before the idle time that was seen.

--- a/link/call.go
+++ b/link/call.go
@@ -39,6 +39,8 @@
 	// Allow is called right before the request is written; an error prevents it. The target can have
 	// said in the meantime that it wants no requests. Nil allows every request.
 	Allow func() error
+	// OnConn is called with the connection right before the request is written; nil for none.
+	OnConn func(c net.Conn)
 	// OnUnresponsive is called if the target's host does not acknowledge the request. If it returns
 	// true, the call is aborted. Nil disables the check.
 	OnUnresponsive func() bool
@@ -100,6 +102,9 @@
 			return nil, ErrCall{Run: chestnutstep.RunNo, Reason: chestnutstep.ReasonPaused, Err: err}
 		}
 	}
+	if call.OnConn != nil {
+		call.OnConn(c.Conn)
+	}
 	a := &Response{pool: p, address: address, conn: c, maxIdle: call.MaxIdle}
 	a.stop = context.AfterFunc(ctx, c.reset)
 	watcher := ackWatcher{conn: c, onUnresponsive: call.OnUnresponsive}
--- a/link/pool.go
+++ b/link/pool.go
@@ -54,12 +54,16 @@
 	br        *bufio.Reader
 	limit     *readLimit
 	idleUntil time.Time
+	// usedAt is when the connection was opened, or the last health check on it answered.
+	usedAt time.Time
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*Conn
+	// idleTimes are the times after which targets, by address, were seen to close idle connections.
+	idleTimes map[string]time.Duration
 	// opened counts the connections opened by the pool.
 	opened int64
 	// probed counts the probes.
@@ -175,6 +179,7 @@
 	p.mu.Lock()
 	list := p.idle[address]
 	delete(p.idle, address)
+	delete(p.idleTimes, address)
 	p.mu.Unlock()
 	for _, c := range list {
 		_ = c.Close()
--- a/link/witness_test.go
+++ b/link/witness_test.go
@@ -14,6 +14,9 @@
 	"chestnutstep.example/chestnutstep/ending"
 )
 
+// witnessPoll is the unit of the times of the plays.
+const witnessPoll = 50 * time.Millisecond
+
 // witnessed is a target with an answer in progress on the first connection; health checks come on others.
 type witnessed struct {
 	listener net.Listener
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -84,7 +84,7 @@
 // answers are kept.
 func (x *attempt) exchange() error {
 	witness := x.prepareWitness(x.target)
-	answer, err := x.send()
+	answer, err := x.send(witness)
 	if err != nil {
 		x.witness = witness
 		return err
--- a/relay/pause.go
+++ b/relay/pause.go
@@ -7,6 +7,7 @@
 
 	"chestnutstep.example/chestnutstep"
 	"chestnutstep.example/chestnutstep/clock"
+	"chestnutstep.example/chestnutstep/ending"
 	"chestnutstep.example/chestnutstep/event"
 	"chestnutstep.example/chestnutstep/link"
 	"chestnutstep.example/chestnutstep/pause"
@@ -14,12 +15,15 @@
 )
 
 // send sends the request to the chosen target, unless that must not receive it by now.
-func (x *attempt) send() (*link.Response, error) {
+func (x *attempt) send(witness ending.Witness) (*link.Response, error) {
 	c := x.choice
 	instance := pause.InstanceOf(&c.Target.Instance)
 	acquired := false
 	call := x.buildCall(c)
 	call.OnUnresponsive = x.onUnresponsive
+	if witness != nil {
+		call.OnConn = witness.Attach
+	}
 	call.Allow = func() error {
 		err := x.Pauses.Acquire(clock.Now(), instance)
 		acquired = err == nil
--- a/relay/unframed_test.go
+++ b/relay/unframed_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
@@ -55,6 +57,14 @@
 	assert.Equal(t, f.send(t, 1, "unsafe", poison+" of another"), fmt.Sprint(http.StatusBadGateway))
 }
 
+// applyTarget makes a server of the test the only target.
+func (g *testRelay) applyTarget(id, address string) {
+	g.roster.Apply(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Revision: buildRevision, Facts: []chestnutstep.Fact{{
+		Kind: chestnutstep.FactInstance, Name: id, Revision: buildRevision,
+		Instance: &chestnutstep.Instance{ID: id, Service: "shop", Address: address, Domain: "d", Slots: 8, Build: "1"},
+	}}}, true)
+}
+
 // cutter is a target that answers its first request with a length. All later answers have none, and end with
 // half of their body in the packet that has their head.
 type cutter struct{ requests int }
@@ -90,10 +100,49 @@
 	target := httptest.NewServer(&cutter{})
 	t.Cleanup(target.Close)
 	g := newTestRelayOf(t, stallTimeout)
-	g.roster.Apply(clock.Now(), chestnutstep.TopicTargets, chestnutstep.Batch{Revision: buildRevision, Facts: []chestnutstep.Fact{{
-		Kind: chestnutstep.FactInstance, Name: "i-0", Revision: buildRevision,
-		Instance: &chestnutstep.Instance{ID: "i-0", Service: "shop", Address: target.Listener.Addr().String(), Domain: "d", Slots: 8, Build: "1"},
-	}}}, true)
+	g.applyTarget("i-0", target.Listener.Addr().String())
 	assert.Assert(t, strings.HasPrefix(g.doRequest(t, "unsafe"), "200 signed"))
 	assert.Equal(t, g.doRequest(t, "unsafe"), fmt.Sprint(http.StatusBadGateway))
 }
+
+// closer is a target that closes idle connections soon. Its answers have neither a length nor chunks, come late and whole,
+// and end in the packet that has their head.
+type closer struct{}
+
+func (closer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(4 * closerIdle)
+	id := r.Header.Get("Attempt-Id")
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	body := "answer to " + id
+	if strings.Contains(r.URL.Path, "stream") {
+		body = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: sig-i-0\r\n\r\n%s", id, body)
+}
+
+const closerIdle = 100 * time.Millisecond
+
+// TestWitnessClosedBeforeTheAnswer guards against a whole answer that counts as cut because its target, which was still
+// working on it, closed the idle connection that was to prove its end.
+func TestWitnessClosedBeforeTheAnswer(t *testing.T) {
+	target := httptest.NewUnstartedServer(closer{})
+	target.Config.IdleTimeout = closerIdle
+	target.Start()
+	t.Cleanup(target.Close)
+	g := newTestRelayOf(t, stallTimeout)
+	g.healthPath = "/healthz"
+	g.publish(2, key)
+	g.applyTarget("i-0", target.Listener.Addr().String())
+	for range 3 {
+		assert.Equal(t, g.doRequest(t, "unsafe"), "200 signed whole")
+		assert.Equal(t, g.doRequest(t, "stream"), "200 signed ids 1 2")
+	}
+}
