link, agent: a reset that the writer has received is no end of an answer

Cause: the kernel reports a reset once. If the write of the request gets it, the read of the answer returns the end of the bytes, as after a regular end. The witness then proves that the process lives, and the part counts as whole.

Why this works: after a reset both sides of the socket are closed, after a regular end only that of the peer. A read that returns the end asks for that, so it does not matter which call got the error. An answer that ended regularly and is reset before the end is read counts as cut, too: nothing tells the two apart then.

--- a/agent/call.go
+++ b/agent/call.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
+	targetlink "chestnutstep.example/chestnutstep/link"
 )
 
 const (
@@ -30,7 +31,7 @@
 // client opens a connection for each request, so it has no reused connection on which net/http
 // would retry.
 func Clients() (pooled, unpooled *http.Client) {
-	dial := &net.Dialer{Timeout: connectTimeout}
+	dial := &targetlink.Dialer{Timeout: connectTimeout}
 	pooledTransport := &http.Transport{
 		DialContext:         dial.DialContext,
 		MaxIdleConnsPerHost: 64,
--- a/link/pool.go
+++ b/link/pool.go
@@ -130,7 +130,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	limit := &readLimit{conn: raw, remaining: unlimited}
+	limit := &readLimit{conn: endReader{raw}, remaining: unlimited}
 	return &Conn{Conn: raw, br: bufio.NewReaderSize(limit, readBufferSize), limit: limit}, nil
 }
 
