head: heads that are none of HTTP/1 are no answers

Status 000, 099 and +20 were stopped only by net/http's server when the entry wrote them.

Cause: net/http reads names with blanks as fields of another name, any three digits as a status and any two as a version. Chunks of HTTP/1.0 lose their field and become the body.

Why this works: package head checks each final and interim head and the trailer, and everything that reads answers asks it: link for requests, health checks and streams that are taken up; fetch for the store, lists of caches and other entries; the clients of agents; gossip.

Agents see neither interim heads nor trailers nor chunks of HTTP/1.0, as net/http hides them: open.

--- a/agent/call.go
+++ b/agent/call.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/head"
 	targetlink "chestnutstep.example/chestnutstep/link"
 )
 
@@ -48,8 +49,8 @@
 		MaxResponseHeaderBytes: chestnutstep.MaxHeadBytes,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	pooled = &http.Client{Transport: pooledTransport, CheckRedirect: noRedirect}
-	unpooled = &http.Client{Transport: unpooledTransport, CheckRedirect: noRedirect}
+	pooled = &http.Client{Transport: head.Transport{Base: pooledTransport}, CheckRedirect: noRedirect}
+	unpooled = &http.Client{Transport: head.Transport{Base: unpooledTransport}, CheckRedirect: noRedirect}
 	return pooled, unpooled
 }
 
--- a/fetch/fetch.go
+++ b/fetch/fetch.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"chestnutstep.example/chestnutstep/head"
 )
 
 // bufferSize is the size of a segment in bytes.
@@ -56,7 +58,8 @@
 
 // Get requests a URL. The end of ctx aborts the call only until the response begins; after that
 // only the limits apply, because an aborted transfer would have to start over. The error is an
-// ErrUnresponsive or an ErrTooLarge if a limit is exceeded.
+// ErrUnresponsive or an ErrTooLarge if a limit is exceeded, and a head.ErrHead if the head of the
+// response is not valid.
 func Get(ctx context.Context, client *http.Client, url string, l Limits) (a Response, err error) {
 	callCtx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
@@ -75,6 +78,9 @@
 		return a, cause(callCtx, err)
 	}
 	defer resp.Body.Close()
+	if err := head.Check(resp); err != nil {
+		return a, err
+	}
 	release()
 	timer.Stop()
 	a = Response{Status: resp.StatusCode, Header: resp.Header, TimeToFirstByte: time.Since(start)}
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep/config"
+	"chestnutstep.example/chestnutstep/head"
 )
 
 // readTimeout bounds one read, in addition to the time that a watch waits.
@@ -78,5 +79,12 @@
 		return nil, errors.Wrap(err, "read the service")
 	}
 	res, err := n.HTTP.Do(req)
-	return res, errors.Wrap(err, "read the service")
+	if err != nil {
+		return nil, errors.Wrap(err, "read the service")
+	}
+	if err := head.Check(res); err != nil {
+		_ = res.Body.Close() // the answer is not used
+		return nil, errors.Wrap(err, "read the service")
+	}
+	return res, nil
 }
--- a/link/call.go
+++ b/link/call.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"chestnutstep.example/chestnutstep"
+	"chestnutstep.example/chestnutstep/head"
 	"chestnutstep.example/chestnutstep/memory"
 )
 
@@ -185,21 +187,49 @@
 }
 
 // readHead reads the status line and headers of the final response and skips interim ones. The error
-// is an ErrTooLarge if they exceed MaxHeadBytes.
+// is an ErrTooLarge if they exceed MaxHeadBytes, and a head.ErrHead if one of them is not valid.
 func readHead(c *Conn, method string) (*http.Response, error) {
 	c.limit.remaining = chestnutstep.MaxHeadBytes
 	defer func() { c.limit.remaining = unlimited }()
 	for {
+		if err := checkOldFraming(c.br); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err := head.Check(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
 }
 
+// checkOldFraming returns a head.ErrHead if an answer of HTTP/1.0 has a Transfer-Encoding. That version has no chunks, and
+// net/http would pass them on as the body. A head that is longer than the buffer is not looked at beyond that.
+func checkOldFraming(br *bufio.Reader) error {
+	const version = "HTTP/1.0 "
+	if b, err := br.Peek(len(version)); err != nil || string(b) != version {
+		return nil // reading it returns the error
+	}
+	for n := br.Buffered(); ; n = max(n+1, br.Buffered()) {
+		b, err := br.Peek(n)
+		end := bytes.Index(b, []byte("\r\n\r\n"))
+		if end >= 0 {
+			b = b[:end]
+		}
+		if bytes.Contains(bytes.ToLower(b), []byte("\ntransfer-encoding:")) {
+			return head.ErrHead{Part: "framing", Value: "Transfer-Encoding in HTTP/1.0"}
+		}
+		if end >= 0 || err != nil {
+			return nil
+		}
+	}
+}
+
 func callError(ctx context.Context, c *Conn, unresponsive, peerEnded bool, err error) error {
 	reason := chestnutstep.ReasonLink
 	if IsErrTooLarge(err) {
@@ -222,6 +252,9 @@
 	n, err := a.Body.Read(b)
 	switch {
 	case err == io.EOF:
+		if err := head.CheckFields(a.resp.Trailer); err != nil {
+			return n, err
+		}
 		a.complete = true
 	case err != nil:
 		a.peerEnded = isConnEnd(a.conn.Conn, err)
--- a/stand/cut.go
+++ b/stand/cut.go
@@ -86,3 +86,39 @@
 		"interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + headers + length + "\r\n\r\n" + body,
 	}
 }
+
+// InvalidHeads holds whole answers with the given headers and body whose heads are none of HTTP/1, by what is wrong with
+// them.
+func InvalidHeads(headers, body string) map[string]string {
+	length := fmt.Sprint("Content-Length: ", len(body))
+	list := map[string]string{
+		"length with a blank": "HTTP/1.1 200 OK\r\n" + headers + "Content-Length : 5\r\n\r\n" + body,
+		"chunks with a blank": "HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding : chunked\r\n\r\n" + chunked(body, ""),
+	}
+	for _, status := range []string{"000", "099", "20", "2000", "+20", "600", "999"} {
+		list["status "+status] = "HTTP/1.1 " + status + " OK\r\n" + headers + length + "\r\n\r\n" + body
+	}
+	for _, version := range []string{"0.9", "2.0", "9.9"} {
+		list["version "+version] = "HTTP/" + version + " 200 OK\r\n" + headers + length + "\r\n\r\n" + body
+	}
+	for _, field := range []string{"X Odd: a", "X-Odd : a", " X-Odd: a", "X-\x01Odd: a", "X-Odd: a\x01", "X-\rOdd: a", ": a", "no field"} {
+		list[fmt.Sprintf("field %q", field)] = "HTTP/1.1 200 OK\r\n" + field + "\r\n" + headers + length + "\r\n\r\n" + body
+	}
+	return list
+}
+
+// InvalidParts is like InvalidHeads for answers that are wrong beside the head that net/http returns.
+func InvalidParts(headers, body string) map[string]string {
+	whole := "HTTP/1.1 200 OK\r\n" + headers + fmt.Sprint("Content-Length: ", len(body)) + "\r\n\r\n" + body
+	return map[string]string{
+		"chunks of HTTP/1.0":              "HTTP/1.0 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, ""),
+		"trailer with a blank":            "HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, "X Odd: a\r\n"),
+		"interim head with a blank":       "HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\n" + whole,
+		"interim head of another version": "HTTP/9.9 100 Continue\r\n\r\n" + whole,
+		"interim status 101":              "HTTP/1.1 101 Switching Protocols\r\n\r\n" + whole,
+	}
+}
+
+func chunked(body, trailer string) string {
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, trailer)
+}
