node: a stopping entry refuses late requests and answers those that are left

Here: a request whose body (or first rejection) came more than 2.5 s after SIGTERM was still sent to a target; one on a connection that was opened before the balancer noticed, and used after that, was closed without an answer (http.Server does that while it shuts down); and what was left at the end was cut with the process.

Fix: 2.5 s after SIGTERM the listener is closed and a request that no target has received is refused with 503 and Retry-After. Idle connections are closed until none is left. At 0.94 of the grace period requests in progress end, and those without an answer get 504.

--- a/node/direct.go
+++ b/node/direct.go
@@ -48,9 +48,10 @@
 	// balancerDelay is how long a stopping entry still accepts connections. The balancer probes
 	// once per second and removes an entry after two failures.
 	balancerDelay = 2500 * time.Millisecond
-	// graceRatio is the fraction of the grace period during which requests can finish; the rest is
-	// left for the process to exit.
+	// graceRatio is the fraction of the grace period during which requests can finish. Those that are left
+	// get an answer of the entry until exitRatio; the rest is left for the process to exit.
 	graceRatio = 0.94
+	exitRatio  = 0.97
 	// gcPercent is the growth of the heap in percent that starts a garbage collection. The live
 	// heap of an entry is small, so that frequent collections cost little CPU time while there are
 	// few callers.
@@ -113,6 +114,8 @@
 	newestVersion atomic.Uint64
 	newestSeenAt  atomic.Int64
 	leaving       atomic.Bool
+	// endRequests ends all requests in progress.
+	endRequests context.CancelFunc
 	// hasFacts reports whether the first facts have been read.
 	hasFacts atomic.Bool
 	// hasCacheIndex reports whether the index of the prefixes cached by targets is loaded.
@@ -236,6 +239,7 @@
 		LoadHistory: n.loadHistory,
 		Budgets:     &retry.Budgets{Bounds: n.retryBounds, Entries: n.board.EntryCount},
 	}
+	n.relay.Base, n.endRequests = context.WithCancel(context.Background())
 	if n.Settings.HedgeRatio > 0 {
 		n.relay.Hedger = &hedge.Hedger{Ratio: n.Settings.HedgeRatio}
 	}
--- a/node/direct_test.go
+++ b/node/direct_test.go
@@ -223,6 +223,75 @@
 	assert.Assert(t, strings.Contains(d.out.text(), `"process_stop"`))
 }
 
+// TestDirectStopRefusesLateRequests guards against requests on channels that were opened before a planned stop was noticed,
+// and used late in the grace period: a target would run them, and the end of the process would cut them.
+func TestDirectStopRefusesLateRequests(t *testing.T) {
+	store, x := stand.NewStore(), newTarget(t, "i-a")
+	publish(store, 1, []string{"k"}, x)
+	d := startDirect(t, store)
+	assert.Equal(t, status(d.post("/book/1", "k", "first")), http.StatusOK)
+	x.SetBehaviour(stand.Hangs)
+	d.stop()
+	waitFor(t, func() bool { return d.ready() == http.StatusServiceUnavailable }, "the entry reports that it is not ready")
+	var late []net.Conn
+	for range 3 {
+		c, err := net.Dial("tcp", d.settings.CallerAddr)
+		assert.NilError(t, err)
+		defer c.Close()
+		late = append(late, c)
+	}
+	const head = "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: late\r\nCredential: k\r\nContent-Length: 4\r\n\r\n"
+	fmt.Fprint(late[0], head)
+	waitFor(t, func() bool { return !d.accepts() }, "the entry accepts no connections")
+	for i, c := range late {
+		if i > 0 {
+			fmt.Fprint(c, head)
+		}
+		fmt.Fprint(c, "body")
+		answer, err := io.ReadAll(c)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 503"), "%s", answer)
+		assert.Assert(t, strings.Contains(string(answer), "Retry-After"), "%s", answer)
+	}
+	assert.Equal(t, x.Requests(), 1, "none of them has reached the target")
+	assert.NilError(t, <-d.done)
+}
+
+// TestDirectStopAnswersAtItsEnd guards against requests that a target still runs at the end of the grace period, and that
+// end with their channel in place of an answer.
+func TestDirectStopAnswersAtItsEnd(t *testing.T) {
+	store, x := stand.NewStore(), newTarget(t, "i-a")
+	publish(store, 1, []string{"k"}, x)
+	d := &direct{storeServer: store.NewServer(), out: &blockableLog{}, done: make(chan error, 1)}
+	t.Cleanup(d.storeServer.Close)
+	d.settings = directSettings(t, d.storeServer.Address())
+	d.settings.Bounds.GracePeriod = 3500 * time.Millisecond // shorter than the timeout of the route
+	d.run(t, nil)
+	assert.Equal(t, status(d.post("/book/1", "k", "first")), http.StatusOK)
+	x.SetBehaviour(stand.Hangs)
+	c, err := net.Dial("tcp", d.settings.CallerAddr)
+	assert.NilError(t, err)
+	defer c.Close()
+	fmt.Fprint(c, "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: long\r\nCredential: k\r\nContent-Length: 0\r\n\r\n")
+	waitFor(t, func() bool { return x.Requests() == 2 }, "the target runs the request")
+	d.stop()
+	assert.NilError(t, <-d.done)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond))) // the end of the process would close it now
+	answer, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasPrefix(string(answer), "HTTP/1.1 504"), "%s", answer)
+}
+
+// accepts reports whether the entry accepts a connection.
+func (d *direct) accepts() bool {
+	c, err := net.Dial("tcp", d.settings.CallerAddr)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
 // TestDirectLogReaderStops guards against requests that wait for their log lines while the reader
 // of standard output is stopped for five seconds.
 func TestDirectLogReaderStops(t *testing.T) {
--- a/node/ready.go
+++ b/node/ready.go
@@ -37,7 +37,8 @@
 }
 
 // stop reports that the entry is not ready, accepts connections until the balancer has noticed, and
-// waits for requests in progress, so that a planned stop interrupts no response.
+// waits for requests in progress, so that a planned stop interrupts no response. Requests that come on open
+// connections after that are refused: the process could end while a target runs them.
 func (n *Direct) stop(srv *http.Server) error {
 	start := time.Now()
 	n.leaving.Store(true)
@@ -46,11 +47,30 @@
 	n.log.Emit(event.ProcessNotReady, event.Str("cause", "leaving"))
 	n.log.Emit(event.ProcessDrain, event.Int("open", n.relay.InFlight()))
 	time.Sleep(balancerDelay)
-	limit := time.Duration(graceRatio * float64(n.bounds().GracePeriod))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(limit))
+	n.relay.RefuseNew()
+	_ = n.callers.Close() // Serve returns, which nobody waits for any more
+	grace := n.bounds().GracePeriod
+	n.awaitConnsClosed(srv, start.Add(time.Duration(graceRatio*float64(grace))))
+	n.endRequests()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(time.Duration(exitRatio*float64(grace))))
 	defer cancel()
 	err := srv.Shutdown(ctx)
 	n.log.Emit(event.ProcessStop, event.Int("open", n.relay.InFlight()), event.Err(err))
 	n.async.Close(ctx.Done())
 	return nil
 }
+
+// connPoll is how often a stopping entry closes idle connections and checks whether any is left.
+const connPoll = 20 * time.Millisecond
+
+// awaitConnsClosed closes idle connections until none is left or the time has come. http.Server.Shutdown would close
+// connections on which a request arrives meanwhile, without an answer.
+func (n *Direct) awaitConnsClosed(srv *http.Server, end time.Time) {
+	for time.Now().Before(end) {
+		srv.SetKeepAlivesEnabled(false)
+		if open, _ := n.callers.Open(); open == 0 {
+			return
+		}
+		time.Sleep(connPoll)
+	}
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -25,6 +25,9 @@
 		f := q.finalRefusal(q.ctx.Err())
 		return board.Choice{}, &f
 	}
+	if q.refusesNew.Load() && q.attempts.NotRun() {
+		return board.Choice{}, &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonStop, unreadyRetryAfter}
+	}
 	// The view may have changed while an earlier attempt ran.
 	if v := q.Roster.View(); v != nil {
 		q.view = v
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,8 +67,10 @@
 	// CachesKnown is closed when the entry has the list of prefixes cached by targets, or does not
 	// expect it soon. If it is nil, requests don't wait for the list.
 	CachesKnown <-chan struct{}
+	// Base ends the requests in progress when it ends; nil for never.
+	Base context.Context
 
-	draining atomic.Bool
+	draining, refusesNew atomic.Bool
 	inFlight atomic.Int64
 	// sharedBytes counts the bytes of all requests' buffers beyond freeBufferBytes of each.
 	sharedBytes atomic.Int64
@@ -85,6 +87,9 @@
 // Drain makes the relay ask callers to close their connections.
 func (e *Relay) Drain() { e.draining.Store(true) }
 
+// RefuseNew makes the relay refuse requests that no target has received yet.
+func (e *Relay) RefuseNew() { e.refusesNew.Store(true) }
+
 // InFlight returns the number of requests in progress.
 func (e *Relay) InFlight() int64 { return e.inFlight.Load() }
 
@@ -154,6 +159,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	if e.Base != nil {
+		defer context.AfterFunc(e.Base, cancel)()
+	}
 	defer func() { q.release(q.buffered) }()
 	q.ctx = ctx
 	if refused := q.resolveBuild(); refused != nil {
