relay: only a list that is up to date shows that a service has one build

Cause: without a record, the only build of a list of at most 2 s of age counted as that of the stream. A server can join and begin a stream within that time, and the cut that hides it hides the record, too. A record of a build that is not in the list was answered as final.

Fix: the list must be complete up to a moment after the request came.

--- a/node/build_test.go
+++ b/node/build_test.go
@@ -125,3 +125,30 @@
 		}
 	}
 }
+
+// TestEntryOutOfStepTakesUpNoStream guards against a stream that goes on at another software version because the entry,
+// cut off for a moment, does not know the targets that have joined meanwhile.
+func TestEntryOutOfStepTakesUpNoStream(t *testing.T) {
+	store := stand.NewStore()
+	old, joined := newTarget(t, "i-0"), newTarget(t, "i-1")
+	old.Build, joined.Build = "1", "2"
+	publish(store, 1, []string{"k"}, old)
+	d := startDirect(t, store)
+	takeUpUnknown := func(id string) int {
+		resp := d.stream(t, id, "Last-Event-Id", "1", "Resumes", "gone")
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			assert.Assert(t, resp.Header.Get("Retry-After") != "")
+		}
+		return resp.StatusCode
+	}
+	for n := range 5 {
+		assert.Equal(t, takeUpUnknown(fmt.Sprint("sole-", n)), http.StatusOK)
+	}
+	for _, failure := range []stand.Failure{stand.Unresponsive, stand.Reset, stand.Unavailable, stand.AnswerLost} {
+		d.storeServer.SetFailure(failure)
+		publish(store, 2, []string{"k"}, old, joined)
+		assert.Equal(t, takeUpUnknown("cut-"+string(failure)), http.StatusServiceUnavailable, "%s", failure)
+		d.storeServer.SetFailure(stand.NoFailure)
+	}
+}
--- a/node/direct.go
+++ b/node/direct.go
@@ -102,6 +102,8 @@
 	// historyTurn is held while the history of the targets is read; hasHistory is set once it was.
 	historyTurn chan struct{}
 	hasHistory  bool
+	// confirmTurn is held while the source is asked whether the list of targets is up to date.
+	confirmTurn chan struct{}
 	// claims is nil unless the settings ask for it.
 	claims *claim.Keeper
 	// wake ends the current watch of the configuration.
@@ -206,7 +208,7 @@
 	}
 	n.async = event.NewAsyncWriter(n.Out)
 	n.log = &event.Log{Out: n.async, Process: n.Settings.Name}
-	n.wake, n.historyTurn = make(chan struct{}, 1), make(chan struct{}, 1)
+	n.wake, n.historyTurn, n.confirmTurn = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	n.cacheIndexSettled = make(chan struct{})
 	n.roster = &roster.Roster{}
 	n.pool = &link.Pool{}
@@ -237,7 +239,10 @@
 		CachesKnown: n.cacheIndexSettled,
 		Caches:      n.Caches,
 		LoadHistory: n.loadHistory,
-		Budgets:     &retry.Budgets{Bounds: n.retryBounds, Entries: n.board.EntryCount},
+
+		ConfirmTargets: n.confirmTargets,
+
+		Budgets: &retry.Budgets{Bounds: n.retryBounds, Entries: n.board.EntryCount},
 	}
 	n.relay.Base, n.endRequests = context.WithCancel(context.Background())
 	if n.Settings.HedgeRatio > 0 {
--- a/relay/build.go
+++ b/relay/build.go
@@ -37,17 +37,19 @@
 	if q.callerHeaders.LastEventID == 0 {
 		return nil
 	}
-	sole, isSole := q.soleBuild()
+	_, isSole := q.soleBuild()
 	id, recorded := q.findOrigin(isSole)
 	switch {
-	case recorded && q.bindTo(id):
+	case recorded && (q.bindTo(id) || q.confirmTargets() && q.bindTo(id)):
 		q.Meters.Resumed.Add(1, "record")
-	case recorded:
+	case recorded && q.confirmTargets():
 		q.Meters.Resumed.Add(1, "gone")
 		return &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, 0}
-	case isSole:
+	case recorded: // a target of the build may have joined
+		q.Meters.Resumed.Add(1, "unknown")
+		return &refusal{http.StatusServiceUnavailable, chestnutstep.ReasonBuild, busyRetryAfter}
+	case isSole && q.bindToSole():
 		q.Meters.Resumed.Add(1, "sole")
-		q.stream.build = sole
 	case q.findByPrompt():
 		q.Meters.Resumed.Add(1, "prompt")
 	case q.findByHistory():
@@ -91,14 +93,27 @@
 	return view.SoleBuild(now, q.service.Name, age, len(q.callerHeaders.Parts) == 0)
 }
 
-// findByHistory binds the request to the only build of its service, by the history of the source.
-func (q *request) findByHistory() bool {
-	if q.LoadHistory == nil {
-		return false
+// confirmTargets brings the list of targets up to date. It returns false if that may lack targets that joined before
+// this call: one of them can have begun the stream, through another entry.
+func (q *request) confirmTargets() bool {
+	if q.ConfirmTargets == nil {
+		return true
 	}
 	ctx, cancel := context.WithTimeout(q.r.Context(), evidenceTimeout)
 	defer cancel()
-	q.LoadHistory(ctx)
+	if !q.ConfirmTargets(ctx) {
+		return false
+	}
+	q.view = q.Roster.View()
+	return true
+}
+
+// bindToSole binds the request to the only build of its service, if it is the only one by a list of targets that is up to
+// date.
+func (q *request) bindToSole() bool {
+	if !q.confirmTargets() {
+		return false
+	}
 	build, ok := q.soleBuild()
 	if ok {
 		q.stream.build = build
@@ -106,6 +121,17 @@
 	return ok
 }
 
+// findByHistory binds the request to the only build of its service, by the history of the source.
+func (q *request) findByHistory() bool {
+	if q.LoadHistory == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(q.r.Context(), evidenceTimeout)
+	defer cancel()
+	q.LoadHistory(ctx)
+	return q.bindToSole()
+}
+
 // bindTo binds the request to a build of one of the route's services. It returns false if none of
 // them has a target of the build.
 func (q *request) bindTo(id chestnutstep.BuildID) bool {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -60,6 +60,9 @@
 	Caches chestnutstep.CacheLister
 	// LoadHistory reads the history of the targets into the Roster unless that was done; nil for none.
 	LoadHistory func(ctx context.Context)
+	// ConfirmTargets waits until the Roster has all targets that had joined before the call, and reports whether it has;
+	// nil if it always has.
+	ConfirmTargets func(ctx context.Context) bool
 	// Claims grants and honours claims of refused callers; nil for none. The Board must use the same.
 	Claims *claim.Keeper
 	// IsBehind reports whether a peer has a newer configuration than this entry.
@@ -71,7 +74,7 @@
 	Base context.Context
 
 	draining, refusesNew atomic.Bool
-	inFlight atomic.Int64
+	inFlight             atomic.Int64
 	// sharedBytes counts the bytes of all requests' buffers beyond freeBufferBytes of each.
 	sharedBytes atomic.Int64
 	segments    memory.Segments
