link: a target may read a long body after it has begun to answer

Cause: TCP_USER_TIMEOUT also ends the connection of a host that acknowledges all and has no window.

Fix: once the answer has begun, the timeout is off until a long request is acknowledged, and what it stood for is looked at: sent bytes that stay unacknowledged for 1.2 s, or four unanswered probes in a row. Before the head of the answer nothing changes.

--- a/link/call.go
+++ b/link/call.go
@@ -65,6 +65,8 @@
 	complete       bool
 	peerEnded      bool
 	requestWritten bool
+	// upload watches the rest of the request; nil if all of it was acknowledged before the head arrived.
+	upload *uploadWatcher
 }
 
 // ErrCall is the error of a call without a usable response.
@@ -115,7 +117,8 @@
 	}
 	sent := make(chan error, 1)
 	message := message{conn: c, head: call.head(), body: call.Body}
-	if message.length() <= maxInlineWrite {
+	isLong := message.length() > maxInlineWrite
+	if !isLong {
 		sent <- message.writeAtOnce()
 	} else {
 		message.body.Retain()
@@ -134,8 +137,13 @@
 	select {
 	case err := <-sent:
 		a.requestWritten = err == nil
+		sent = nil
 	default: // responded before reading the whole body: the connection is not reused
 	}
+	if isLong && (sent != nil || unackedBytes(c) > 0) {
+		a.upload = &uploadWatcher{conn: c, sent: sent, stopped: make(chan struct{}), done: make(chan struct{})}
+		go a.upload.run()
+	}
 	return a, nil
 }
 
@@ -283,6 +291,10 @@
 		reusable = false // ctx ended, and the connection is closed or about to be
 	}
 	a.stop = nil
+	if a.upload != nil {
+		a.upload.stop()
+		a.upload = nil
+	}
 	if !reusable || !a.complete || !a.requestWritten || a.resp.Close || a.IsCloseDelimited() || a.conn.br.Buffered() > 0 {
 		a.conn.reset()
 		return
