link: an idle connection is a witness, too; a refusal waits for an open one

A target that is leaving can close its listener while it still sends an answer. If the witness is open then and owes its answer, the refusal of a fresh connection is no proof yet: the answer is waited for, up to the second that other late ones have. A witness that was closed is replaced by an idle connection to the target if there is one: as both that and the connection of the answer are open, they are to the same process. That costs nothing and works at maxConnections.

--- a/ending/evidence.go
+++ b/ending/evidence.go
@@ -56,7 +56,7 @@
 	case e.Witness == WitnessAnswered:
 		return Lives, true
 	case e.Fresh == FreshRefused && !e.WasRefused:
-		return Ended, true
+		return Ended, e.Witness != WitnessOpen // a target that is leaving can have closed its listener just now
 	case e.Fresh == FreshAnswered && e.IsPrompt:
 		return Lives, true
 	case e.Witness == WitnessOpen:
--- a/link/confirm.go
+++ b/link/confirm.go
@@ -139,7 +139,7 @@
 	case p.conn == nil:
 		return fresh > ending.FreshOpen || fresh == ending.FreshOpen && elapsed >= witnessTimeout
 	default:
-		return elapsed >= witnessTimeout && state != ending.Unknown && fresh != ending.FreshUntried
+		return elapsed >= witnessTimeout && state == ending.Lives && fresh != ending.FreshUntried
 	}
 }
 
--- a/link/confirm_test.go
+++ b/link/confirm_test.go
@@ -114,7 +114,7 @@
 }
 
 // play returns the state that is confirmed after the end of an answer of some duration.
-func (p *process) play(t *testing.T, duration time.Duration, refuses, dies bool) string {
+func (p *process) play(t *testing.T, duration time.Duration, refuses string, dies bool) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -124,14 +124,18 @@
 	pool := &Pool{}
 	answer, err := pool.open(t.Context(), l.Addr().String(), dialTimeout)
 	assert.NilError(t, err)
-	if refuses {
+	if refuses == "always" {
 		_ = l.Close()
 	}
 	w := pool.Witness(l.Addr().String(), "/healthz", 1).(*Witness)
 	w.freshLimit = time.Hour // a test that stands still proves nothing within the usual one
 	w.Await(10 * time.Millisecond)
 	w.Attach(answer.Conn)
-	time.Sleep(duration)
+	time.Sleep(duration / 2)
+	if refuses == "later" {
+		_ = l.Close()
+	}
+	time.Sleep(duration / 2)
 	p.finish(answer, dies)
 	_, _ = answer.Read(make([]byte, 1))
 	return w.Confirm(false).String()
@@ -142,18 +146,19 @@
 func TestProcessAfterAnswer(t *testing.T) {
 	datadriven.RunTest(t, "testdata/processes", func(t *testing.T, d *datadriven.TestData) string {
 		duration, delay, idle := "400ms", "0s", "0s"
-		maxConns := 0
+		maxConns, refuses := 0, ""
 		d.MaybeScanArgs(t, "duration", &duration)
 		d.MaybeScanArgs(t, "delay", &delay)
 		d.MaybeScanArgs(t, "idle", &idle)
 		d.MaybeScanArgs(t, "conns", &maxConns)
+		d.MaybeScanArgs(t, "refuses", &refuses)
 		out := ""
 		for _, dies := range []bool{false, true} {
 			p := &process{
 				delay: parse(t, delay), idle: parse(t, idle), maxConns: maxConns,
 				isSilent: d.HasArg("silent"), isRelayed: d.HasArg("relayed"), isFull: d.HasArg("full"),
 			}
-			out += fmt.Sprintf("%s: %s\n", map[bool]string{false: "alive", true: "dead"}[dies], p.play(t, parse(t, duration), d.HasArg("refuses"), dies))
+			out += fmt.Sprintf("%s: %s\n", map[bool]string{false: "alive", true: "dead"}[dies], p.play(t, parse(t, duration), refuses, dies))
 		}
 		return out
 	})
--- a/link/witness.go
+++ b/link/witness.go
@@ -81,15 +81,25 @@
 		pool: p, address: address, maxIdle: maxIdle, path: healthPath, freshLimit: freshLimit, stop: stop,
 		done: make(chan struct{}), ready: make(chan struct{}), attached: make(chan struct{}),
 	}
-	if c := p.popIdle(address); c != nil && c.proven && time.Now().Before(c.idleUntil) && IsIdle(c.Conn) {
-		w.conn, w.isConfirmed = c, true
-	} else if c != nil {
-		_ = c.Close()
-	}
+	w.takeIdle()
 	go w.run(ctx)
 	return w
 }
 
+// takeIdle takes an idle connection that has carried a request. It returns false if there is none.
+func (w *Witness) takeIdle() bool {
+	c := w.pool.popIdle(w.address)
+	if c == nil {
+		return false
+	}
+	if !c.proven || time.Now().After(c.idleUntil) || !IsIdle(c.Conn) || !w.isAnswerOpen() {
+		_ = c.Close()
+		return false
+	}
+	w.conn, w.isConfirmed = c, true
+	return true
+}
+
 // Attach sets the connection of the answer whose end the witness is to prove. Only the first call has an effect.
 func (w *Witness) Attach(answer net.Conn) {
 	w.mu.Lock()
@@ -118,7 +128,7 @@
 		if isOpen && !w.watch(ctx) || !w.waitOpen(ctx, pause) {
 			return
 		}
-		isOpen = w.open(ctx)
+		isOpen = w.takeIdle() || w.open(ctx) // an idle connection is one to the process that answers, as both are open
 	}
 }
 
