link: the idle time of a witness that has carried a request begins with its answer

A connection from the pool had no time of its last use, so that its close was taken for that of a target which keeps connections for ever, and took the place of a time that had been seen. No test failed; read while the change was looked through.

--- a/link/pool.go
+++ b/link/pool.go
@@ -54,7 +54,7 @@
 	br        *bufio.Reader
 	limit     *readLimit
 	idleUntil time.Time
-	// usedAt is when the connection was opened, or the last health check on it answered.
+	// usedAt is when the connection was opened, or last carried an answer, as far as a Witness must know.
 	usedAt time.Time
 }
 
@@ -161,7 +161,8 @@
 	if idle <= 0 {
 		idle = defaultIdleTimeout
 	}
-	c.idleUntil = time.Now().Add(idle)
+	c.usedAt = time.Now()
+	c.idleUntil = c.usedAt.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
