--- a/link/reset.go
+++ b/link/reset.go
@@ -29,7 +29,7 @@
 	return pollEvents(c, unix.POLLRDHUP)&(unix.POLLHUP|unix.POLLERR) != 0
 }
 
-// endConn is a connection whose end can be told from a reset while a request is being written.
+// endConn is a connection whose reads distinguish a reset from a regular end while a request is being written.
 type endConn struct{ *net.TCPConn }
 
 // Read reads from the connection.
