head, agent: agents see interim heads, trailers and chunks of HTTP/1.0

Cause: net/http reads these itself and hides them from who checks the answer.

Fix: the connections of agents' clients are read through a check of each head, from the begin of an exchange to the end of its final head; the end of a body checks its trailer. The connections still show their socket, which the proof of a target's life needs (TestConnsOfClientsAreSockets).

--- a/agent/call.go
+++ b/agent/call.go
@@ -32,9 +32,9 @@
 // client opens a connection for each request, so it has no reused connection on which net/http
 // would retry.
 func Clients() (pooled, unpooled *http.Client) {
-	dial := &targetlink.Dialer{Timeout: connectTimeout}
+	dial := head.Scan((&targetlink.Dialer{Timeout: connectTimeout}).DialContext)
 	pooledTransport := &http.Transport{
-		DialContext:         dial.DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
@@ -42,7 +42,7 @@
 		MaxResponseHeaderBytes: chestnutstep.MaxHeadBytes,
 	}
 	unpooledTransport := &http.Transport{
-		DialContext:        dial.DialContext,
+		DialContext:        dial,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 
--- a/head/head.go
+++ b/head/head.go
@@ -66,15 +66,16 @@
 	return nil
 }
 
-// Transport is a transport whose answers have valid heads. The error for any other one is an ErrHead.
+// Transport is a transport whose answers have valid heads. The error for any other one is an ErrHead, which reads of a
+// body return if its trailer is not valid.
 type Transport struct {
-	// Base sends the requests.
+	// Base sends the requests. If it dials by Scan, interim heads are checked as well.
 	Base http.RoundTripper
 }
 
 // RoundTrip sends a request and checks the head of its answer.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Base.RoundTrip(r)
+	resp, err := t.Base.RoundTrip(traceScan(r))
 	if err != nil {
 		return nil, err
 	}
@@ -82,6 +83,7 @@
 		_ = resp.Body.Close() // the answer is not used
 		return nil, err
 	}
+	resp.Body = trailerBody{resp.Body, resp}
 	return resp, nil
 }
 
