link: a reset that arrives within the dial is a dropped connection

Callers would have got 502 for a whole answer of a target at its maxConnections.

Cause: such a target accepts a connection and resets it. If the reset arrives before this process notices that the connection is open, the dial fails with ECONNRESET, and the connection counted as one that could not be opened.

Fix: that error is a dropped connection, for the witness and for a fresh connection.

--- a/link/confirm.go
+++ b/link/confirm.go
@@ -227,8 +227,9 @@
 	stop          context.CancelFunc
 	changed       chan struct{}
 
-	mu       sync.Mutex
-	state    ending.FreshState
+	mu    sync.Mutex
+	state ending.FreshState
+	// openedAt is when the connection was open, or could not be opened.
 	openedAt time.Time
 	conn     *Conn
 	// isKept is set if the target keeps the connection after its answer, and isStopped by close.
@@ -241,6 +242,9 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		f.set(ending.FreshRefused, false)
 		return
+	case isDropped(err):
+		f.set(ending.FreshDropped, false)
+		return
 	case err != nil:
 		f.set(ending.FreshUnreached, false)
 		return
@@ -273,6 +277,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.state, f.isKept = s, isKept
+	if f.conn == nil {
+		f.openedAt = time.Now()
+	}
 	f.changed <- struct{}{}
 }
 
--- a/link/witness.go
+++ b/link/witness.go
@@ -187,7 +187,7 @@
 func (w *Witness) open(ctx context.Context) bool {
 	c, err := w.pool.open(ctx, w.address, dialTimeout)
 	if err != nil {
-		w.recordAttempt(errors.Is(err, syscall.ECONNREFUSED) && w.isAttached(), false)
+		w.recordAttempt(errors.Is(err, syscall.ECONNREFUSED) && w.isAttached(), isDropped(err))
 		return false
 	}
 	if !w.isAnswerOpen() || ctx.Err() != nil {
@@ -203,6 +203,12 @@
 	return w.awaitFirst(ctx)
 }
 
+// isDropped reports whether a dial failed because the target, which had accepted the connection, closed it before this
+// process noticed that it was open.
+func isDropped(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // awaitFirst sends the first check on a connection, and waits for a while for its answer.
 func (w *Witness) awaitFirst(ctx context.Context) bool {
 	w.check = w.conn.startHealthCheck(w.path)
